--- /dev/null
+++ b/Source/Config/vcConfigServer.cxx
@@ -0,0 +1,199 @@
+#include "vcConfigServer.h"
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+const std::string kJournalName = "config";
+constexpr Duration kWatchWait{ 400 };
+constexpr Duration kWatchLimit{ 1'500 };
+constexpr Duration kWatchRetry{ 100 };
+
+void SendWatch(ConfigServerState& aState, TimePoint aNow, StoreOutbox& aOut)
+{
+  StoreRequest request;
+  request.mOp = StoreOp::kWatch;
+  request.mKey = JournalPrefix(kJournalName);
+  request.mIsPrefix = true;
+  request.mAfterRevision = aState.mWatchAfter;
+  request.mWait = kWatchWait;
+  aState.mWatchSentAt = aNow;
+  aState.mWatchCall = PushStoreCall(
+    aOut, "config", StorePriority::kConfiguration, std::move(request));
+}
+
+void TakeNews(ConfigServerState& aState)
+{
+  for (const auto& news : aState.mJournal.mNews) {
+    FollowJournal(aState.mFollower, news);
+  }
+  aState.mJournal.mNews.clear();
+}
+
+void Answer(ConfigServerState& aState,
+            const PendingChange& aChange,
+            ChangeOutcome aOutcome)
+{
+  aState.mAnswers.push_back({ aChange.mTicket, std::move(aOutcome) });
+}
+
+/// Outcome of checking `aChange` on top of `aScratch`, or nothing if it can
+/// be written; then it has been applied to `aScratch`.
+std::optional<ChangeOutcome> CheckChange(const ConfigServerState& aState,
+                                         const ConfigChange& aChange,
+                                         ConfigStateRecord& aScratch)
+{
+  ChangeOutcome outcome;
+  outcome.mConflicts = FindConflicts(aScratch.mConfiguration, aChange.mEdits);
+  if (!outcome.mConflicts.empty()) {
+    outcome.mStatus = ChangeStatus::kConflict;
+    return outcome;
+  }
+  Configuration changed = aScratch.mConfiguration;
+  ApplyEdits(
+    changed, aChange.mEdits, aState.mJournal.mReader.mNext, outcome.mFaults);
+  if (outcome.mFaults.empty()) {
+    outcome.mFaults = CheckConfiguration(changed, aState.mLargest);
+  }
+  if (!outcome.mFaults.empty()) {
+    outcome.mStatus = ChangeStatus::kInvalid;
+    return outcome;
+  }
+  aScratch.mConfiguration = std::move(changed);
+  return std::nullopt;
+}
+
+/// Answers the changes that the journal holds, and those out of time.
+void SettlePending(ConfigServerState& aState, TimePoint aNow)
+{
+  std::erase_if(aState.mPending, [&](const PendingChange& aPending) {
+    ChangeOutcome outcome;
+    outcome.mRevision =
+      FindRecent(aState.mFollower.mState, aPending.mChange.mChange);
+    if (outcome.mRevision != 0) {
+      Answer(aState, aPending, outcome);
+      return true;
+    }
+    if (aNow >= aPending.mDeadline) {
+      outcome.mStatus = aPending.mIsWritten ? ChangeStatus::kUnknown
+                                            : ChangeStatus::kUnavailable;
+      Answer(aState, aPending, outcome);
+      return true;
+    }
+    return false;
+  });
+}
+
+void WritePending(ConfigServerState& aState, TimePoint aNow, StoreOutbox& aOut)
+{
+  auto& journal = aState.mJournal;
+  const bool isIdle = journal.mPhase == JournalPhase::kOpen &&
+                      !journal.mWrite && journal.mLoadCall == 0;
+  if (!isIdle || aState.mPending.empty()) {
+    return;
+  }
+  journal.mPending.clear();
+  ConfigStateRecord scratch = aState.mFollower.mState;
+  std::vector<boost::json::value> records;
+  std::erase_if(aState.mPending, [&](PendingChange& aPending) {
+    auto refusal = CheckChange(aState, aPending.mChange, scratch);
+    if (refusal) {
+      Answer(aState, aPending, std::move(*refusal));
+      return true;
+    }
+    aPending.mIsWritten = true;
+    records.push_back(EncodeValue(aPending.mChange));
+    return false;
+  });
+  for (auto& record : records) {
+    Append(journal, std::move(record));
+  }
+  std::optional<JournalRecord> snapshot;
+  if (IsSnapshotDue(journal)) {
+    scratch.mConfiguration.mRevision = journal.mReader.mNext;
+    for (const auto& pending : aState.mPending) {
+      scratch.mRecent.push_back(
+        { pending.mChange.mChange, journal.mReader.mNext });
+    }
+    snapshot = EncodeValue(scratch);
+  }
+  Flush(journal, aNow, std::move(snapshot), aOut);
+}
+
+void OnWatchReply(ConfigServerState& aState, const StoreReply& aReply)
+{
+  aState.mWatchCall = 0;
+  if (aReply.mStatus != StoreStatus::kOk) {
+    return;
+  }
+  auto& reader = aState.mJournal.mReader;
+  FollowJournal(aState.mFollower, Absorb(reader, aReply.mEntries));
+  aState.mWatchAfter = std::max(aState.mWatchAfter, aReply.mRevision);
+  if (HasGap(reader)) {
+    // The ring has moved on by more than its length: read all of it.
+    aState.mWatchAfter = 0;
+    return;
+  }
+  const auto waited = std::min(aReply.mWaited, kWatchWait);
+  NoteProof(aState.mFollower, aState.mWatchSentAt + waited);
+}
+
+} // namespace
+
+void StartConfigServer(ConfigServerState& aState,
+                       const std::string& aName,
+                       StoreOutbox& aOut)
+{
+  aState.mJournal.mReader.mName = kJournalName;
+  aState.mJournal.mSharing = JournalSharing::kShared;
+  aState.mJournal.mWriterName = aName;
+  OpenJournal(aState.mJournal, 0, aOut);
+}
+
+std::uint64_t SubmitChange(ConfigServerState& aState,
+                           ConfigChange aChange,
+                           TimePoint aNow)
+{
+  PendingChange pending;
+  pending.mTicket = aState.mNextTicket++;
+  pending.mChange = std::move(aChange);
+  pending.mDeadline = aNow + kChangeLimit;
+  aState.mPending.push_back(std::move(pending));
+  return aState.mPending.back().mTicket;
+}
+
+void TickConfigServer(ConfigServerState& aState,
+                      TimePoint aNow,
+                      StoreOutbox& aOut)
+{
+  RetryJournal(aState.mJournal, aNow, aOut);
+  TakeNews(aState);
+  SettlePending(aState, aNow);
+  WritePending(aState, aNow, aOut);
+  const bool isStuck =
+    aState.mWatchCall != 0 && aNow - aState.mWatchSentAt > kWatchLimit;
+  const bool isDue = aNow - aState.mWatchSentAt >= kWatchRetry;
+  if ((aState.mWatchCall == 0 && isDue) || isStuck) {
+    SendWatch(aState, aNow, aOut);
+  }
+}
+
+void OnConfigServerReply(ConfigServerState& aState,
+                         std::uint64_t aCall,
+                         const StoreReply& aReply,
+                         TimePoint aNow,
+                         StoreOutbox& aOut)
+{
+  if (aCall == aState.mWatchCall) {
+    OnWatchReply(aState, aReply);
+  } else {
+    OnJournalReply(aState.mJournal, aCall, aReply, aNow, aOut);
+    TakeNews(aState);
+  }
+  SettlePending(aState, aNow);
+  WritePending(aState, aNow, aOut);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Foundation/vcFoundation.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of the Foundation library: time, hashing, error tables,
+/// the JSON codec, settings files and logging.
+
+#include "vcCodec.h"
+#include "vcErrorTable.h"
+#include "vcHash.h"
+#include "vcLog.h"
+#include "vcSettings.h"
+#include "vcTime.h"
--- /dev/null
+++ b/Source/Http/vcHttpClient.cxx
@@ -0,0 +1,245 @@
+#include "vcHttp.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <unordered_map>
+
+namespace verbenacroft {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxIdlePerEndpoint = 64;
+
+class Connection
+  : public boost::intrusive_ref_counter<Connection,
+                                        boost::thread_unsafe_counter>
+{
+public:
+  explicit Connection(asio::io_context& aContext)
+    : mStream(aContext)
+  {
+  }
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  bool mIsReused = false;
+};
+
+using ConnectionPtr = boost::intrusive_ptr<Connection>;
+
+http::request<http::string_body> ToBeast(HttpRequest& aRequest,
+                                         const std::string& aHost,
+                                         const std::string& aRequestId)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.set(http::field::host, aHost);
+  for (const auto& header : aRequest.mHeaders) {
+    message.insert(header.mName, header.mValue);
+  }
+  if (!aRequestId.empty()) {
+    message.set(std::string(kRequestIdHeader), aRequestId);
+  }
+  message.body() = std::move(aRequest.mBody);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse FromBeast(http::response<http::string_body>& aMessage)
+{
+  HttpResponse response;
+  response.mStatus = static_cast<int>(aMessage.result_int());
+  response.mContentType.clear();
+  for (const auto& field : aMessage) {
+    if (field.name() == http::field::content_type) {
+      response.mContentType = std::string(field.value());
+    } else {
+      response.mHeaders.push_back(
+        { std::string(field.name_string()), std::string(field.value()) });
+    }
+  }
+  response.mBody = std::move(aMessage.body());
+  return response;
+}
+
+HttpErrc Classify(const beast::error_code& aError)
+{
+  if (aError == beast::error::timeout) {
+    return HttpErrc::kTimeout;
+  }
+  if (aError == http::error::body_limit) {
+    return HttpErrc::kTooLarge;
+  }
+  const bool isClosed = aError == http::error::end_of_stream ||
+                        aError == http::error::partial_message ||
+                        aError == asio::error::eof ||
+                        aError == asio::error::connection_reset ||
+                        aError == asio::error::broken_pipe;
+  return isClosed ? HttpErrc::kClosed : HttpErrc::kMalformed;
+}
+
+/// True if nothing waits to be read, so that the next answer on the
+/// connection can only belong to the next request.
+bool IsQuiet(Connection& aConnection)
+{
+  if (aConnection.mBuffer.size() > 0) {
+    return false;
+  }
+  beast::error_code error;
+  auto& socket = aConnection.mStream.socket();
+  char byte = 0;
+  socket.non_blocking(true, error);
+  socket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+  explicit Impl(asio::io_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  ConnectionPtr TakeIdle(const std::string& aKey)
+  {
+    auto& idle = this->mIdle[aKey];
+    while (!idle.empty()) {
+      ConnectionPtr connection = std::move(idle.back());
+      idle.pop_back();
+      if (IsQuiet(*connection)) {
+        connection->mIsReused = true;
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void GiveBack(const std::string& aKey, ConnectionPtr aConnection)
+  {
+    auto& idle = this->mIdle[aKey];
+    if (idle.size() < kMaxIdlePerEndpoint) {
+      aConnection->mStream.expires_never();
+      idle.push_back(std::move(aConnection));
+    }
+  }
+
+  asio::awaitable<ConnectionPtr> Connect(Endpoint aEndpoint, Duration aTimeout)
+  {
+    ConnectionPtr connection(new Connection(this->mContext));
+    connection->mStream.expires_after(aTimeout);
+    auto [error] =
+      co_await connection->mStream.async_connect(aEndpoint, kAwaitTuple);
+    if (error) {
+      co_return nullptr;
+    }
+    beast::error_code ignored;
+    connection->mStream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                            ignored);
+    co_return connection;
+  }
+
+  asio::io_context& mContext;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> mIdle;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext)
+  : mImpl(std::make_shared<Impl>(aContext))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::CloseIdle()
+{
+  this->mImpl->mIdle.clear();
+}
+
+namespace {
+
+/// Error of an answer that is whole but must not be used, or none.
+std::error_code CheckAnswer(
+  const http::response_parser<http::string_body>& aParser,
+  const HttpCallOptions& aOptions)
+{
+  // An answer that ends with the connection can't be told from a cut one.
+  if (aParser.need_eof()) {
+    return MakeError(HttpErrc::kMalformed);
+  }
+  const auto& message = aParser.get();
+  const auto echo = message[std::string(kRequestIdHeader)];
+  const bool isMissing = echo.empty() && aOptions.mNeedsEcho;
+  const bool isOther = !echo.empty() && !aOptions.mRequestId.empty() &&
+                       echo != aOptions.mRequestId;
+  if (isMissing || isOther) {
+    return MakeError(HttpErrc::kCrossed);
+  }
+  return {};
+}
+
+} // namespace
+
+asio::awaitable<HttpResult> HttpClient::Call(Endpoint aEndpoint,
+                                             HttpRequest aRequest,
+                                             HttpCallOptions aOptions)
+{
+  const std::shared_ptr<Impl> impl = this->mImpl;
+  const std::string key = EndpointText(aEndpoint);
+  HttpResult result;
+  ConnectionPtr connection;
+  if (!aOptions.mIsFresh) {
+    connection = impl->TakeIdle(key);
+  }
+  if (!connection) {
+    connection = co_await impl->Connect(
+      aEndpoint, std::min(aOptions.mConnectTimeout, aOptions.mTimeout));
+  }
+  if (!connection) {
+    result.mError = MakeError(HttpErrc::kNotConnected);
+    co_return result;
+  }
+  const bool isHead = aRequest.mMethod == "HEAD";
+  auto message = ToBeast(aRequest, key, aOptions.mRequestId);
+  connection->mStream.expires_after(aOptions.mTimeout);
+  result.mWasSent = true;
+  auto [writeError, written] =
+    co_await http::async_write(connection->mStream, message, kAwaitTuple);
+  if (writeError) {
+    result.mError = MakeError(Classify(writeError));
+    co_return result;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(aOptions.mMaxBodyBytes);
+  parser.skip(isHead);
+  auto [readError, received] = co_await http::async_read(
+    connection->mStream, connection->mBuffer, parser, kAwaitTuple);
+  if (readError) {
+    result.mError = MakeError(Classify(readError));
+    co_return result;
+  }
+  result.mError = CheckAnswer(parser, aOptions);
+  if (result.mError) {
+    co_return result;
+  }
+  const bool keepAlive = parser.get().keep_alive();
+  result.mResponse = FromBeast(parser.get());
+  if (keepAlive && connection->mBuffer.size() == 0) {
+    impl->GiveBack(key, std::move(connection));
+  }
+  co_return result;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Libraries.cmake
@@ -0,0 +1,29 @@
+verbenacroft_library(Foundation
+  SOURCES vcCodec.cxx vcHash.cxx vcLog.cxx vcSettings.cxx
+  LINK Boost::json spdlog::spdlog ${XXHASH_LIBRARY} Threads::Threads)
+verbenacroft_library(Http
+  SOURCES vcHttpText.cxx vcHttpServer.cxx vcHttpClient.cxx
+  LINK vcFoundation)
+verbenacroft_library(Store
+  SOURCES vcStoreBudget.cxx vcStoreClient.cxx
+  LINK vcHttp)
+verbenacroft_library(Journal
+  SOURCES vcJournalReader.cxx vcJournalWriter.cxx
+  LINK vcStore)
+verbenacroft_library(Ownership SOURCES vcOwnership.cxx LINK vcStore)
+verbenacroft_library(Platform
+  SOURCES vcResources.cxx vcWorkerClient.cxx
+  LINK vcHttp)
+verbenacroft_library(Config
+  SOURCES vcConfigModel.cxx vcConfigChange.cxx vcConfigFeed.cxx
+    vcConfigServer.cxx
+  LINK vcPlatform vcJournal vcOwnership)
+verbenacroft_library(Placement
+  SOURCES vcFairness.cxx vcInterference.cxx vcSizing.cxx vcWorkerChoice.cxx
+  LINK vcConfig)
+verbenacroft_library(Jobs SOURCES vcJobs.cxx LINK vcConfig)
+verbenacroft_library(Scheduler
+  SOURCES vcShardData.cxx vcShardState.cxx vcShardWorkers.cxx
+    vcShardPlan.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
+    vcSchedulerClaims.cxx
+  LINK vcPlacement vcJobs)
--- /dev/null
+++ b/Source/Placement/vcInterference.cxx
@@ -0,0 +1,92 @@
+#include "vcInterference.h"
+
+#include "vcHash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr double kLearningRate = 0.3;
+constexpr double kHalfLifeMs = 300'000.0;
+constexpr double kMaxEvidence = 50.0;
+constexpr double kMaxCoefficient = 10.0;
+
+std::uint64_t PairKey(std::uint64_t aVictim, std::uint64_t aAggressor)
+{
+  constexpr std::uint64_t kMix = 0x9E3779B97F4A7C15ULL;
+  return (aVictim * kMix) ^ (aAggressor + (aVictim >> 7));
+}
+
+double DecayedEvidence(const PairEstimate& aPair, TimePoint aNow)
+{
+  if (aPair.mEvidence <= 0) {
+    return 0;
+  }
+  const auto age = static_cast<double>((aNow - aPair.mUpdatedAt).count());
+  return aPair.mEvidence * std::exp2(-std::max(age, 0.0) / kHalfLifeMs);
+}
+
+} // namespace
+
+std::uint64_t KindOf(std::string_view aOwner)
+{
+  return StableHash(aOwner);
+}
+
+void Learn(InterferenceModel& aModel,
+           std::uint64_t aVictim,
+           const std::vector<Neighbour>& aNeighbours,
+           double aSlowdown,
+           TimePoint aMeasuredAt)
+{
+  double predicted = 0;
+  double norm = 0;
+  for (const auto& neighbour : aNeighbours) {
+    const auto key = PairKey(aVictim, neighbour.mKind);
+    predicted += aModel.mPairs[key].mCoefficient * neighbour.mLoad;
+    norm += neighbour.mLoad * neighbour.mLoad;
+  }
+  if (norm <= 0) {
+    return;
+  }
+  const double error = aSlowdown - predicted;
+  for (const auto& neighbour : aNeighbours) {
+    auto& pair = aModel.mPairs[PairKey(aVictim, neighbour.mKind)];
+    const double evidence = DecayedEvidence(pair, aMeasuredAt);
+    // The first reports of a pair count in full, later ones less.
+    const double rate = std::max(kLearningRate, 1.0 / (1.0 + evidence));
+    pair.mCoefficient += rate * error * neighbour.mLoad / norm;
+    pair.mCoefficient = std::clamp(pair.mCoefficient, 0.0, kMaxCoefficient);
+    pair.mEvidence = std::min(
+      kMaxEvidence, evidence + neighbour.mLoad * neighbour.mLoad / norm);
+    pair.mUpdatedAt = aMeasuredAt;
+  }
+}
+
+double Predict(const InterferenceModel& aModel,
+               std::uint64_t aVictim,
+               const std::vector<Neighbour>& aNeighbours,
+               double aPrior,
+               double aCaution,
+               TimePoint aNow)
+{
+  double slowdown = 0;
+  for (const auto& neighbour : aNeighbours) {
+    const auto found = aModel.mPairs.find(PairKey(aVictim, neighbour.mKind));
+    double coefficient = aPrior;
+    double evidence = 0;
+    if (found != aModel.mPairs.end()) {
+      evidence = DecayedEvidence(found->second, aNow);
+      const double trust = evidence / (evidence + 1.0);
+      coefficient = trust * found->second.mCoefficient + (1.0 - trust) * aPrior;
+    }
+    const double uncertainty = aPrior / std::sqrt(1.0 + evidence);
+    slowdown += (coefficient + aCaution * uncertainty) * neighbour.mLoad;
+  }
+  return slowdown;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Scheduler/vcSchedulerCore.cxx
@@ -0,0 +1,491 @@
+#include "vcSchedulerCore.h"
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+using namespace scheduler;
+
+namespace {
+
+constexpr Duration kRemoteAge{ 2'000 };
+
+std::string DataCentrePrefix(const std::string& aName)
+{
+  return "dc/" + aName + "/";
+}
+
+std::string DataCentreOfShard(const std::string& aShard)
+{
+  return aShard.substr(0, aShard.rfind('-'));
+}
+
+void UpdatePartitions(SchedulerState& aState)
+{
+  const auto* dataCentre = FindNamed(
+    aState.mFollower.mState.mConfiguration.mDataCentres, aState.mDataCentre);
+  if (dataCentre == nullptr) {
+    return;
+  }
+  const auto shards = ShardsOf(*dataCentre);
+  SetPartitions(aState.mOwnership, { shards.begin(), shards.end() });
+}
+
+std::vector<Instance> InstancesOf(const SchedulerState& aState,
+                                  const std::string& aShard)
+{
+  std::vector<Instance> instances;
+  const auto* dataCentre = FindNamed(
+    aState.mFollower.mState.mConfiguration.mDataCentres, aState.mDataCentre);
+  if (dataCentre == nullptr) {
+    return instances;
+  }
+  for (const auto& instance : aState.mInstances) {
+    if (ShardOfRack(*dataCentre, instance.mRack) == aShard) {
+      instances.push_back(instance);
+    }
+  }
+  return instances;
+}
+
+/// Opens a shard anew under a new epoch; nothing of an earlier ownership
+/// is kept.
+void TakeOver(SchedulerState& aState,
+              const std::string& aName,
+              std::uint64_t aEpoch,
+              TimePoint aNow)
+{
+  Shard shard;
+  shard.mName = aName;
+  shard.mEpoch = aEpoch;
+  shard.mJournal.mReader.mName = "shard/" + aName;
+  shard.mJournal.mWriterName = aState.mName;
+  UpdateWorkers(shard, InstancesOf(aState, aName), aNow);
+  auto& placed =
+    aState.mShards.insert_or_assign(aName, std::move(shard)).first->second;
+  OpenJournal(placed.mJournal, aEpoch, aState.mStore);
+  ++aState.mCounters.mTakeovers;
+}
+
+void HandleOwnershipEvents(SchedulerState& aState, TimePoint aNow)
+{
+  const auto events = std::move(aState.mOwnership.mEvents);
+  aState.mOwnership.mEvents.clear();
+  for (const auto& event : events) {
+    const auto found = aState.mShards.find(event.mPartition);
+    switch (event.mKind) {
+      case OwnershipEventKind::kGained:
+        TakeOver(aState, event.mPartition, event.mEpoch, aNow);
+        break;
+      case OwnershipEventKind::kLost:
+        aState.mShards.erase(event.mPartition);
+        break;
+      case OwnershipEventKind::kLapsed:
+        ++aState.mCounters.mLapses;
+        if (found != aState.mShards.end()) {
+          found->second.mIsLapsed = true;
+        }
+        break;
+    }
+  }
+  // A shard that lapsed and that another process now owns is let go.
+  std::erase_if(aState.mShards, [&](const auto& aEntry) {
+    const auto partition = aState.mOwnership.mPartitions.find(aEntry.first);
+    if (!aEntry.second.mIsLapsed ||
+        partition == aState.mOwnership.mPartitions.end()) {
+      return false;
+    }
+    return partition->second.mOwnerRevision > aEntry.second.mEpoch;
+  });
+}
+
+/// Rebuilds the state from what the journal holds.
+void Replay(Shard& aShard, TimePoint aNow)
+{
+  ShardData data;
+  for (const auto& news : aShard.mJournal.mNews) {
+    if (news.mSnapshot) {
+      Faults faults;
+      data = {};
+      DecodeInto(news.mSnapshot->mState, "$", data, faults);
+    }
+    for (const auto& entry : news.mEntries) {
+      for (const auto& json : entry.mRecords) {
+        Faults faults;
+        ShardRecord record;
+        DecodeInto(json, "$", record, faults);
+        if (faults.empty()) {
+          ApplyRecord(data, record);
+        }
+      }
+    }
+  }
+  aShard.mJournal.mNews.clear();
+  aShard.mData = std::move(data);
+  RebuildRuntime(aShard, aNow);
+}
+
+void FlushShard(SchedulerState& aState, Shard& aShard, TimePoint aNow)
+{
+  RetryJournal(aShard.mJournal, aNow, aState.mStore);
+  const bool isDue = aNow - aShard.mJournal.mFlushedAt >= aState.mFlushInterval;
+  if (!isDue || aShard.mJournal.mPending.empty() || aShard.mJournal.mWrite) {
+    return;
+  }
+  std::optional<JournalRecord> snapshot;
+  if (IsSnapshotDue(aShard.mJournal)) {
+    snapshot = EncodeValue(aShard.mData);
+  }
+  Flush(aShard.mJournal, aNow, std::move(snapshot), aState.mStore);
+}
+
+/// Gives shards up once their journals are written out.
+void ReleaseIdleShards(SchedulerState& aState)
+{
+  std::vector<std::string> idle;
+  for (const auto& [name, shard] : aState.mShards) {
+    const bool isWritten =
+      shard.mJournal.mPending.empty() && !shard.mJournal.mWrite;
+    const bool isCalling = std::any_of(
+      shard.mWorkers.begin(), shard.mWorkers.end(), [](const auto& aEntry) {
+        return aEntry.second.mSyncCall != 0;
+      });
+    if ((isWritten && !isCalling) || shard.mIsLapsed) {
+      idle.push_back(name);
+    }
+  }
+  for (const auto& name : idle) {
+    ReleasePartition(aState.mOwnership, name, aState.mStore);
+    aState.mShards.erase(name);
+  }
+}
+
+void OnJournalCall(SchedulerState& aState,
+                   const std::string& aShard,
+                   std::uint64_t aCall,
+                   const StoreReply& aReply,
+                   TimePoint aNow)
+{
+  const auto found = aState.mShards.find(aShard);
+  if (found == aState.mShards.end()) {
+    return;
+  }
+  auto& shard = found->second;
+  const auto event =
+    OnJournalReply(shard.mJournal, aCall, aReply, aNow, aState.mStore);
+  if (event == JournalEvent::kOpened) {
+    Replay(shard, aNow);
+  } else if (event == JournalEvent::kDurable) {
+    ReleaseDurable(shard);
+  } else if (event == JournalEvent::kDeposed) {
+    ++aState.mCounters.mDeposed;
+    aState.mShards.erase(found);
+  }
+}
+
+void OnRemoteReply(SchedulerState& aState,
+                   std::uint64_t aCall,
+                   const StoreReply& aReply,
+                   TimePoint aNow)
+{
+  for (auto& [name, remote] : aState.mRemote) {
+    if (remote.mCall != aCall) {
+      continue;
+    }
+    remote.mCall = 0;
+    if (aReply.mStatus != StoreStatus::kOk) {
+      return;
+    }
+    const std::string prefix = DataCentrePrefix(name);
+    std::map<std::string, std::string> addresses;
+    for (const auto& entry : aReply.mEntries) {
+      const auto member = TryDecode<Member>(entry.mValue);
+      if (entry.mKey.starts_with(prefix + "member/") && member) {
+        addresses[member->mName] = member->mPeerAddress;
+      }
+    }
+    remote.mOwnerAddresses.clear();
+    for (const auto& entry : aReply.mEntries) {
+      const auto owner = TryDecode<OwnerRecord>(entry.mValue);
+      const std::string ownerPrefix = prefix + "owner/";
+      if (entry.mKey.starts_with(ownerPrefix) && owner) {
+        remote.mOwnerAddresses[entry.mKey.substr(ownerPrefix.size())] =
+          addresses[owner->mOwner];
+      }
+    }
+    remote.mReadAt = aNow;
+    return;
+  }
+}
+
+} // namespace
+
+namespace scheduler {
+
+ShardContext ContextOf(const SchedulerState& aState,
+                       const Shard& aShard,
+                       TimePoint aNow)
+{
+  ShardContext context;
+  context.mConfiguration = &aState.mFollower.mState.mConfiguration;
+  context.mDataCentre = aState.mDataCentre;
+  context.mNow = aNow;
+  const bool isOwner =
+    !aShard.mIsLapsed && Owns(aState.mOwnership, aShard.mName, aNow);
+  context.mIsOwner = isOwner && aShard.mJournal.mPhase == JournalPhase::kOpen;
+  if (context.mIsOwner && !aState.mIsLeaving) {
+    context.mStartLimit =
+      std::min(StartLimit(aState.mFollower), aState.mOwnership.mValidUntil);
+  }
+  return context;
+}
+
+Shard* FindOwned(SchedulerState& aState,
+                 const std::string& aShard,
+                 TimePoint aNow)
+{
+  const auto found = aState.mShards.find(aShard);
+  if (found == aState.mShards.end()) {
+    return nullptr;
+  }
+  return ContextOf(aState, found->second, aNow).mIsOwner ? &found->second
+                                                         : nullptr;
+}
+
+std::string AddressOfOwner(SchedulerState& aState,
+                           const std::string& aShard,
+                           TimePoint aNow)
+{
+  const std::string dataCentre = DataCentreOfShard(aShard);
+  if (dataCentre == aState.mDataCentre) {
+    const auto partition = aState.mOwnership.mPartitions.find(aShard);
+    if (partition == aState.mOwnership.mPartitions.end()) {
+      return {};
+    }
+    const auto* member =
+      FindNamed(aState.mOwnership.mMembers, partition->second.mOwner);
+    return member == nullptr ? "" : member->mPeerAddress;
+  }
+  auto& remote = aState.mRemote[dataCentre];
+  const bool isStale = aNow - remote.mReadAt > kRemoteAge;
+  if (isStale && aNow - remote.mAskedAt > kRemoteAge / 2) {
+    StoreRequest request;
+    request.mKey = DataCentrePrefix(dataCentre);
+    request.mIsPrefix = true;
+    remote.mAskedAt = aNow;
+    remote.mCall = PushStoreCall(
+      aState.mStore, "remote", StorePriority::kRest, std::move(request));
+  }
+  const auto found = remote.mOwnerAddresses.find(aShard);
+  return found == remote.mOwnerAddresses.end() ? "" : found->second;
+}
+
+std::string ChooseShard(const SchedulerState& aState,
+                        const JobSpec& aSpec,
+                        TimePoint aNow)
+{
+  const auto& configuration = aState.mFollower.mState.mConfiguration;
+  const auto eligible = EligibleDataCentres(aSpec, configuration);
+  std::vector<std::string> shards;
+  for (const auto& name : eligible) {
+    const auto all = ShardsOf(*FindNamed(configuration.mDataCentres, name));
+    const bool isHere = name == aState.mDataCentre;
+    if (isHere) {
+      shards.clear();
+    }
+    for (const auto& shard : all) {
+      const auto own = aState.mShards.find(shard);
+      const bool isUsable = !isHere || own == aState.mShards.end() ||
+                            ContextOf(aState, own->second, aNow).mIsOwner;
+      if (isUsable) {
+        shards.push_back(shard);
+      }
+    }
+    if (isHere && !shards.empty()) {
+      break;
+    }
+  }
+  std::string best;
+  for (const auto& shard : shards) {
+    if (best.empty() || RendezvousWeight(aSpec.mName, shard) >
+                          RendezvousWeight(aSpec.mName, best)) {
+      best = shard;
+    }
+  }
+  return best;
+}
+
+} // namespace scheduler
+
+SchedulerState MakeScheduler(const Member& aSelf)
+{
+  SchedulerState state;
+  state.mName = aSelf.mName;
+  state.mDataCentre = aSelf.mDataCentre;
+  state.mOwnership.mSelf = aSelf;
+  state.mOwnership.mSelf.mRole = Role::kScheduler;
+  state.mOwnership.mPrefix = DataCentrePrefix(aSelf.mDataCentre);
+  return state;
+}
+
+std::string ShardOfRack(const DataCentre& aDataCentre, const std::string& aRack)
+{
+  const auto shards = ShardsOf(aDataCentre);
+  std::string best;
+  for (const auto& shard : shards) {
+    if (best.empty() ||
+        RendezvousWeight(aRack, shard) > RendezvousWeight(aRack, best)) {
+      best = shard;
+    }
+  }
+  return best;
+}
+
+void TickScheduler(SchedulerState& aState, TimePoint aNow)
+{
+  TickOwnership(aState.mOwnership, aNow, aState.mStore);
+  HandleOwnershipEvents(aState, aNow);
+  for (auto& [name, shard] : aState.mShards) {
+    const auto context = ContextOf(aState, shard, aNow);
+    if (!aState.mIsLeaving) {
+      PlanShard(shard, context);
+      SyncWorkers(shard, context, aState.mNextCall, aState.mWorkerCalls);
+    }
+    if (context.mIsOwner) {
+      TickClaims(aState, shard, aNow);
+    }
+    FlushShard(aState, shard, aNow);
+  }
+  TickDesk(aState, aNow);
+  if (aState.mIsLeaving) {
+    ReleaseIdleShards(aState);
+  }
+}
+
+void OnStoreReply(SchedulerState& aState,
+                  const std::string& aRoute,
+                  std::uint64_t aCall,
+                  const StoreReply& aReply,
+                  TimePoint aNow)
+{
+  constexpr std::string_view kJournalRoute = "journal/shard/";
+  if (aRoute.starts_with(kJournalRoute)) {
+    OnJournalCall(
+      aState, aRoute.substr(kJournalRoute.size()), aCall, aReply, aNow);
+  } else if (aRoute == "ownership") {
+    OnOwnershipReply(aState.mOwnership, aCall, aReply, aNow, aState.mStore);
+    HandleOwnershipEvents(aState, aNow);
+  } else if (aRoute == "desk") {
+    OnDeskStoreReply(aState, aCall, aReply, aNow);
+  } else if (aRoute == "claims") {
+    OnClaimStoreReply(aState, aCall, aReply, aNow);
+  } else if (aRoute == "remote") {
+    OnRemoteReply(aState, aCall, aReply, aNow);
+  }
+}
+
+void OnWorkerReply(SchedulerState& aState,
+                   const std::string& aShard,
+                   const std::string& aWorker,
+                   std::uint64_t aCall,
+                   const std::optional<WorkerSyncReply>& aReply,
+                   TimePoint aNow)
+{
+  const auto shard = aState.mShards.find(aShard);
+  if (shard == aState.mShards.end()) {
+    return;
+  }
+  const auto worker = shard->second.mWorkers.find(aWorker);
+  const bool isAwaited =
+    worker != shard->second.mWorkers.end() && worker->second.mSyncCall == aCall;
+  if (!isAwaited) {
+    ++shard->second.mCounters.mStaleReplies;
+    return;
+  }
+  OnSyncReply(
+    shard->second, aWorker, aReply, ContextOf(aState, shard->second, aNow));
+}
+
+void OnPeerReply(SchedulerState& aState,
+                 std::uint64_t aCall,
+                 const std::optional<DeskAnswer>& aReply,
+                 TimePoint aNow)
+{
+  OnDeskPeerReply(aState, aCall, aReply, aNow);
+  OnClaimPeerReply(aState, aCall, aReply, aNow);
+}
+
+void OnInstances(SchedulerState& aState,
+                 std::vector<Instance> aInstances,
+                 TimePoint aNow)
+{
+  aState.mLargest.clear();
+  for (const auto& instance : aInstances) {
+    auto& largest = aState.mLargest[instance.mDataCentre];
+    largest = Largest(largest, instance.mCapacity);
+  }
+  std::erase_if(aInstances, [&](const Instance& aInstance) {
+    return aInstance.mDataCentre != aState.mDataCentre;
+  });
+  aState.mInstances = std::move(aInstances);
+  for (auto& [name, shard] : aState.mShards) {
+    if (ContextOf(aState, shard, aNow).mIsOwner) {
+      UpdateWorkers(shard, InstancesOf(aState, name), aNow);
+    }
+  }
+}
+
+void OnConfigFeed(SchedulerState& aState,
+                  const ConfigFeed& aFeed,
+                  TimePoint aSentAt,
+                  TimePoint /*aNow*/)
+{
+  const auto before = RevisionOf(aState.mFollower);
+  FollowFeed(aState.mFollower, aFeed, aSentAt);
+  if (RevisionOf(aState.mFollower) != before) {
+    UpdatePartitions(aState);
+  }
+}
+
+TargetAnswer AnswerTargets(const SchedulerState& aState,
+                           const TargetQuestion& aQuestion,
+                           TimePoint aNow)
+{
+  TargetAnswer answer;
+  for (const auto& [name, shard] : aState.mShards) {
+    if (shard.mJournal.mPhase != JournalPhase::kOpen) {
+      continue;
+    }
+    const bool isKnown =
+      std::any_of(aQuestion.mKnown.begin(),
+                  aQuestion.mKnown.end(),
+                  [&](const TableVersion& aKnown) {
+                    return aKnown.mShard == shard.mName &&
+                           aKnown.mEpoch == shard.mEpoch &&
+                           aKnown.mVersion == shard.mTargetVersion;
+                  });
+    // A new owner has a table only once it heard of every worker.
+    const bool isComplete = std::all_of(
+      shard.mWorkers.begin(), shard.mWorkers.end(), [](const auto& aEntry) {
+        return aEntry.second.mIsInventoried || aEntry.second.mMissed > 0 ||
+               aEntry.second.mTasks.empty();
+      });
+    if (!isKnown && isComplete) {
+      answer.mTables.push_back(TargetsOf(shard, aNow));
+    }
+  }
+  return answer;
+}
+
+void LeaveScheduler(SchedulerState& aState)
+{
+  aState.mIsLeaving = true;
+  aState.mOwnership.mIsLeaving = true;
+}
+
+bool HasLeft(const SchedulerState& aState)
+{
+  return aState.mIsLeaving && aState.mShards.empty() && aState.mDesk.empty();
+}
+
+} // namespace verbenacroft
