--- /dev/null
+++ b/Source/Burn/vcBurnRecorder.cxx
@@ -0,0 +1,167 @@
+#include "vcBurn.h"
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr Duration kMinute{ 60'000 };
+constexpr Duration kHour{ 3'600'000 };
+constexpr std::size_t kKeptMinutes = 361;
+constexpr std::size_t kKeptHours = 73;
+
+std::size_t BucketOf(double aLatencyMs)
+{
+  const auto found = std::lower_bound(
+    kLatencyBoundsMs.begin(), kLatencyBoundsMs.end(), aLatencyMs);
+  return static_cast<std::size_t>(found - kLatencyBoundsMs.begin());
+}
+
+BurnCounts& SliceAt(std::deque<BurnSlice>& aSlices,
+                    Duration aLength,
+                    std::size_t aKept,
+                    TimePoint aNow)
+{
+  const TimePoint start = aNow - aNow % aLength;
+  if (aSlices.empty() || aSlices.back().mStart != start) {
+    aSlices.push_back({ start, {} });
+  }
+  if (aSlices.size() > aKept) {
+    aSlices.pop_front();
+  }
+  return aSlices.back().mCounts;
+}
+
+BurnCounts SumSince(const std::deque<BurnSlice>& aSlices, TimePoint aSince)
+{
+  BurnCounts sum;
+  for (const auto& slice : aSlices) {
+    if (slice.mStart >= aSince) {
+      AddCounts(sum, slice.mCounts);
+    }
+  }
+  return sum;
+}
+
+} // namespace
+
+void AddCounts(BurnCounts& aSum, const BurnCounts& aPart)
+{
+  aSum.mTotal += aPart.mTotal;
+  aSum.mGood += aPart.mGood;
+  aSum.mErrors += aPart.mErrors;
+  aSum.mBuckets.resize(kLatencyBoundsMs.size() + 1);
+  for (std::size_t i = 0; i < aPart.mBuckets.size(); ++i) {
+    if (i < aSum.mBuckets.size()) {
+      aSum.mBuckets[i] += aPart.mBuckets[i];
+    }
+  }
+}
+
+void RecordRequest(BurnRecorder& aRecorder,
+                   const Service& aService,
+                   double aLatencyMs,
+                   bool aIsError,
+                   TimePoint aNow)
+{
+  auto& series = aRecorder.mServices[aService.mName];
+  series.mBacker = aService.mBacker;
+  series.mSumMs += aLatencyMs;
+  const auto latency = static_cast<double>(aService.mObjectiveLatency.count());
+  const bool isGood = !aIsError && aLatencyMs <= latency;
+  const auto bucket = BucketOf(aLatencyMs);
+  for (BurnCounts* counts :
+       { &SliceAt(series.mMinutes, kMinute, kKeptMinutes, aNow),
+         &SliceAt(series.mHours, kHour, kKeptHours, aNow),
+         &series.mAll }) {
+    counts->mBuckets.resize(kLatencyBoundsMs.size() + 1);
+    ++counts->mTotal;
+    counts->mGood += isGood ? 1 : 0;
+    counts->mErrors += aIsError ? 1 : 0;
+    ++counts->mBuckets[bucket];
+  }
+}
+
+BurnRouterReport MakeRouterReport(const BurnRecorder& aRecorder,
+                                  const Configuration& aConfiguration,
+                                  TimePoint aNow)
+{
+  constexpr Duration kLongestByMinutes{ 6 * 3'600'000 };
+  BurnRouterReport report;
+  report.mCoveredMs = (aNow - aRecorder.mStartedAt).count();
+  for (const auto& service : aConfiguration.mServices) {
+    BurnServiceReport row;
+    row.mService = service.mName;
+    row.mBacker = service.mBacker;
+    row.mObjectivePercent = service.mObjectivePercent;
+    row.mObjectiveLatencyMs = service.mObjectiveLatency.count();
+    const auto found = aRecorder.mServices.find(service.mName);
+    for (const auto& window : kBurnWindows) {
+      if (found == aRecorder.mServices.end()) {
+        row.mWindows.emplace_back();
+        continue;
+      }
+      const auto& slices = window.mLength <= kLongestByMinutes
+                             ? found->second.mMinutes
+                             : found->second.mHours;
+      row.mWindows.push_back(SumSince(slices, aNow - window.mLength));
+    }
+    report.mServices.push_back(std::move(row));
+  }
+  return report;
+}
+
+double BurnRate(const BurnCounts& aCounts, double aObjectivePercent)
+{
+  constexpr double kPercent = 100.0;
+  if (aCounts.mTotal == 0) {
+    return 0;
+  }
+  const double bad = static_cast<double>(aCounts.mTotal - aCounts.mGood) /
+                     static_cast<double>(aCounts.mTotal);
+  return bad / (1.0 - aObjectivePercent / kPercent);
+}
+
+double QuantileMs(const BurnCounts& aCounts, double aQuantile)
+{
+  const double wanted = aQuantile * static_cast<double>(aCounts.mTotal);
+  double seen = 0;
+  for (std::size_t i = 0; i < aCounts.mBuckets.size(); ++i) {
+    seen += static_cast<double>(aCounts.mBuckets[i]);
+    if (seen >= wanted && seen > 0) {
+      return i < kLatencyBoundsMs.size() ? kLatencyBoundsMs[i]
+                                         : kLatencyBoundsMs.back();
+    }
+  }
+  return 0;
+}
+
+BurnReport MergeReports(const std::vector<BurnRouterReport>& aReports,
+                        const std::vector<std::string>& aUnreachable)
+{
+  BurnReport merged;
+  merged.mUnreachable = aUnreachable;
+  std::map<std::string, BurnServiceReport> byService;
+  for (const auto& report : aReports) {
+    merged.mMerged.push_back(report.mRouter);
+    merged.mLeastCoveredMs =
+      merged.mLeastCoveredMs == 0
+        ? report.mCoveredMs
+        : std::min(merged.mLeastCoveredMs, report.mCoveredMs);
+    for (const auto& row : report.mServices) {
+      auto [found, isNew] = byService.try_emplace(row.mService, row);
+      for (std::size_t i = 0; !isNew && i < row.mWindows.size() &&
+                              i < found->second.mWindows.size();
+           ++i) {
+        AddCounts(found->second.mWindows[i], row.mWindows[i]);
+      }
+    }
+  }
+  for (auto& [name, row] : byService) {
+    merged.mServices.push_back(std::move(row));
+  }
+  return merged;
+}
+
+} // namespace verbenacroft
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -27,3 +27,20 @@
     vcShardPlan.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
     vcSchedulerClaims.cxx
   LINK vcPlacement vcJobs)
+verbenacroft_library(Requests
+  SOURCES vcRequests.cxx
+  LINK vcJournal vcOwnership)
+verbenacroft_library(Routing
+  SOURCES vcTargetTable.cxx vcAdmission.cxx
+  LINK vcScheduler)
+verbenacroft_library(Burn
+  SOURCES vcBurnRecorder.cxx vcBurnPage.cxx
+  LINK vcConfig)
+verbenacroft_library(Shell
+  SOURCES vcProgram.cxx vcStorePump.cxx vcMetrics.cxx vcServerSupport.cxx
+    vcConfigLink.cxx vcDirectory.cxx vcJobProxy.cxx
+  LINK vcScheduler prometheus-cpp::core)
+verbenacroft_library(Router
+  SOURCES vcRequestPath.cxx
+  LINK vcShell vcRouting vcRequests vcBurn)
+verbenacroft_library(Operators SOURCES vcOperators.cxx LINK vcConfig)
--- /dev/null
+++ b/Source/Programs/vcConfigMain.cxx
@@ -0,0 +1,392 @@
+/// verbenacroft-config: operators' interface; commits the configuration and
+/// spreads it.
+
+#include "vcJobProxy.h"
+#include "vcOverview.h"
+#include "vcShell.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <spdlog/spdlog.h>
+
+namespace verbenacroft {
+namespace {
+
+constexpr Duration kTickInterval{ 20 };
+constexpr Duration kInstanceInterval{ 2'000 };
+/// Peers are asked once the store has given no proof for this long.
+constexpr Duration kProofAgeBeforeAsking{ 1'000 };
+
+struct ConfigSettings
+{
+  CommonSettings mCommon;
+  std::string mOperatorAddress;
+  /// Secret that operators present.
+  std::string mOperatorToken;
+  /// Other config processes, asked when the store does not answer.
+  std::vector<std::string> mConfigAddresses;
+};
+BOOST_DESCRIBE_STRUCT(
+  ConfigSettings,
+  (),
+  (mCommon, mOperatorAddress, mOperatorToken, mConfigAddresses))
+
+void CheckSettings(const ConfigSettings& aSettings, Faults& aFaults)
+{
+  CheckCommon(aSettings.mCommon, aFaults);
+  CheckEndpoint(aSettings.mOperatorAddress, "$.operatorAddress", aFaults);
+  CheckFilled(aSettings.mOperatorToken, "$.operatorToken", aFaults);
+  CheckDistinct({ aSettings.mCommon.mPeerAddress,
+                  aSettings.mCommon.mMetricsAddress,
+                  aSettings.mOperatorAddress },
+                { "$.common.peerAddress",
+                  "$.common.metricsAddress",
+                  "$.operatorAddress" },
+                aFaults);
+  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
+    CheckEndpoint(aSettings.mConfigAddresses[i],
+                  "$.configAddresses[" + std::to_string(i) + "]",
+                  aFaults);
+  }
+}
+
+class ConfigProgram
+{
+public:
+  explicit ConfigProgram(const ConfigSettings& aSettings)
+    : mSettings(aSettings)
+    , mHttp(mContext)
+    , mStore(mHttp,
+             ParseEndpoints(aSettings.mCommon.mStoreAddresses),
+             BudgetOf(aSettings.mCommon))
+    , mBoard(mContext)
+    , mDirectory(mHttp,
+                 mStore,
+                 { aSettings.mCommon.mName,
+                   aSettings.mCommon.mDataCentre,
+                   Role::kConfig,
+                   aSettings.mCommon.mPeerAddress,
+                   false },
+                 aSettings.mCommon.mPeerToken)
+  {
+  }
+
+  ExitCode Run();
+
+private:
+  void Step();
+  void StartLinks();
+  HealthHooks MakeHooks();
+  asio::awaitable<HttpResponse> HandlePeer(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandleOperator(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandleChange(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandleCheck(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandleStatus();
+  asio::awaitable<void> ReadInstanceList();
+
+  const ConfigSettings mSettings;
+  asio::io_context mContext{ 1 };
+  HttpClient mHttp;
+  StoreClient mStore;
+  TicketBoard<ChangeOutcome> mBoard;
+  Directory mDirectory;
+  ConfigServerState mState;
+  StoreOutbox mOutbox;
+  RefusalCounters mRefusals;
+  std::unique_ptr<HttpServer> mPeerServer;
+  std::unique_ptr<HttpServer> mOperatorServer;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  std::uint64_t mLoggedRevision = 0;
+  bool mIsLeaving = false;
+  bool mIsStepping = false;
+};
+
+void ConfigProgram::Step()
+{
+  if (this->mIsStepping) {
+    return;
+  }
+  this->mIsStepping = true;
+  TickConfigServer(this->mState, MonotonicNow(), this->mOutbox);
+  PumpStore(this->mContext,
+            this->mStore,
+            this->mOutbox,
+            [this](const auto&, auto aCall, const auto& aReply) {
+              OnConfigServerReply(
+                this->mState, aCall, aReply, MonotonicNow(), this->mOutbox);
+              this->Step();
+            });
+  for (auto& answer : std::exchange(this->mState.mAnswers, {})) {
+    asio::post(this->mContext, [this, held = std::move(answer)] {
+      this->mBoard.Deliver(held.mTicket, held.mOutcome);
+    });
+  }
+  const auto revision = RevisionOf(this->mState.mFollower);
+  if (revision != this->mLoggedRevision) {
+    this->mLoggedRevision = revision;
+    spdlog::info("configuration in force revision={}", revision);
+  }
+  this->mIsStepping = false;
+}
+
+int StatusCodeOf(ChangeStatus aStatus)
+{
+  switch (aStatus) {
+    case ChangeStatus::kAccepted:
+      return 200;
+    case ChangeStatus::kConflict:
+      return 409;
+    case ChangeStatus::kInvalid:
+      return 422;
+    case ChangeStatus::kUnavailable:
+      return 503;
+    case ChangeStatus::kUnknown:
+      return 504;
+  }
+  return 500;
+}
+
+HttpResponse RefuseChange(const Faults& aFaults, int aStatus)
+{
+  ChangeOutcome outcome;
+  outcome.mStatus = ChangeStatus::kInvalid;
+  outcome.mFaults = aFaults;
+  return JsonResponse(Encode(outcome), aStatus);
+}
+
+asio::awaitable<HttpResponse> ConfigProgram::HandleChange(
+  const HttpRequest& aRequest)
+{
+  Faults faults;
+  auto change = Decode<ConfigChange>(aRequest.mBody, faults);
+  CheckFilled(change.mChange, "$.change", faults);
+  if (!faults.empty()) {
+    ++this->mRefusals.mMalformed;
+    co_return RefuseChange(faults, 400);
+  }
+  const std::string author = change.mAuthor;
+  const auto ticket =
+    SubmitChange(this->mState, std::move(change), MonotonicNow());
+  this->Step();
+  const ChangeOutcome outcome = co_await this->mBoard.Wait(ticket);
+  spdlog::info("change answered author={} status={} revision={}",
+               author,
+               NameOf(outcome.mStatus),
+               outcome.mRevision);
+  co_return JsonResponse(Encode(outcome), StatusCodeOf(outcome.mStatus));
+}
+
+asio::awaitable<HttpResponse> ConfigProgram::HandleCheck(
+  const HttpRequest& aRequest)
+{
+  Faults faults;
+  const auto configuration = Decode<Configuration>(aRequest.mBody, faults);
+  if (faults.empty()) {
+    faults = CheckConfiguration(configuration, this->mState.mLargest);
+  }
+  if (!faults.empty()) {
+    co_return RefuseChange(faults, 422);
+  }
+  co_return JsonResponse(Encode(ChangeOutcome{}));
+}
+
+asio::awaitable<HttpResponse> ConfigProgram::HandleStatus()
+{
+  SystemOverview overview;
+  overview.mRevision = RevisionOf(this->mState.mFollower);
+  overview.mProofAgeMs =
+    (MonotonicNow() - this->mState.mFollower.mProvenAt).count();
+  const auto members = co_await this->mDirectory.AllMembers();
+  for (const auto& member : members) {
+    ProcessOverview process;
+    process.mName = member.mName;
+    process.mDataCentre = member.mDataCentre;
+    process.mRole = member.mRole;
+    HttpRequest request = PeerRequest(
+      "GET", "/v1/overview", this->mSettings.mCommon.mPeerToken);
+    constexpr Duration kOverviewTimeout{ 500 };
+    const auto answer = co_await CallPeer<SchedulerOverview>(
+      this->mHttp, member.mPeerAddress, std::move(request), kOverviewTimeout);
+    if (answer) {
+      process.mIsReachable = true;
+      process.mRevision = answer->mRevision;
+      process.mShards = answer->mShards;
+    }
+    overview.mProcesses.push_back(std::move(process));
+  }
+  co_return JsonResponse(Encode(overview));
+}
+
+asio::awaitable<HttpResponse> ConfigProgram::HandleOperator(
+  const HttpRequest& aRequest)
+{
+  auto refusal = RefuseStranger(
+    aRequest, this->mSettings.mOperatorToken, false, this->mRefusals);
+  if (refusal) {
+    co_return *refusal;
+  }
+  const auto path = PathOf(aRequest);
+  if (path == "/v1/changes" && aRequest.mMethod == "POST") {
+    co_return co_await this->HandleChange(aRequest);
+  }
+  if (path == "/v1/check" && aRequest.mMethod == "POST") {
+    co_return co_await this->HandleCheck(aRequest);
+  }
+  if (path == "/v1/configuration") {
+    co_return JsonResponse(
+      Encode(this->mState.mFollower.mState.mConfiguration));
+  }
+  if (path == "/v1/status") {
+    co_return co_await this->HandleStatus();
+  }
+  if (path.starts_with("/v1/jobs")) {
+    co_return co_await ForwardJob(this->mHttp, this->mDirectory, aRequest);
+  }
+  co_return ErrorResponse(404, "no such path");
+}
+
+asio::awaitable<HttpResponse> ConfigProgram::HandlePeer(
+  const HttpRequest& aRequest)
+{
+  auto refusal = RefuseStranger(
+    aRequest, this->mSettings.mCommon.mPeerToken, true, this->mRefusals);
+  if (refusal) {
+    co_return *refusal;
+  }
+  const auto path = PathOf(aRequest);
+  if (path == "/v1/overview") {
+    SchedulerOverview overview;
+    overview.mName = this->mSettings.mCommon.mName;
+    overview.mDataCentre = this->mSettings.mCommon.mDataCentre;
+    overview.mRevision = RevisionOf(this->mState.mFollower);
+    co_return JsonResponse(Encode(overview));
+  }
+  if (path != "/v1/feed") {
+    co_return ErrorResponse(404, "no such path");
+  }
+  const std::string after = QueryValue(aRequest, "after");
+  const auto revision = std::strtoull(after.c_str(), nullptr, 10);
+  co_return JsonResponse(
+    Encode(MakeFeed(this->mState.mFollower, revision, MonotonicNow())));
+}
+
+asio::awaitable<void> ConfigProgram::ReadInstanceList()
+{
+  const auto address =
+    ParseEndpoint(this->mSettings.mCommon.mInstanceListAddress);
+  asio::steady_timer timer(this->mContext);
+  while (true) {
+    const auto list = co_await ReadInstances(this->mHttp, *address, "");
+    if (list && !list->mInstances.empty()) {
+      Resources largest;
+      for (const auto& instance : list->mInstances) {
+        largest = Largest(largest, instance.mCapacity);
+      }
+      this->mState.mLargest = largest;
+    }
+    timer.expires_after(kInstanceInterval);
+    co_await WaitQuietly(timer);
+  }
+}
+
+HealthHooks ConfigProgram::MakeHooks()
+{
+  HealthHooks hooks;
+  hooks.mCollect = [this](MetricsPage& aPage) {
+    const auto& follower = this->mState.mFollower;
+    aPage.Gauge("verbenacroft_config_revision",
+                "Revision of the configuration in force.",
+                static_cast<double>(RevisionOf(follower)));
+    aPage.Gauge("verbenacroft_config_proof_age_seconds",
+                "Time since the revision was known to be the newest.",
+                static_cast<double>(
+                  (MonotonicNow() - follower.mProvenAt).count()) /
+                  1000.0);
+    aPage.Counter("verbenacroft_config_refused_feeds_total",
+                  "Answers of peers that were older or had a gap.",
+                  static_cast<double>(follower.mRefused));
+  };
+  hooks.mIsReady = [this] {
+    return !this->mIsLeaving &&
+           this->mState.mJournal.mPhase == JournalPhase::kOpen;
+  };
+  return hooks;
+}
+
+void ConfigProgram::StartLinks()
+{
+  ConfigLinkOptions link;
+  link.mAddresses = this->mSettings.mConfigAddresses;
+  link.mToken = this->mSettings.mCommon.mPeerToken;
+  link.mRevision = [this] { return RevisionOf(this->mState.mFollower); };
+  link.mIsWanted = [this] {
+    const auto age = MonotonicNow() - this->mState.mFollower.mProvenAt;
+    return age > kProofAgeBeforeAsking;
+  };
+  link.mOnFeed = [this](const ConfigFeed& aFeed, TimePoint aSentAt) {
+    FollowFeed(this->mState.mFollower, aFeed, aSentAt);
+  };
+  StartConfigLink(this->mContext, this->mHttp, std::move(link));
+  asio::co_spawn(this->mContext, this->ReadInstanceList(), asio::detached);
+  RunEvery(this->mContext, kTickInterval, [this] {
+    this->Step();
+    this->mDirectory.Step(this->mContext);
+    const bool isDone = this->mIsLeaving && this->mState.mPending.empty() &&
+                        this->mOperatorServer->InFlight() == 0 &&
+                        this->mPeerServer->InFlight() == 0;
+    if (isDone) {
+      this->mContext.stop();
+    }
+  });
+}
+
+ExitCode ConfigProgram::Run()
+{
+  const auto& common = this->mSettings.mCommon;
+  StartConfigServer(this->mState, common.mName, this->mOutbox);
+  this->mPeerServer = std::make_unique<HttpServer>(
+    this->mContext,
+    *ParseEndpoint(common.mPeerAddress),
+    HttpLimits{},
+    [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
+  this->mOperatorServer = std::make_unique<HttpServer>(
+    this->mContext,
+    *ParseEndpoint(this->mSettings.mOperatorAddress),
+    HttpLimits{},
+    [this](const HttpRequest& aRequest) {
+      return this->HandleOperator(aRequest);
+    });
+  this->mMetricsServer =
+    std::make_unique<HttpServer>(this->mContext,
+                                 *ParseEndpoint(common.mMetricsAddress),
+                                 HttpLimits{},
+                                 MakeHealthHandler(this->MakeHooks()));
+  HandleSignals(this->mContext, [this] {
+    this->mIsLeaving = true;
+    this->mOperatorServer->StartDrain();
+    this->mPeerServer->StartDrain();
+  });
+  this->StartLinks();
+  spdlog::info("started operator_address={}", this->mSettings.mOperatorAddress);
+  this->mContext.run();
+  spdlog::info("stopped");
+  return ExitCode::kOk;
+}
+
+} // namespace
+} // namespace verbenacroft
+
+int main(int aCount, char** aArguments)
+{
+  using namespace verbenacroft;
+  return RunProgram<ConfigSettings>(
+    aCount,
+    aArguments,
+    "verbenacroft-config",
+    "Commits the operators' configuration and spreads it.",
+    CheckSettings,
+    [](const ConfigSettings& aSettings) {
+      ConfigProgram program(aSettings);
+      return program.Run();
+    });
+}
--- /dev/null
+++ b/Source/Programs/vcRouterMain.cxx
@@ -0,0 +1,433 @@
+/// verbenacroft-router: callers' requests to targets, and job submission.
+
+#include "vcOverview.h"
+#include "vcRouter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <spdlog/spdlog.h>
+
+namespace verbenacroft {
+namespace {
+
+constexpr Duration kTickInterval{ 10 };
+constexpr Duration kTableInterval{ 100 };
+constexpr Duration kInstanceInterval{ 500 };
+
+struct RouterSettings
+{
+  CommonSettings mCommon;
+  std::string mCallerAddress;
+  /// Number of this router in its data centre, from 0.
+  std::int64_t mRouterIndex = 0;
+  /// Requests in flight or waiting at most.
+  std::int64_t mMaxRequests = 1'024;
+  std::int64_t mMaxBodyBytes = 1'048'576;
+  std::int64_t mMaxHeaderBytes = 16'384;
+  std::int64_t mMaxConnections = 4'096;
+  /// Time that a slow sender may take for one request.
+  Duration mReceiveTimeout{ 10'000 };
+  std::vector<std::string> mConfigAddresses;
+};
+BOOST_DESCRIBE_STRUCT(RouterSettings,
+                      (),
+                      (mCommon,
+                       mCallerAddress,
+                       mRouterIndex,
+                       mMaxRequests,
+                       mMaxBodyBytes,
+                       mMaxHeaderBytes,
+                       mMaxConnections,
+                       mReceiveTimeout,
+                       mConfigAddresses))
+
+void CheckAtLeastOne(std::int64_t aValue,
+                     const std::string& aPath,
+                     Faults& aFaults)
+{
+  if (aValue < 1) {
+    aFaults.push_back({ aPath, std::to_string(aValue), "1 or more" });
+  }
+}
+
+void CheckSettings(const RouterSettings& aSettings, Faults& aFaults)
+{
+  CheckCommon(aSettings.mCommon, aFaults);
+  CheckEndpoint(aSettings.mCallerAddress, "$.callerAddress", aFaults);
+  CheckDistinct({ aSettings.mCommon.mPeerAddress,
+                  aSettings.mCommon.mMetricsAddress,
+                  aSettings.mCallerAddress },
+                { "$.common.peerAddress",
+                  "$.common.metricsAddress",
+                  "$.callerAddress" },
+                aFaults);
+  if (aSettings.mRouterIndex < 0) {
+    aFaults.push_back({ "$.routerIndex",
+                        std::to_string(aSettings.mRouterIndex),
+                        "0 or more" });
+  }
+  CheckAtLeastOne(aSettings.mMaxRequests, "$.maxRequests", aFaults);
+  CheckAtLeastOne(aSettings.mMaxBodyBytes, "$.maxBodyBytes", aFaults);
+  CheckAtLeastOne(aSettings.mMaxHeaderBytes, "$.maxHeaderBytes", aFaults);
+  CheckAtLeastOne(aSettings.mMaxConnections, "$.maxConnections", aFaults);
+  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
+    CheckEndpoint(aSettings.mConfigAddresses[i],
+                  "$.configAddresses[" + std::to_string(i) + "]",
+                  aFaults);
+  }
+}
+
+class RouterProgram
+{
+public:
+  explicit RouterProgram(const RouterSettings& aSettings)
+    : mSettings(aSettings)
+    , mHttp(mContext)
+    , mStore(mHttp,
+             ParseEndpoints(aSettings.mCommon.mStoreAddresses),
+             BudgetOf(aSettings.mCommon))
+    , mDirectory(mHttp,
+                 mStore,
+                 MemberOf(aSettings.mCommon),
+                 aSettings.mCommon.mPeerToken)
+    , mPath(mContext, mHttp, mDirectory, mState)
+  {
+    this->mState.mName = aSettings.mCommon.mName;
+    this->mState.mDataCentre = aSettings.mCommon.mDataCentre;
+    this->mState.mKeys = MakeKeys(MemberOf(aSettings.mCommon));
+    this->mState.mAdmission.mLimit = aSettings.mMaxRequests;
+    this->mState.mBurn.mStartedAt = MonotonicNow();
+  }
+
+  ExitCode Run();
+
+private:
+  static Member MemberOf(const CommonSettings& aCommon)
+  {
+    return { aCommon.mName,
+             aCommon.mDataCentre,
+             Role::kRouter,
+             aCommon.mPeerAddress,
+             false };
+  }
+
+  void Step();
+  void StepKeys();
+  void StartLinks();
+  HealthHooks MakeHooks();
+  void Collect(MetricsPage& aPage) const;
+  asio::awaitable<HttpResponse> HandleCaller(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandlePeer(const HttpRequest& aRequest);
+  asio::awaitable<void> ReadTables();
+  asio::awaitable<void> ReadInstanceList();
+
+  const RouterSettings mSettings;
+  asio::io_context mContext{ 1 };
+  HttpClient mHttp;
+  StoreClient mStore;
+  Directory mDirectory;
+  RouterState mState;
+  RequestPath mPath;
+  RefusalCounters mRefusals;
+  std::unique_ptr<HttpServer> mCallerServer;
+  std::unique_ptr<HttpServer> mPeerServer;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  TimePoint mTablesReadAt = kNever;
+  TimePoint mLeavingSince = kNever;
+  bool mIsLeaving = false;
+};
+
+void RouterProgram::StepKeys()
+{
+  TickKeys(this->mState.mKeys, MonotonicNow());
+  PumpStore(this->mContext,
+            this->mStore,
+            this->mState.mKeys.mStore,
+            [this](const auto& aRoute, auto aCall, const auto& aReply) {
+              OnKeysStoreReply(
+                this->mState.mKeys, aRoute, aCall, aReply, MonotonicNow());
+              this->StepKeys();
+            });
+  this->mPath.DeliverKeyReplies();
+}
+
+void RouterProgram::Step()
+{
+  this->StepKeys();
+  this->mDirectory.Step(this->mContext);
+  if (!this->mIsLeaving) {
+    return;
+  }
+  // The balancer needs a while to see that the router is not ready.
+  constexpr Duration kUnreadyLead{ 1'000 };
+  const bool isIdle = this->mCallerServer->InFlight() == 0 &&
+                      this->mPeerServer->InFlight() == 0;
+  if (isIdle && MonotonicNow() - this->mLeavingSince >= kUnreadyLead) {
+    this->mContext.stop();
+  }
+}
+
+asio::awaitable<HttpResponse> RouterProgram::HandleCaller(
+  const HttpRequest& aRequest)
+{
+  const std::string_view target = aRequest.mTarget;
+  if (target.starts_with("/s/")) {
+    co_return co_await this->mPath.Serve(aRequest, false);
+  }
+  if (target.starts_with("/v1/jobs")) {
+    co_return co_await ForwardJob(this->mHttp, this->mDirectory, aRequest);
+  }
+  co_return ErrorResponse(404, "paths begin with /s/<service>/ or /v1/jobs");
+}
+
+asio::awaitable<HttpResponse> RouterProgram::HandlePeer(
+  const HttpRequest& aRequest)
+{
+  auto refusal = RefuseStranger(
+    aRequest, this->mSettings.mCommon.mPeerToken, true, this->mRefusals);
+  if (refusal) {
+    co_return *refusal;
+  }
+  const auto path = PathOf(aRequest);
+  if (path.starts_with("/s/")) {
+    co_return co_await this->mPath.Serve(aRequest, true);
+  }
+  if (path == "/v1/overview") {
+    SchedulerOverview overview;
+    overview.mName = this->mState.mName;
+    overview.mDataCentre = this->mState.mDataCentre;
+    overview.mRevision = RevisionOf(this->mState.mFollower);
+    co_return JsonResponse(Encode(overview));
+  }
+  Faults faults;
+  if (path == "/v1/peer/claim") {
+    const auto claim = Decode<KeyClaim>(aRequest.mBody, faults);
+    if (faults.empty()) {
+      co_return co_await this->mPath.ServeClaim(claim);
+    }
+  } else if (path == "/v1/peer/result") {
+    const auto result = Decode<KeyResult>(aRequest.mBody, faults);
+    if (faults.empty()) {
+      NoteKeyResult(this->mState.mKeys, result);
+      co_return JsonResponse(Encode(KeyAnswer{}));
+    }
+  }
+  if (!faults.empty()) {
+    ++this->mRefusals.mMalformed;
+    co_return ErrorResponse(400, Describe(faults.front()));
+  }
+  co_return ErrorResponse(404, "no such path");
+}
+
+asio::awaitable<void> RouterProgram::ReadTables()
+{
+  constexpr Duration kTableTimeout{ 500 };
+  asio::steady_timer timer(this->mContext);
+  while (true) {
+    const auto schedulers = this->mDirectory.Members(Role::kScheduler);
+    for (const auto& scheduler : schedulers) {
+      TargetQuestion question;
+      for (const auto& [shard, version] : this->mState.mPool.mVersions) {
+        question.mKnown.push_back(version);
+      }
+      HttpRequest request = PeerRequest("POST",
+                                        "/v1/targets",
+                                        this->mSettings.mCommon.mPeerToken,
+                                        Encode(question));
+      const auto answer =
+        co_await CallPeer<TargetAnswer>(this->mHttp,
+                                        scheduler.mPeerAddress,
+                                        std::move(request),
+                                        kTableTimeout);
+      if (answer) {
+        UpdateTables(this->mState.mPool, *answer);
+        this->mTablesReadAt = MonotonicNow();
+      }
+    }
+    timer.expires_after(kTableInterval);
+    co_await WaitQuietly(timer);
+  }
+}
+
+asio::awaitable<void> RouterProgram::ReadInstanceList()
+{
+  const auto address =
+    ParseEndpoint(this->mSettings.mCommon.mInstanceListAddress);
+  asio::steady_timer timer(this->mContext);
+  while (true) {
+    const auto list = co_await ReadInstances(
+      this->mHttp, *address, this->mSettings.mCommon.mDataCentre);
+    if (list) {
+      std::set<std::string> leaving;
+      for (const auto& instance : list->mInstances) {
+        if (instance.mState == InstanceState::kLeaving) {
+          leaving.insert(instance.mName);
+        }
+      }
+      UpdateLeaving(this->mState.mPool, std::move(leaving));
+    }
+    timer.expires_after(kInstanceInterval);
+    co_await WaitQuietly(timer);
+  }
+}
+
+void RouterProgram::Collect(MetricsPage& aPage) const
+{
+  const auto& counters = this->mState.mCounters;
+  const auto count = [&](const char* aName,
+                         const char* aHelp,
+                         std::uint64_t aValue) {
+    aPage.Counter(aName, aHelp, static_cast<double>(aValue));
+  };
+  count("verbenacroft_requests_total", "Callers' requests.", counters.mRequests);
+  count("verbenacroft_not_run_total",
+        "Requests refused as not run.",
+        counters.mNotRun);
+  count("verbenacroft_unknown_total",
+        "Requests whose outcome is not known.",
+        counters.mUnknown);
+  count("verbenacroft_retries_total", "Retries.", counters.mRetries);
+  count("verbenacroft_hedges_total", "Hedges.", counters.mHedges);
+  count("verbenacroft_forwards_total",
+        "Requests passed to another data centre.",
+        counters.mForwards);
+  count("verbenacroft_crossed_answers_total",
+        "Answers dropped since they belong to another request.",
+        counters.mCrossed);
+  count("verbenacroft_key_duplicates_total",
+        "Repeats of an idempotency key.",
+        counters.mKeyDuplicates);
+  for (const auto& [backer, refused] : this->mState.mAdmission.mRefused) {
+    aPage.Counter("verbenacroft_refused_total",
+                  "Requests refused for overload.",
+                  static_cast<double>(refused),
+                  { { "backer", backer } });
+  }
+  aPage.Gauge("verbenacroft_config_revision",
+              "Revision of the configuration in force.",
+              static_cast<double>(RevisionOf(this->mState.mFollower)));
+  aPage.Gauge("verbenacroft_targets",
+              "Targets known.",
+              static_cast<double>(this->mState.mPool.mTargets.size()));
+  std::vector<double> bounds;
+  for (const double bound : kLatencyBoundsMs) {
+    bounds.push_back(bound / 1000.0);
+  }
+  for (const auto& [name, series] : this->mState.mBurn.mServices) {
+    const auto& buckets = series.mAll.mBuckets;
+    aPage.Histogram("verbenacroft_request_seconds",
+                    "Time from a request's arrival to its answer.",
+                    bounds,
+                    { buckets.begin(), buckets.end() },
+                    series.mSumMs / 1000.0,
+                    { { "service", name }, { "backer", series.mBacker } });
+  }
+}
+
+HealthHooks RouterProgram::MakeHooks()
+{
+  HealthHooks hooks;
+  hooks.mCollect = [this](MetricsPage& aPage) { this->Collect(aPage); };
+  hooks.mIsReady = [this] {
+    return !this->mIsLeaving && RevisionOf(this->mState.mFollower) > 0 &&
+           this->mTablesReadAt != kNever;
+  };
+  hooks.mOther = [this](const HttpRequest& aRequest) {
+    HttpResponse response;
+    response.mStatus = 0;
+    if (PathOf(aRequest) == "/v1/burn") {
+      auto report =
+        MakeRouterReport(this->mState.mBurn,
+                         this->mState.mFollower.mState.mConfiguration,
+                         MonotonicNow());
+      report.mRouter = this->mState.mName;
+      report.mDataCentre = this->mState.mDataCentre;
+      response = JsonResponse(Encode(report));
+    }
+    return response;
+  };
+  return hooks;
+}
+
+void RouterProgram::StartLinks()
+{
+  ConfigLinkOptions link;
+  link.mAddresses = this->mSettings.mConfigAddresses;
+  link.mToken = this->mSettings.mCommon.mPeerToken;
+  link.mRevision = [this] { return RevisionOf(this->mState.mFollower); };
+  link.mOnFeed = [this](const ConfigFeed& aFeed, TimePoint aSentAt) {
+    FollowFeed(this->mState.mFollower, aFeed, aSentAt);
+    const auto* dataCentre =
+      FindNamed(this->mState.mFollower.mState.mConfiguration.mDataCentres,
+                this->mState.mDataCentre);
+    if (dataCentre != nullptr) {
+      SetShares(this->mState.mPool,
+                dataCentre->mRouters,
+                this->mSettings.mRouterIndex);
+    }
+  };
+  StartConfigLink(this->mContext, this->mHttp, std::move(link));
+  asio::co_spawn(this->mContext, this->ReadTables(), asio::detached);
+  asio::co_spawn(this->mContext, this->ReadInstanceList(), asio::detached);
+  RunEvery(this->mContext, kTickInterval, [this] { this->Step(); });
+}
+
+ExitCode RouterProgram::Run()
+{
+  const auto& common = this->mSettings.mCommon;
+  HttpLimits limits;
+  limits.mBodyBytes = static_cast<std::size_t>(this->mSettings.mMaxBodyBytes);
+  limits.mHeaderBytes =
+    static_cast<std::size_t>(this->mSettings.mMaxHeaderBytes);
+  limits.mConnections =
+    static_cast<std::size_t>(this->mSettings.mMaxConnections);
+  limits.mReceiveTimeout = this->mSettings.mReceiveTimeout;
+  this->mCallerServer = std::make_unique<HttpServer>(
+    this->mContext,
+    *ParseEndpoint(this->mSettings.mCallerAddress),
+    limits,
+    [this](const HttpRequest& aRequest) {
+      return this->HandleCaller(aRequest);
+    });
+  this->mPeerServer = std::make_unique<HttpServer>(
+    this->mContext,
+    *ParseEndpoint(common.mPeerAddress),
+    HttpLimits{},
+    [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
+  this->mMetricsServer =
+    std::make_unique<HttpServer>(this->mContext,
+                                 *ParseEndpoint(common.mMetricsAddress),
+                                 HttpLimits{},
+                                 MakeHealthHandler(this->MakeHooks()));
+  HandleSignals(this->mContext, [this] {
+    this->mIsLeaving = true;
+    this->mLeavingSince = MonotonicNow();
+    LeaveKeys(this->mState.mKeys);
+    this->mDirectory.Leave();
+    this->mCallerServer->StartDrain();
+    this->mPeerServer->StartDrain();
+  });
+  this->StartLinks();
+  spdlog::info("started caller_address={}", this->mSettings.mCallerAddress);
+  this->mContext.run();
+  spdlog::info("stopped");
+  return ExitCode::kOk;
+}
+
+} // namespace
+} // namespace verbenacroft
+
+int main(int aCount, char** aArguments)
+{
+  using namespace verbenacroft;
+  return RunProgram<RouterSettings>(
+    aCount,
+    aArguments,
+    "verbenacroft-router",
+    "Takes callers' requests to targets.",
+    CheckSettings,
+    [](const RouterSettings& aSettings) {
+      RouterProgram program(aSettings);
+      return program.Run();
+    });
+}
--- /dev/null
+++ b/Source/Programs/vcSchedulerMain.cxx
@@ -0,0 +1,436 @@
+/// verbenacroft-scheduler: owns shards of workers of its data centre.
+
+#include "vcOverview.h"
+#include "vcScheduler.h"
+#include "vcShell.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <spdlog/spdlog.h>
+
+namespace verbenacroft {
+namespace {
+
+constexpr Duration kTickInterval{ 20 };
+constexpr Duration kInstanceInterval{ 500 };
+
+struct SchedulerSettings
+{
+  CommonSettings mCommon;
+  /// Config processes to ask, the nearest first.
+  std::vector<std::string> mConfigAddresses;
+  /// Shortest time between two writes of one shard's journal.
+  Duration mFlushInterval{ 50 };
+};
+BOOST_DESCRIBE_STRUCT(SchedulerSettings,
+                      (),
+                      (mCommon, mConfigAddresses, mFlushInterval))
+
+void CheckSettings(const SchedulerSettings& aSettings, Faults& aFaults)
+{
+  CheckCommon(aSettings.mCommon, aFaults);
+  CheckDistinct({ aSettings.mCommon.mPeerAddress,
+                  aSettings.mCommon.mMetricsAddress },
+                { "$.common.peerAddress", "$.common.metricsAddress" },
+                aFaults);
+  if (aSettings.mConfigAddresses.empty()) {
+    aFaults.push_back(
+      { "$.configAddresses", "none", "one or more addresses" });
+  }
+  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
+    CheckEndpoint(aSettings.mConfigAddresses[i],
+                  "$.configAddresses[" + std::to_string(i) + "]",
+                  aFaults);
+  }
+}
+
+class SchedulerProgram
+{
+public:
+  explicit SchedulerProgram(const SchedulerSettings& aSettings)
+    : mSettings(aSettings)
+    , mHttp(mContext)
+    , mStore(mHttp,
+             ParseEndpoints(aSettings.mCommon.mStoreAddresses),
+             BudgetOf(aSettings.mCommon))
+    , mBoard(mContext)
+    , mState(MakeScheduler({ aSettings.mCommon.mName,
+                             aSettings.mCommon.mDataCentre,
+                             Role::kScheduler,
+                             aSettings.mCommon.mPeerAddress,
+                             false }))
+  {
+    this->mState.mFlushInterval = aSettings.mFlushInterval;
+  }
+
+  ExitCode Run();
+
+private:
+  void Step();
+  void LogEvents();
+  void StartLinks();
+  HealthHooks MakeHooks();
+  void Collect(MetricsPage& aPage) const;
+  void CollectShard(MetricsPage& aPage, const Shard& aShard) const;
+  asio::awaitable<HttpResponse> HandlePeer(const HttpRequest& aRequest);
+  asio::awaitable<HttpResponse> HandleDesk(DeskRequest aRequest);
+  asio::awaitable<void> Carry(WorkerCall aCall);
+  asio::awaitable<void> Carry(PeerCall aCall);
+  asio::awaitable<void> ReadInstanceList();
+  SchedulerOverview Overview() const;
+
+  const SchedulerSettings mSettings;
+  asio::io_context mContext{ 1 };
+  HttpClient mHttp;
+  StoreClient mStore;
+  TicketBoard<DeskAnswer> mBoard;
+  SchedulerState mState;
+  RefusalCounters mRefusals;
+  std::unique_ptr<HttpServer> mPeerServer;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  std::uint64_t mLoggedTakeovers = 0;
+  std::uint64_t mLoggedLapses = 0;
+  bool mIsStepping = false;
+};
+
+asio::awaitable<void> SchedulerProgram::Carry(WorkerCall aCall)
+{
+  std::optional<WorkerSyncReply> reply;
+  const auto endpoint = ParseEndpoint(aCall.mAddress);
+  if (endpoint) {
+    reply = co_await SyncWorker(this->mHttp, *endpoint, aCall.mSync);
+  }
+  OnWorkerReply(this->mState,
+                aCall.mShard,
+                aCall.mWorker,
+                aCall.mId,
+                reply,
+                MonotonicNow());
+  this->Step();
+}
+
+asio::awaitable<void> SchedulerProgram::Carry(PeerCall aCall)
+{
+  constexpr Duration kPeerTimeout{ 2'000 };
+  HttpRequest request = PeerRequest("POST",
+                                    "/v1/peer/job",
+                                    this->mSettings.mCommon.mPeerToken,
+                                    Encode(aCall.mRequest));
+  const auto reply = co_await CallPeer<DeskAnswer>(
+    this->mHttp, aCall.mAddress, std::move(request), kPeerTimeout);
+  OnPeerReply(this->mState, aCall.mId, reply, MonotonicNow());
+  this->Step();
+}
+
+void SchedulerProgram::LogEvents()
+{
+  const auto& counters = this->mState.mCounters;
+  if (counters.mTakeovers != this->mLoggedTakeovers) {
+    this->mLoggedTakeovers = counters.mTakeovers;
+    for (const auto& [name, shard] : this->mState.mShards) {
+      spdlog::info("shard owned shard={} epoch={} phase={}",
+                   name,
+                   shard.mEpoch,
+                   static_cast<int>(shard.mJournal.mPhase));
+    }
+  }
+  if (counters.mLapses != this->mLoggedLapses) {
+    this->mLoggedLapses = counters.mLapses;
+    spdlog::warn("ownership lapsed lapses={} effect=starts-nothing",
+                 counters.mLapses);
+  }
+}
+
+void SchedulerProgram::Step()
+{
+  if (this->mIsStepping) {
+    return;
+  }
+  this->mIsStepping = true;
+  TickScheduler(this->mState, MonotonicNow());
+  PumpStore(this->mContext,
+            this->mStore,
+            this->mState.mStore,
+            [this](const auto& aRoute, auto aCall, const auto& aReply) {
+              OnStoreReply(
+                this->mState, aRoute, aCall, aReply, MonotonicNow());
+              this->Step();
+            });
+  for (auto& call : std::exchange(this->mState.mWorkerCalls, {})) {
+    asio::co_spawn(
+      this->mContext, this->Carry(std::move(call)), asio::detached);
+  }
+  for (auto& call : std::exchange(this->mState.mPeerCalls, {})) {
+    asio::co_spawn(
+      this->mContext, this->Carry(std::move(call)), asio::detached);
+  }
+  for (auto& reply : std::exchange(this->mState.mReplies, {})) {
+    // Delivered from the loop, so that the asker waits by then.
+    asio::post(this->mContext, [this, held = std::move(reply)] {
+      this->mBoard.Deliver(held.mTicket, held.mAnswer);
+    });
+  }
+  this->LogEvents();
+  this->mIsStepping = false;
+}
+
+int StatusCodeOf(DeskStatus aStatus)
+{
+  switch (aStatus) {
+    case DeskStatus::kOk:
+      return 200;
+    case DeskStatus::kAccepted:
+      return 202;
+    case DeskStatus::kInvalid:
+      return 422;
+    case DeskStatus::kConflict:
+      return 409;
+    case DeskStatus::kNotFound:
+      return 404;
+    case DeskStatus::kNotRun:
+      return 503;
+    case DeskStatus::kUnknown:
+      return 504;
+  }
+  return 500;
+}
+
+asio::awaitable<HttpResponse> SchedulerProgram::HandleDesk(DeskRequest aRequest)
+{
+  const auto ticket =
+    SubmitToDesk(this->mState, std::move(aRequest), MonotonicNow());
+  this->Step();
+  const DeskAnswer answer = co_await this->mBoard.Wait(ticket);
+  co_return JsonResponse(Encode(answer), StatusCodeOf(answer.mStatus));
+}
+
+SchedulerOverview SchedulerProgram::Overview() const
+{
+  const auto now = MonotonicNow();
+  SchedulerOverview overview;
+  overview.mName = this->mState.mName;
+  overview.mDataCentre = this->mState.mDataCentre;
+  overview.mRevision = RevisionOf(this->mState.mFollower);
+  overview.mProofAgeMs =
+    (now - this->mState.mFollower.mProvenAt).count();
+  for (const auto& [name, shard] : this->mState.mShards) {
+    overview.mShards.push_back(OverviewOf(shard, now));
+  }
+  return overview;
+}
+
+asio::awaitable<HttpResponse> SchedulerProgram::HandlePeer(
+  const HttpRequest& aRequest)
+{
+  auto refusal = RefuseStranger(
+    aRequest, this->mSettings.mCommon.mPeerToken, true, this->mRefusals);
+  if (refusal) {
+    co_return *refusal;
+  }
+  const auto path = PathOf(aRequest);
+  Faults faults;
+  DeskRequest desk;
+  if (path == "/v1/peer/job") {
+    const auto message = Decode<PeerJobRequest>(aRequest.mBody, faults);
+    desk.mOp = message.mOp;
+    desk.mName = message.mName;
+    desk.mShard = message.mShard;
+  } else if (path == "/v1/targets") {
+    const auto question = Decode<TargetQuestion>(aRequest.mBody, faults);
+    if (faults.empty()) {
+      co_return JsonResponse(
+        Encode(AnswerTargets(this->mState, question, MonotonicNow())));
+    }
+  } else if (path == "/v1/overview") {
+    co_return JsonResponse(Encode(this->Overview()));
+  } else if (path == "/v1/jobs" && aRequest.mMethod == "POST") {
+    desk.mOp = DeskOp::kSubmit;
+    desk.mSpec = Decode<JobSpec>(aRequest.mBody, faults);
+  } else if (path.starts_with("/v1/jobs/")) {
+    desk.mName = std::string(path.substr(std::string_view("/v1/jobs/").size()));
+    desk.mOp =
+      aRequest.mMethod == "DELETE" ? DeskOp::kCancel : DeskOp::kStatus;
+  } else {
+    co_return ErrorResponse(404, "no such path");
+  }
+  if (!faults.empty()) {
+    ++this->mRefusals.mMalformed;
+    DeskAnswer answer;
+    answer.mStatus = DeskStatus::kInvalid;
+    answer.mError = Describe(faults.front());
+    answer.mFaults = faults;
+    co_return JsonResponse(Encode(answer), 400);
+  }
+  co_return co_await this->HandleDesk(std::move(desk));
+}
+
+asio::awaitable<void> SchedulerProgram::ReadInstanceList()
+{
+  const auto address =
+    ParseEndpoint(this->mSettings.mCommon.mInstanceListAddress);
+  asio::steady_timer timer(this->mContext);
+  while (true) {
+    auto list = co_await ReadInstances(this->mHttp, *address, "");
+    if (list) {
+      OnInstances(this->mState, std::move(list->mInstances), MonotonicNow());
+      this->Step();
+    }
+    timer.expires_after(kInstanceInterval);
+    co_await WaitQuietly(timer);
+  }
+}
+
+void SchedulerProgram::CollectShard(MetricsPage& aPage,
+                                    const Shard& aShard) const
+{
+  const MetricLabels labels = { { "shard", aShard.mName } };
+  const auto& counters = aShard.mCounters;
+  const auto count = [&](const char* aName,
+                         const char* aHelp,
+                         std::uint64_t aValue) {
+    aPage.Counter(aName, aHelp, static_cast<double>(aValue), labels);
+  };
+  count("verbenacroft_task_starts_total",
+        "Tasks seen to run.",
+        counters.mStarts);
+  count("verbenacroft_tasks_done_total", "Tasks completed.", counters.mDone);
+  count("verbenacroft_tasks_failed_total", "Runs that failed.", counters.mFailed);
+  count("verbenacroft_evictions_total",
+        "Tasks stopped with a checkpoint.",
+        counters.mEvictions);
+  count("verbenacroft_tasks_lost_total",
+        "Runs that ended with their worker or lease.",
+        counters.mLost);
+  count("verbenacroft_quarantines_total",
+        "Times a worker was put into quarantine.",
+        counters.mQuarantines);
+  count("verbenacroft_unknown_runs_total",
+        "Runs found that the journal does not know.",
+        counters.mUnknownRuns);
+  aPage.Gauge("verbenacroft_placed_tasks",
+              "Tasks committed to workers.",
+              static_cast<double>(aShard.mData.mPlaced.size()),
+              labels);
+  aPage.Gauge("verbenacroft_unplaced_replicas",
+              "Replicas of services that fit nowhere.",
+              static_cast<double>(aShard.mUnplacedReplicas),
+              labels);
+  for (const auto& [backer, use] : aShard.mLedger.mBackers) {
+    const MetricLabels both = { { "shard", aShard.mName },
+                                { "backer", backer } };
+    aPage.Counter("verbenacroft_backer_cpu_seconds_total",
+                  "Processor time committed to the backer's tasks.",
+                  use.mMilliCpuSeconds / 1000.0,
+                  both);
+    aPage.Counter("verbenacroft_backer_borrowed_cpu_seconds_total",
+                  "Part of it above the backer's share.",
+                  use.mBorrowedMilliCpuSeconds / 1000.0,
+                  both);
+  }
+}
+
+void SchedulerProgram::Collect(MetricsPage& aPage) const
+{
+  aPage.Gauge("verbenacroft_config_revision",
+              "Revision of the configuration in force.",
+              static_cast<double>(RevisionOf(this->mState.mFollower)));
+  aPage.Gauge("verbenacroft_owned_shards",
+              "Shards held.",
+              static_cast<double>(this->mState.mShards.size()));
+  aPage.Counter("verbenacroft_takeovers_total",
+                "Shards taken over.",
+                static_cast<double>(this->mState.mCounters.mTakeovers));
+  aPage.Counter("verbenacroft_ownership_lapses_total",
+                "Shards whose lease could not be shown to hold.",
+                static_cast<double>(this->mState.mCounters.mLapses));
+  aPage.Counter("verbenacroft_refused_messages_total",
+                "Messages refused for their token, version or form.",
+                static_cast<double>(this->mRefusals.mBadTokens +
+                                    this->mRefusals.mBadProtocols +
+                                    this->mRefusals.mMalformed));
+  for (const auto& row : EnumTable<StoreOp>::kRows) {
+    aPage.Counter(
+      "verbenacroft_store_calls_total",
+      "Calls to the store.",
+      static_cast<double>(
+        this->mStore.Counts()[static_cast<std::size_t>(row.mValue)]),
+      { { "op", std::string(row.mName) } });
+  }
+  for (const auto& [name, shard] : this->mState.mShards) {
+    this->CollectShard(aPage, shard);
+  }
+}
+
+HealthHooks SchedulerProgram::MakeHooks()
+{
+  HealthHooks hooks;
+  hooks.mCollect = [this](MetricsPage& aPage) { this->Collect(aPage); };
+  hooks.mIsReady = [this] {
+    return !this->mState.mIsLeaving && RevisionOf(this->mState.mFollower) > 0;
+  };
+  return hooks;
+}
+
+void SchedulerProgram::StartLinks()
+{
+  ConfigLinkOptions link;
+  link.mAddresses = this->mSettings.mConfigAddresses;
+  link.mToken = this->mSettings.mCommon.mPeerToken;
+  link.mRevision = [this] { return RevisionOf(this->mState.mFollower); };
+  link.mOnFeed = [this](const ConfigFeed& aFeed, TimePoint aSentAt) {
+    OnConfigFeed(this->mState, aFeed, aSentAt, MonotonicNow());
+    this->Step();
+  };
+  StartConfigLink(this->mContext, this->mHttp, std::move(link));
+  asio::co_spawn(this->mContext, this->ReadInstanceList(), asio::detached);
+  RunEvery(this->mContext, kTickInterval, [this] {
+    this->Step();
+    if (HasLeft(this->mState) && this->mState.mStore.mCalls.empty() &&
+        this->mPeerServer->InFlight() == 0) {
+      this->mContext.stop();
+    }
+  });
+}
+
+ExitCode SchedulerProgram::Run()
+{
+  const auto& common = this->mSettings.mCommon;
+  this->mPeerServer = std::make_unique<HttpServer>(
+    this->mContext,
+    *ParseEndpoint(common.mPeerAddress),
+    HttpLimits{},
+    [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
+  this->mMetricsServer =
+    std::make_unique<HttpServer>(this->mContext,
+                                 *ParseEndpoint(common.mMetricsAddress),
+                                 HttpLimits{},
+                                 MakeHealthHandler(this->MakeHooks()));
+  HandleSignals(this->mContext, [this] {
+    LeaveScheduler(this->mState);
+    this->mPeerServer->StartDrain();
+    this->Step();
+  });
+  this->StartLinks();
+  spdlog::info("started peer_address={}", common.mPeerAddress);
+  this->mContext.run();
+  spdlog::info("stopped");
+  return ExitCode::kOk;
+}
+
+} // namespace
+} // namespace verbenacroft
+
+int main(int aCount, char** aArguments)
+{
+  using namespace verbenacroft;
+  return RunProgram<SchedulerSettings>(
+    aCount,
+    aArguments,
+    "verbenacroft-scheduler",
+    "Owns shards of the workers of its data centre.",
+    CheckSettings,
+    [](const SchedulerSettings& aSettings) {
+      SchedulerProgram program(aSettings);
+      return program.Run();
+    });
+}
--- /dev/null
+++ b/Source/Router/vcRequestPath.cxx
@@ -0,0 +1,550 @@
+#include "vcRouter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr std::string_view kPrefix = "/s/";
+constexpr int kMaxAttempts = 3;
+/// Longest wait for a slot, as a part of the time that is left.
+constexpr std::int64_t kWaitPart = 4;
+
+bool IsIdempotentMethod(std::string_view aMethod)
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "PUT" ||
+         aMethod == "DELETE" || aMethod == "OPTIONS";
+}
+
+HttpResponse Refusal(int aStatus, std::string_view aOutcome, std::string aText)
+{
+  HttpResponse response = ErrorResponse(aStatus, aText);
+  response.mHeaders.push_back(
+    { std::string(kOutcomeHeader), std::string(aOutcome) });
+  return response;
+}
+
+HttpResponse NotRun(int aStatus, std::string aText)
+{
+  return Refusal(aStatus, "not-run", std::move(aText));
+}
+
+HttpResponse Unknown(int aStatus, std::string aText)
+{
+  return Refusal(aStatus, "unknown", std::move(aText));
+}
+
+bool IsHopHeader(std::string_view aName)
+{
+  constexpr std::array<std::string_view, 9> kNames = {
+    "connection",       "keep-alive",          "transfer-encoding",
+    "te",               "upgrade",             "content-length",
+    "host",             "proxy-authorization", "verbenacroft-token",
+  };
+  std::string lower(aName);
+  for (char& byte : lower) {
+    byte = static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
+  }
+  return std::find(kNames.begin(), kNames.end(), lower) != kNames.end();
+}
+
+/// True for a header that only the system's own programs may set.
+bool IsOwnHeader(std::string_view aName)
+{
+  constexpr std::string_view kOwnPrefix = "verbenacroft-";
+  if (aName.size() < kOwnPrefix.size()) {
+    return false;
+  }
+  std::string start(aName.substr(0, kOwnPrefix.size()));
+  for (char& byte : start) {
+    byte = static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
+  }
+  return start == kOwnPrefix;
+}
+
+HttpHeaders EndToEnd(const HttpHeaders& aHeaders, bool aKeepOwn)
+{
+  HttpHeaders kept;
+  for (const auto& header : aHeaders) {
+    const bool isKept = !IsHopHeader(header.mName) &&
+                        (aKeepOwn || !IsOwnHeader(header.mName));
+    if (isKept) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+std::optional<Duration> DeadlineOf(const HttpRequest& aRequest)
+{
+  const auto text = FindHeader(aRequest.mHeaders, kDeadlineHeader);
+  std::int64_t millis = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, millis);
+  if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end ||
+      millis <= 0) {
+    return std::nullopt;
+  }
+  return Duration{ millis };
+}
+
+double MillisSince(std::chrono::steady_clock::time_point aStart)
+{
+  return std::chrono::duration<double, std::milli>(
+           std::chrono::steady_clock::now() - aStart)
+    .count();
+}
+
+std::string Hex(std::uint64_t aValue)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text(16, '0');
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    text[text.size() - 1 - i] = kDigits[(aValue >> (4 * i)) & 0xF];
+  }
+  return text;
+}
+
+} // namespace
+
+/// One caller's request on its way.
+struct RequestPath::Call
+{
+  const HttpRequest& mRequest;
+  const Service& mService;
+  std::string mTarget;
+  bool mIsForwarded = false;
+  bool mIsIdempotent = false;
+  TimePoint mDeadline{ 0 };
+  std::set<std::string> mTried;
+  /// True once any byte of the request may have reached a target.
+  bool mMayHaveRun = false;
+
+  Duration TimeLeft() const { return this->mDeadline - MonotonicNow(); }
+};
+
+/// Outcome of a request that was sent to two targets.
+struct RequestPath::Attempt
+{
+  explicit Attempt(asio::io_context& aContext)
+    : mDone(aContext)
+  {
+    this->mDone.expires_at(asio::steady_timer::time_point::max());
+  }
+  asio::steady_timer mDone;
+  int mUnderWay = 0;
+  bool mHasAnswer = false;
+  HttpResult mResult;
+};
+
+RequestPath::RequestPath(asio::io_context& aContext,
+                         HttpClient& aHttp,
+                         Directory& aDirectory,
+                         RouterState& aState)
+  : mContext(aContext)
+  , mHttp(aHttp)
+  , mDirectory(aDirectory)
+  , mState(aState)
+  , mKeyBoard(aContext)
+{
+}
+
+void RequestPath::WakeWaiter(const std::string& aService)
+{
+  const auto found = this->mWaiters.find(aService);
+  if (found != this->mWaiters.end() && !found->second.empty()) {
+    auto& waiter = found->second.front();
+    found->second.pop_front();
+    waiter.mTimer.cancel();
+  }
+}
+
+asio::awaitable<std::string> RequestPath::AwaitTarget(Call& aCall)
+{
+  const std::string service = aCall.mService.mName;
+  const TimePoint giveUpAt =
+    MonotonicNow() + aCall.TimeLeft() / kWaitPart;
+  while (true) {
+    std::string task = PickTarget(
+      this->mState.mPool, service, aCall.mTried, MonotonicNow());
+    const auto left = giveUpAt - MonotonicNow();
+    if (!task.empty() || left <= Duration{ 0 } ||
+        !HasTargets(this->mState.mPool, service)) {
+      co_return task;
+    }
+    SlotWaiter waiter(this->mContext);
+    waiter.mTimer.expires_after(left);
+    this->mWaiters[service].push_back(waiter);
+    co_await WaitQuietly(waiter.mTimer);
+  }
+}
+
+asio::awaitable<HttpResult> RequestPath::Send(Call& aCall, std::string aTask)
+{
+  auto& pool = this->mState.mPool;
+  const Endpoint endpoint = pool.mTargets.at(aTask).mEndpoint;
+  NoteSent(pool, aTask);
+  HttpRequest request;
+  request.mMethod = aCall.mRequest.mMethod;
+  request.mTarget = aCall.mTarget;
+  request.mHeaders = EndToEnd(aCall.mRequest.mHeaders, false);
+  request.mHeaders.push_back({ std::string(kTaskHeader), aTask });
+  request.mHeaders.push_back({ std::string(kDeadlineHeader),
+                               std::to_string(aCall.TimeLeft().count()) });
+  request.mBody = aCall.mRequest.mBody;
+  HttpCallOptions options;
+  options.mTimeout = std::max(aCall.TimeLeft(), Duration{ 1 });
+  options.mRequestId =
+    this->mState.mName + "-" + std::to_string(this->mState.mNextRequest++);
+  options.mNeedsEcho = aCall.mService.mEchoesRequestId;
+  const std::string service = aCall.mService.mName;
+  const auto start = std::chrono::steady_clock::now();
+  HttpResult result = co_await this->mHttp.Call(
+    endpoint, std::move(request), std::move(options));
+  const bool isGood = !result.mError && result.mResponse.mStatus < 500;
+  NoteEnded(pool, aTask, isGood, MillisSince(start), MonotonicNow());
+  if (result.mError == MakeError(HttpErrc::kCrossed)) {
+    ++this->mState.mCounters.mCrossed;
+  }
+  this->WakeWaiter(service);
+  co_return result;
+}
+
+asio::awaitable<HttpResult> RequestPath::SendHedged(Call& aCall,
+                                                    std::string aTask)
+{
+  auto attempt = std::make_shared<Attempt>(this->mContext);
+  // The call outlives this coroutine only until the slower answer is in.
+  auto run = [](RequestPath& aPath,
+                Call aOwnCall,
+                std::string aOwnTask,
+                std::shared_ptr<Attempt> aAttempt) -> asio::awaitable<void> {
+    ++aAttempt->mUnderWay;
+    HttpResult result =
+      co_await aPath.Send(aOwnCall, std::move(aOwnTask));
+    --aAttempt->mUnderWay;
+    const bool isAnswer = !result.mError;
+    if (!aAttempt->mHasAnswer && (isAnswer || aAttempt->mUnderWay == 0)) {
+      aAttempt->mHasAnswer = isAnswer;
+      aAttempt->mResult = std::move(result);
+      aAttempt->mDone.cancel();
+    }
+  };
+  // A copy of the request is kept by each attempt, since the loser may
+  // still be under way when the caller has been answered.
+  auto held = std::make_shared<std::pair<HttpRequest, Service>>(
+    aCall.mRequest, aCall.mService);
+  const auto makeCall = [&] {
+    return Call{ held->first,         held->second,     aCall.mTarget,
+                 aCall.mIsForwarded,  true,             aCall.mDeadline,
+                 aCall.mTried,        aCall.mMayHaveRun };
+  };
+  const auto launch = [&](std::string aOwnTask) {
+    asio::co_spawn(
+      this->mContext,
+      run(*this, makeCall(), std::move(aOwnTask), attempt),
+      [held, attempt](const std::exception_ptr&) {});
+  };
+  launch(aTask);
+  asio::steady_timer hedge(this->mContext);
+  attempt->mDone.expires_after(aCall.mService.mHedgeAfter);
+  co_await WaitQuietly(attempt->mDone);
+  const bool isSlow = !attempt->mHasAnswer && attempt->mUnderWay > 0;
+  if (isSlow) {
+    std::set<std::string> avoid = aCall.mTried;
+    avoid.insert(aTask);
+    const std::string second = PickTarget(this->mState.mPool,
+                                          aCall.mService.mName,
+                                          avoid,
+                                          MonotonicNow());
+    if (!second.empty() && second != aTask &&
+        TakeRetry(this->mState.mRetries)) {
+      ++this->mState.mCounters.mHedges;
+      launch(second);
+    }
+  }
+  while (!attempt->mHasAnswer && attempt->mUnderWay > 0) {
+    attempt->mDone.expires_at(asio::steady_timer::time_point::max());
+    co_await WaitQuietly(attempt->mDone);
+  }
+  co_return std::move(attempt->mResult);
+}
+
+asio::awaitable<HttpResponse> RequestPath::Route(Call& aCall)
+{
+  for (int i = 0; i < kMaxAttempts; ++i) {
+    const std::string task = co_await this->AwaitTarget(aCall);
+    if (task.empty()) {
+      break;
+    }
+    const bool mayHedge = aCall.mIsIdempotent &&
+                          aCall.mService.mHedgeAfter > Duration{ 0 };
+    HttpResult result;
+    if (mayHedge) {
+      result = co_await this->SendHedged(aCall, task);
+    } else {
+      result = co_await this->Send(aCall, task);
+    }
+    aCall.mMayHaveRun = aCall.mMayHaveRun || result.mWasSent;
+    if (!result.mError) {
+      result.mResponse.mHeaders = EndToEnd(result.mResponse.mHeaders, false);
+      co_return std::move(result.mResponse);
+    }
+    aCall.mTried.insert(task);
+    const bool mayRetry = !result.mWasSent || aCall.mIsIdempotent;
+    const bool hasTime = aCall.TimeLeft() > Duration{ 0 };
+    if (!mayRetry || !hasTime || i + 1 == kMaxAttempts ||
+        !TakeRetry(this->mState.mRetries)) {
+      const std::string text = result.mError.message();
+      co_return aCall.mMayHaveRun ? Unknown(502, text) : NotRun(503, text);
+    }
+    ++this->mState.mCounters.mRetries;
+  }
+  co_return aCall.mMayHaveRun
+    ? Unknown(502, "no further target answered in time")
+    : NotRun(503, "no target has a free slot");
+}
+
+asio::awaitable<HttpResponse> RequestPath::Forward(Call& aCall)
+{
+  const std::vector<Member> members =
+    co_await this->mDirectory.AllMembers();
+  std::vector<Member> others;
+  for (const auto& member : members) {
+    const auto& allowed = aCall.mService.mDataCentres;
+    const bool isAllowed =
+      std::find(allowed.begin(), allowed.end(), member.mDataCentre) !=
+        allowed.end() &&
+      !IsDrained(this->mState.mFollower.mState.mConfiguration,
+                 member.mDataCentre);
+    if (member.mRole == Role::kRouter && !member.mIsLeaving && isAllowed &&
+        member.mDataCentre != this->mState.mDataCentre) {
+      others.push_back(member);
+    }
+  }
+  const std::size_t offset =
+    others.empty() ? 0 : this->mState.mNextRequest++ % others.size();
+  for (std::size_t i = 0; i < others.size(); ++i) {
+    const auto& peer = others[(offset + i) % others.size()];
+    const auto endpoint = ParseEndpoint(peer.mPeerAddress);
+    if (!endpoint || aCall.TimeLeft() <= Duration{ 0 }) {
+      continue;
+    }
+    ++this->mState.mCounters.mForwards;
+    HttpRequest request = PeerRequest(
+      aCall.mRequest.mMethod, "", this->mDirectory.PeerToken());
+    request.mTarget =
+      std::string(kPrefix) + aCall.mService.mName + aCall.mTarget;
+    request.mBody = aCall.mRequest.mBody;
+    for (const auto& header : EndToEnd(aCall.mRequest.mHeaders, false)) {
+      request.mHeaders.push_back(header);
+    }
+    request.mHeaders.push_back({ std::string(kForwardedHeader), "1" });
+    request.mHeaders.push_back({ std::string(kDeadlineHeader),
+                                 std::to_string(aCall.TimeLeft().count()) });
+    HttpCallOptions options;
+    options.mTimeout = aCall.TimeLeft();
+    HttpResult result = co_await this->mHttp.Call(
+      *endpoint, std::move(request), std::move(options));
+    if (!result.mError) {
+      const bool isNotRun =
+        FindHeader(result.mResponse.mHeaders, kOutcomeHeader) == "not-run";
+      if (isNotRun && i + 1 < others.size()) {
+        continue;
+      }
+      if (isNotRun && aCall.mMayHaveRun) {
+        co_return Unknown(502, "an earlier attempt may have run");
+      }
+      result.mResponse.mHeaders = EndToEnd(result.mResponse.mHeaders, true);
+      co_return std::move(result.mResponse);
+    }
+    aCall.mMayHaveRun = aCall.mMayHaveRun || result.mWasSent;
+    if (aCall.mMayHaveRun && !aCall.mIsIdempotent) {
+      co_return Unknown(502, result.mError.message());
+    }
+  }
+  co_return aCall.mMayHaveRun
+    ? Unknown(502, "no other data centre answered")
+    : NotRun(503, "no target of the service is known");
+}
+
+asio::awaitable<KeyAnswer> RequestPath::AskKeyOwner(KeyClaim aClaim,
+                                                    TimePoint aDeadline)
+{
+  constexpr Duration kClaimTimeout{ 1'500 };
+  constexpr int kClaimTries = 2;
+  const std::string slot = SlotOfKey(aClaim.mKey);
+  for (int i = 0; i < kClaimTries; ++i) {
+    const std::string address = AddressOfSlot(this->mState.mKeys, slot);
+    if (address == this->mState.mKeys.mOwnership.mSelf.mPeerAddress) {
+      const auto ticket =
+        ClaimKey(this->mState.mKeys, aClaim, MonotonicNow());
+      asio::post(this->mContext, [this] { this->DeliverKeyReplies(); });
+      co_return co_await this->mKeyBoard.Wait(ticket);
+    }
+    const Duration left = aDeadline - MonotonicNow();
+    if (address.empty() || left <= Duration{ 0 }) {
+      break;
+    }
+    HttpRequest request = PeerRequest("POST",
+                                      "/v1/peer/claim",
+                                      this->mDirectory.PeerToken(),
+                                      Encode(aClaim));
+    const auto answer = co_await CallPeer<KeyAnswer>(
+      this->mHttp, address, std::move(request), std::min(left, kClaimTimeout));
+    if (answer) {
+      co_return *answer;
+    }
+  }
+  co_return KeyAnswer{};
+}
+
+asio::awaitable<void> RequestPath::TellKeyOwner(KeyResult aResult)
+{
+  constexpr Duration kResultTimeout{ 1'000 };
+  const std::string address =
+    AddressOfSlot(this->mState.mKeys, SlotOfKey(aResult.mKey));
+  if (address == this->mState.mKeys.mOwnership.mSelf.mPeerAddress) {
+    NoteKeyResult(this->mState.mKeys, aResult);
+    co_return;
+  }
+  HttpRequest request = PeerRequest("POST",
+                                    "/v1/peer/result",
+                                    this->mDirectory.PeerToken(),
+                                    Encode(aResult));
+  co_await CallPeer<KeyAnswer>(
+    this->mHttp, address, std::move(request), kResultTimeout);
+}
+
+asio::awaitable<HttpResponse> RequestPath::ServeClaim(const KeyClaim& aClaim)
+{
+  const auto ticket = ClaimKey(this->mState.mKeys, aClaim, MonotonicNow());
+  asio::post(this->mContext, [this] { this->DeliverKeyReplies(); });
+  const KeyAnswer answer = co_await this->mKeyBoard.Wait(ticket);
+  co_return JsonResponse(Encode(answer));
+}
+
+void RequestPath::DeliverKeyReplies()
+{
+  for (auto& reply : std::exchange(this->mState.mKeys.mReplies, {})) {
+    this->mKeyBoard.Deliver(reply.mTicket, std::move(reply.mAnswer));
+  }
+}
+
+asio::awaitable<HttpResponse> RequestPath::ServeKeyed(Call& aCall)
+{
+  const std::string key(FindHeader(aCall.mRequest.mHeaders, kKeyHeader));
+  constexpr std::size_t kMaxKeyBytes = 200;
+  if (key.size() > kMaxKeyBytes) {
+    co_return NotRun(400, "the idempotency key is longer than 200 bytes");
+  }
+  KeyClaim claim;
+  const std::string scoped = aCall.mService.mName + "\n" + key;
+  claim.mKey = Hex(StableHash(scoped, 1)) + Hex(StableHash(scoped, 2));
+  claim.mFingerprint = Hex(StableHash(
+    aCall.mRequest.mMethod + aCall.mTarget + "\n" + aCall.mRequest.mBody));
+  claim.mNonce = this->mState.mName + "-" +
+                 std::to_string(MonotonicNow().count()) + "-" +
+                 std::to_string(this->mState.mNextRequest++);
+  const KeyAnswer answer =
+    co_await this->AskKeyOwner(claim, aCall.mDeadline);
+  if (answer.mVerdict == KeyVerdict::kUnavailable) {
+    co_return NotRun(503, "the owner of the idempotency key is out of reach");
+  }
+  if (answer.mVerdict == KeyVerdict::kMismatch) {
+    co_return NotRun(422, "the idempotency key was used for another request");
+  }
+  if (answer.mVerdict == KeyVerdict::kDuplicate) {
+    ++this->mState.mCounters.mKeyDuplicates;
+    if (!answer.mAnswer) {
+      co_return Unknown(409, "a request with this key was sent before");
+    }
+    HttpResponse response;
+    response.mStatus = static_cast<int>(answer.mAnswer->mStatus);
+    response.mContentType = answer.mAnswer->mContentType;
+    response.mBody = answer.mAnswer->mBody;
+    co_return response;
+  }
+  HttpResponse response = co_await this->Route(aCall);
+  const bool isAnswer =
+    FindHeader(response.mHeaders, kOutcomeHeader).empty();
+  if (isAnswer) {
+    KeyResult result;
+    result.mKey = claim.mKey;
+    result.mNonce = claim.mNonce;
+    result.mAnswer = { response.mStatus,
+                       response.mContentType,
+                       response.mBody };
+    asio::co_spawn(
+      this->mContext, this->TellKeyOwner(std::move(result)), asio::detached);
+  }
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> RequestPath::ServeService(Call& aCall)
+{
+  const bool isKeyed =
+    !aCall.mIsIdempotent &&
+    !FindHeader(aCall.mRequest.mHeaders, kKeyHeader).empty();
+  const bool isHere =
+    HasTargets(this->mState.mPool, aCall.mService.mName);
+  if (!isHere && !aCall.mIsForwarded) {
+    co_return co_await this->Forward(aCall);
+  }
+  if (isKeyed) {
+    co_return co_await this->ServeKeyed(aCall);
+  }
+  co_return co_await this->Route(aCall);
+}
+
+asio::awaitable<HttpResponse> RequestPath::Serve(const HttpRequest& aRequest,
+                                                 bool aIsForwarded)
+{
+  ++this->mState.mCounters.mRequests;
+  const std::string_view target = aRequest.mTarget;
+  const auto nameEnd = target.find_first_of("/?", kPrefix.size());
+  const std::string name(
+    target.substr(kPrefix.size(), nameEnd - kPrefix.size()));
+  // A copy, since the configuration may change while the request runs.
+  const auto& configuration = this->mState.mFollower.mState.mConfiguration;
+  const Service* found = FindNamed(configuration.mServices, name);
+  if (found == nullptr) {
+    co_return NotRun(404, "no service of this name");
+  }
+  const Service service = *found;
+  if (!Admit(this->mState.mAdmission, configuration, service)) {
+    RecordRequest(this->mState.mBurn, service, 0, true, MonotonicNow());
+    co_return NotRun(503, "overloaded; the backer's share is in use");
+  }
+  const auto start = std::chrono::steady_clock::now();
+  EarnRetry(this->mState.mRetries);
+  Call call{ aRequest, service, "", aIsForwarded, false, {}, {}, false };
+  call.mTarget = nameEnd == std::string_view::npos
+                   ? "/"
+                   : std::string(target.substr(nameEnd));
+  const auto path = call.mTarget.substr(0, call.mTarget.find('?'));
+  const auto& declared = service.mIdempotentPaths;
+  call.mIsIdempotent =
+    IsIdempotentMethod(aRequest.mMethod) ||
+    std::find(declared.begin(), declared.end(), path) != declared.end();
+  const auto asked = DeadlineOf(aRequest).value_or(service.mDeadline);
+  call.mDeadline = MonotonicNow() + std::min(asked, service.mDeadline);
+  NoteAdmitted(this->mState.mAdmission, service.mBacker);
+  HttpResponse response = co_await this->ServeService(call);
+  NoteReleased(this->mState.mAdmission, service.mBacker);
+  const auto outcome = FindHeader(response.mHeaders, kOutcomeHeader);
+  this->mState.mCounters.mNotRun += outcome == "not-run" ? 1 : 0;
+  this->mState.mCounters.mUnknown += outcome == "unknown" ? 1 : 0;
+  RecordRequest(this->mState.mBurn,
+                service,
+                MillisSince(start),
+                response.mStatus >= 500,
+                MonotonicNow());
+  co_return response;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Shell/vcConfigLink.cxx
@@ -0,0 +1,57 @@
+#include "vcConfigLink.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr Duration kFeedTimeout{ 500 };
+/// A proof older than this makes the link try the next address as well.
+constexpr std::int64_t kStaleProofMs = 1'000;
+
+asio::awaitable<void> FollowForever(asio::io_context& aContext,
+                                    HttpClient& aHttp,
+                                    ConfigLinkOptions aOptions)
+{
+  asio::steady_timer timer(aContext);
+  std::size_t current = 0;
+  while (!aOptions.mAddresses.empty()) {
+    if (!aOptions.mIsWanted || aOptions.mIsWanted()) {
+      const TimePoint sentAt = MonotonicNow();
+      std::string target =
+        "/v1/feed?after=" + std::to_string(aOptions.mRevision());
+      HttpRequest request =
+        PeerRequest("GET", std::move(target), aOptions.mToken);
+      const auto feed =
+        co_await CallPeer<ConfigFeed>(aHttp,
+                                      aOptions.mAddresses[current],
+                                      std::move(request),
+                                      kFeedTimeout);
+      if (feed) {
+        aOptions.mOnFeed(*feed, sentAt);
+      }
+      const bool isFresh =
+        feed && feed->mProofAge && *feed->mProofAge < kStaleProofMs;
+      if (!isFresh) {
+        current = (current + 1) % aOptions.mAddresses.size();
+      }
+    }
+    timer.expires_after(aOptions.mInterval);
+    co_await WaitQuietly(timer);
+  }
+}
+
+} // namespace
+
+void StartConfigLink(asio::io_context& aContext,
+                     HttpClient& aHttp,
+                     ConfigLinkOptions aOptions)
+{
+  asio::co_spawn(aContext,
+                 FollowForever(aContext, aHttp, std::move(aOptions)),
+                 asio::detached);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Shell/vcServerSupport.cxx
@@ -0,0 +1,47 @@
+#include "vcServerSupport.h"
+
+#include "vcSchedulerMessages.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace verbenacroft {
+
+std::optional<HttpResponse> RefuseStranger(const HttpRequest& aRequest,
+                                           std::string_view aToken,
+                                           bool aIsPeer,
+                                           RefusalCounters& aCounters)
+{
+  if (!SecretsEqual(FindHeader(aRequest.mHeaders, kTokenHeader), aToken)) {
+    ++aCounters.mBadTokens;
+    return ErrorResponse(401, "the token is missing or wrong");
+  }
+  const auto protocol = FindHeader(aRequest.mHeaders, kProtocolHeader);
+  if (aIsPeer && protocol != kProtocolVersion) {
+    ++aCounters.mBadProtocols;
+    return ErrorResponse(400, "the protocol version is not known here");
+  }
+  return std::nullopt;
+}
+
+HttpRequest PeerRequest(std::string aMethod,
+                        std::string aTarget,
+                        const std::string& aToken,
+                        std::string aBody)
+{
+  HttpRequest request;
+  request.mMethod = std::move(aMethod);
+  request.mTarget = std::move(aTarget);
+  request.mHeaders.push_back({ std::string(kTokenHeader), aToken });
+  request.mHeaders.push_back(
+    { std::string(kProtocolHeader), std::string(kProtocolVersion) });
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+asio::awaitable<void> WaitQuietly(asio::steady_timer& aTimer)
+{
+  co_await aTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Shell/vcStorePump.cxx
@@ -0,0 +1,34 @@
+#include "vcStorePump.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+asio::awaitable<void> CarryOut(StoreClient& aClient,
+                               StoreCall aCall,
+                               StoreReplyHandler aHandler)
+{
+  const StoreReply reply =
+    co_await aClient.Call(std::move(aCall.mRequest), aCall.mPriority);
+  aHandler(aCall.mRoute, aCall.mId, reply);
+}
+
+} // namespace
+
+void PumpStore(asio::io_context& aContext,
+               StoreClient& aClient,
+               StoreOutbox& aOutbox,
+               const StoreReplyHandler& aHandler)
+{
+  std::vector<StoreCall> calls = std::move(aOutbox.mCalls);
+  aOutbox.mCalls.clear();
+  for (auto& call : calls) {
+    asio::co_spawn(
+      aContext, CarryOut(aClient, std::move(call), aHandler), asio::detached);
+  }
+}
+
+} // namespace verbenacroft
