Scheduler: Share replicas and jobs out by racks

Cause: a shard to which no rack hashes got its equal part of replicas and jobs, and they waited for ever. Change: parts are in proportion to the racks of each shard; jobs go to shards that have racks. The number of shards of a data centre is fixed once declared, since a worker that changed its shard would have two owners. Ruled out: mapping racks by their order, which moves workers between shards whenever a rack comes or goes.

--- a/Source/Config/vcConfigModel.cxx
+++ b/Source/Config/vcConfigModel.cxx
@@ -199,6 +199,26 @@
 
 } // namespace
 
+void CheckTransition(const Configuration& aFrom,
+                     const Configuration& aTo,
+                     Faults& aFaults)
+{
+  for (const auto& before : aFrom.mDataCentres) {
+    const std::string path = "$.dataCentres[" + before.mName + "]";
+    const auto* after = FindNamed(aTo.mDataCentres, before.mName);
+    if (after == nullptr && !before.mIsDrained) {
+      aFaults.push_back(
+        { path, "removed while in service", "drain it first" });
+    }
+    if (after != nullptr && after->mShards != before.mShards) {
+      aFaults.push_back({ path + ".shards",
+                          std::to_string(after->mShards),
+                          "the present number, " +
+                            std::to_string(before.mShards) });
+    }
+  }
+}
+
 Faults CheckConfiguration(const Configuration& aConfiguration,
                           const std::optional<Resources>& aLargest)
 {
--- a/Source/Config/vcConfigModel.h
+++ b/Source/Config/vcConfigModel.h
@@ -138,6 +138,14 @@
 /// Names of the data centre's shards, such as "north-0".
 std::vector<std::string> ShardsOf(const DataCentre& aDataCentre);
 
+/// Adds faults of a change from one configuration to the next: the shards of
+/// a data centre stay as they are, since a worker that changed its shard
+/// would have two owners for a while; a data centre is drained before it
+/// is removed.
+void CheckTransition(const Configuration& aFrom,
+                     const Configuration& aTo,
+                     Faults& aFaults);
+
 /// Checks the configuration as a whole.
 /// @param aLargest the largest instance known, if any is.
 /// @return every fault, with its path.
--- a/Source/Config/vcConfigServer.cxx
+++ b/Source/Config/vcConfigServer.cxx
@@ -56,6 +56,7 @@
     changed, aChange.mEdits, aState.mJournal.mReader.mNext, outcome.mFaults);
   if (outcome.mFaults.empty()) {
     outcome.mFaults = CheckConfiguration(changed, aState.mLargest);
+    CheckTransition(aScratch.mConfiguration, changed, outcome.mFaults);
   }
   if (!outcome.mFaults.empty()) {
     outcome.mStatus = ChangeStatus::kInvalid;
--- a/Source/Scheduler/vcScheduler.h
+++ b/Source/Scheduler/vcScheduler.h
@@ -72,6 +72,9 @@
   std::map<std::string, Shard> mShards;
   /// Part of the instance list for this data centre.
   std::vector<Instance> mInstances;
+  ShardWeights mWeights;
+  /// Racks of each data centre that was seen.
+  std::map<std::string, std::set<std::string>> mRacks;
   /// Largest instance of each data centre that was seen.
   std::map<std::string, Resources> mLargest;
   std::map<std::uint64_t, DeskRequest> mDesk;
--- a/Source/Scheduler/vcSchedulerCore.cxx
+++ b/Source/Scheduler/vcSchedulerCore.cxx
@@ -20,6 +20,22 @@
   return aShard.substr(0, aShard.rfind('-'));
 }
 
+/// Counts the racks of each shard from the whole instance list.
+void UpdateWeights(SchedulerState& aState)
+{
+  aState.mWeights.clear();
+  const auto& configuration = aState.mFollower.mState.mConfiguration;
+  for (const auto& [name, racks] : aState.mRacks) {
+    const auto* dataCentre = FindNamed(configuration.mDataCentres, name);
+    if (dataCentre == nullptr) {
+      continue;
+    }
+    for (const auto& rack : racks) {
+      ++aState.mWeights[ShardOfRack(*dataCentre, rack)];
+    }
+  }
+}
+
 void UpdatePartitions(SchedulerState& aState)
 {
   const auto* dataCentre = FindNamed(
@@ -31,14 +47,16 @@
   SetPartitions(aState.mOwnership, { shards.begin(), shards.end() });
 }
 
-std::vector<Instance> InstancesOf(const SchedulerState& aState,
-                                  const std::string& aShard)
+/// Listed instances of the shard, or nothing while the data centre is not
+/// declared: what runs there then drains, but is not taken for ended.
+std::optional<std::vector<Instance>> InstancesOf(const SchedulerState& aState,
+                                                 const std::string& aShard)
 {
   std::vector<Instance> instances;
   const auto* dataCentre = FindNamed(
     aState.mFollower.mState.mConfiguration.mDataCentres, aState.mDataCentre);
   if (dataCentre == nullptr) {
-    return instances;
+    return std::nullopt;
   }
   for (const auto& instance : aState.mInstances) {
     if (ShardOfRack(*dataCentre, instance.mRack) == aShard) {
@@ -60,7 +78,10 @@
   shard.mEpoch = aEpoch;
   shard.mJournal.mReader.mName = "shard/" + aName;
   shard.mJournal.mWriterName = aState.mName;
-  UpdateWorkers(shard, InstancesOf(aState, aName), aNow);
+  const auto instances = InstancesOf(aState, aName);
+  if (instances) {
+    UpdateWorkers(shard, *instances, aNow);
+  }
   auto& placed =
     aState.mShards.insert_or_assign(aName, std::move(shard)).first->second;
   OpenJournal(placed.mJournal, aEpoch, aState.mStore);
@@ -228,6 +249,7 @@
 {
   ShardContext context;
   context.mConfiguration = &aState.mFollower.mState.mConfiguration;
+  context.mWeights = &aState.mWeights;
   context.mDataCentre = aState.mDataCentre;
   context.mNow = aNow;
   const bool isOwner =
@@ -305,6 +327,10 @@
       break;
     }
   }
+  std::erase_if(shards, [&](const std::string& aShard) {
+    const auto weight = aState.mWeights.find(aShard);
+    return weight == aState.mWeights.end() || weight->second == 0;
+  });
   std::string best;
   for (const auto& shard : shards) {
     if (best.empty() || RendezvousWeight(aSpec.mName, shard) >
@@ -420,7 +446,9 @@
                  TimePoint aNow)
 {
   aState.mLargest.clear();
+  aState.mRacks.clear();
   for (const auto& instance : aInstances) {
+    aState.mRacks[instance.mDataCentre].insert(instance.mRack);
     auto& largest = aState.mLargest[instance.mDataCentre];
     largest = Largest(largest, instance.mCapacity);
   }
@@ -428,9 +456,11 @@
     return aInstance.mDataCentre != aState.mDataCentre;
   });
   aState.mInstances = std::move(aInstances);
+  UpdateWeights(aState);
   for (auto& [name, shard] : aState.mShards) {
-    if (ContextOf(aState, shard, aNow).mIsOwner) {
-      UpdateWorkers(shard, InstancesOf(aState, name), aNow);
+    const auto instances = InstancesOf(aState, name);
+    if (instances && ContextOf(aState, shard, aNow).mIsOwner) {
+      UpdateWorkers(shard, *instances, aNow);
     }
   }
 }
@@ -444,6 +474,7 @@
   FollowFeed(aState.mFollower, aFeed, aSentAt);
   if (RevisionOf(aState.mFollower) != before) {
     UpdatePartitions(aState);
+    UpdateWeights(aState);
   }
 }
 
--- a/Source/Scheduler/vcShard.h
+++ b/Source/Scheduler/vcShard.h
@@ -152,10 +152,15 @@
   std::int64_t mWaitingTasks = 0;
 };
 
+/// Racks that belong to each shard, over all data centres. Replicas and
+/// jobs are shared out in proportion; a shard without racks gets none.
+using ShardWeights = std::map<std::string, std::int64_t>;
+
 /// What the steps of a shard need to know of the rest.
 struct ShardContext
 {
   const Configuration* mConfiguration = nullptr;
+  const ShardWeights* mWeights = nullptr;
   std::string mDataCentre;
   TimePoint mNow{ 0 };
   /// Up to when tasks may be started: the configuration's proof and the
@@ -220,6 +225,7 @@
 /// Replicas of the service that belong on the shard.
 std::int64_t DesiredReplicas(const Configuration& aConfiguration,
                              const Service& aService,
+                             const ShardWeights& aWeights,
                              const std::string& aDataCentre,
                              const std::string& aShard);
 
--- a/Source/Scheduler/vcShardPlan.cxx
+++ b/Source/Scheduler/vcShardPlan.cxx
@@ -21,25 +21,42 @@
 constexpr Duration kRampTime{ 10'000 };
 constexpr std::size_t kPlacementsPerPlanInRamp = 2;
 
-/// Part `aPosition` of `aTotal` split into `aParts` nearly equal parts.
+/// Part of `aTotal` that falls to `aName` when it is shared out by weight.
+/// Remainders go to names in an order that differs for each seed, so that
+/// they don't all fall on the same one.
 std::int64_t PartOf(std::int64_t aTotal,
-                    std::int64_t aParts,
-                    std::int64_t aPosition)
+                    const std::map<std::string, std::int64_t>& aWeights,
+                    const std::string& aName,
+                    const std::string& aSeed)
 {
-  return aTotal / aParts + (aPosition < aTotal % aParts ? 1 : 0);
-}
-
-/// Position of `aName` in `aNames`, in an order that differs for each seed
-/// so that remainders don't all fall on the same one.
-std::int64_t PositionOf(std::vector<std::string> aNames,
-                        const std::string& aName,
-                        const std::string& aSeed)
-{
-  std::sort(aNames.begin(), aNames.end(), [&](const auto& aLeft, auto& aRight) {
-    return RendezvousWeight(aSeed, aLeft) > RendezvousWeight(aSeed, aRight);
+  std::int64_t sum = 0;
+  for (const auto& [name, weight] : aWeights) {
+    sum += weight;
+  }
+  const auto own = aWeights.find(aName);
+  if (sum == 0 || own == aWeights.end()) {
+    return 0;
+  }
+  const std::int64_t whole = aTotal * own->second / sum;
+  std::int64_t rest = aTotal;
+  std::vector<std::pair<std::int64_t, std::string>> order;
+  for (const auto& [name, weight] : aWeights) {
+    rest -= aTotal * weight / sum;
+    order.emplace_back(aTotal * weight % sum, name);
+  }
+  std::sort(order.begin(), order.end(), [&](const auto& aLeft, auto& aRight) {
+    if (aLeft.first != aRight.first) {
+      return aLeft.first > aRight.first;
+    }
+    return RendezvousWeight(aSeed, aLeft.second) >
+           RendezvousWeight(aSeed, aRight.second);
   });
-  const auto found = std::find(aNames.begin(), aNames.end(), aName);
-  return found == aNames.end() ? -1 : found - aNames.begin();
+  for (std::int64_t i = 0; i < rest; ++i) {
+    if (order[static_cast<std::size_t>(i)].second == aName) {
+      return whole + 1;
+    }
+  }
+  return whole;
 }
 
 bool IsOpen(const WorkerRuntime& aWorker, TimePoint aNow)
@@ -371,7 +388,11 @@
   std::map<std::string, std::int64_t> desired;
   for (const auto& service : configuration.mServices) {
     desired[service.mName] = DesiredReplicas(
-      configuration, service, aContext.mDataCentre, aShard.mName);
+      configuration,
+      service,
+      *aContext.mWeights,
+      aContext.mDataCentre,
+      aShard.mName);
   }
   for (const auto& [name, count] : counts) {
     AddExcess(count, desired[name], excess);
@@ -646,29 +667,28 @@
 
 std::int64_t DesiredReplicas(const Configuration& aConfiguration,
                              const Service& aService,
+                             const ShardWeights& aWeights,
                              const std::string& aDataCentre,
                              const std::string& aShard)
 {
-  std::vector<std::string> dataCentres;
+  std::map<std::string, std::int64_t> dataCentres;
   for (const auto& name : aService.mDataCentres) {
     if (!IsDrained(aConfiguration, name)) {
-      dataCentres.push_back(name);
+      dataCentres[name] = 1;
     }
   }
-  const auto position = PositionOf(dataCentres, aDataCentre, aService.mName);
-  if (position < 0) {
+  const auto here = PartOf(
+    aService.mReplicas, dataCentres, aDataCentre, aService.mName);
+  if (here == 0) {
     return 0;
   }
-  const auto here = PartOf(aService.mReplicas,
-                           static_cast<std::int64_t>(dataCentres.size()),
-                           position);
   const auto* dataCentre = FindNamed(aConfiguration.mDataCentres, aDataCentre);
-  const auto shards = ShardsOf(*dataCentre);
-  const auto shardPosition = PositionOf(shards, aShard, aService.mName);
-  if (shardPosition < 0) {
-    return 0;
+  std::map<std::string, std::int64_t> shards;
+  for (const auto& shard : ShardsOf(*dataCentre)) {
+    const auto weight = aWeights.find(shard);
+    shards[shard] = weight == aWeights.end() ? 0 : weight->second;
   }
-  return PartOf(here, static_cast<std::int64_t>(shards.size()), shardPosition);
+  return PartOf(here, shards, aShard, aService.mName);
 }
 
 void SettleJobs(Shard& aShard)
