--- a/Source/Scheduler/vcSchedulerClaims.cxx
+++ b/Source/Scheduler/vcSchedulerClaims.cxx
@@ -87,6 +87,15 @@
   aState.mPeerCalls.push_back(std::move(call));
 }
 
+void StayHere(Shard& aShard, const std::string& aJob)
+{
+  ShardRecord record;
+  record.mOp = ShardOp::kJobState;
+  record.mName = aJob;
+  record.mState = JobState::kActive;
+  Record(aShard, record);
+}
+
 /// Decides with the claim at hand what is to be written.
 void OnClaimRead(SchedulerState& aState,
                  Shard& aShard,
@@ -124,7 +133,12 @@
   claim.mJob = job;
   if (job.mState == JobState::kMoving) {
     const auto target = ChooseShard(aState, job.mSpec, aNow);
-    if (target.empty() || target == aShard.mName) {
+    if (target == aShard.mName) {
+      // The data centre was restored before the job had left.
+      StayHere(aShard, aJob);
+      return;
+    }
+    if (target.empty()) {
       return;
     }
     claim.mShard = target;
--- a/Source/Scheduler/vcSchedulerDesk.cxx
+++ b/Source/Scheduler/vcSchedulerDesk.cxx
@@ -399,18 +399,44 @@
 
 namespace verbenacroft {
 
+namespace {
+
+/// Why nothing can be taken at the desk now, or an empty text.
+std::string WhyClosed(const SchedulerState& aState)
+{
+  if (aState.mIsLeaving) {
+    return "the scheduler is leaving";
+  }
+  if (RevisionOf(aState.mFollower) == 0) {
+    return "the scheduler has no configuration yet";
+  }
+  return {};
+}
+
+} // namespace
+
 std::uint64_t SubmitToDesk(SchedulerState& aState,
                            DeskRequest aRequest,
                            TimePoint aNow)
 {
   constexpr Duration kDeskLimit{ 5'000 };
   const auto ticket = aState.mNextTicket++;
+  const std::string closed = WhyClosed(aState);
+  if (!closed.empty()) {
+    DeskAnswer answer;
+    answer.mStatus = DeskStatus::kNotRun;
+    answer.mError = closed;
+    aState.mReplies.push_back({ ticket, std::move(answer) });
+    return ticket;
+  }
   aRequest.mDeadline = aNow + kDeskLimit;
   if (aRequest.mOp == DeskOp::kSubmit) {
     aRequest.mName = aRequest.mSpec.mName;
     aRequest.mChange = aState.mName + "-" + std::to_string(ticket);
-    const Faults faults = CheckJob(
-      aRequest.mSpec, aState.mFollower.mState.mConfiguration, aState.mLargest);
+    const Faults faults =
+      CheckJob(aRequest.mSpec,
+               aState.mFollower.mState.mConfiguration,
+               aState.mLargest);
     if (!faults.empty()) {
       DeskAnswer answer;
       answer.mStatus = DeskStatus::kInvalid;
@@ -420,13 +446,6 @@
       return ticket;
     }
   }
-  if (aState.mIsLeaving) {
-    DeskAnswer answer;
-    answer.mStatus = DeskStatus::kNotRun;
-    answer.mError = "the scheduler is leaving";
-    aState.mReplies.push_back({ ticket, std::move(answer) });
-    return ticket;
-  }
   aState.mDesk[ticket] = std::move(aRequest);
   scheduler::StartRequest(aState, ticket, aNow);
   return ticket;
--- a/Tests/Scenarios/vcScenarioVerbs.cxx
+++ b/Tests/Scenarios/vcScenarioVerbs.cxx
@@ -244,12 +244,12 @@
     return 0;
   }
   if (what == "kill") {
-    KillWorker(world.mFleet, name, world.mNow);
+    KillWorkerOf(world, name);
   } else if (what == "leave") {
     found->second.mInstance.mState = InstanceState::kLeaving;
     world.mLeavingAt.try_emplace(name, world.mNow);
   } else if (what == "remove") {
-    KillWorker(world.mFleet, name, world.mNow);
+    KillWorkerOf(world, name);
     world.mFleet.mWorkers.erase(name);
   } else if (what == "fail") {
     found->second.mFailsTasks = true;
@@ -530,6 +530,15 @@
   if (luaL_dofile(lua.get(), aOptions.mPath.c_str()) != LUA_OK) {
     Violate(world, std::string("script: ") + lua_tostring(lua.get(), -1));
   }
+  for (const auto& event : world.mFleet.mEvents) {
+    world.mTrace.push_back(std::to_string(event.mAt.count()) + " run " +
+                           event.mTask + " attempt " +
+                           std::to_string(event.mAttempt) + " on " +
+                           event.mWorker + " " +
+                           std::string(NameOf(event.mState)) + " checkpoint " +
+                           std::to_string(event.mCheckpoint));
+  }
+  std::stable_sort(world.mTrace.begin(), world.mTrace.end());
   result.mProblems = world.mViolations;
   result.mIsPassed = world.mViolations.empty();
   result.mTrace = std::move(world.mTrace);
--- a/Tests/Scenarios/vcWorld.h
+++ b/Tests/Scenarios/vcWorld.h
@@ -207,6 +207,13 @@
                const std::string& aDataCentre,
                const std::string& aKey);
 
+/// True if the store holds the completion of the batch task.
+bool IsCompletionRecorded(const World& aWorld, const std::string& aTask);
+
+/// Kills a worker. A completion that it has not been able to report to the
+/// journal ends with it, and the task has to run again.
+void KillWorkerOf(World& aWorld, const std::string& aWorker);
+
 /// Newest configuration known to any live config process.
 const Configuration* NewestConfiguration(const World& aWorld);
 
--- a/Tests/Scenarios/vcWorldChecks.cxx
+++ b/Tests/Scenarios/vcWorldChecks.cxx
@@ -122,6 +122,73 @@
 
 } // namespace
 
+namespace {
+
+/// State of a shard as the store's journal gives it.
+ShardData ReadShard(const World& aWorld, const std::string& aShard)
+{
+  JournalReader reader;
+  reader.mName = "shard/" + aShard;
+  std::vector<StoreEntry> entries;
+  for (const auto& [key, entry] : aWorld.mStore.mEntries) {
+    if (key.starts_with(JournalPrefix(reader.mName))) {
+      entries.push_back(entry);
+    }
+  }
+  const JournalNews news = Absorb(reader, entries);
+  ShardData data;
+  Faults faults;
+  if (news.mSnapshot) {
+    DecodeInto(news.mSnapshot->mState, "$", data, faults);
+  }
+  for (const auto& entry : news.mEntries) {
+    for (const auto& json : entry.mRecords) {
+      ShardRecord record;
+      DecodeInto(json, "$", record, faults);
+      ApplyRecord(data, record);
+    }
+  }
+  return data;
+}
+
+} // namespace
+
+bool IsCompletionRecorded(const World& aWorld, const std::string& aTask)
+{
+  const auto slash = aTask.rfind('/');
+  const std::string jobName = aTask.substr(0, slash);
+  const auto index = std::stoul(aTask.substr(slash + 1));
+  const auto entry = aWorld.mStore.mEntries.find(JobKey(jobName));
+  if (entry == aWorld.mStore.mEntries.end()) {
+    return false;
+  }
+  const auto claim = TryDecode<JobClaim>(entry->second.mValue);
+  if (!claim || IsFinal(claim->mJob.mState)) {
+    return true;
+  }
+  const auto data = ReadShard(aWorld, claim->mShard);
+  const auto job = data.mJobs.find(jobName);
+  const auto& record = job == data.mJobs.end() ? claim->mJob : job->second;
+  return record.mTasks.at(index).mIsDone;
+}
+
+void KillWorkerOf(World& aWorld, const std::string& aWorker)
+{
+  StepFleet(aWorld.mFleet, aWorld.mNow);
+  for (const auto& [name, task] : aWorld.mFleet.mWorkers.at(aWorker).mTasks) {
+    const bool isUnreported = task.mState == RunState::kFinished &&
+                              task.mStart.mKind == TaskKind::kBatch &&
+                              !IsCompletionRecorded(aWorld, name);
+    if (isUnreported) {
+      --aWorld.mFleet.mCompletions[name];
+      aWorld.mTrace.push_back(std::to_string(aWorld.mNow.count()) +
+                              " completion of " + name + " ends with " +
+                              aWorker);
+    }
+  }
+  KillWorker(aWorld.mFleet, aWorker, aWorld.mNow);
+}
+
 void CheckPromises(World& aWorld)
 {
   CheckFleet(aWorld);
