--- a/Source/Scheduler/vcSchedulerClaims.cxx
+++ b/Source/Scheduler/vcSchedulerClaims.cxx
@@ -23,12 +23,13 @@
   StoreRequest request;
   request.mKey = JobKey(aJob);
   aRuntime.mStage = ClaimStage::kReading;
-  aRuntime.mCall = PushStoreCall(
+  aRuntime.mStoreCall = PushStoreCall(
     aState.mStore, "claims", StorePriority::kRest, std::move(request));
 }
 
 void SendWrite(SchedulerState& aState,
                const JobClaim& aClaim,
+               ClaimStage aStage,
                JobRuntime& aRuntime)
 {
   StoreRequest request;
@@ -36,8 +37,8 @@
   request.mKey = JobKey(aClaim.mJob.mSpec.mName);
   request.mValue = Encode(aClaim);
   request.mExpectedRevision = aRuntime.mClaimRevision;
-  aRuntime.mStage = ClaimStage::kWriting;
-  aRuntime.mCall = PushStoreCall(
+  aRuntime.mStage = aStage;
+  aRuntime.mStoreCall = PushStoreCall(
     aState.mStore, "claims", StorePriority::kRest, std::move(request));
 }
 
@@ -83,7 +84,7 @@
   call.mId = aState.mNextCall++;
   call.mAddress = address;
   call.mRequest = { DeskOp::kAdopt, aJob, runtime.mTargetShard };
-  runtime.mCall = call.mId;
+  runtime.mPeerCall = call.mId;
   aState.mPeerCalls.push_back(std::move(call));
 }
 
@@ -131,6 +132,7 @@
   runtime.mClaimRevision = aEntry.mRevision;
   JobClaim claim = *found;
   claim.mJob = job;
+  auto stage = ClaimStage::kWritingEnd;
   if (job.mState == JobState::kMoving) {
     const auto target = ChooseShard(aState, job.mSpec, aNow);
     if (target == aShard.mName) {
@@ -146,8 +148,9 @@
     claim.mJob.mState = JobState::kActive;
     claim.mJob.mReason.clear();
     runtime.mTargetShard = target;
+    stage = ClaimStage::kWritingMove;
   }
-  SendWrite(aState, claim, runtime);
+  SendWrite(aState, claim, stage, runtime);
 }
 
 struct Found
@@ -156,11 +159,13 @@
   std::string mJob;
 };
 
-Found FindCall(SchedulerState& aState, std::uint64_t aCall)
+Found FindCall(SchedulerState& aState,
+               std::uint64_t JobRuntime::*aField,
+               std::uint64_t aCall)
 {
   for (auto& [shardName, shard] : aState.mShards) {
     for (auto& [name, runtime] : shard.mJobs) {
-      if (runtime.mCall == aCall && shard.mData.mJobs.contains(name)) {
+      if (runtime.*aField == aCall && shard.mData.mJobs.contains(name)) {
         return { &shard, name };
       }
     }
@@ -209,12 +214,12 @@
                        const StoreReply& aReply,
                        TimePoint aNow)
 {
-  const Found found = FindCall(aState, aCall);
+  const Found found = FindCall(aState, &JobRuntime::mStoreCall, aCall);
   if (found.mShard == nullptr) {
     return;
   }
   auto& runtime = found.mShard->mJobs[found.mJob];
-  runtime.mCall = 0;
+  runtime.mStoreCall = 0;
   const bool wasReading = runtime.mStage == ClaimStage::kReading;
   const bool isOk = aReply.mStatus == StoreStatus::kOk;
   if (isOk && wasReading && !aReply.mEntries.empty()) {
@@ -223,7 +228,7 @@
     return;
   }
   if (isOk && !wasReading) {
-    if (found.mShard->mData.mJobs.at(found.mJob).mState == JobState::kMoving) {
+    if (runtime.mStage == ClaimStage::kWritingMove) {
       HandOver(aState, *found.mShard, found.mJob, aNow);
     } else {
       Forget(*found.mShard, found.mJob);
@@ -240,7 +245,7 @@
                       const std::optional<DeskAnswer>& aReply,
                       TimePoint /*aNow*/)
 {
-  const Found found = FindCall(aState, aCall);
+  const Found found = FindCall(aState, &JobRuntime::mPeerCall, aCall);
   if (found.mShard == nullptr) {
     return;
   }
@@ -248,7 +253,7 @@
   if (runtime.mStage != ClaimStage::kHandingOver) {
     return;
   }
-  runtime.mCall = 0;
+  runtime.mPeerCall = 0;
   const bool isTaken = aReply && (aReply->mStatus == DeskStatus::kAccepted ||
                                   aReply->mStatus == DeskStatus::kOk);
   if (isTaken) {
--- a/Source/Scheduler/vcShard.h
+++ b/Source/Scheduler/vcShard.h
@@ -52,6 +52,15 @@
   std::int64_t mThrottlePercent = 100;
 };
 
+/// An ended attempt that its worker need remember no longer, but only once
+/// the worker's clock has passed the limit of every start that was sent: a
+/// late start of a forgotten attempt would run it again.
+struct ForgetItem
+{
+  std::uint32_t mAttempt = 0;
+  std::optional<std::int64_t> mNotBefore;
+};
+
 struct WorkerRuntime
 {
   Instance mInstance;
@@ -71,7 +80,7 @@
   /// Attempts to stop, by task.
   std::map<std::string, std::uint32_t> mStops;
   /// Ended attempts whose end is durable, by task.
-  std::map<std::string, std::uint32_t> mForgets;
+  std::map<std::string, ForgetItem> mForgets;
   std::vector<TaskRef> mForgetsSent;
   std::map<std::string, std::int64_t> mThrottles;
   std::set<std::string> mTasks;
@@ -88,7 +97,10 @@
 {
   kIdle,
   kReading,
-  kWriting,
+  kWritingEnd,
+  /// The claim is given to another shard; what was written decides, also if
+  /// the job's last task ends meanwhile.
+  kWritingMove,
   /// Telling the shard that the job was moved to.
   kHandingOver,
 };
@@ -96,7 +108,9 @@
 struct JobRuntime
 {
   ClaimStage mStage = ClaimStage::kIdle;
-  std::uint64_t mCall = 0;
+  /// Calls under way to the store and to a peer; numbered apart.
+  std::uint64_t mStoreCall = 0;
+  std::uint64_t mPeerCall = 0;
   std::uint64_t mClaimRevision = 0;
   std::string mTargetShard;
   TimePoint mRetryAt = kNever;
--- a/Source/Scheduler/vcShardState.cxx
+++ b/Source/Scheduler/vcShardState.cxx
@@ -141,7 +141,7 @@
     if (!item.mForgetAt.empty()) {
       const auto worker = aShard.mWorkers.find(item.mForgetAt);
       if (worker != aShard.mWorkers.end()) {
-        worker->second.mForgets[item.mTask] = item.mAttempt;
+        worker->second.mForgets[item.mTask] = { item.mAttempt, {} };
       }
       continue;
     }
--- a/Source/Scheduler/vcShardWorkers.cxx
+++ b/Source/Scheduler/vcShardWorkers.cxx
@@ -66,6 +66,20 @@
   }
 }
 
+void AddForgets(WorkerRuntime& aWorker, TimePoint aNow, WorkerSync& aSync)
+{
+  const auto clock = WorkerClock(aWorker, aNow);
+  for (auto& [task, item] : aWorker.mForgets) {
+    if (!item.mNotBefore) {
+      item.mNotBefore = clock + kSyncLimit.count();
+    }
+    if (clock > *item.mNotBefore &&
+        aSync.mForgets.size() < kMaxForgetsPerSync) {
+      aSync.mForgets.push_back({ task, item.mAttempt });
+    }
+  }
+}
+
 WorkerSync MakeSync(Shard& aShard,
                     WorkerRuntime& aWorker,
                     const ShardContext& aContext)
@@ -90,11 +104,7 @@
   for (const auto& [task, percent] : aWorker.mThrottles) {
     sync.mThrottles.push_back({ task, percent });
   }
-  for (const auto& [task, attempt] : aWorker.mForgets) {
-    if (sync.mForgets.size() < kMaxForgetsPerSync) {
-      sync.mForgets.push_back({ task, attempt });
-    }
-  }
+  AddForgets(aWorker, aContext.mNow, sync);
   aWorker.mForgetsSent = sync.mForgets;
   return sync;
 }
@@ -294,7 +304,10 @@
     aWorker.mStops[aReport.mTask] = aReport.mAttempt;
   } else {
     aWorker.mStops.erase(aReport.mTask);
-    aWorker.mForgets[aReport.mTask] = aReport.mAttempt;
+    auto& item = aWorker.mForgets[aReport.mTask];
+    if (item.mAttempt != aReport.mAttempt) {
+      item = { aReport.mAttempt, {} };
+    }
   }
 }
 
@@ -451,7 +464,7 @@
   worker.mVersion = aReply->mVersion;
   for (const auto& forgotten : worker.mForgetsSent) {
     const auto found = worker.mForgets.find(forgotten.mTask);
-    if (found != worker.mForgets.end() && found->second == forgotten.mAttempt) {
+    if (found != worker.mForgets.end() && found->second.mAttempt == forgotten.mAttempt) {
       worker.mForgets.erase(found);
     }
   }
--- a/Tests/Scenarios/common.lua
+++ b/Tests/Scenarios/common.lua
@@ -36,6 +36,7 @@
     trace("job " .. name .. " is " .. job_state(name))
   end
   trace("services " .. running("a", "service") .. " " .. running("b", "service"))
+  if not done then dump() end
   expect(done, "all jobs end and all replicas run once all is mended")
 end
 
--- a/Tests/Scenarios/vcScenarioVerbs.cxx
+++ b/Tests/Scenarios/vcScenarioVerbs.cxx
@@ -460,6 +460,49 @@
   return 0;
 }
 
+void DumpShard(World& aWorld, const std::string& aNode, const Shard& aShard)
+{
+  for (const auto& [name, job] : aShard.mData.mJobs) {
+    const auto runtime = aShard.mJobs.find(name);
+    std::string text = "dump " + aNode + " " + aShard.mName + " " + name + " " +
+                       std::string(NameOf(job.mState)) + " done " +
+                       std::to_string(DoneTasks(job)) + " of " +
+                       std::to_string(job.mSpec.mTasks);
+    if (runtime != aShard.mJobs.end()) {
+      text += " placed " + std::to_string(runtime->second.mPlacedTasks) +
+              " next " + std::to_string(runtime->second.mNextIndex) +
+              " stage " +
+              std::to_string(static_cast<int>(runtime->second.mStage));
+    }
+    Trace(aWorld, text);
+  }
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    Trace(aWorld,
+          "dump " + aNode + " " + name + " committed " +
+            Describe(worker.mCommitted) + " missed " +
+            std::to_string(worker.mMissed) + " inventoried " +
+            std::to_string(worker.mIsInventoried ? 1 : 0) + " quarantined " +
+            std::to_string(worker.mQuarantinedUntil.count()));
+  }
+}
+
+/// dump(): traces what every scheduler holds.
+int VerbDump(lua_State* aLua)
+{
+  World& world = WorldOf(aLua);
+  for (const auto& [key, entry] : world.mStore.mEntries) {
+    if (key.starts_with("job/") || key.starts_with("journal/shard/")) {
+      Trace(world, "dump " + key + " = " + entry.mValue);
+    }
+  }
+  for (const auto& [name, node] : world.mNodes) {
+    for (const auto& [shardName, shard] : node.mScheduler.mShards) {
+      DumpShard(world, name, shard);
+    }
+  }
+  return 0;
+}
+
 struct Verb
 {
   const char* mName;
@@ -502,6 +545,7 @@
   { "random", VerbRandom },
   { "expect", VerbExpect },
   { "trace", VerbTrace },
+  { "dump", VerbDump },
 };
 
 struct LuaCloser
--- a/Tests/Scenarios/vcWorld.cxx
+++ b/Tests/Scenarios/vcWorld.cxx
@@ -792,6 +792,10 @@
             [&aWorld, aSpec, again](const DeskAnswer& aAnswer) {
               auto& submitted = aWorld.mJobs[aSpec.mName];
               submitted.mAnswer = aAnswer;
+              aWorld.mTrace.push_back(
+                std::to_string(aWorld.mNow.count()) + " answer " +
+                aSpec.mName + " " + std::string(NameOf(aAnswer.mStatus)) +
+                " " + aAnswer.mError);
               const bool isOpen = aAnswer.mStatus == DeskStatus::kNotRun ||
                                   aAnswer.mStatus == DeskStatus::kUnknown;
               if (!isOpen) {
