--- a/Source/Burn/vcBurn.h
+++ b/Source/Burn/vcBurn.h
@@ -84,13 +84,10 @@
   /// In the order of `kBurnWindows`.
   std::vector<BurnCounts> mWindows;
 };
-BOOST_DESCRIBE_STRUCT(BurnServiceReport,
-                      (),
-                      (mService,
-                       mBacker,
-                       mObjectivePercent,
-                       mObjectiveLatencyMs,
-                       mWindows))
+BOOST_DESCRIBE_STRUCT(
+  BurnServiceReport,
+  (),
+  (mService, mBacker, mObjectivePercent, mObjectiveLatencyMs, mWindows))
 
 /// What one router answers to the report.
 struct BurnRouterReport
--- a/Source/Burn/vcBurnPage.cxx
+++ b/Source/Burn/vcBurnPage.cxx
@@ -37,11 +37,10 @@
 std::string CoverageText(const BurnReport& aReport)
 {
   constexpr double kMillisPerMinute = 60'000.0;
-  std::string text =
-    fmt::format("{} routers merged; counts reach back {:.1f} minutes at least",
-                aReport.mMerged.size(),
-                static_cast<double>(aReport.mLeastCoveredMs) /
-                  kMillisPerMinute);
+  std::string text = fmt::format(
+    "{} routers merged; counts reach back {:.1f} minutes at least",
+    aReport.mMerged.size(),
+    static_cast<double>(aReport.mLeastCoveredMs) / kMillisPerMinute);
   if (!aReport.mUnreachable.empty()) {
     text += fmt::format("; NOT REACHED, their requests are missing: {}",
                         fmt::join(aReport.mUnreachable, ", "));
@@ -67,11 +66,11 @@
 
 std::string PlotBars(const BurnServiceReport& aRow, int aTop, double aScale)
 {
-  std::string svg = fmt::format(
-    "<text x='{}' y='{}' text-anchor='end'>{}</text>\n",
-    kLeft - 12,
-    aTop + 2 * kBarHeight + 4,
-    Escape(aRow.mService));
+  std::string svg =
+    fmt::format("<text x='{}' y='{}' text-anchor='end'>{}</text>\n",
+                kLeft - 12,
+                aTop + 2 * kBarHeight + 4,
+                Escape(aRow.mService));
   for (std::size_t i = 0; i < aRow.mWindows.size(); ++i) {
     const double burn = BurnRate(aRow.mWindows[i], aRow.mObjectivePercent);
     const int y = aTop + static_cast<int>(i) * (kBarHeight + 2);
@@ -143,28 +142,29 @@
 
 std::string BurnTable(const BurnReport& aReport)
 {
-  std::string text = fmt::format("{:<16} {:<14} {:>6} {:>9} {:>7} {:>7} {:>7} {:>9}\n",
-                                 "SERVICE",
-                                 "BACKER",
-                                 "WINDOW",
-                                 "REQUESTS",
-                                 "BAD",
-                                 "ERRORS",
-                                 "BURN",
-                                 "P99<=MS");
+  std::string text =
+    fmt::format("{:<16} {:<14} {:>6} {:>9} {:>7} {:>7} {:>7} {:>9}\n",
+                "SERVICE",
+                "BACKER",
+                "WINDOW",
+                "REQUESTS",
+                "BAD",
+                "ERRORS",
+                "BURN",
+                "P99<=MS");
   for (const auto& row : aReport.mServices) {
     for (std::size_t i = 0; i < row.mWindows.size(); ++i) {
       const auto& counts = row.mWindows[i];
-      text += fmt::format(
-        "{:<16} {:<14} {:>6} {:>9} {:>7} {:>7} {:>7.2f} {:>9}\n",
-        row.mService,
-        row.mBacker,
-        kBurnWindows[i].mName,
-        counts.mTotal,
-        counts.mTotal - counts.mGood,
-        counts.mErrors,
-        BurnRate(counts, row.mObjectivePercent),
-        QuantileMs(counts, 0.99));
+      text +=
+        fmt::format("{:<16} {:<14} {:>6} {:>9} {:>7} {:>7} {:>7.2f} {:>9}\n",
+                    row.mService,
+                    row.mBacker,
+                    kBurnWindows[i].mName,
+                    counts.mTotal,
+                    counts.mTotal - counts.mGood,
+                    counts.mErrors,
+                    BurnRate(counts, row.mObjectivePercent),
+                    QuantileMs(counts, 0.99));
     }
   }
   return text + CoverageText(aReport) + "\n";
--- a/Source/Config/vcConfigModel.cxx
+++ b/Source/Config/vcConfigModel.cxx
@@ -207,14 +207,13 @@
     const std::string path = "$.dataCentres[" + before.mName + "]";
     const auto* after = FindNamed(aTo.mDataCentres, before.mName);
     if (after == nullptr && !before.mIsDrained) {
-      aFaults.push_back(
-        { path, "removed while in service", "drain it first" });
+      aFaults.push_back({ path, "removed while in service", "drain it first" });
     }
     if (after != nullptr && after->mShards != before.mShards) {
-      aFaults.push_back({ path + ".shards",
-                          std::to_string(after->mShards),
-                          "the present number, " +
-                            std::to_string(before.mShards) });
+      aFaults.push_back(
+        { path + ".shards",
+          std::to_string(after->mShards),
+          "the present number, " + std::to_string(before.mShards) });
     }
   }
 }
--- a/Source/Foundation/vcCodec.cxx
+++ b/Source/Foundation/vcCodec.cxx
@@ -55,7 +55,9 @@
     parser.finish(error);
   }
   if (error) {
-    const auto offset = static_cast<std::ptrdiff_t>(consumed);
+    // After some errors the parser counts beyond the end of the text.
+    const auto offset =
+      static_cast<std::ptrdiff_t>(std::min(consumed, aText.size()));
     const auto line =
       1 + std::count(aText.begin(), aText.begin() + offset, '\n');
     aFaults.push_back({ "line " + std::to_string(line),
--- a/Source/Operators/Examples/vcConsortiumExample.cxx
+++ b/Source/Operators/Examples/vcConsortiumExample.cxx
@@ -16,8 +16,8 @@
   AddBacker(configuration, "house-verde", 33);
   AddBacker(configuration, "house-roja", 33);
 
-  Service& check =
-    AddService(configuration, "master-check", "house-azul", { 2'000, 2'048, 0, 4 });
+  Service& check = AddService(
+    configuration, "master-check", "house-azul", { 2'000, 2'048, 0, 4 });
   RunEverywhere(configuration, check);
   check.mReplicas = 9;
 
--- a/Source/Programs/vcBurnMain.cxx
+++ b/Source/Programs/vcBurnMain.cxx
@@ -26,8 +26,8 @@
     request.mTarget = "/v1/burn";
     HttpCallOptions options;
     options.mTimeout = kRouterTimeout;
-    HttpResult result = co_await aHttp.Call(
-      *endpoint, std::move(request), std::move(options));
+    HttpResult result =
+      co_await aHttp.Call(*endpoint, std::move(request), std::move(options));
     auto report = result.mError
                     ? std::nullopt
                     : TryDecode<BurnRouterReport>(result.mResponse.mBody);
@@ -73,10 +73,12 @@
                            "Reports service-level burn over 5 min, 1 h, 6 h "
                            "and 3 d, merged over all routers.");
   auto add = options.add_options();
-  add("router", "metrics address of a router; repeat for each",
+  add("router",
+      "metrics address of a router; repeat for each",
       cxxopts::value<std::vector<std::string>>());
   add("json", "print JSON");
-  add("html", "write a page with a plot to this file",
+  add("html",
+      "write a page with a plot to this file",
       cxxopts::value<std::string>()->default_value(""));
   add("version", "print the version and exit");
   add("help", "print this help and exit");
--- a/Source/Programs/vcConfigMain.cxx
+++ b/Source/Programs/vcConfigMain.cxx
@@ -36,13 +36,12 @@
   CheckCommon(aSettings.mCommon, aFaults);
   CheckEndpoint(aSettings.mOperatorAddress, "$.operatorAddress", aFaults);
   CheckFilled(aSettings.mOperatorToken, "$.operatorToken", aFaults);
-  CheckDistinct({ aSettings.mCommon.mPeerAddress,
-                  aSettings.mCommon.mMetricsAddress,
-                  aSettings.mOperatorAddress },
-                { "$.common.peerAddress",
-                  "$.common.metricsAddress",
-                  "$.operatorAddress" },
-                aFaults);
+  CheckDistinct(
+    { aSettings.mCommon.mPeerAddress,
+      aSettings.mCommon.mMetricsAddress,
+      aSettings.mOperatorAddress },
+    { "$.common.peerAddress", "$.common.metricsAddress", "$.operatorAddress" },
+    aFaults);
   for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
     CheckEndpoint(aSettings.mConfigAddresses[i],
                   "$.configAddresses[" + std::to_string(i) + "]",
@@ -202,8 +201,8 @@
     process.mName = member.mName;
     process.mDataCentre = member.mDataCentre;
     process.mRole = member.mRole;
-    HttpRequest request = PeerRequest(
-      "GET", "/v1/overview", this->mSettings.mCommon.mPeerToken);
+    HttpRequest request =
+      PeerRequest("GET", "/v1/overview", this->mSettings.mCommon.mPeerToken);
     constexpr Duration kOverviewTimeout{ 500 };
     const auto answer = co_await CallPeer<SchedulerOverview>(
       this->mHttp, member.mPeerAddress, std::move(request), kOverviewTimeout);
@@ -297,11 +296,11 @@
     aPage.Gauge("verbenacroft_config_revision",
                 "Revision of the configuration in force.",
                 static_cast<double>(RevisionOf(follower)));
-    aPage.Gauge("verbenacroft_config_proof_age_seconds",
-                "Time since the revision was known to be the newest.",
-                static_cast<double>(
-                  (MonotonicNow() - follower.mProvenAt).count()) /
-                  1000.0);
+    aPage.Gauge(
+      "verbenacroft_config_proof_age_seconds",
+      "Time since the revision was known to be the newest.",
+      static_cast<double>((MonotonicNow() - follower.mProvenAt).count()) /
+        1000.0);
     aPage.Counter("verbenacroft_config_refused_feeds_total",
                   "Answers of peers that were older or had a gap.",
                   static_cast<double>(follower.mRefused));
--- a/Source/Programs/vcCtl.cxx
+++ b/Source/Programs/vcCtl.cxx
@@ -73,8 +73,8 @@
         PeerRequest(aMethod, aTarget, this->mOptions.mToken, aBody);
       HttpCallOptions options;
       options.mTimeout = kCallTimeout;
-      result = co_await http.Call(
-        *endpoint, std::move(request), std::move(options));
+      result =
+        co_await http.Call(*endpoint, std::move(request), std::move(options));
     };
     asio::co_spawn(context, run(), asio::detached);
     context.run();
@@ -274,8 +274,8 @@
   change.mAuthor = aOptions.mAuthor;
   change.mEdits = std::move(aEdits);
   // The name makes a repeat after a lost answer harmless.
-  const auto outcome = Expect<ChangeOutcome>(
-    aClient.Call("POST", "/v1/changes", Encode(change)));
+  const auto outcome =
+    Expect<ChangeOutcome>(aClient.Call("POST", "/v1/changes", Encode(change)));
   if (!outcome) {
     return Exit(CtlExit::kUnknown);
   }
@@ -302,12 +302,12 @@
   }
   const std::size_t count = edits.size();
   std::uint64_t revision = 0;
-  const int code =
-    Submit(aClient, aOptions, aPath, std::move(edits), revision);
+  const int code = Submit(aClient, aOptions, aPath, std::move(edits), revision);
   if (code != 0) {
     return code;
   }
-  std::cout << fmt::format("revision {}: {} objects changed\n", revision, count);
+  std::cout << fmt::format(
+    "revision {}: {} objects changed\n", revision, count);
   return aOptions.mIsWaiting ? AwaitRevision(aClient, revision) : code;
 }
 
@@ -437,12 +437,14 @@
   wanted.mIsDrained = aIsDrained;
   wanted.mRevision = 0;
   std::uint64_t revision = 0;
-  const int code = Submit(
-    aClient,
-    aOptions,
-    aName,
-    { { ObjectKind::kDataCentre, aName, found->mRevision, EncodeValue(wanted) } },
-    revision);
+  const int code = Submit(aClient,
+                          aOptions,
+                          aName,
+                          { { ObjectKind::kDataCentre,
+                              aName,
+                              found->mRevision,
+                              EncodeValue(wanted) } },
+                          revision);
   if (code != 0) {
     return code;
   }
--- a/Source/Programs/vcCtlMain.cxx
+++ b/Source/Programs/vcCtlMain.cxx
@@ -31,11 +31,14 @@
   using namespace verbenacroft;
   cxxopts::Options options("verbenactl", "Operates verbenacroft.");
   auto add = options.add_options();
-  add("address", "operators' address of a config process; repeat for more",
+  add("address",
+      "operators' address of a config process; repeat for more",
       cxxopts::value<std::vector<std::string>>());
-  add("token", "operators' token; else from VERBENACROFT_TOKEN",
+  add("token",
+      "operators' token; else from VERBENACROFT_TOKEN",
       cxxopts::value<std::string>()->default_value(""));
-  add("author", "name to record with changes",
+  add("author",
+      "name to record with changes",
       cxxopts::value<std::string>()->default_value("operator"));
   add("wait", "wait until every process has the change in force");
   add("json", "print JSON");
--- a/Source/Programs/vcOverview.h
+++ b/Source/Programs/vcOverview.h
@@ -78,8 +78,7 @@
   for (const auto& [name, worker] : aShard.mWorkers) {
     ++overview.mWorkers;
     overview.mWorkersOutOfReach += worker.mIsGivenUp ? 1 : 0;
-    overview.mWorkersInQuarantine +=
-      worker.mQuarantinedUntil > aNow ? 1 : 0;
+    overview.mWorkersInQuarantine += worker.mQuarantinedUntil > aNow ? 1 : 0;
   }
   for (const auto& [name, task] : aShard.mData.mPlaced) {
     (task.mKind == TaskKind::kService ? overview.mServiceTasks
--- a/Source/Programs/vcRouterMain.cxx
+++ b/Source/Programs/vcRouterMain.cxx
@@ -54,17 +54,15 @@
 {
   CheckCommon(aSettings.mCommon, aFaults);
   CheckEndpoint(aSettings.mCallerAddress, "$.callerAddress", aFaults);
-  CheckDistinct({ aSettings.mCommon.mPeerAddress,
-                  aSettings.mCommon.mMetricsAddress,
-                  aSettings.mCallerAddress },
-                { "$.common.peerAddress",
-                  "$.common.metricsAddress",
-                  "$.callerAddress" },
-                aFaults);
+  CheckDistinct(
+    { aSettings.mCommon.mPeerAddress,
+      aSettings.mCommon.mMetricsAddress,
+      aSettings.mCallerAddress },
+    { "$.common.peerAddress", "$.common.metricsAddress", "$.callerAddress" },
+    aFaults);
   if (aSettings.mRouterIndex < 0) {
-    aFaults.push_back({ "$.routerIndex",
-                        std::to_string(aSettings.mRouterIndex),
-                        "0 or more" });
+    aFaults.push_back(
+      { "$.routerIndex", std::to_string(aSettings.mRouterIndex), "0 or more" });
   }
   CheckAtLeastOne(aSettings.mMaxRequests, "$.maxRequests", aFaults);
   CheckAtLeastOne(aSettings.mMaxBodyBytes, "$.maxBodyBytes", aFaults);
@@ -153,6 +151,7 @@
 
 void RouterProgram::Step()
 {
+  NoteTick(this->mState.mPool, MonotonicNow());
   this->StepKeys();
   this->mDirectory.Step(this->mContext);
   if (!this->mIsLeaving) {
@@ -160,8 +159,8 @@
   }
   // The balancer needs a while to see that the router is not ready.
   constexpr Duration kUnreadyLead{ 1'000 };
-  const bool isIdle = this->mCallerServer->InFlight() == 0 &&
-                      this->mPeerServer->InFlight() == 0;
+  const bool isIdle =
+    this->mCallerServer->InFlight() == 0 && this->mPeerServer->InFlight() == 0;
   if (isIdle && MonotonicNow() - this->mLeavingSince >= kUnreadyLead) {
     this->mContext.stop();
   }
@@ -234,11 +233,8 @@
                                         "/v1/targets",
                                         this->mSettings.mCommon.mPeerToken,
                                         Encode(question));
-      const auto answer =
-        co_await CallPeer<TargetAnswer>(this->mHttp,
-                                        scheduler.mPeerAddress,
-                                        std::move(request),
-                                        kTableTimeout);
+      const auto answer = co_await CallPeer<TargetAnswer>(
+        this->mHttp, scheduler.mPeerAddress, std::move(request), kTableTimeout);
       if (answer) {
         UpdateTables(this->mState.mPool, *answer);
         this->mTablesReadAt = MonotonicNow();
@@ -274,12 +270,12 @@
 void RouterProgram::Collect(MetricsPage& aPage) const
 {
   const auto& counters = this->mState.mCounters;
-  const auto count = [&](const char* aName,
-                         const char* aHelp,
-                         std::uint64_t aValue) {
-    aPage.Counter(aName, aHelp, static_cast<double>(aValue));
-  };
-  count("verbenacroft_requests_total", "Callers' requests.", counters.mRequests);
+  const auto count =
+    [&](const char* aName, const char* aHelp, std::uint64_t aValue) {
+      aPage.Counter(aName, aHelp, static_cast<double>(aValue));
+    };
+  count(
+    "verbenacroft_requests_total", "Callers' requests.", counters.mRequests);
   count("verbenacroft_not_run_total",
         "Requests refused as not run.",
         counters.mNotRun);
@@ -357,13 +353,16 @@
   link.mRevision = [this] { return RevisionOf(this->mState.mFollower); };
   link.mOnFeed = [this](const ConfigFeed& aFeed, TimePoint aSentAt) {
     FollowFeed(this->mState.mFollower, aFeed, aSentAt);
+    UpdateDrained(this->mState.mPool,
+                  IsDrained(this->mState.mFollower.mState.mConfiguration,
+                            this->mState.mDataCentre),
+                  MonotonicNow());
     const auto* dataCentre =
       FindNamed(this->mState.mFollower.mState.mConfiguration.mDataCentres,
                 this->mState.mDataCentre);
     if (dataCentre != nullptr) {
-      SetShares(this->mState.mPool,
-                dataCentre->mRouters,
-                this->mSettings.mRouterIndex);
+      SetShares(
+        this->mState.mPool, dataCentre->mRouters, this->mSettings.mRouterIndex);
     }
   };
   StartConfigLink(this->mContext, this->mHttp, std::move(link));
@@ -382,13 +381,13 @@
   limits.mConnections =
     static_cast<std::size_t>(this->mSettings.mMaxConnections);
   limits.mReceiveTimeout = this->mSettings.mReceiveTimeout;
-  this->mCallerServer = std::make_unique<HttpServer>(
-    this->mContext,
-    *ParseEndpoint(this->mSettings.mCallerAddress),
-    limits,
-    [this](const HttpRequest& aRequest) {
-      return this->HandleCaller(aRequest);
-    });
+  this->mCallerServer =
+    std::make_unique<HttpServer>(this->mContext,
+                                 *ParseEndpoint(this->mSettings.mCallerAddress),
+                                 limits,
+                                 [this](const HttpRequest& aRequest) {
+                                   return this->HandleCaller(aRequest);
+                                 });
   this->mPeerServer = std::make_unique<HttpServer>(
     this->mContext,
     *ParseEndpoint(common.mPeerAddress),
@@ -420,14 +419,13 @@
 int main(int aCount, char** aArguments)
 {
   using namespace verbenacroft;
-  return RunProgram<RouterSettings>(
-    aCount,
-    aArguments,
-    "verbenacroft-router",
-    "Takes callers' requests to targets.",
-    CheckSettings,
-    [](const RouterSettings& aSettings) {
-      RouterProgram program(aSettings);
-      return program.Run();
-    });
+  return RunProgram<RouterSettings>(aCount,
+                                    aArguments,
+                                    "verbenacroft-router",
+                                    "Takes callers' requests to targets.",
+                                    CheckSettings,
+                                    [](const RouterSettings& aSettings) {
+                                      RouterProgram program(aSettings);
+                                      return program.Run();
+                                    });
 }
--- a/Source/Programs/vcSchedulerMain.cxx
+++ b/Source/Programs/vcSchedulerMain.cxx
@@ -29,13 +29,12 @@
 void CheckSettings(const SchedulerSettings& aSettings, Faults& aFaults)
 {
   CheckCommon(aSettings.mCommon, aFaults);
-  CheckDistinct({ aSettings.mCommon.mPeerAddress,
-                  aSettings.mCommon.mMetricsAddress },
-                { "$.common.peerAddress", "$.common.metricsAddress" },
-                aFaults);
+  CheckDistinct(
+    { aSettings.mCommon.mPeerAddress, aSettings.mCommon.mMetricsAddress },
+    { "$.common.peerAddress", "$.common.metricsAddress" },
+    aFaults);
   if (aSettings.mConfigAddresses.empty()) {
-    aFaults.push_back(
-      { "$.configAddresses", "none", "one or more addresses" });
+    aFaults.push_back({ "$.configAddresses", "none", "one or more addresses" });
   }
   for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
     CheckEndpoint(aSettings.mConfigAddresses[i],
@@ -152,8 +151,7 @@
             this->mStore,
             this->mState.mStore,
             [this](const auto& aRoute, auto aCall, const auto& aReply) {
-              OnStoreReply(
-                this->mState, aRoute, aCall, aReply, MonotonicNow());
+              OnStoreReply(this->mState, aRoute, aCall, aReply, MonotonicNow());
               this->Step();
             });
   for (auto& call : std::exchange(this->mState.mWorkerCalls, {})) {
@@ -211,8 +209,7 @@
   overview.mName = this->mState.mName;
   overview.mDataCentre = this->mState.mDataCentre;
   overview.mRevision = RevisionOf(this->mState.mFollower);
-  overview.mProofAgeMs =
-    (now - this->mState.mFollower.mProvenAt).count();
+  overview.mProofAgeMs = (now - this->mState.mFollower.mProvenAt).count();
   for (const auto& [name, shard] : this->mState.mShards) {
     overview.mShards.push_back(OverviewOf(shard, now));
   }
@@ -248,8 +245,7 @@
     desk.mSpec = Decode<JobSpec>(aRequest.mBody, faults);
   } else if (path.starts_with("/v1/jobs/")) {
     desk.mName = std::string(path.substr(std::string_view("/v1/jobs/").size()));
-    desk.mOp =
-      aRequest.mMethod == "DELETE" ? DeskOp::kCancel : DeskOp::kStatus;
+    desk.mOp = aRequest.mMethod == "DELETE" ? DeskOp::kCancel : DeskOp::kStatus;
   } else {
     co_return ErrorResponse(404, "no such path");
   }
@@ -285,16 +281,15 @@
 {
   const MetricLabels labels = { { "shard", aShard.mName } };
   const auto& counters = aShard.mCounters;
-  const auto count = [&](const char* aName,
-                         const char* aHelp,
-                         std::uint64_t aValue) {
-    aPage.Counter(aName, aHelp, static_cast<double>(aValue), labels);
-  };
-  count("verbenacroft_task_starts_total",
-        "Tasks seen to run.",
-        counters.mStarts);
+  const auto count =
+    [&](const char* aName, const char* aHelp, std::uint64_t aValue) {
+      aPage.Counter(aName, aHelp, static_cast<double>(aValue), labels);
+    };
+  count(
+    "verbenacroft_task_starts_total", "Tasks seen to run.", counters.mStarts);
   count("verbenacroft_tasks_done_total", "Tasks completed.", counters.mDone);
-  count("verbenacroft_tasks_failed_total", "Runs that failed.", counters.mFailed);
+  count(
+    "verbenacroft_tasks_failed_total", "Runs that failed.", counters.mFailed);
   count("verbenacroft_evictions_total",
         "Tasks stopped with a checkpoint.",
         counters.mEvictions);
--- a/Source/Requests/vcRequests.cxx
+++ b/Source/Requests/vcRequests.cxx
@@ -12,9 +12,7 @@
   return "k-" + std::to_string(aIndex);
 }
 
-bool IsUsable(const KeysState& aState,
-              const std::string& aSlot,
-              TimePoint aNow)
+bool IsUsable(const KeysState& aState, const std::string& aSlot, TimePoint aNow)
 {
   const auto found = aState.mSlots.find(aSlot);
   return found != aState.mSlots.end() && !found->second.mIsLapsed &&
@@ -172,8 +170,7 @@
       return ticket;
     }
     if (record.mNonce != aClaim.mNonce) {
-      Reply(
-        aState, ticket, { KeyVerdict::kDuplicate, found->second.mAnswer });
+      Reply(aState, ticket, { KeyVerdict::kDuplicate, found->second.mAnswer });
       return ticket;
     }
     pending.mSequence = found->second.mSequence;
@@ -233,8 +230,8 @@
   if (found == aState.mSlots.end()) {
     return;
   }
-  const auto event = OnJournalReply(
-    found->second.mJournal, aCall, aReply, aNow, aState.mStore);
+  const auto event =
+    OnJournalReply(found->second.mJournal, aCall, aReply, aNow, aState.mStore);
   if (event == JournalEvent::kOpened) {
     ReplayKeys(found->second, aNow);
   } else if (event == JournalEvent::kDeposed) {
--- a/Source/Router/vcRequestPath.cxx
+++ b/Source/Router/vcRequestPath.cxx
@@ -41,9 +41,15 @@
 bool IsHopHeader(std::string_view aName)
 {
   constexpr std::array<std::string_view, 9> kNames = {
-    "connection",       "keep-alive",          "transfer-encoding",
-    "te",               "upgrade",             "content-length",
-    "host",             "proxy-authorization", "verbenacroft-token",
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "te",
+    "upgrade",
+    "content-length",
+    "host",
+    "proxy-authorization",
+    "verbenacroft-token",
   };
   std::string lower(aName);
   for (char& byte : lower) {
@@ -70,8 +76,8 @@
 {
   HttpHeaders kept;
   for (const auto& header : aHeaders) {
-    const bool isKept = !IsHopHeader(header.mName) &&
-                        (aKeepOwn || !IsOwnHeader(header.mName));
+    const bool isKept =
+      !IsHopHeader(header.mName) && (aKeepOwn || !IsOwnHeader(header.mName));
     if (isKept) {
       kept.push_back(header);
     }
@@ -166,18 +172,19 @@
 asio::awaitable<std::string> RequestPath::AwaitTarget(Call& aCall)
 {
   const std::string service = aCall.mService.mName;
-  const TimePoint giveUpAt =
-    MonotonicNow() + aCall.TimeLeft() / kWaitPart;
+  const TimePoint giveUpAt = MonotonicNow() + aCall.TimeLeft() / kWaitPart;
   while (true) {
-    std::string task = PickTarget(
-      this->mState.mPool, service, aCall.mTried, MonotonicNow());
+    std::string task =
+      PickTarget(this->mState.mPool, service, aCall.mTried, MonotonicNow());
     const auto left = giveUpAt - MonotonicNow();
     if (!task.empty() || left <= Duration{ 0 } ||
-        !HasTargets(this->mState.mPool, service)) {
+        !HasTargets(this->mState.mPool, service, MonotonicNow())) {
       co_return task;
     }
+    constexpr Duration kHoldPoll{ 20 };
+    const bool isHeld = MonotonicNow() < this->mState.mPool.mHeldUntil;
     SlotWaiter waiter(this->mContext);
-    waiter.mTimer.expires_after(left);
+    waiter.mTimer.expires_after(isHeld ? std::min(left, kHoldPoll) : left);
     this->mWaiters[service].push_back(waiter);
     co_await WaitQuietly(waiter.mTimer);
   }
@@ -193,8 +200,8 @@
   request.mTarget = aCall.mTarget;
   request.mHeaders = EndToEnd(aCall.mRequest.mHeaders, false);
   request.mHeaders.push_back({ std::string(kTaskHeader), aTask });
-  request.mHeaders.push_back({ std::string(kDeadlineHeader),
-                               std::to_string(aCall.TimeLeft().count()) });
+  request.mHeaders.push_back(
+    { std::string(kDeadlineHeader), std::to_string(aCall.TimeLeft().count()) });
   request.mBody = aCall.mRequest.mBody;
   HttpCallOptions options;
   options.mTimeout = std::max(aCall.TimeLeft(), Duration{ 1 });
@@ -203,8 +210,8 @@
   options.mNeedsEcho = aCall.mService.mEchoesRequestId;
   const std::string service = aCall.mService.mName;
   const auto start = std::chrono::steady_clock::now();
-  HttpResult result = co_await this->mHttp.Call(
-    endpoint, std::move(request), std::move(options));
+  HttpResult result =
+    co_await this->mHttp.Call(endpoint, std::move(request), std::move(options));
   const bool isGood = !result.mError && result.mResponse.mStatus < 500;
   NoteEnded(pool, aTask, isGood, MillisSince(start), MonotonicNow());
   if (result.mError == MakeError(HttpErrc::kCrossed)) {
@@ -224,8 +231,7 @@
                 std::string aOwnTask,
                 std::shared_ptr<Attempt> aAttempt) -> asio::awaitable<void> {
     ++aAttempt->mUnderWay;
-    HttpResult result =
-      co_await aPath.Send(aOwnCall, std::move(aOwnTask));
+    HttpResult result = co_await aPath.Send(aOwnCall, std::move(aOwnTask));
     --aAttempt->mUnderWay;
     const bool isAnswer = !result.mError;
     if (!aAttempt->mHasAnswer && (isAnswer || aAttempt->mUnderWay == 0)) {
@@ -236,18 +242,18 @@
   };
   // A copy of the request is kept by each attempt, since the loser may
   // still be under way when the caller has been answered.
-  auto held = std::make_shared<std::pair<HttpRequest, Service>>(
-    aCall.mRequest, aCall.mService);
+  auto held = std::make_shared<std::pair<HttpRequest, Service>>(aCall.mRequest,
+                                                                aCall.mService);
   const auto makeCall = [&] {
-    return Call{ held->first,         held->second,     aCall.mTarget,
-                 aCall.mIsForwarded,  true,             aCall.mDeadline,
-                 aCall.mTried,        aCall.mMayHaveRun };
+    return Call{ held->first,   held->second,
+                 aCall.mTarget, aCall.mIsForwarded,
+                 true,          aCall.mDeadline,
+                 aCall.mTried,  aCall.mMayHaveRun };
   };
   const auto launch = [&](std::string aOwnTask) {
-    asio::co_spawn(
-      this->mContext,
-      run(*this, makeCall(), std::move(aOwnTask), attempt),
-      [held, attempt](const std::exception_ptr&) {});
+    asio::co_spawn(this->mContext,
+                   run(*this, makeCall(), std::move(aOwnTask), attempt),
+                   [held, attempt](const std::exception_ptr&) {});
   };
   launch(aTask);
   asio::steady_timer hedge(this->mContext);
@@ -257,10 +263,8 @@
   if (isSlow) {
     std::set<std::string> avoid = aCall.mTried;
     avoid.insert(aTask);
-    const std::string second = PickTarget(this->mState.mPool,
-                                          aCall.mService.mName,
-                                          avoid,
-                                          MonotonicNow());
+    const std::string second = PickTarget(
+      this->mState.mPool, aCall.mService.mName, avoid, MonotonicNow());
     if (!second.empty() && second != aTask &&
         TakeRetry(this->mState.mRetries)) {
       ++this->mState.mCounters.mHedges;
@@ -281,8 +285,8 @@
     if (task.empty()) {
       break;
     }
-    const bool mayHedge = aCall.mIsIdempotent &&
-                          aCall.mService.mHedgeAfter > Duration{ 0 };
+    const bool mayHedge =
+      aCall.mIsIdempotent && aCall.mService.mHedgeAfter > Duration{ 0 };
     HttpResult result;
     if (mayHedge) {
       result = co_await this->SendHedged(aCall, task);
@@ -311,8 +315,7 @@
 
 asio::awaitable<HttpResponse> RequestPath::Forward(Call& aCall)
 {
-  const std::vector<Member> members =
-    co_await this->mDirectory.AllMembers();
+  const std::vector<Member> members = co_await this->mDirectory.AllMembers();
   std::vector<Member> others;
   for (const auto& member : members) {
     const auto& allowed = aCall.mService.mDataCentres;
@@ -335,8 +338,8 @@
       continue;
     }
     ++this->mState.mCounters.mForwards;
-    HttpRequest request = PeerRequest(
-      aCall.mRequest.mMethod, "", this->mDirectory.PeerToken());
+    HttpRequest request =
+      PeerRequest(aCall.mRequest.mMethod, "", this->mDirectory.PeerToken());
     request.mTarget =
       std::string(kPrefix) + aCall.mService.mName + aCall.mTarget;
     request.mBody = aCall.mRequest.mBody;
@@ -381,8 +384,7 @@
   for (int i = 0; i < kClaimTries; ++i) {
     const std::string address = AddressOfSlot(this->mState.mKeys, slot);
     if (address == this->mState.mKeys.mOwnership.mSelf.mPeerAddress) {
-      const auto ticket =
-        ClaimKey(this->mState.mKeys, aClaim, MonotonicNow());
+      const auto ticket = ClaimKey(this->mState.mKeys, aClaim, MonotonicNow());
       asio::post(this->mContext, [this] { this->DeliverKeyReplies(); });
       co_return co_await this->mKeyBoard.Wait(ticket);
     }
@@ -390,10 +392,8 @@
     if (address.empty() || left <= Duration{ 0 }) {
       break;
     }
-    HttpRequest request = PeerRequest("POST",
-                                      "/v1/peer/claim",
-                                      this->mDirectory.PeerToken(),
-                                      Encode(aClaim));
+    HttpRequest request = PeerRequest(
+      "POST", "/v1/peer/claim", this->mDirectory.PeerToken(), Encode(aClaim));
     const auto answer = co_await CallPeer<KeyAnswer>(
       this->mHttp, address, std::move(request), std::min(left, kClaimTimeout));
     if (answer) {
@@ -412,10 +412,8 @@
     NoteKeyResult(this->mState.mKeys, aResult);
     co_return;
   }
-  HttpRequest request = PeerRequest("POST",
-                                    "/v1/peer/result",
-                                    this->mDirectory.PeerToken(),
-                                    Encode(aResult));
+  HttpRequest request = PeerRequest(
+    "POST", "/v1/peer/result", this->mDirectory.PeerToken(), Encode(aResult));
   co_await CallPeer<KeyAnswer>(
     this->mHttp, address, std::move(request), kResultTimeout);
 }
@@ -445,13 +443,12 @@
   KeyClaim claim;
   const std::string scoped = aCall.mService.mName + "\n" + key;
   claim.mKey = Hex(StableHash(scoped, 1)) + Hex(StableHash(scoped, 2));
-  claim.mFingerprint = Hex(StableHash(
-    aCall.mRequest.mMethod + aCall.mTarget + "\n" + aCall.mRequest.mBody));
+  claim.mFingerprint = Hex(StableHash(aCall.mRequest.mMethod + aCall.mTarget +
+                                      "\n" + aCall.mRequest.mBody));
   claim.mNonce = this->mState.mName + "-" +
                  std::to_string(MonotonicNow().count()) + "-" +
                  std::to_string(this->mState.mNextRequest++);
-  const KeyAnswer answer =
-    co_await this->AskKeyOwner(claim, aCall.mDeadline);
+  const KeyAnswer answer = co_await this->AskKeyOwner(claim, aCall.mDeadline);
   if (answer.mVerdict == KeyVerdict::kUnavailable) {
     co_return NotRun(503, "the owner of the idempotency key is out of reach");
   }
@@ -470,8 +467,7 @@
     co_return response;
   }
   HttpResponse response = co_await this->Route(aCall);
-  const bool isAnswer =
-    FindHeader(response.mHeaders, kOutcomeHeader).empty();
+  const bool isAnswer = FindHeader(response.mHeaders, kOutcomeHeader).empty();
   if (isAnswer) {
     KeyResult result;
     result.mKey = claim.mKey;
@@ -487,11 +483,10 @@
 
 asio::awaitable<HttpResponse> RequestPath::ServeService(Call& aCall)
 {
-  const bool isKeyed =
-    !aCall.mIsIdempotent &&
-    !FindHeader(aCall.mRequest.mHeaders, kKeyHeader).empty();
+  const bool isKeyed = !aCall.mIsIdempotent &&
+                       !FindHeader(aCall.mRequest.mHeaders, kKeyHeader).empty();
   const bool isHere =
-    HasTargets(this->mState.mPool, aCall.mService.mName);
+    HasTargets(this->mState.mPool, aCall.mService.mName, MonotonicNow());
   if (!isHere && !aCall.mIsForwarded) {
     co_return co_await this->Forward(aCall);
   }
@@ -505,6 +500,7 @@
                                                  bool aIsForwarded)
 {
   ++this->mState.mCounters.mRequests;
+  NoteTick(this->mState.mPool, MonotonicNow());
   const std::string_view target = aRequest.mTarget;
   const auto nameEnd = target.find_first_of("/?", kPrefix.size());
   const std::string name(
--- a/Source/Routing/vcTargetTable.cxx
+++ b/Source/Routing/vcTargetTable.cxx
@@ -6,6 +6,11 @@
 
 namespace {
 
+constexpr Duration kPauseLimit{ 1'000 };
+/// Covers a question for the configuration and one for the tables.
+constexpr Duration kHoldTime{ 600 };
+/// Replacements in other data centres get this long before routes move.
+constexpr Duration kReplacementLead{ 1'000 };
 constexpr int kFailuresBeforeEjection = 3;
 constexpr Duration kEjectionTime{ 5'000 };
 constexpr double kSmoothing = 0.1;
@@ -14,9 +19,12 @@
 constexpr double kSlowFactor = 5.0;
 constexpr double kSlowLeastMs = 20.0;
 
-bool IsLeaving(const TargetPool& aPool, const TargetState& aTarget)
+bool IsLeaving(const TargetPool& aPool,
+               const TargetState& aTarget,
+               TimePoint aNow)
 {
-  return aTarget.mIsGone || aTarget.mTarget.mIsLeaving ||
+  const bool isDrained = aPool.mDrainedFrom && *aPool.mDrainedFrom <= aNow;
+  return isDrained || aTarget.mIsGone || aTarget.mTarget.mIsLeaving ||
          aPool.mLeavingInstances.contains(aTarget.mTarget.mInstance);
 }
 
@@ -150,6 +158,27 @@
   aPool.mLeavingInstances = std::move(aLeaving);
 }
 
+void NoteTick(TargetPool& aPool, TimePoint aNow)
+{
+  const bool wasPaused =
+    aPool.mTickedAt != kNever && aNow - aPool.mTickedAt > kPauseLimit;
+  if (wasPaused) {
+    aPool.mHeldUntil = aNow + kHoldTime;
+  }
+  aPool.mTickedAt = aNow;
+}
+
+void UpdateDrained(TargetPool& aPool, bool aIsDrained, TimePoint aNow)
+{
+  if (!aIsDrained) {
+    aPool.mDrainedFrom.reset();
+  } else if (!aPool.mDrainedFrom) {
+    // After a pause the drain may be long past.
+    const bool isHeld = aNow < aPool.mHeldUntil;
+    aPool.mDrainedFrom = isHeld ? aNow : aNow + kReplacementLead;
+  }
+}
+
 void SetShares(TargetPool& aPool, std::int64_t aRouters, std::int64_t aIndex)
 {
   aPool.mRouters = aRouters;
@@ -159,7 +188,9 @@
   }
 }
 
-bool HasTargets(const TargetPool& aPool, const std::string& aService)
+bool HasTargets(const TargetPool& aPool,
+                const std::string& aService,
+                TimePoint aNow)
 {
   const auto found = aPool.mByService.find(aService);
   if (found == aPool.mByService.end()) {
@@ -167,7 +198,7 @@
   }
   return std::any_of(
     found->second.begin(), found->second.end(), [&](const auto& aTask) {
-      return !IsLeaving(aPool, aPool.mTargets.at(aTask));
+      return !IsLeaving(aPool, aPool.mTargets.at(aTask), aNow);
     });
 }
 
@@ -177,7 +208,7 @@
                        TimePoint aNow)
 {
   const auto found = aPool.mByService.find(aService);
-  if (found == aPool.mByService.end()) {
+  if (found == aPool.mByService.end() || aNow < aPool.mHeldUntil) {
     return {};
   }
   std::string best;
@@ -185,11 +216,12 @@
   std::pair<int, double> bestCost;
   for (const auto& task : found->second) {
     const auto& target = aPool.mTargets.at(task);
-    if (IsLeaving(aPool, target) || target.mOutstanding >= target.mShare) {
+    if (IsLeaving(aPool, target, aNow) ||
+        target.mOutstanding >= target.mShare) {
       continue;
     }
-    const int penalty = (aAvoid.contains(task) ? 2 : 0) +
-                        (target.mEjectedUntil > aNow ? 1 : 0);
+    const int penalty =
+      (aAvoid.contains(task) ? 2 : 0) + (target.mEjectedUntil > aNow ? 1 : 0);
     const std::pair<int, double> cost(penalty, CostOf(target));
     if (best.empty() || cost < bestCost) {
       best = task;
--- a/Source/Routing/vcTargetTable.h
+++ b/Source/Routing/vcTargetTable.h
@@ -37,8 +37,20 @@
   std::int64_t mRouters = 1;
   std::int64_t mRouterIndex = 0;
   std::uint64_t mStaleTables = 0;
+  TimePoint mTickedAt = kNever;
+  /// After a pause of the process nothing is sent before this time.
+  TimePoint mHeldUntil = kNever;
+  /// From when on the data centre's targets count as leaving.
+  std::optional<TimePoint> mDrainedFrom;
 };
 
+/// Notices a pause of the process: what is known may be old, and for a short
+/// time, in which it is read anew, no target is picked.
+void NoteTick(TargetPool& aPool, TimePoint aNow);
+
+/// Takes from the configuration whether the data centre is drained.
+void UpdateDrained(TargetPool& aPool, bool aIsDrained, TimePoint aNow);
+
 /// Part of `aSlots` that the router at `aIndex` of `aRouters` may use. The
 /// parts add up to the slots, so that no target gets more than it has.
 std::int64_t SlotShare(const std::string& aTask,
@@ -55,7 +67,9 @@
 void SetShares(TargetPool& aPool, std::int64_t aRouters, std::int64_t aIndex);
 
 /// True if the service has a target that is not leaving.
-bool HasTargets(const TargetPool& aPool, const std::string& aService);
+bool HasTargets(const TargetPool& aPool,
+                const std::string& aService,
+                TimePoint aNow);
 
 /// Target with a free slot and the lowest expected wait, or an empty text.
 /// Targets in `aAvoid` are taken only if there is no other.
--- a/Source/Scheduler/vcSchedulerDesk.cxx
+++ b/Source/Scheduler/vcSchedulerDesk.cxx
@@ -433,10 +433,8 @@
   if (aRequest.mOp == DeskOp::kSubmit) {
     aRequest.mName = aRequest.mSpec.mName;
     aRequest.mChange = aState.mName + "-" + std::to_string(ticket);
-    const Faults faults =
-      CheckJob(aRequest.mSpec,
-               aState.mFollower.mState.mConfiguration,
-               aState.mLargest);
+    const Faults faults = CheckJob(
+      aRequest.mSpec, aState.mFollower.mState.mConfiguration, aState.mLargest);
     if (!faults.empty()) {
       DeskAnswer answer;
       answer.mStatus = DeskStatus::kInvalid;
--- a/Source/Scheduler/vcShardPlan.cxx
+++ b/Source/Scheduler/vcShardPlan.cxx
@@ -387,12 +387,11 @@
   std::set<std::string> excess;
   std::map<std::string, std::int64_t> desired;
   for (const auto& service : configuration.mServices) {
-    desired[service.mName] = DesiredReplicas(
-      configuration,
-      service,
-      *aContext.mWeights,
-      aContext.mDataCentre,
-      aShard.mName);
+    desired[service.mName] = DesiredReplicas(configuration,
+                                             service,
+                                             *aContext.mWeights,
+                                             aContext.mDataCentre,
+                                             aShard.mName);
   }
   for (const auto& [name, count] : counts) {
     AddExcess(count, desired[name], excess);
@@ -498,11 +497,17 @@
     }
   }
   const auto weights = WeightsOf(PolicyOf(*aContext.mConfiguration));
-  const auto chosen =
+  auto chosen =
     ChooseWorker(aViews, request, aShard.mInterference, weights, aContext.mNow);
   for (const auto i : closed) {
     aViews[i].mIsOpen = true;
   }
+  if (!chosen && !closed.empty()) {
+    // It failed wherever it could run: it is tried there again, so that it
+    // reaches its limit and the submitter is told.
+    chosen = ChooseWorker(
+      aViews, request, aShard.mInterference, weights, aContext.mNow);
+  }
   if (!chosen) {
     return false;
   }
@@ -677,8 +682,8 @@
       dataCentres[name] = 1;
     }
   }
-  const auto here = PartOf(
-    aService.mReplicas, dataCentres, aDataCentre, aService.mName);
+  const auto here =
+    PartOf(aService.mReplicas, dataCentres, aDataCentre, aService.mName);
   if (here == 0) {
     return 0;
   }
--- a/Source/Scheduler/vcShardWorkers.cxx
+++ b/Source/Scheduler/vcShardWorkers.cxx
@@ -464,7 +464,8 @@
   worker.mVersion = aReply->mVersion;
   for (const auto& forgotten : worker.mForgetsSent) {
     const auto found = worker.mForgets.find(forgotten.mTask);
-    if (found != worker.mForgets.end() && found->second.mAttempt == forgotten.mAttempt) {
+    if (found != worker.mForgets.end() &&
+        found->second.mAttempt == forgotten.mAttempt) {
       worker.mForgets.erase(found);
     }
   }
--- a/Source/Shell/vcConfigLink.cxx
+++ b/Source/Shell/vcConfigLink.cxx
@@ -24,11 +24,8 @@
         "/v1/feed?after=" + std::to_string(aOptions.mRevision());
       HttpRequest request =
         PeerRequest("GET", std::move(target), aOptions.mToken);
-      const auto feed =
-        co_await CallPeer<ConfigFeed>(aHttp,
-                                      aOptions.mAddresses[current],
-                                      std::move(request),
-                                      kFeedTimeout);
+      const auto feed = co_await CallPeer<ConfigFeed>(
+        aHttp, aOptions.mAddresses[current], std::move(request), kFeedTimeout);
       if (feed) {
         aOptions.mOnFeed(*feed, sentAt);
       }
--- a/Source/Shell/vcDirectory.cxx
+++ b/Source/Shell/vcDirectory.cxx
@@ -58,8 +58,7 @@
   if (reply.mStatus == StoreStatus::kOk) {
     this->mAll.clear();
     for (const auto& entry : reply.mEntries) {
-      const bool isMember =
-        entry.mKey.find("/member/") != std::string::npos;
+      const bool isMember = entry.mKey.find("/member/") != std::string::npos;
       const auto member = TryDecode<Member>(entry.mValue);
       if (isMember && member) {
         this->mAll.push_back(*member);
--- a/Source/Shell/vcJobProxy.cxx
+++ b/Source/Shell/vcJobProxy.cxx
@@ -54,8 +54,8 @@
                                       aRequest.mBody);
     HttpCallOptions options;
     options.mTimeout = kJobTimeout;
-    HttpResult result = co_await aHttp.Call(
-      *endpoint, std::move(request), std::move(options));
+    HttpResult result =
+      co_await aHttp.Call(*endpoint, std::move(request), std::move(options));
     wasSent = wasSent || result.mWasSent;
     const bool isNotRun = result.mResponse.mStatus == 503;
     if (!result.mError && (!isNotRun || i + 1 == members.size())) {
--- a/Source/Shell/vcMetrics.cxx
+++ b/Source/Shell/vcMetrics.cxx
@@ -55,9 +55,8 @@
     cumulated += aCounts[i];
     prometheus::ClientMetric::Bucket bucket;
     bucket.cumulative_count = cumulated;
-    bucket.upper_bound = i < aBounds.size()
-                           ? aBounds[i]
-                           : std::numeric_limits<double>::infinity();
+    bucket.upper_bound =
+      i < aBounds.size() ? aBounds[i] : std::numeric_limits<double>::infinity();
     metric.histogram.bucket.push_back(bucket);
   }
   metric.histogram.sample_count = cumulated;
@@ -78,8 +77,7 @@
     static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
     static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) /
       kMicros;
-  aPage.Counter(
-    "process_cpu_seconds_total", "Processor time used.", seconds);
+  aPage.Counter("process_cpu_seconds_total", "Processor time used.", seconds);
   std::ifstream statm("/proc/self/statm");
   long pages = 0;
   long resident = 0;
@@ -116,15 +114,15 @@
   }
   if (path == "/readyz") {
     const bool isReady = aHooks.mIsReady();
-    return TextResponse(isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n");
+    return TextResponse(isReady ? 200 : 503,
+                        isReady ? "ready\n" : "not ready\n");
   }
   HttpResponse response;
   response.mStatus = 0;
   if (aHooks.mOther) {
     response = aHooks.mOther(aRequest);
   }
-  return response.mStatus != 0 ? response
-                               : ErrorResponse(404, "no such path");
+  return response.mStatus != 0 ? response : ErrorResponse(404, "no such path");
 }
 
 asio::awaitable<HttpResponse> Immediately(HttpResponse aResponse)
--- a/Source/Shell/vcProgram.cxx
+++ b/Source/Shell/vcProgram.cxx
@@ -76,7 +76,8 @@
   CommandLine line;
   cxxopts::Options options(aProgram, aPurpose);
   auto add = options.add_options();
-  add("settings", "settings file, JSON with comments",
+  add("settings",
+      "settings file, JSON with comments",
       cxxopts::value<std::string>());
   add("check-settings", "check the settings file and exit");
   add("log-json", "log one JSON object a line");
--- a/Source/Shell/vcServerSupport.h
+++ b/Source/Shell/vcServerSupport.h
@@ -49,8 +49,8 @@
   }
   HttpCallOptions options;
   options.mTimeout = aTimeout;
-  HttpResult result = co_await aHttp.Call(
-    *endpoint, std::move(aRequest), std::move(options));
+  HttpResult result =
+    co_await aHttp.Call(*endpoint, std::move(aRequest), std::move(options));
   if (result.mError) {
     co_return std::nullopt;
   }
--- a/Tests/Scenarios/vcScenarioMain.cxx
+++ b/Tests/Scenarios/vcScenarioMain.cxx
@@ -24,9 +24,8 @@
   const auto dots = aText.find("..");
   SeedRange range;
   range.mFirst = std::stoull(aText.substr(0, dots));
-  range.mLast = dots == std::string::npos
-                  ? range.mFirst
-                  : std::stoull(aText.substr(dots + 2));
+  range.mLast = dots == std::string::npos ? range.mFirst
+                                          : std::stoull(aText.substr(dots + 2));
   return range;
 }
 
@@ -42,8 +41,8 @@
   if (aResult.mIsPassed) {
     return;
   }
-  std::cout << "seed " << aSeed << " failed with "
-            << aResult.mProblems.size() << " problems\n";
+  std::cout << "seed " << aSeed << " failed with " << aResult.mProblems.size()
+            << " problems\n";
   for (std::size_t i = 0;
        i < std::min(kShownProblems, aResult.mProblems.size());
        ++i) {
@@ -105,9 +104,11 @@
   auto add = options.add_options();
   add("script", "Lua script", cxxopts::value<std::string>());
   add("seeds", "N or N..M", cxxopts::value<std::string>()->default_value("1"));
-  add("threads", "seeds run at a time",
+  add("threads",
+      "seeds run at a time",
       cxxopts::value<unsigned>()->default_value("4"));
-  add("mutation", "fault to put into the cores; a seed has to find it",
+  add("mutation",
+      "fault to put into the cores; a seed has to find it",
       cxxopts::value<std::string>()->default_value("none"));
   add("trace", "print what the script traces");
   add("help", "print this help and exit");
--- a/Tests/Scenarios/vcScenarioVerbs.cxx
+++ b/Tests/Scenarios/vcScenarioVerbs.cxx
@@ -10,8 +10,7 @@
 
 World& WorldOf(lua_State* aLua)
 {
-  return *static_cast<World*>(
-    lua_touserdata(aLua, lua_upvalueindex(1)));
+  return *static_cast<World*>(lua_touserdata(aLua, lua_upvalueindex(1)));
 }
 
 std::string Text(lua_State* aLua, int aIndex)
@@ -126,8 +125,7 @@
 int VerbRunUntil(lua_State* aLua)
 {
   World& world = WorldOf(aLua);
-  const TimePoint end =
-    world.mNow + Duration{ luaL_checkinteger(aLua, 1) };
+  const TimePoint end = world.mNow + Duration{ luaL_checkinteger(aLua, 1) };
   while (true) {
     lua_pushvalue(aLua, 2);
     lua_call(aLua, 0, 1);
@@ -281,9 +279,9 @@
 {
   const auto number = static_cast<std::size_t>(luaL_checkinteger(aLua, 1));
   const auto& change = WorldOf(aLua).mChanges.at(number - 1);
-  const std::string text =
-    change.mIsAnswered ? std::string(NameOf(change.mOutcome.mStatus))
-                       : "unanswered";
+  const std::string text = change.mIsAnswered
+                             ? std::string(NameOf(change.mOutcome.mStatus))
+                             : "unanswered";
   lua_pushstring(aLua, text.c_str());
   return 1;
 }
@@ -430,6 +428,13 @@
   return 1;
 }
 
+/// Requests that were sent to a target so far.
+int VerbServed(lua_State* aLua)
+{
+  lua_pushinteger(aLua, static_cast<lua_Integer>(WorldOf(aLua).mServed));
+  return 1;
+}
+
 int VerbNow(lua_State* aLua)
 {
   lua_pushinteger(aLua, WorldOf(aLua).mNow.count());
@@ -439,8 +444,8 @@
 /// random(n): 1 to n, from the seed.
 int VerbRandom(lua_State* aLua)
 {
-  std::uniform_int_distribution<lua_Integer> choice(
-    1, luaL_checkinteger(aLua, 1));
+  std::uniform_int_distribution<lua_Integer> choice(1,
+                                                    luaL_checkinteger(aLua, 1));
   lua_pushinteger(aLua, choice(WorldOf(aLua).mRandom));
   return 1;
 }
@@ -541,6 +546,7 @@
   { "owner", VerbOwner },
   { "counter", VerbCounter },
   { "store_calls", VerbStoreCalls },
+  { "served", VerbServed },
   { "now", VerbNow },
   { "random", VerbRandom },
   { "expect", VerbExpect },
@@ -575,12 +581,11 @@
     Violate(world, std::string("script: ") + lua_tostring(lua.get(), -1));
   }
   for (const auto& event : world.mFleet.mEvents) {
-    world.mTrace.push_back(std::to_string(event.mAt.count()) + " run " +
-                           event.mTask + " attempt " +
-                           std::to_string(event.mAttempt) + " on " +
-                           event.mWorker + " " +
-                           std::string(NameOf(event.mState)) + " checkpoint " +
-                           std::to_string(event.mCheckpoint));
+    world.mTrace.push_back(
+      std::to_string(event.mAt.count()) + " run " + event.mTask + " attempt " +
+      std::to_string(event.mAttempt) + " on " + event.mWorker + " " +
+      std::string(NameOf(event.mState)) + " checkpoint " +
+      std::to_string(event.mCheckpoint));
   }
   std::stable_sort(world.mTrace.begin(), world.mTrace.end());
   result.mProblems = world.mViolations;
--- a/Tests/Scenarios/vcWorld.cxx
+++ b/Tests/Scenarios/vcWorld.cxx
@@ -12,7 +12,9 @@
 constexpr Duration kTableInterval{ 100 };
 const std::string kPlatform = "platform";
 
-Duration Latency(World& aWorld, const std::string& aLeft, const std::string& aRight)
+Duration Latency(World& aWorld,
+                 const std::string& aLeft,
+                 const std::string& aRight)
 {
   constexpr Duration kNear{ 1 };
   constexpr Duration kFar{ 2 };
@@ -77,13 +79,8 @@
     HandleStoreCall(aWorld.mStore, aRequest, waited, aWorld.mNow);
   if (result.mIsWaiting) {
     Schedule(aWorld, kPoll, [=, &aWorld] {
-      HandleAtStore(aWorld,
-                    aNode,
-                    aDataCentre,
-                    aRequest,
-                    aArrivedAt,
-                    aIsSettled,
-                    aReply);
+      HandleAtStore(
+        aWorld, aNode, aDataCentre, aRequest, aArrivedAt, aIsSettled, aReply);
     });
     return;
   }
@@ -118,17 +115,13 @@
     return;
   }
   const Duration there = Latency(aWorld, aNode.mDataCentre, kPlatform);
-  Schedule(aWorld,
-           there,
-           [=, &aWorld, ref = RefOf(aNode), dataCentre = aNode.mDataCentre] {
-    HandleAtStore(aWorld,
-                  ref,
-                  dataCentre,
-                  aRequest,
-                  aWorld.mNow,
-                  isSettled,
-                  aReply);
-  });
+  Schedule(
+    aWorld,
+    there,
+    [=, &aWorld, ref = RefOf(aNode), dataCentre = aNode.mDataCentre] {
+      HandleAtStore(
+        aWorld, ref, dataCentre, aRequest, aWorld.mNow, isSettled, aReply);
+    });
 }
 
 void StepNode(World& aWorld, Node& aNode);
@@ -178,10 +171,7 @@
   if (chance(aWorld.mRandom) < aWorld.mLateCalls) {
     there += Duration{ static_cast<int>(5'000 * chance(aWorld.mRandom)) };
   }
-  WorkerSync sync = aCall.mSync;
-  if (aWorld.mMutation == Mutation::kHighEpoch) {
-    sync.mEpoch = 1'000'000;
-  }
+  const WorkerSync sync = aCall.mSync;
   Schedule(aWorld, there, [=, &aWorld, ref = RefOf(aNode)] {
     const auto reply =
       HandleSync(aWorld.mFleet, aCall.mWorker, sync, aWorld.mNow);
@@ -236,12 +226,10 @@
   DeliverAfter(
     aWorld, kPeerTimeout, RefOf(aNode), [answer] { answer(std::nullopt); });
   Node* peer = FindByAddress(aWorld, aCall.mAddress);
-  if (peer == nullptr ||
-      IsCut(aWorld, aNode.mDataCentre, peer->mDataCentre)) {
+  if (peer == nullptr || IsCut(aWorld, aNode.mDataCentre, peer->mDataCentre)) {
     return;
   }
-  const Duration there =
-    Latency(aWorld, aNode.mDataCentre, peer->mDataCentre);
+  const Duration there = Latency(aWorld, aNode.mDataCentre, peer->mDataCentre);
   const NodeRef asker = RefOf(aNode);
   DeliverAfter(aWorld, there, RefOf(*peer), [=, &aWorld, &aNode] {
     DeskRequest request;
@@ -263,16 +251,14 @@
 {
   auto& state = aNode.mScheduler;
   TickScheduler(state, aWorld.mNow);
-  PumpStoreCalls(aWorld,
-                 aNode,
-                 state.mStore,
-                 [&aWorld, &aNode](const StoreCall& aCall, const auto& aReply) {
-                   OnStoreReply(aNode.mScheduler,
-                                aCall.mRoute,
-                                aCall.mId,
-                                aReply,
-                                aWorld.mNow);
-                 });
+  PumpStoreCalls(
+    aWorld,
+    aNode,
+    state.mStore,
+    [&aWorld, &aNode](const StoreCall& aCall, const auto& aReply) {
+      OnStoreReply(
+        aNode.mScheduler, aCall.mRoute, aCall.mId, aReply, aWorld.mNow);
+    });
   for (const auto& call : std::exchange(state.mWorkerCalls, {})) {
     CallWorker(aWorld, aNode, call);
   }
@@ -285,9 +271,8 @@
 {
   for (auto& answer : std::exchange(aNode.mConfig.mAnswers, {})) {
     for (auto& change : aWorld.mChanges) {
-      const bool isThis =
-        change.mOutcome.mRevision == answer.mTicket && !change.mIsAnswered &&
-        change.mAskedAt != kNever;
+      const bool isThis = change.mOutcome.mRevision == answer.mTicket &&
+                          !change.mIsAnswered && change.mAskedAt != kNever;
       if (isThis) {
         change.mIsAnswered = true;
         change.mOutcome = answer.mOutcome;
@@ -309,31 +294,34 @@
 void StepConfig(World& aWorld, Node& aNode)
 {
   TickConfigServer(aNode.mConfig, aWorld.mNow, aNode.mConfigStore);
-  PumpStoreCalls(aWorld,
-                 aNode,
-                 aNode.mConfigStore,
-                 [&aWorld, &aNode](const StoreCall& aCall, const auto& aReply) {
-                   OnConfigServerReply(aNode.mConfig,
-                                       aCall.mId,
-                                       aReply,
-                                       aWorld.mNow,
-                                       aNode.mConfigStore);
-                 });
+  PumpStoreCalls(
+    aWorld,
+    aNode,
+    aNode.mConfigStore,
+    [&aWorld, &aNode](const StoreCall& aCall, const auto& aReply) {
+      OnConfigServerReply(
+        aNode.mConfig, aCall.mId, aReply, aWorld.mNow, aNode.mConfigStore);
+    });
   DeliverOutcomes(aWorld, aNode);
 }
 
 void StepRouter(World& aWorld, Node& aNode)
 {
+  NoteTick(aNode.mPool, aWorld.mNow);
+  if (RevisionOf(aNode.mFollower) > 0 &&
+      aWorld.mMutation != Mutation::kKeptTargets) {
+    UpdateDrained(
+      aNode.mPool,
+      IsDrained(aNode.mFollower.mState.mConfiguration, aNode.mDataCentre),
+      aWorld.mNow);
+  }
   TickKeys(aNode.mKeys, aWorld.mNow);
   PumpStoreCalls(aWorld,
                  aNode,
                  aNode.mKeys.mStore,
                  [&aWorld, &aNode](const StoreCall& aCall, const auto& aReply) {
-                   OnKeysStoreReply(aNode.mKeys,
-                                    aCall.mRoute,
-                                    aCall.mId,
-                                    aReply,
-                                    aWorld.mNow);
+                   OnKeysStoreReply(
+                     aNode.mKeys, aCall.mRoute, aCall.mId, aReply, aWorld.mNow);
                  });
 }
 
@@ -365,7 +353,10 @@
   }
 }
 
-void TakeFeed(World& aWorld, Node& aNode, const ConfigFeed& aFeed, TimePoint aSentAt)
+void TakeFeed(World& aWorld,
+              Node& aNode,
+              const ConfigFeed& aFeed,
+              TimePoint aSentAt)
 {
   if (aNode.mKind == NodeKind::kScheduler) {
     OnConfigFeed(aNode.mScheduler, aFeed, aSentAt, aWorld.mNow);
@@ -410,8 +401,7 @@
       IsCut(aWorld, aNode.mDataCentre, server.mDataCentre)) {
     return;
   }
-  const Duration there =
-    Latency(aWorld, aNode.mDataCentre, server.mDataCentre);
+  const Duration there = Latency(aWorld, aNode.mDataCentre, server.mDataCentre);
   const NodeRef asker = RefOf(aNode);
   DeliverAfter(aWorld, there, RefOf(server), [=, &aWorld, &aNode, &server] {
     const auto feed = MakeFeed(server.mConfig.mFollower, after, aWorld.mNow);
@@ -443,7 +433,9 @@
         leaving.insert(instance.mName);
       }
     }
-    UpdateLeaving(aNode.mPool, std::move(leaving));
+    if (aWorld.mMutation != Mutation::kKeptTargets) {
+      UpdateLeaving(aNode.mPool, std::move(leaving));
+    }
   }
 }
 
@@ -454,9 +446,9 @@
     return;
   }
   for (auto& [name, other] : aWorld.mNodes) {
-    const bool isReachable =
-      other.mKind == NodeKind::kScheduler && other.mIsAlive &&
-      !other.mIsFrozen && other.mDataCentre == aNode.mDataCentre;
+    const bool isReachable = other.mKind == NodeKind::kScheduler &&
+                             other.mIsAlive && !other.mIsFrozen &&
+                             other.mDataCentre == aNode.mDataCentre;
     if (!isReachable) {
       continue;
     }
@@ -521,8 +513,8 @@
 
 void Violate(World& aWorld, const std::string& aText)
 {
-  aWorld.mViolations.push_back(std::to_string(aWorld.mNow.count()) + " ms: " +
-                               aText);
+  aWorld.mViolations.push_back(std::to_string(aWorld.mNow.count()) +
+                               " ms: " + aText);
 }
 
 void AddDataCentre(World& aWorld,
@@ -533,10 +525,8 @@
 {
   AddWorkers(aWorld.mFleet, aName, aWorkers, aCapacity);
   for (std::size_t i = 0; i < aSchedulers; ++i) {
-    AddNode(aWorld,
-            aName + "-s" + std::to_string(i),
-            aName,
-            NodeKind::kScheduler);
+    AddNode(
+      aWorld, aName + "-s" + std::to_string(i), aName, NodeKind::kScheduler);
   }
   AddNode(aWorld, aName + "-c", aName, NodeKind::kConfig);
   AddNode(aWorld, aName + "-r", aName, NodeKind::kRouter);
@@ -735,8 +725,8 @@
     return;
   }
   const auto& config = aWorld.mNodes.at(order.front()).mConfig;
-  const auto* found = FindNamed(
-    config.mFollower.mState.mConfiguration.mDataCentres, aName);
+  const auto* found =
+    FindNamed(config.mFollower.mState.mConfiguration.mDataCentres, aName);
   if (found == nullptr) {
     again();
     return;
@@ -753,7 +743,10 @@
   SubmitEdits(
     aWorld,
     aWorld.mNodes.at(order.front()).mDataCentre,
-    { { ObjectKind::kDataCentre, aName, found->mRevision, EncodeValue(wanted) } },
+    { { ObjectKind::kDataCentre,
+        aName,
+        found->mRevision,
+        EncodeValue(wanted) } },
     [&aWorld, aName, aIsDrained, again](const ChangeOutcome& aOutcome) {
       if (aOutcome.mStatus != ChangeStatus::kAccepted) {
         again();
@@ -786,22 +779,19 @@
   request.mSpec = aSpec;
   const auto ticket =
     SubmitToDesk(node->mScheduler, std::move(request), aWorld.mNow);
-  AwaitDesk(aWorld,
-            *node,
-            ticket,
-            [&aWorld, aSpec, again](const DeskAnswer& aAnswer) {
-              auto& submitted = aWorld.mJobs[aSpec.mName];
-              submitted.mAnswer = aAnswer;
-              aWorld.mTrace.push_back(
-                std::to_string(aWorld.mNow.count()) + " answer " +
-                aSpec.mName + " " + std::string(NameOf(aAnswer.mStatus)) +
-                " " + aAnswer.mError);
-              const bool isOpen = aAnswer.mStatus == DeskStatus::kNotRun ||
-                                  aAnswer.mStatus == DeskStatus::kUnknown;
-              if (!isOpen) {
-                submitted.mIsSettled = true;
-              }
-            });
+  AwaitDesk(
+    aWorld, *node, ticket, [&aWorld, aSpec, again](const DeskAnswer& aAnswer) {
+      auto& submitted = aWorld.mJobs[aSpec.mName];
+      submitted.mAnswer = aAnswer;
+      aWorld.mTrace.push_back(
+        std::to_string(aWorld.mNow.count()) + " answer " + aSpec.mName + " " +
+        std::string(NameOf(aAnswer.mStatus)) + " " + aAnswer.mError);
+      const bool isOpen = aAnswer.mStatus == DeskStatus::kNotRun ||
+                          aAnswer.mStatus == DeskStatus::kUnknown;
+      if (!isOpen) {
+        submitted.mIsSettled = true;
+      }
+    });
   // The submitter repeats until it has been told; that is safe by the name.
   constexpr Duration kPatience{ 6'000 };
   Schedule(aWorld, kPatience, again);
@@ -830,6 +820,7 @@
     return;
   }
   ++aWorld.mRequests;
+  NoteTick(node->mPool, aWorld.mNow);
   const auto task = PickTarget(node->mPool, aService, {}, aWorld.mNow);
   if (task.empty()) {
     return;
@@ -838,11 +829,10 @@
   const auto leaving = aWorld.mLeavingAt.find(target.mInstance);
   const auto drained = aWorld.mDrainedAt.find(aDataCentre);
   constexpr Duration kLimit{ 3'000 };
-  const bool isLate =
-    (leaving != aWorld.mLeavingAt.end() &&
-     aWorld.mNow - leaving->second > kLimit) ||
-    (drained != aWorld.mDrainedAt.end() &&
-     aWorld.mNow - drained->second > kLimit);
+  const bool isLate = (leaving != aWorld.mLeavingAt.end() &&
+                       aWorld.mNow - leaving->second > kLimit) ||
+                      (drained != aWorld.mDrainedAt.end() &&
+                       aWorld.mNow - drained->second > kLimit);
   if (isLate && !IsCut(aWorld, aDataCentre, kPlatform)) {
     Violate(aWorld, "a request was sent to leaving target " + task);
   }
--- a/Tests/Scenarios/vcWorld.h
+++ b/Tests/Scenarios/vcWorld.h
@@ -22,8 +22,6 @@
 {
   kNone,
   kFreshProof,
-  kEndlessLease,
-  kHighEpoch,
   kEarlyDurable,
   kForgottenCommitment,
   kForgottenCompletion,
@@ -39,8 +37,6 @@
   static constexpr auto kRows = std::to_array<NameRow<Mutation>>({
     { Mutation::kNone, "none" },
     { Mutation::kFreshProof, "fresh-proof" },
-    { Mutation::kEndlessLease, "endless-lease" },
-    { Mutation::kHighEpoch, "high-epoch" },
     { Mutation::kEarlyDurable, "early-durable" },
     { Mutation::kForgottenCommitment, "forgotten-commitment" },
     { Mutation::kForgottenCompletion, "forgotten-completion" },
@@ -176,7 +172,9 @@
 /// Lets time pass, checking every promise after each step.
 void RunFor(World& aWorld, Duration aTime);
 
-bool IsCut(const World& aWorld, const std::string& aLeft, const std::string& aRight);
+bool IsCut(const World& aWorld,
+           const std::string& aLeft,
+           const std::string& aRight);
 
 void Schedule(World& aWorld, Duration aDelay, std::function<void()> aAction);
 
--- a/Tests/Scenarios/vcWorldChecks.cxx
+++ b/Tests/Scenarios/vcWorldChecks.cxx
@@ -34,8 +34,7 @@
   const auto& event = aWorld.mFleet.mEvents[aIndex];
   for (std::size_t i = aIndex; i-- > 0;) {
     const auto& earlier = aWorld.mFleet.mEvents[i];
-    if (earlier.mTask != event.mTask ||
-        earlier.mState == RunState::kRunning) {
+    if (earlier.mTask != event.mTask || earlier.mState == RunState::kRunning) {
       continue;
     }
     if (earlier.mState == RunState::kStopped &&
@@ -101,10 +100,9 @@
 void CheckInForce(World& aWorld)
 {
   static constexpr auto kCheckEvery = Duration{ 500 };
-  const bool isDue =
-    aWorld.mAcceptedRevision > 0 &&
-    aWorld.mNow - aWorld.mAcceptedAt > kInForceLimit &&
-    (aWorld.mNow.count() / kCheckEvery.count()) % 2 == 0;
+  const bool isDue = aWorld.mAcceptedRevision > 0 &&
+                     aWorld.mNow - aWorld.mAcceptedAt > kInForceLimit &&
+                     (aWorld.mNow.count() / kCheckEvery.count()) % 2 == 0;
   if (!IsCalm(aWorld)) {
     // The time counts anew from the end of the last fault.
     aWorld.mAcceptedAt = std::max(aWorld.mAcceptedAt, aWorld.mNow);
@@ -205,16 +203,6 @@
     case Mutation::kFreshProof:
       aState.mFollower.mProvenAt = aWorld.mNow;
       break;
-    case Mutation::kEndlessLease:
-      // A holder that never notices the end of its lease, at workers that
-      // do not fence it either.
-      if (aState.mOwnership.mLease != 0) {
-        aState.mOwnership.mValidUntil = aWorld.mNow + Duration{ 60'000 };
-      }
-      for (auto& [name, worker] : aWorld.mFleet.mWorkers) {
-        worker.mEpochs.clear();
-      }
-      break;
     case Mutation::kEarlyDurable:
       for (auto& [name, shard] : aState.mShards) {
         shard.mJournal.mDurable = shard.mJournal.mAppended;
@@ -264,9 +252,9 @@
   if (aNode.mKind == NodeKind::kScheduler) {
     MutateScheduler(aWorld, aNode.mScheduler);
   }
-  const bool isReverting =
-    aWorld.mMutation == Mutation::kOldConfiguration &&
-    aNode.mKind == NodeKind::kRouter && RevisionOf(aNode.mFollower) > 1;
+  const bool isReverting = aWorld.mMutation == Mutation::kOldConfiguration &&
+                           aNode.mKind == NodeKind::kRouter &&
+                           RevisionOf(aNode.mFollower) > 1;
   if (isReverting) {
     aNode.mFollower.mState = {};
   }
--- a/Tests/StandIns/vcFakeFleet.cxx
+++ b/Tests/StandIns/vcFakeFleet.cxx
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kWorkersPerRack = 8;
+/// Ports of services in scenarios, where nothing listens.
+constexpr std::size_t kFirstPort = 10'000;
 constexpr Duration kCheckpointInterval{ 2'000 };
 constexpr Duration kReportInterval{ 5'000 };
 constexpr double kFailureProgress = 50.0;
@@ -303,7 +305,8 @@
       aDataCentre + "-r" + std::to_string(i / kWorkersPerRack);
     worker.mInstance.mAddress = worker.mInstance.mName;
     worker.mInstance.mCapacity = aCapacity;
-    worker.mServiceAddress = worker.mInstance.mName;
+    worker.mServiceAddress =
+      "127.0.0.1:" + std::to_string(kFirstPort + aFleet.mWorkers.size());
     aFleet.mWorkers[worker.mInstance.mName] = std::move(worker);
   }
 }
--- a/Tests/StandIns/vcFreePortsMain.cxx
+++ b/Tests/StandIns/vcFreePortsMain.cxx
@@ -14,8 +14,7 @@
   std::vector<asio::ip::tcp::acceptor> held;
   for (int i = 0; i < wanted; ++i) {
     held.emplace_back(
-      context,
-      asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     std::cout << held.back().local_endpoint().port() << "\n";
   }
   return 0;
--- a/Tests/StandIns/vcPlatformStandInMain.cxx
+++ b/Tests/StandIns/vcPlatformStandInMain.cxx
@@ -71,14 +71,10 @@
   std::map<std::string, std::int64_t> mRunning;
   std::uint64_t mServed = 0;
 };
-BOOST_DESCRIBE_STRUCT(ControlReport,
-                      (),
-                      (mViolations,
-                       mCompletions,
-                       mStoreCalls,
-                       mExecutions,
-                       mRunning,
-                       mServed))
+BOOST_DESCRIBE_STRUCT(
+  ControlReport,
+  (),
+  (mViolations, mCompletions, mStoreCalls, mExecutions, mRunning, mServed))
 
 class Platform
 {
@@ -119,11 +115,11 @@
 
 void Platform::Listen(const std::string& aAddress, HttpHandler aHandler)
 {
-  this->mServers.push_back(std::make_unique<HttpServer>(
-    this->mContext,
-    *ParseEndpoint(aAddress),
-    HttpLimits{ 16 * 1024, 2 * 1024 * 1024 },
-    std::move(aHandler)));
+  this->mServers.push_back(
+    std::make_unique<HttpServer>(this->mContext,
+                                 *ParseEndpoint(aAddress),
+                                 HttpLimits{ 16 * 1024, 2 * 1024 * 1024 },
+                                 std::move(aHandler)));
 }
 
 asio::awaitable<void> Platform::Pause(Duration aTime)
@@ -152,8 +148,7 @@
     HandleStoreCall(this->mStore, request, Duration{ 0 }, MonotonicNow());
   while (result.mIsWaiting) {
     co_await this->Pause(kPoll);
-    const Duration waited =
-      std::max(MonotonicNow() - start, Duration{ 1 });
+    const Duration waited = std::max(MonotonicNow() - start, Duration{ 1 });
     result = HandleStoreCall(this->mStore, request, waited, MonotonicNow());
   }
   if (result.mIsLost) {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -16,3 +16,43 @@
   ${LUA_LIBRARY})
 add_executable(vcScenario Tests/Scenarios/vcScenarioMain.cxx)
 target_link_libraries(vcScenario PRIVATE vcScenarios)
+
+add_executable(vcUnitTests
+  Tests/Unit/vcTestMain.cxx Tests/Unit/vcCodecTest.cxx
+  Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
+  Tests/Unit/vcDecisionTest.cxx)
+target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
+  vcBurn)
+add_test(NAME unit COMMAND vcUnitTests)
+
+# Scenarios: each with some seeds, the random faults with 2,000.
+set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
+  outage lost_answers races drain leaving workers cancel_wave keyed
+  config_spread)
+foreach(scenario ${scenarios})
+  add_test(NAME scenario_${scenario}
+    COMMAND vcScenario ${CMAKE_SOURCE_DIR}/Tests/Scenarios/${scenario}.lua
+      --seeds 1..40 --threads 2)
+  set_tests_properties(scenario_${scenario} PROPERTIES TIMEOUT 300)
+endforeach()
+add_test(NAME scenario_random_faults
+  COMMAND vcScenario ${CMAKE_SOURCE_DIR}/Tests/Scenarios/random_faults.lua
+    --seeds 1..2000 --threads 6)
+set_tests_properties(scenario_random_faults PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
+
+# Each mutation of the cores has to be found by a check.
+function(verbenacroft_mutation name script seeds)
+  add_test(NAME mutation_${name}
+    COMMAND vcScenario ${CMAKE_SOURCE_DIR}/Tests/Scenarios/${script}.lua
+      --seeds ${seeds} --threads 4 --mutation ${name})
+  set_tests_properties(mutation_${name} PROPERTIES TIMEOUT 300)
+endfunction()
+verbenacroft_mutation(fresh-proof drained_cut_off 1..40)
+verbenacroft_mutation(early-durable random_faults 1..100)
+verbenacroft_mutation(forgotten-commitment random_faults 1..40)
+verbenacroft_mutation(forgotten-completion basic 1..4)
+verbenacroft_mutation(forgotten-checkpoint random_faults 1..40)
+verbenacroft_mutation(repeated-grant keyed 1..4)
+verbenacroft_mutation(old-configuration config_spread 1..4)
+verbenacroft_mutation(kept-targets drain 1..4)
--- /dev/null
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -0,0 +1,239 @@
+/// Answers that are late, doubled, crossed, cut or wrong in length never
+/// reach a caller as whole.
+
+#include "vcHttp.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+/// Answers each request on a connection with the next text; "ID" in it
+/// stands for the identifier of the request.
+class RawServer
+{
+public:
+  RawServer(asio::io_context& aContext, std::vector<std::string> aAnswers)
+    : mAcceptor(aContext, { asio::ip::address_v4::loopback(), 0 })
+    , mAnswers(std::move(aAnswers))
+  {
+    asio::co_spawn(aContext, this->Accept(), asio::detached);
+  }
+
+  Endpoint Address() const { return this->mAcceptor.local_endpoint(); }
+
+  int mRequests = 0;
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      auto socket = co_await this->mAcceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(this->mAcceptor.get_executor(),
+                     this->Serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket)
+  {
+    std::string buffer;
+    while (true) {
+      const auto bytes = co_await asio::async_read_until(
+        aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::use_awaitable);
+      const std::string head = buffer.substr(0, bytes);
+      buffer.erase(0, bytes);
+      const auto index = static_cast<std::size_t>(this->mRequests++);
+      std::string answer =
+        this->mAnswers[std::min(index, this->mAnswers.size() - 1)];
+      const std::string name = "Verbenacroft-Request: ";
+      const auto at = head.find(name);
+      const std::string id =
+        at == std::string::npos
+          ? ""
+          : head.substr(at + name.size(),
+                        head.find("\r\n", at) - at - name.size());
+      for (auto mark = answer.find("ID"); mark != std::string::npos;
+           mark = answer.find("ID")) {
+        answer.replace(mark, 2, id);
+      }
+      const bool isClosing = answer.ends_with("CLOSE");
+      if (isClosing) {
+        answer.resize(answer.size() - 5);
+      }
+      co_await asio::async_write(
+        aSocket, asio::buffer(answer), asio::use_awaitable);
+      if (isClosing) {
+        co_return;
+      }
+    }
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  std::vector<std::string> mAnswers;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nVerbenacroft-Request: ID\r\n";
+const std::string kGood = kHead + "Content-Length: 4\r\n\r\ngood";
+
+HttpResult Call(asio::io_context& aContext,
+                HttpClient& aClient,
+                const Endpoint& aEndpoint,
+                const std::string& aId,
+                bool aNeedsEcho = true)
+{
+  HttpResult result;
+  bool isDone = false;
+  const auto run = [&]() -> asio::awaitable<void> {
+    HttpRequest request;
+    HttpCallOptions options;
+    options.mTimeout = Duration{ 300 };
+    options.mRequestId = aId;
+    options.mNeedsEcho = aNeedsEcho;
+    result =
+      co_await aClient.Call(aEndpoint, std::move(request), std::move(options));
+    isDone = true;
+  };
+  asio::co_spawn(aContext, run(), asio::detached);
+  while (!isDone) {
+    aContext.run_one();
+  }
+  return result;
+}
+
+} // namespace
+
+TEST_CASE("a bad answer is an error, and the next request is clean", "[http]")
+{
+  struct Row
+  {
+    std::string mAnswer;
+    HttpErrc mError;
+  };
+  const auto row = GENERATE(values<Row>({
+    // Truncated, then closed.
+    { kHead + "Content-Length: 10\r\n\r\nhalfCLOSE", HttpErrc::kClosed },
+    // Truncated, and nothing more comes.
+    { kHead + "Content-Length: 10\r\n\r\nhalf", HttpErrc::kTimeout },
+    // No length: its end can't be told from a cut.
+    { kHead + "\r\nno lengthCLOSE", HttpErrc::kMalformed },
+    // The answer to another request.
+    { "HTTP/1.1 200 OK\r\nVerbenacroft-Request: other\r\n"
+      "Content-Length: 4\r\n\r\nevil",
+      HttpErrc::kCrossed },
+    // No identifier where one is required.
+    { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil", HttpErrc::kCrossed },
+    // Closed without an answer.
+    { "CLOSE", HttpErrc::kClosed },
+    // Not HTTP.
+    { "220 mail ready\r\n\r\nCLOSE", HttpErrc::kMalformed },
+    // Wrong lengths.
+    { kHead + "Content-Length: -4\r\n\r\nevilCLOSE", HttpErrc::kMalformed },
+    { kHead + "Content-Length: 4\r\nContent-Length: 9\r\n\r\nevilCLOSE",
+      HttpErrc::kMalformed },
+    { kHead + "Transfer-Encoding: chunked\r\n\r\n9\r\nevilCLOSE",
+      HttpErrc::kClosed },
+  }));
+  asio::io_context context;
+  RawServer server(context, { row.mAnswer, kGood });
+  HttpClient client(context);
+  const auto bad = Call(context, client, server.Address(), "first");
+  INFO(row.mAnswer);
+  CHECK(bad.mError == MakeError(row.mError));
+  CHECK(bad.mWasSent);
+  const auto good = Call(context, client, server.Address(), "second");
+  CHECK_FALSE(good.mError);
+  CHECK(good.mResponse.mBody == "good");
+}
+
+TEST_CASE("a doubled answer never becomes the next request's", "[http]")
+{
+  asio::io_context context;
+  RawServer server(
+    context, { kGood + kHead + "Content-Length: 4\r\n\r\nevil", kGood, kGood });
+  HttpClient client(context);
+  for (const auto* id : { "first", "second", "third" }) {
+    const auto result = Call(context, client, server.Address(), id, false);
+    CHECK_FALSE(result.mError);
+    CHECK(result.mResponse.mBody == "good");
+  }
+}
+
+TEST_CASE("a late answer is dropped with its connection", "[http]")
+{
+  asio::io_context context;
+  // The first request gets no answer before its timeout; the server's reply
+  // to it would come on the old connection.
+  RawServer server(context, { "", kGood });
+  HttpClient client(context);
+  const auto late = Call(context, client, server.Address(), "first");
+  CHECK(late.mError == MakeError(HttpErrc::kTimeout));
+  const auto next = Call(context, client, server.Address(), "second");
+  CHECK(next.mResponse.mBody == "good");
+}
+
+TEST_CASE("not sent is said only when nothing was sent", "[http]")
+{
+  asio::io_context context;
+  HttpClient client(context);
+  Endpoint closed;
+  {
+    asio::ip::tcp::acceptor acceptor(context,
+                                     { asio::ip::address_v4::loopback(), 0 });
+    closed = acceptor.local_endpoint();
+  }
+  const auto refused = Call(context, client, closed, "first");
+  CHECK(refused.mError == MakeError(HttpErrc::kNotConnected));
+  CHECK_FALSE(refused.mWasSent);
+}
+
+TEST_CASE("the server's limits give clear refusals", "[http]")
+{
+  asio::io_context context;
+  HttpLimits limits;
+  limits.mBodyBytes = 100;
+  limits.mHeaderBytes = 2'000;
+  HttpServer server(context,
+                    { asio::ip::address_v4::loopback(), 0 },
+                    limits,
+                    [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+                      co_return JsonResponse("{}");
+                    });
+  struct Row
+  {
+    std::size_t mBody;
+    std::size_t mHeader;
+    int mStatus;
+  };
+  const auto row = GENERATE(
+    values<Row>({ { 10, 10, 200 }, { 200, 10, 413 }, { 10, 4'000, 431 } }));
+  HttpClient client(context);
+  int status = 0;
+  bool isDone = false;
+  const auto run = [&]() -> asio::awaitable<void> {
+    HttpRequest request;
+    request.mMethod = "POST";
+    request.mBody.assign(row.mBody, 'x');
+    request.mHeaders.push_back({ "X-Long", std::string(row.mHeader, 'h') });
+    HttpCallOptions options;
+    const auto result = co_await client.Call(
+      server.LocalEndpoint(), std::move(request), options);
+    status = result.mResponse.mStatus;
+    isDone = true;
+  };
+  asio::co_spawn(context, run(), asio::detached);
+  while (!isDone) {
+    context.run_one();
+  }
+  CHECK(status == row.mStatus);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Tests/Unit/vcTestMain.cxx
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
