--- a/Source/Programs/vcRouterMain.cxx
+++ b/Source/Programs/vcRouterMain.cxx
@@ -306,6 +306,7 @@
               "Targets known.",
               static_cast<double>(this->mState.mPool.mTargets.size()));
   std::vector<double> bounds;
+  bounds.reserve(kLatencyBoundsMs.size());
   for (const double bound : kLatencyBoundsMs) {
     bounds.push_back(bound / 1000.0);
   }
--- a/Source/Router/vcRequestPath.cxx
+++ b/Source/Router/vcRequestPath.cxx
@@ -20,7 +20,9 @@
          aMethod == "DELETE" || aMethod == "OPTIONS";
 }
 
-HttpResponse Refusal(int aStatus, std::string_view aOutcome, std::string aText)
+HttpResponse Refusal(int aStatus,
+                     std::string_view aOutcome,
+                     std::string_view aText)
 {
   HttpResponse response = ErrorResponse(aStatus, aText);
   response.mHeaders.push_back(
@@ -28,14 +30,14 @@
   return response;
 }
 
-HttpResponse NotRun(int aStatus, std::string aText)
+HttpResponse NotRun(int aStatus, std::string_view aText)
 {
-  return Refusal(aStatus, "not-run", std::move(aText));
+  return Refusal(aStatus, "not-run", aText);
 }
 
-HttpResponse Unknown(int aStatus, std::string aText)
+HttpResponse Unknown(int aStatus, std::string_view aText)
 {
-  return Refusal(aStatus, "unknown", std::move(aText));
+  return Refusal(aStatus, "unknown", aText);
 }
 
 bool IsHopHeader(std::string_view aName)
--- a/Source/Shell/vcProgram.cxx
+++ b/Source/Shell/vcProgram.cxx
@@ -139,7 +139,7 @@
   }
 }
 
-void RethrowFailure(std::exception_ptr aError)
+void RethrowFailure(const std::exception_ptr& aError)
 {
   if (aError) {
     std::rethrow_exception(aError);
--- a/Source/Store/vcStoreBudget.cxx
+++ b/Source/Store/vcStoreBudget.cxx
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// Share of the bucket that is kept for calls of higher priority.
-double ReservedShare(StorePriority aPriority)
+/// Tokens of the bucket that are kept for calls of higher priority.
+double Reserved(const StoreBudget& aBudget, StorePriority aPriority)
 {
-  constexpr double kReservedPerLevel = 0.2;
-  return kReservedPerLevel * static_cast<int>(aPriority);
+  constexpr double kParts = 5;
+  return aBudget.mBurst * static_cast<int>(aPriority) / kParts;
 }
 
 } // namespace
@@ -23,8 +23,7 @@
                         static_cast<double>(elapsed.count()) / kMillisPerSecond;
   aBudget.mTokens = std::min(aBudget.mBurst, aBudget.mTokens + refill);
   aBudget.mRefilledAt = aNow;
-  const double reserved = ReservedShare(aPriority) * aBudget.mBurst;
-  if (aBudget.mTokens < reserved + 1.0) {
+  if (aBudget.mTokens < Reserved(aBudget, aPriority) + 1.0) {
     return false;
   }
   aBudget.mTokens -= 1.0;
--- a/Tests/Scenarios/vcScenarioVerbs.cxx
+++ b/Tests/Scenarios/vcScenarioVerbs.cxx
@@ -51,7 +51,7 @@
                       const char* aDefault)
 {
   lua_getfield(aLua, aIndex, aName);
-  const std::string value = luaL_optstring(aLua, -1, aDefault);
+  std::string value = luaL_optstring(aLua, -1, aDefault);
   lua_pop(aLua, 1);
   return value;
 }
@@ -207,7 +207,7 @@
                       Field(aLua, 1, "memory", 2'000),
                       Field(aLua, 1, "accelerators", 0),
                       0 };
-  SubmitJob(world, TextField(aLua, 1, "at", "a"), std::move(spec));
+  SubmitJob(world, TextField(aLua, 1, "at", "a"), spec);
   return 0;
 }
 
--- a/Tests/Scenarios/vcWorld.cxx
+++ b/Tests/Scenarios/vcWorld.cxx
@@ -392,7 +392,7 @@
   if (order.empty() || isFresh) {
     return;
   }
-  const std::string target = order[aNode.mNextConfig % order.size()];
+  const std::string& target = order[aNode.mNextConfig % order.size()];
   ++aNode.mNextConfig;
   Node& server = aWorld.mNodes.at(target);
   const TimePoint sentAt = aWorld.mNow;
@@ -756,7 +756,9 @@
     });
 }
 
-void SubmitJob(World& aWorld, const std::string& aDataCentre, JobSpec aSpec)
+void SubmitJob(World& aWorld,
+               const std::string& aDataCentre,
+               const JobSpec& aSpec)
 {
   auto& job = aWorld.mJobs[aSpec.mName];
   job.mSpec = aSpec;
--- a/Tests/Scenarios/vcWorld.h
+++ b/Tests/Scenarios/vcWorld.h
@@ -191,7 +191,9 @@
 void SetDrained(World& aWorld, const std::string& aName, bool aIsDrained);
 
 /// Submits a job, repeating while the answer is not-run or unknown.
-void SubmitJob(World& aWorld, const std::string& aDataCentre, JobSpec aSpec);
+void SubmitJob(World& aWorld,
+               const std::string& aDataCentre,
+               const JobSpec& aSpec);
 
 void CancelJob(World& aWorld, const std::string& aName);
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -56,3 +56,6 @@
 verbenacroft_mutation(repeated-grant keyed 1..4)
 verbenacroft_mutation(old-configuration config_spread 1..4)
 verbenacroft_mutation(kept-targets drain 1..4)
+
+add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
+target_link_libraries(vcLoad PRIVATE vcHttp)
--- a/Tests/Unit/vcHttpTest.cxx
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -224,8 +224,8 @@
     request.mBody.assign(row.mBody, 'x');
     request.mHeaders.push_back({ "X-Long", std::string(row.mHeader, 'h') });
     HttpCallOptions options;
-    const auto result = co_await client.Call(
-      server.LocalEndpoint(), std::move(request), options);
+    const auto result =
+      co_await client.Call(server.LocalEndpoint(), std::move(request), options);
     status = result.mResponse.mStatus;
     isDone = true;
   };
