Placement: Throttle before moving; add the policy and capacity benches

Change: DecidePressure throttles, then checkpoints and moves, with hysteresis longer than the reports' lag; its limit follows the operators' weights. The shards use it. vcPolicyBench runs the shipped decision functions beside a plain baseline and an oracle; vcCapacityBench prints slopes over four sizes or more.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -19,12 +19,12 @@
     vcConfigServer.cxx
   LINK vcPlatform vcJournal vcOwnership)
 verbenacroft_library(Placement
-  SOURCES vcFairness.cxx vcInterference.cxx vcSizing.cxx vcWorkerChoice.cxx
+  SOURCES vcFairness.cxx vcInterference.cxx vcPressure.cxx vcSizing.cxx vcWorkerChoice.cxx
   LINK vcConfig)
 verbenacroft_library(Jobs SOURCES vcJobs.cxx LINK vcConfig)
 verbenacroft_library(Scheduler
   SOURCES vcShardData.cxx vcShardState.cxx vcShardWorkers.cxx
-    vcShardPlan.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
+    vcShardPlan.cxx vcShardPressure.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
     vcSchedulerClaims.cxx
   LINK vcPlacement vcJobs)
 verbenacroft_library(Requests
--- a/Source/Placement/vcPlacement.h
+++ b/Source/Placement/vcPlacement.h
@@ -5,5 +5,6 @@
 
 #include "vcFairness.h"
 #include "vcInterference.h"
+#include "vcPressure.h"
 #include "vcSizing.h"
 #include "vcWorkerChoice.h"
--- a/Source/Scheduler/vcShard.h
+++ b/Source/Scheduler/vcShard.h
@@ -91,6 +91,7 @@
   Duration mQuarantineBackoff{ 0 };
   TimePoint mCompositionChangedAt = kNever;
   std::uint64_t mRefusedSyncs = 0;
+  PressureState mPressure;
 };
 
 enum class ClaimStage
@@ -240,6 +241,9 @@
 /// Asks for a stop with a checkpoint.
 void StopTask(Shard& aShard, const std::string& aTask);
 
+/// Throttles and moves batch tasks that slow services down.
+void RelievePressure(Shard& aShard, const ShardContext& aContext);
+
 /// Replicas of the service that belong on the shard.
 std::int64_t DesiredReplicas(const Configuration& aConfiguration,
                              const Service& aService,
--- a/Source/Scheduler/vcShardPlan.cxx
+++ b/Source/Scheduler/vcShardPlan.cxx
@@ -745,6 +745,7 @@
   SettleJobs(aShard);
   DrainJobs(aShard, aContext);
   StopUnwanted(aShard, aContext);
+  RelievePressure(aShard, aContext);
   auto views = ViewsOf(aShard, aContext.mNow);
   PlanServices(aShard, aContext, views);
   PlanBatch(aShard, aContext, views);
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -68,3 +68,9 @@
   set_tests_properties(process_${scenario} PROPERTIES
     TIMEOUT 180 PROCESSORS 3)
 endforeach()
+
+add_executable(vcCapacityBench Tests/Bench/vcCapacityMain.cxx)
+target_link_libraries(vcCapacityBench PRIVATE vcStandIns vcRouting)
+
+add_executable(vcPolicyBench Tests/Bench/vcPolicyMain.cxx)
+target_link_libraries(vcPolicyBench PRIVATE vcStandIns vcPlacement)
