Scheduler: Split the planning by duty; share the programs' set-up

Change: services, batch work, placement and the order of a plan have files of their own, and so have callers in the scenarios' world. CheckEndpoints and Listen serve all programs; a taken address is named and gives exit code 1. Bad settings and command lines have a process scenario. Ruled out: changed behaviour; no decision was touched.

--- a/Source/Foundation/vcSettings.cxx
+++ b/Source/Foundation/vcSettings.cxx
@@ -63,6 +63,15 @@
   }
 }
 
+void CheckEndpoints(const std::vector<std::string>& aTexts,
+                    const std::string& aPath,
+                    Faults& aFaults)
+{
+  for (std::size_t i = 0; i < aTexts.size(); ++i) {
+    CheckEndpoint(aTexts[i], aPath + "[" + std::to_string(i) + "]", aFaults);
+  }
+}
+
 void CheckFilled(const std::string& aText,
                  const std::string& aPath,
                  Faults& aFaults)
--- a/Source/Foundation/vcSettings.h
+++ b/Source/Foundation/vcSettings.h
@@ -25,6 +25,11 @@
                    const std::string& aPath,
                    Faults& aFaults);
 
+/// Adds a fault for each of `aTexts` that is not an IP number with a port.
+void CheckEndpoints(const std::vector<std::string>& aTexts,
+                    const std::string& aPath,
+                    Faults& aFaults);
+
 /// Adds a fault if `aText` is empty.
 void CheckFilled(const std::string& aText,
                  const std::string& aPath,
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -24,7 +24,8 @@
 verbenacroft_library(Jobs SOURCES vcJobs.cxx LINK vcConfig)
 verbenacroft_library(Scheduler
   SOURCES vcShardData.cxx vcShardState.cxx vcShardWorkers.cxx
-    vcShardPlan.cxx vcShardPressure.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
+    vcShardPlan.cxx vcShardPlacement.cxx
+    vcShardServices.cxx vcShardBatch.cxx vcShardPressure.cxx vcSchedulerCore.cxx vcSchedulerDesk.cxx
     vcSchedulerClaims.cxx
   LINK vcPlacement vcJobs)
 verbenacroft_library(Requests
--- a/Source/Programs/vcConfigMain.cxx
+++ b/Source/Programs/vcConfigMain.cxx
@@ -42,11 +42,7 @@
       aSettings.mOperatorAddress },
     { "$.common.peerAddress", "$.common.metricsAddress", "$.operatorAddress" },
     aFaults);
-  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
-    CheckEndpoint(aSettings.mConfigAddresses[i],
-                  "$.configAddresses[" + std::to_string(i) + "]",
-                  aFaults);
-  }
+  CheckEndpoints(aSettings.mConfigAddresses, "$.configAddresses", aFaults);
 }
 
 class ConfigProgram
@@ -343,23 +339,21 @@
 {
   const auto& common = this->mSettings.mCommon;
   StartConfigServer(this->mState, common.mName, this->mOutbox);
-  this->mPeerServer = std::make_unique<HttpServer>(
+  this->mPeerServer = Listen(
     this->mContext,
-    *ParseEndpoint(common.mPeerAddress),
+    common.mPeerAddress,
     HttpLimits{},
     [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
-  this->mOperatorServer = std::make_unique<HttpServer>(
-    this->mContext,
-    *ParseEndpoint(this->mSettings.mOperatorAddress),
-    HttpLimits{},
-    [this](const HttpRequest& aRequest) {
-      return this->HandleOperator(aRequest);
-    });
-  this->mMetricsServer =
-    std::make_unique<HttpServer>(this->mContext,
-                                 *ParseEndpoint(common.mMetricsAddress),
+  this->mOperatorServer = Listen(this->mContext,
+                                 this->mSettings.mOperatorAddress,
                                  HttpLimits{},
-                                 MakeHealthHandler(this->MakeHooks()));
+                                 [this](const HttpRequest& aRequest) {
+                                   return this->HandleOperator(aRequest);
+                                 });
+  this->mMetricsServer = Listen(this->mContext,
+                                common.mMetricsAddress,
+                                HttpLimits{},
+                                MakeHealthHandler(this->MakeHooks()));
   HandleSignals(this->mContext, [this] {
     this->mIsLeaving = true;
     this->mOperatorServer->StartDrain();
--- a/Source/Programs/vcRouterMain.cxx
+++ b/Source/Programs/vcRouterMain.cxx
@@ -68,11 +68,7 @@
   CheckAtLeastOne(aSettings.mMaxBodyBytes, "$.maxBodyBytes", aFaults);
   CheckAtLeastOne(aSettings.mMaxHeaderBytes, "$.maxHeaderBytes", aFaults);
   CheckAtLeastOne(aSettings.mMaxConnections, "$.maxConnections", aFaults);
-  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
-    CheckEndpoint(aSettings.mConfigAddresses[i],
-                  "$.configAddresses[" + std::to_string(i) + "]",
-                  aFaults);
-  }
+  CheckEndpoints(aSettings.mConfigAddresses, "$.configAddresses", aFaults);
 }
 
 class RouterProgram
@@ -385,23 +381,21 @@
   limits.mConnections =
     static_cast<std::size_t>(this->mSettings.mMaxConnections);
   limits.mReceiveTimeout = this->mSettings.mReceiveTimeout;
-  this->mCallerServer =
-    std::make_unique<HttpServer>(this->mContext,
-                                 *ParseEndpoint(this->mSettings.mCallerAddress),
-                                 limits,
-                                 [this](const HttpRequest& aRequest) {
-                                   return this->HandleCaller(aRequest);
-                                 });
-  this->mPeerServer = std::make_unique<HttpServer>(
+  this->mCallerServer = Listen(this->mContext,
+                               this->mSettings.mCallerAddress,
+                               limits,
+                               [this](const HttpRequest& aRequest) {
+                                 return this->HandleCaller(aRequest);
+                               });
+  this->mPeerServer = Listen(
     this->mContext,
-    *ParseEndpoint(common.mPeerAddress),
+    common.mPeerAddress,
     HttpLimits{},
     [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
-  this->mMetricsServer =
-    std::make_unique<HttpServer>(this->mContext,
-                                 *ParseEndpoint(common.mMetricsAddress),
-                                 HttpLimits{},
-                                 MakeHealthHandler(this->MakeHooks()));
+  this->mMetricsServer = Listen(this->mContext,
+                                common.mMetricsAddress,
+                                HttpLimits{},
+                                MakeHealthHandler(this->MakeHooks()));
   HandleSignals(this->mContext, [this] {
     this->mIsLeaving = true;
     this->mLeavingSince = MonotonicNow();
--- a/Source/Programs/vcSchedulerMain.cxx
+++ b/Source/Programs/vcSchedulerMain.cxx
@@ -36,11 +36,7 @@
   if (aSettings.mConfigAddresses.empty()) {
     aFaults.push_back({ "$.configAddresses", "none", "one or more addresses" });
   }
-  for (std::size_t i = 0; i < aSettings.mConfigAddresses.size(); ++i) {
-    CheckEndpoint(aSettings.mConfigAddresses[i],
-                  "$.configAddresses[" + std::to_string(i) + "]",
-                  aFaults);
-  }
+  CheckEndpoints(aSettings.mConfigAddresses, "$.configAddresses", aFaults);
 }
 
 class SchedulerProgram
@@ -390,16 +386,15 @@
 ExitCode SchedulerProgram::Run()
 {
   const auto& common = this->mSettings.mCommon;
-  this->mPeerServer = std::make_unique<HttpServer>(
+  this->mPeerServer = Listen(
     this->mContext,
-    *ParseEndpoint(common.mPeerAddress),
+    common.mPeerAddress,
     HttpLimits{},
     [this](const HttpRequest& aRequest) { return this->HandlePeer(aRequest); });
-  this->mMetricsServer =
-    std::make_unique<HttpServer>(this->mContext,
-                                 *ParseEndpoint(common.mMetricsAddress),
-                                 HttpLimits{},
-                                 MakeHealthHandler(this->MakeHooks()));
+  this->mMetricsServer = Listen(this->mContext,
+                                common.mMetricsAddress,
+                                HttpLimits{},
+                                MakeHealthHandler(this->MakeHooks()));
   HandleSignals(this->mContext, [this] {
     LeaveScheduler(this->mState, MonotonicNow());
     this->mPeerServer->StartDrain();
--- a/Source/Shell/vcProgram.cxx
+++ b/Source/Shell/vcProgram.cxx
@@ -31,11 +31,7 @@
     aFaults.push_back(
       { "$.common.storeAddresses", "none", "one or more addresses" });
   }
-  for (std::size_t i = 0; i < aSettings.mStoreAddresses.size(); ++i) {
-    CheckEndpoint(aSettings.mStoreAddresses[i],
-                  "$.common.storeAddresses[" + std::to_string(i) + "]",
-                  aFaults);
-  }
+  CheckEndpoints(aSettings.mStoreAddresses, "$.common.storeAddresses", aFaults);
   constexpr double kLeast = 5;
   constexpr double kMost = 1'000;
   if (aSettings.mStoreCallsPerSecond < kLeast ||
@@ -113,6 +109,11 @@
   }
 }
 
+void PrintFailure(const std::string& aProgram, const std::exception& aError)
+{
+  std::cerr << aProgram << ": " << aError.what() << "\n";
+}
+
 namespace {
 
 asio::awaitable<void> WatchSignals(std::function<void()> aStop)
--- a/Source/Shell/vcProgram.h
+++ b/Source/Shell/vcProgram.h
@@ -79,6 +79,9 @@
 /// Prints one line for each fault to standard error.
 void PrintFaults(const std::string& aFile, const Faults& aFaults);
 
+/// Prints why a program ends.
+void PrintFailure(const std::string& aProgram, const std::exception& aError);
+
 /// Runs a program on an entry instance: reads and checks its settings, then
 /// calls `aRun`. Returns the exit code.
 template<class Settings, class Check, class Run>
@@ -111,7 +114,12 @@
                  settings.mCommon.mName,
                  settings.mCommon.mLog.mLevel,
                  settings.mCommon.mLog.mJson });
-  return static_cast<int>(aRun(settings));
+  try {
+    return static_cast<int>(aRun(settings));
+  } catch (const std::exception& error) {
+    PrintFailure(aProgram, error);
+    return static_cast<int>(ExitCode::kFailed);
+  }
 }
 
 /// Calls `aStop` on the first SIGTERM or SIGINT and ends the process at
--- a/Source/Shell/vcServerSupport.cxx
+++ b/Source/Shell/vcServerSupport.cxx
@@ -24,6 +24,19 @@
   return std::nullopt;
 }
 
+std::unique_ptr<HttpServer> Listen(asio::io_context& aContext,
+                                   const std::string& aAddress,
+                                   const HttpLimits& aLimits,
+                                   HttpHandler aHandler)
+{
+  try {
+    return std::make_unique<HttpServer>(
+      aContext, *ParseEndpoint(aAddress), aLimits, std::move(aHandler));
+  } catch (const boost::system::system_error& error) {
+    throw std::system_error(error.code(), "can't listen on " + aAddress);
+  }
+}
+
 HttpRequest PeerRequest(std::string aMethod,
                         std::string aTarget,
                         const std::string& aToken,
--- a/Source/Shell/vcServerSupport.h
+++ b/Source/Shell/vcServerSupport.h
@@ -30,6 +30,13 @@
                                            bool aIsPeer,
                                            RefusalCounters& aCounters);
 
+/// Server on the address `aAddress` of the settings.
+/// @throws std::system_error naming the address if it can't be bound.
+std::unique_ptr<HttpServer> Listen(asio::io_context& aContext,
+                                   const std::string& aAddress,
+                                   const HttpLimits& aLimits,
+                                   HttpHandler aHandler);
+
 /// Request to a peer.
 HttpRequest PeerRequest(std::string aMethod,
                         std::string aTarget,
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -8,7 +8,8 @@
 add_executable(vcFreePorts Tests/StandIns/vcFreePortsMain.cxx)
 target_link_libraries(vcFreePorts PRIVATE vcHttp)
 add_library(vcScenarios STATIC
-  Tests/Scenarios/vcWorld.cxx Tests/Scenarios/vcWorldChecks.cxx
+  Tests/Scenarios/vcWorld.cxx Tests/Scenarios/vcWorldCallers.cxx
+  Tests/Scenarios/vcWorldChecks.cxx
   Tests/Scenarios/vcScenarioVerbs.cxx)
 target_include_directories(vcScenarios PUBLIC Tests/Scenarios)
 target_include_directories(vcScenarios SYSTEM PUBLIC ${LUA_INCLUDE_DIR})
@@ -61,7 +62,7 @@
 target_link_libraries(vcLoad PRIVATE vcHttp)
 
 # Scenarios with the shipped programs as processes.
-foreach(scenario kill freeze outage graceful requests)
+foreach(scenario settings kill freeze outage graceful requests)
   add_test(NAME process_${scenario}
     COMMAND ${CMAKE_SOURCE_DIR}/Tests/Processes/${scenario}.sh
       ${CMAKE_BINARY_DIR}/bin)
