Utilities: Make the linter clean

Cause: the linter stopped on flags that only GCC knows, so that its other findings did not show: structured bindings captured by lambdas, a member that nothing used, and vectors that grow in loops. Change: these are mended; no check was turned off.

--- a/Source/Programs/vcConfigMain.cxx
+++ b/Source/Programs/vcConfigMain.cxx
@@ -55,8 +55,7 @@
              ParseEndpoints(aSettings.mCommon.mStoreAddresses),
              BudgetOf(aSettings.mCommon))
     , mBoard(mContext)
-    , mDirectory(mHttp,
-                 mStore,
+    , mDirectory(mStore,
                  { aSettings.mCommon.mName,
                    aSettings.mCommon.mDataCentre,
                    Role::kConfig,
--- a/Source/Programs/vcRouterMain.cxx
+++ b/Source/Programs/vcRouterMain.cxx
@@ -79,8 +79,7 @@
     , mStore(mHttp,
              ParseEndpoints(aSettings.mCommon.mStoreAddresses),
              BudgetOf(aSettings.mCommon))
-    , mDirectory(mHttp,
-                 mStore,
+    , mDirectory(mStore,
                  MemberOf(aSettings.mCommon),
                  aSettings.mCommon.mPeerToken)
     , mPath(mContext, mHttp, mDirectory, mState)
--- a/Source/Scheduler/vcSchedulerCore.cxx
+++ b/Source/Scheduler/vcSchedulerCore.cxx
@@ -483,7 +483,8 @@
                            TimePoint aNow)
 {
   TargetAnswer answer;
-  for (const auto& [name, shard] : aState.mShards) {
+  for (const auto& entry : aState.mShards) {
+    const Shard& shard = entry.second;
     if (shard.mJournal.mPhase != JournalPhase::kOpen) {
       continue;
     }
--- a/Source/Scheduler/vcShardPlan.cxx
+++ b/Source/Scheduler/vcShardPlan.cxx
@@ -114,7 +114,9 @@
 {
   std::vector<std::pair<std::string, JobState>> changes;
   std::string reason;
-  for (const auto& [name, job] : aShard.mData.mJobs) {
+  for (const auto& entry : aShard.mData.mJobs) {
+    const std::string& name = entry.first;
+    const JobRecord& job = entry.second;
     const auto& runtime = aShard.mJobs[name];
     const bool isRunning = runtime.mPlacedTasks > 0;
     if (job.mState == JobState::kCancelling && !isRunning) {
--- a/Source/Shell/vcDirectory.cxx
+++ b/Source/Shell/vcDirectory.cxx
@@ -8,12 +8,10 @@
 constexpr Duration kAllMembersAge{ 1'000 };
 } // namespace
 
-Directory::Directory(HttpClient& aHttp,
-                     StoreClient& aStore,
+Directory::Directory(StoreClient& aStore,
                      const Member& aSelf,
                      std::string aPeerToken)
-  : mHttp(aHttp)
-  , mStore(aStore)
+  : mStore(aStore)
   , mPeerToken(std::move(aPeerToken))
 {
   this->mState.mSelf = aSelf;
--- a/Source/Shell/vcDirectory.h
+++ b/Source/Shell/vcDirectory.h
@@ -11,10 +11,7 @@
 class Directory
 {
 public:
-  Directory(HttpClient& aHttp,
-            StoreClient& aStore,
-            const Member& aSelf,
-            std::string aPeerToken);
+  Directory(StoreClient& aStore, const Member& aSelf, std::string aPeerToken);
 
   /// Renews and scans what is due.
   void Step(asio::io_context& aContext);
@@ -30,7 +27,6 @@
   void Leave();
 
 private:
-  HttpClient& mHttp;
   StoreClient& mStore;
   OwnershipState mState;
   StoreOutbox mOutbox;
--- a/Tests/Bench/vcCapacityMain.cxx
+++ b/Tests/Bench/vcCapacityMain.cxx
@@ -52,6 +52,7 @@
          const std::function<double(double)>& aMeasure)
 {
   std::vector<Sample> samples;
+  samples.reserve(aSizes.size());
   for (const double size : aSizes) {
     samples.push_back({ size, aMeasure(size) });
   }
--- a/Tests/Bench/vcPolicyMain.cxx
+++ b/Tests/Bench/vcPolicyMain.cxx
@@ -605,7 +605,9 @@
 /// The oracle's model holds the true coefficients.
 void TellTruth(Bench& aBench)
 {
+  constexpr std::size_t kOwners = 32;
   std::vector<std::string> owners;
+  owners.reserve(kOwners);
   for (int i = 0; i < aBench.mProfile.mServices; ++i) {
     owners.push_back("service-" + std::to_string(i));
   }
@@ -765,12 +767,14 @@
 {
   const auto median = [&](double PolicyResult::*aField) {
     std::vector<double> values;
+    values.reserve(aResults.size());
     for (const auto& result : aResults) {
       values.push_back(result.*aField);
     }
     return Quantile(values, 0.5);
   };
   std::vector<double> p99;
+  p99.reserve(aResults.size());
   for (const auto& result : aResults) {
     p99.push_back(result.mP99);
   }
