Tests: Prove that a refused keyed request has not run in a store outage

Cause: rows 6 and 7 of the proofs had no scenario with the store out. Change: outage.sh sends keyed requests while the store is down; each has to be answered not-run, and no target may have executed it.

--- a/Tests/Processes/outage.sh
+++ b/Tests/Processes/outage.sh
@@ -14,6 +14,15 @@
     [ "$code" = 200 ] || fail "request to $dc answered $code in the outage"
   done
 done
+# A keyed request can't be journalled now: it is refused as not run, and no
+# target has executed it.
+for i in $(seq 4); do
+  outcome=$(request north 0 /s/tickets/file -X POST -d "outage-$i" \
+    -H "Idempotency-Key: outage-$i" -o /dev/null -D - | tr -d '\r' |
+    awk 'tolower($1) == "verbenacroft-outcome:" { print $2 }')
+  [ "$outcome" = not-run ] || fail "a keyed request was answered '$outcome'"
+  if report | grep -q "\"outage-$i\":"; then fail "outage-$i ran"; fi
+done
 revision() {
   curl -s -m 2 "http://127.0.0.1:${PORTS[$1-config-metrics]}/metrics" |
     awk '$1 == "verbenacroft_config_revision" { print $2 }'
