Router: Remove what nothing uses

Cause: a timer in the hedged send and a copy of a figure in the capacity bench were never read; two branches of the claims' step did the same. Change: the first two are gone, the branches are one. Behaviour stays. Conclusion: no decision was touched.

--- a/Source/Router/vcRequestPath.cxx
+++ b/Source/Router/vcRequestPath.cxx
@@ -258,7 +258,6 @@
                    [held, attempt](const std::exception_ptr&) {});
   };
   launch(aTask);
-  asio::steady_timer hedge(this->mContext);
   attempt->mDone.expires_after(aCall.mService.mHedgeAfter);
   co_await WaitQuietly(attempt->mDone);
   const bool isSlow = !attempt->mHasAnswer && attempt->mUnderWay > 0;
--- a/Source/Scheduler/vcSchedulerClaims.cxx
+++ b/Source/Scheduler/vcSchedulerClaims.cxx
@@ -201,9 +201,9 @@
   }
   for (const auto& name : due) {
     auto& runtime = aShard.mJobs[name];
-    if (runtime.mStage == ClaimStage::kIdle) {
-      SendRead(aState, name, runtime);
-    } else if (runtime.mStage == ClaimStage::kHandingOver) {
+    // A job being handed over is read again: the other shard may have it.
+    if (runtime.mStage == ClaimStage::kIdle ||
+        runtime.mStage == ClaimStage::kHandingOver) {
       SendRead(aState, name, runtime);
     }
   }
--- a/Tests/Bench/vcCapacityMain.cxx
+++ b/Tests/Bench/vcCapacityMain.cxx
@@ -203,11 +203,9 @@
     Bench bench;
     MakeBench(bench, 64);
     const double before = HeapBytes();
-    const double fleetBefore = before;
     Fill(bench, static_cast<std::int64_t>(aTasks));
     bench.mFleet = {};
     bench.mShard.mJournal.mPending.clear();
-    static_cast<void>(fleetBefore);
     return HeapBytes() - before;
   });
   Row("state_bytes_per_worker", "B", { 50, 100, 200, 400 }, [](double aSize) {
