Node: Run jobs on the users' platform, the whole path thin

One program an entry instance takes callers' jobs, stores them under the condition that they are absent, owns shards under a lease and an epoch, and starts, renews, ends and records their tasks. platform/ translates; decisions stand in Source/Dispatch.

--- /dev/null
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -0,0 +1,378 @@
+#include "vcDispatchJobs.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+/// Weight of a new run time against the learned mean.
+constexpr double kLearningRate = 0.05;
+/// Runs after which the learned mean replaces the callers' estimates.
+constexpr std::uint32_t kLearnedAfter = 10;
+/// Failures in a row, of different jobs, after which a worker rests.
+constexpr std::uint32_t kBadWorkerFailures = 2;
+constexpr Duration kBadWorkerRest{ 3'000 };
+
+Occurrence MakeOccurrence(const DispatchShard& aShard, const JobSpec& aSpec)
+{
+  Occurrence occurrence;
+  for (const auto& step : aSpec.mSteps) {
+    StepSlots slots;
+    slots.mTasks.resize(step.mCount);
+    for (auto& task : slots.mTasks) {
+      task.mRun = aShard.mRunBase;
+    }
+    occurrence.mSteps.push_back(std::move(slots));
+  }
+  return occurrence;
+}
+
+/// Longest chain of work through the job's steps, in ms.
+double LongestChainMs(const DispatchShard& aShard, const DispatchJob& aJob)
+{
+  const auto& steps = aJob.mRecord.mSpec.mSteps;
+  std::vector<double> ends(steps.size(), 0);
+  double longest = 0;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    double start = 0;
+    for (const auto after : steps[i].mAfter) {
+      start = std::max(start, ends[after]);
+    }
+    ends[i] = start + ExpectedRunMs(aShard, aJob, steps[i]);
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+void CountStepDone(DispatchJob& aJob, const TaskKey& aKey)
+{
+  Occurrence& occurrence = aJob.mOccurrences[aKey.mOccurrence];
+  StepSlots& step = occurrence.mSteps[aKey.mStep];
+  ++step.mDone;
+  if (step.mDone < step.mTasks.size()) {
+    return;
+  }
+  ++occurrence.mStepsDone;
+  if (occurrence.mStepsDone == occurrence.mSteps.size()) {
+    ++aJob.mOccurrencesDone;
+  }
+}
+
+void EndJob(DispatchJob& aJob,
+            JobState aState,
+            TimePoint aNow,
+            std::int64_t aNowMs)
+{
+  aJob.mState = aState;
+  aJob.mEndedAt = aNow;
+  aJob.mEndedAtMs = aNowMs;
+  aJob.mIsDirty = true;
+  spdlog::info("job.end job={} queue={} state={} age_ms={}",
+               aJob.mId,
+               aJob.mRecord.mTerms.mQueue,
+               NameOf(aState),
+               (aNow - aJob.mAcceptedAt).count());
+}
+
+void MarkDone(DispatchShard& aShard,
+              const TaskKey& aKey,
+              TimePoint aNow,
+              std::int64_t aNowMs)
+{
+  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  TaskSlot& task = *FindTask(aShard, aKey);
+  if (task.mPhase == TaskPhase::kDone) {
+    return;
+  }
+  Release(aShard, aKey, TaskPhase::kDone);
+  task.mCheckpoint.clear();
+  CountStepDone(job, aKey);
+  const bool isComplete = job.mOccurrencesDone == job.mOccurrences.size();
+  if (isComplete && !IsFinal(job.mState)) {
+    EndJob(job, JobState::kCompleted, aNow, aNowMs);
+  }
+}
+
+void LearnRunTime(DispatchShard& aShard,
+                  const DispatchJob& aJob,
+                  const TaskSlot& aTask,
+                  TimePoint aNow)
+{
+  const bool isWhole = aTask.mPhase == TaskPhase::kRunning &&
+                       aTask.mCheckpoint.empty() &&
+                       aTask.mOrderedAt != kNever;
+  if (!isWhole) {
+    return;
+  }
+  const auto elapsed = static_cast<double>((aNow - aTask.mOrderedAt).count());
+  RunTimes& times = aShard.mRunTimes[aJob.mRecord.mTerms.mQueue];
+  ++times.mCount;
+  const double rate =
+    std::max(kLearningRate, 1.0 / static_cast<double>(times.mCount));
+  times.mMeanMs += rate * (elapsed - times.mMeanMs);
+}
+
+/// A worker that fails tasks of several jobs in a row rests for a while; one
+/// job that fails everywhere doesn't condemn its workers.
+void CountWorkerFailure(DispatchWorker& aWorker,
+                        const JobId& aJob,
+                        TimePoint aNow)
+{
+  aWorker.mFailedJobs.insert(aJob);
+  aWorker.mFailuresInARow =
+    static_cast<std::uint32_t>(aWorker.mFailedJobs.size());
+  if (aWorker.mFailuresInARow < kBadWorkerFailures) {
+    return;
+  }
+  aWorker.mAvoidedUntil = aNow + kBadWorkerRest;
+  spdlog::info("worker.rest worker={} failures={} rest_ms={}",
+               aWorker.mEntry.mWorker,
+               aWorker.mFailuresInARow,
+               kBadWorkerRest.count());
+}
+
+void OnFailedRun(DispatchShard& aShard,
+                 DispatchWorker& aWorker,
+                 const TaskKey& aKey,
+                 std::uint32_t aRun,
+                 TimePoint aNow,
+                 std::int64_t aNowMs)
+{
+  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  TaskSlot& task = *FindTask(aShard, aKey);
+  const bool isCounted = aRun <= task.mEndedRun;
+  if (isCounted) {
+    return;
+  }
+  CountWorkerFailure(aWorker, aKey.mJob, aNow);
+  task.mAvoidedWorker = aWorker.mEntry.mWorker;
+  ++task.mFailures;
+  const bool isSpent = !StepOf(job, aKey).mIsLasting &&
+                       task.mFailures >= job.mRecord.mTerms.mMaxAttempts;
+  if (isSpent && !IsFinal(job.mState)) {
+    EndJob(job, JobState::kFailed, aNow, aNowMs);
+  }
+}
+
+} // namespace
+
+double ExpectedRunMs(const DispatchShard& aShard,
+                     const DispatchJob& aJob,
+                     const StepSpec& aStep)
+{
+  const auto found = aShard.mRunTimes.find(aJob.mRecord.mTerms.mQueue);
+  const bool isLearned = found != aShard.mRunTimes.end() &&
+                         found->second.mCount >= kLearnedAfter;
+  return isLearned ? found->second.mMeanMs
+                   : static_cast<double>(aStep.mEstimateMs);
+}
+
+std::int64_t DueAtMs(const JobSpec& aSpec, std::uint32_t aOccurrence)
+{
+  if (aSpec.mRepeatCount == 0) {
+    return 0;
+  }
+  return aSpec.mStartAtMs + aSpec.mIntervalMs * aOccurrence;
+}
+
+void AddJob(DispatchShard& aShard,
+            const JobId& aId,
+            JobRecord aRecord,
+            std::uint64_t aCreatedAt,
+            TimePoint aNow,
+            std::int64_t aNowMs)
+{
+  if (aShard.mJobs.contains(aId)) {
+    return;
+  }
+  DispatchJob job;
+  job.mId = aId;
+  job.mRecord = std::move(aRecord);
+  job.mCreatedAt = aCreatedAt;
+  const auto occurrences = OccurrencesOf(job.mRecord.mSpec);
+  for (std::uint32_t i = 0; i < occurrences; ++i) {
+    job.mOccurrences.push_back(MakeOccurrence(aShard, job.mRecord.mSpec));
+  }
+  const std::int64_t age =
+    std::clamp<std::int64_t>(aNowMs - job.mRecord.mAcceptedAtMs,
+                             0,
+                             aShard.mBounds.mStatus.count());
+  job.mAcceptedAt = aNow - Duration(age);
+  const QueueTerms& terms = job.mRecord.mTerms;
+  const double objective =
+    terms.mStretch * LongestChainMs(aShard, job) +
+    static_cast<double>(terms.mTargetMs);
+  job.mObjectiveAt =
+    job.mAcceptedAt + Duration(static_cast<std::int64_t>(objective));
+  aShard.mJobs.emplace(aId, std::move(job));
+}
+
+void ApplyProgress(DispatchShard& aShard,
+                   const JobId& aId,
+                   const JobProgress& aProgress)
+{
+  DispatchJob* job = FindJob(aShard, aId);
+  if (job == nullptr) {
+    return;
+  }
+  for (const auto& step : aProgress.mSteps) {
+    const bool isKnown =
+      step.mOccurrence < job->mOccurrences.size() &&
+      step.mStep < job->mOccurrences[step.mOccurrence].mSteps.size();
+    if (!isKnown) {
+      spdlog::error("job.progress names an unknown step job={} step={}",
+                    aId,
+                    step.mStep);
+      continue;
+    }
+    const auto count =
+      job->mOccurrences[step.mOccurrence].mSteps[step.mStep].mTasks.size();
+    std::vector<bool> done(count);
+    SetRanges(step.mDone, done);
+    for (std::uint32_t i = 0; i < count; ++i) {
+      if (done[i]) {
+        const TaskKey key{ aId, step.mOccurrence, step.mStep, i };
+        FindTask(aShard, key)->mPhase = TaskPhase::kDone;
+        CountStepDone(*job, key);
+      }
+    }
+  }
+  for (const auto& row : aProgress.mTasks) {
+    TaskSlot* task =
+      FindTask(aShard, { aId, row.mOccurrence, row.mStep, row.mIndex });
+    if (task != nullptr && task->mPhase != TaskPhase::kDone) {
+      task->mRun = std::max(task->mRun, row.mRun);
+      task->mEndedRun = row.mRun;
+      task->mFailures = row.mFailures;
+      task->mCheckpoint = row.mCheckpoint;
+    }
+  }
+  const bool hasBegun = !aProgress.mSteps.empty() || !aProgress.mTasks.empty();
+  job->mState = IsFinal(aProgress.mState) || !hasBegun ? aProgress.mState
+                                                       : JobState::kRunning;
+  job->mIsFinalStored = IsFinal(job->mState);
+}
+
+void CancelJob(DispatchShard& aShard,
+               const JobId& aId,
+               TimePoint aNow,
+               std::int64_t aNowMs)
+{
+  DispatchJob* job = FindJob(aShard, aId);
+  if (job != nullptr && !IsFinal(job->mState)) {
+    EndJob(*job, JobState::kCancelled, aNow, aNowMs);
+  }
+}
+
+void OnRunLost(DispatchShard& aShard, const TaskKey& aKey)
+{
+  TaskSlot* task = FindTask(aShard, aKey);
+  if (task != nullptr && !task->mWorker.empty()) {
+    Release(aShard, aKey, TaskPhase::kWaiting);
+  }
+}
+
+void OnRunEnd(DispatchShard& aShard,
+              DispatchWorker& aWorker,
+              const EndedRun& aEnd,
+              TimePoint aNow,
+              std::int64_t aNowMs)
+{
+  const TaskKey key = KeyOf(aEnd.mTask);
+  aWorker.mUnwanted.erase({ aEnd.mTask, aEnd.mRun });
+  TaskSlot* task = FindTask(aShard, key);
+  if (task == nullptr) {
+    return;
+  }
+  DispatchJob& job = aShard.mJobs.at(key.mJob);
+  const bool isLasting = StepOf(job, key).mIsLasting;
+  spdlog::info("task.end task={} run={} worker={} how={} age_ms={}",
+               Describe(aEnd.mTask),
+               aEnd.mRun,
+               aWorker.mEntry.mWorker,
+               NameOf(aEnd.mHow),
+               (aNow - task->mOrderedAt).count());
+  job.mIsDirty = job.mIsDirty || !job.mIsFinalStored;
+  if (aEnd.mHow == RunEnd::kDone && !isLasting) {
+    aWorker.mFailedJobs.clear();
+    aWorker.mFailuresInARow = 0;
+    if (task->mWorker == aWorker.mEntry.mWorker) {
+      LearnRunTime(aShard, job, *task, aNow);
+    }
+    MarkDone(aShard, key, aNow, aNowMs);
+    return;
+  }
+  if (aEnd.mHow == RunEnd::kFailed) {
+    OnFailedRun(aShard, aWorker, key, aEnd.mRun, aNow, aNowMs);
+  }
+  task->mEndedRun = std::max(task->mEndedRun, aEnd.mRun);
+  const bool isCurrent = task->mWorker == aWorker.mEntry.mWorker &&
+                         aEnd.mRun == task->mRun;
+  const bool isLatest = aEnd.mRun >= task->mRun;
+  task->mRun = std::max(task->mRun, aEnd.mRun);
+  if (isLatest && !aEnd.mCheckpoint.empty() &&
+      task->mPhase != TaskPhase::kDone) {
+    task->mCheckpoint = aEnd.mCheckpoint;
+  }
+  if (isCurrent) {
+    Release(aShard, key, TaskPhase::kWaiting);
+  }
+}
+
+JobProgress ProgressOf(const DispatchJob& aJob)
+{
+  JobProgress progress;
+  progress.mState = aJob.mState;
+  progress.mEndedAtMs = aJob.mEndedAtMs;
+  if (IsFinal(aJob.mState)) {
+    return progress;
+  }
+  for (std::uint32_t o = 0; o < aJob.mOccurrences.size(); ++o) {
+    const auto& steps = aJob.mOccurrences[o].mSteps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      std::vector<bool> done;
+      for (std::uint32_t i = 0; i < steps[s].mTasks.size(); ++i) {
+        const TaskSlot& task = steps[s].mTasks[i];
+        done.push_back(task.mPhase == TaskPhase::kDone);
+        const bool isNoted = task.mPhase != TaskPhase::kDone &&
+                             (task.mFailures > 0 || !task.mCheckpoint.empty());
+        if (isNoted) {
+          progress.mTasks.push_back(
+            { o, s, i, task.mEndedRun, task.mFailures, task.mCheckpoint });
+        }
+      }
+      auto ranges = RangesOf(done);
+      if (!ranges.empty()) {
+        progress.mSteps.push_back({ o, s, std::move(ranges) });
+      }
+    }
+  }
+  return progress;
+}
+
+bool IsStepReady(const DispatchJob& aJob,
+                 const Occurrence& aOccurrence,
+                 std::uint32_t aStep)
+{
+  const auto& after = aJob.mRecord.mSpec.mSteps[aStep].mAfter;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aBefore) {
+    const StepSlots& step = aOccurrence.mSteps[aBefore];
+    return step.mDone == step.mTasks.size();
+  });
+}
+
+std::uint64_t CountWaiting(const DispatchShard& aShard,
+                           const std::string& aQueue)
+{
+  return static_cast<std::uint64_t>(std::count_if(
+    aShard.mJobs.begin(), aShard.mJobs.end(), [&](const auto& aEntry) {
+      const DispatchJob& job = aEntry.second;
+      return job.mState == JobState::kQueued &&
+             job.mRecord.mTerms.mQueue == aQueue;
+    }));
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -0,0 +1,111 @@
+#include "vcDispatchState.h"
+
+namespace verbenacroft {
+
+namespace {
+
+/// Counts the task's needs to (`aSign` 1) or off (-1) its worker.
+void CountNeeds(DispatchWorker& aWorker, const StepSpec& aStep, int aSign)
+{
+  Resources needs = aStep.mNeeds;
+  if (aStep.mIsFilling) {
+    aWorker.mFillingCpu += aSign * needs.mMilliCpu;
+    needs.mMilliCpu = 0;
+  }
+  if (aStep.mTargetMs > 0) {
+    aWorker.mServingTasks += static_cast<std::uint32_t>(aSign);
+  }
+  if (aSign > 0) {
+    aWorker.mUsed += needs;
+  } else {
+    aWorker.mUsed -= needs;
+  }
+}
+
+} // namespace
+
+DispatchJob* FindJob(DispatchShard& aShard, const JobId& aJob)
+{
+  const auto found = aShard.mJobs.find(aJob);
+  return found == aShard.mJobs.end() ? nullptr : &found->second;
+}
+
+DispatchWorker* FindWorker(DispatchShard& aShard, const std::string& aWorker)
+{
+  const auto found = aShard.mWorkers.find(aWorker);
+  return found == aShard.mWorkers.end() ? nullptr : &found->second;
+}
+
+TaskSlot* FindTask(DispatchShard& aShard, const TaskKey& aKey)
+{
+  DispatchJob* job = FindJob(aShard, aKey.mJob);
+  if (job == nullptr || aKey.mOccurrence >= job->mOccurrences.size()) {
+    return nullptr;
+  }
+  auto& steps = job->mOccurrences[aKey.mOccurrence].mSteps;
+  if (aKey.mStep >= steps.size() ||
+      aKey.mIndex >= steps[aKey.mStep].mTasks.size()) {
+    return nullptr;
+  }
+  return &steps[aKey.mStep].mTasks[aKey.mIndex];
+}
+
+TaskKey KeyOf(const TaskId& aTask)
+{
+  return { aTask.mJob, aTask.mOccurrence, aTask.mStep, aTask.mIndex };
+}
+
+TaskId IdOf(const TaskKey& aKey)
+{
+  return { aKey.mJob, aKey.mOccurrence, aKey.mStep, aKey.mIndex };
+}
+
+const StepSpec& StepOf(const DispatchJob& aJob, const TaskKey& aKey)
+{
+  return aJob.mRecord.mSpec.mSteps[aKey.mStep];
+}
+
+std::int64_t EstimateClock(const DispatchWorker& aWorker, TimePoint aNow)
+{
+  if (aWorker.mClock == 0) {
+    return 0;
+  }
+  return aWorker.mClock + (aNow - aWorker.mClockReadAt).count();
+}
+
+void Assign(DispatchShard& aShard,
+            const TaskKey& aKey,
+            const std::string& aWorker,
+            std::uint32_t aRun)
+{
+  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  TaskSlot& task = *FindTask(aShard, aKey);
+  DispatchWorker& worker = aShard.mWorkers.at(aWorker);
+  task.mWorker = aWorker;
+  task.mRun = std::max(task.mRun, aRun);
+  task.mPacePercent = 100;
+  task.mIsUncertain = false;
+  task.mStopSentAt = kNever;
+  worker.mTasks.insert(aKey);
+  CountNeeds(worker, StepOf(job, aKey), 1);
+  ++job.mRunsOut;
+  if (job.mState == JobState::kQueued) {
+    job.mState = JobState::kRunning;
+  }
+}
+
+void Release(DispatchShard& aShard, const TaskKey& aKey, TaskPhase aPhase)
+{
+  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  TaskSlot& task = *FindTask(aShard, aKey);
+  DispatchWorker* worker = FindWorker(aShard, task.mWorker);
+  if (worker != nullptr && worker->mTasks.erase(aKey) > 0) {
+    CountNeeds(*worker, StepOf(job, aKey), -1);
+    --job.mRunsOut;
+  }
+  task.mWorker.clear();
+  task.mIsUncertain = false;
+  task.mPhase = aPhase;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Foundation/vcTime.cxx
@@ -0,0 +1,23 @@
+#include "vcTime.h"
+
+#include <ctime>
+
+namespace verbenacroft {
+
+TimePoint SuspendAwareNow()
+{
+  constexpr std::int64_t kMsPerSecond = 1'000;
+  constexpr std::int64_t kNsPerMs = 1'000'000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs);
+}
+
+std::int64_t WallClockMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace verbenacroft
--- a/Source/Foundation/vcTime.h
+++ b/Source/Foundation/vcTime.h
@@ -3,6 +3,7 @@
 /// Time as the cores see it: an argument, never a clock that they read.
 
 #include <chrono>
+#include <cstdint>
 
 namespace verbenacroft {
 
@@ -22,4 +23,11 @@
     std::chrono::steady_clock::now().time_since_epoch());
 }
 
+/// A clock that, unlike the steady clock, runs on while the machine is
+/// suspended. Leases are counted on it. Only the shells call it.
+TimePoint SuspendAwareNow();
+
+/// Time of day in milliseconds since 1970. Only the shells call it.
+std::int64_t WallClockMs();
+
 } // namespace verbenacroft
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -1,5 +1,6 @@
 verbenacroft_library(Foundation
-  SOURCES vcCodec.cxx vcHash.cxx vcLog.cxx vcSettings.cxx
+  SOURCES vcCodec.cxx vcEventLog.cxx vcHash.cxx vcLog.cxx vcSettings.cxx
+    vcTime.cxx
   LINK Boost::json spdlog::spdlog ${XXHASH_LIBRARY} Threads::Threads)
 verbenacroft_library(Http
   SOURCES vcHttpText.cxx vcHttpServer.cxx vcHttpClient.cxx
@@ -45,3 +46,21 @@
   SOURCES vcRequestPath.cxx
   LINK vcShell vcRouting vcRequests vcBurn)
 verbenacroft_library(Operators SOURCES vcOperators.cxx LINK vcConfig)
+verbenacroft_library(Batch
+  SOURCES vcFleetConfig.cxx vcJobProgress.cxx vcJobSpec.cxx
+  LINK vcPlatform)
+verbenacroft_library(Dispatch
+  SOURCES vcDispatchJobs.cxx vcDispatchPacing.cxx vcDispatchPlacement.cxx
+    vcDispatchState.cxx vcDispatchWorkers.cxx
+  LINK vcBatch)
+verbenacroft_library(Node
+  SOURCES vcJobDesk.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
+    vcNodeSettings.cxx vcOperatorFeed.cxx vcPeers.cxx vcShardRunner.cxx
+  LINK vcDispatch vcStore vcShell)
+
+# The adapter to the users' platform: the only folder that knows its words.
+add_library(vcSitePlatform STATIC
+  platform/vcSiteFields.cxx platform/vcSiteStore.cxx platform/vcSiteWords.cxx
+  platform/vcSiteWorkers.cxx)
+target_include_directories(vcSitePlatform PUBLIC platform)
+target_link_libraries(vcSitePlatform PUBLIC vcDispatch vcStore)
--- /dev/null
+++ b/Source/Node/vcNodeContext.cxx
@@ -0,0 +1,96 @@
+#include "vcNodeContext.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A store whose calls fail for so long is taken to be down.
+constexpr Duration kStoreDownAfter{ 250 };
+
+} // namespace
+
+asio::awaitable<void> Sleep(Duration aTime)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void NoteStoreReply(NodeContext& aNode, const KvReply& aReply)
+{
+  const TimePoint now = SuspendAwareNow();
+  const bool isAnswer = aReply.mStatus != KvStatus::kRefused &&
+                        aReply.mStatus != KvStatus::kUnknown;
+  if (!isAnswer) {
+    if (aNode.mStoreFailedAt == kNever) {
+      aNode.mStoreFailedAt = now;
+      spdlog::warn("dependency.lost name=store outcome={} heard_ms_ago={}",
+                   NameOf(aReply.mStatus),
+                   (now - aNode.mStoreHeardAt).count());
+    }
+    return;
+  }
+  if (aNode.mStoreFailedAt != kNever) {
+    spdlog::info("dependency.regained name=store after_ms={}",
+                 (now - aNode.mStoreFailedAt).count());
+  }
+  aNode.mStoreFailedAt = kNever;
+  aNode.mStoreHeardAt = now;
+}
+
+bool IsStoreDown(const NodeContext& aNode, TimePoint aNow)
+{
+  return aNode.mStoreFailedAt != kNever &&
+         aNow - aNode.mStoreFailedAt > kStoreDownAfter;
+}
+
+std::string PeerAddressOf(const NodeSettings& aSettings)
+{
+  return aSettings.mInternalIp + ":" +
+         std::to_string(aSettings.mInternalPorts.at(0));
+}
+
+std::uint32_t ShardOf(std::string_view aName, std::uint32_t aShards)
+{
+  return static_cast<std::uint32_t>(StableHash(aName) % aShards);
+}
+
+std::string OwnerKey(std::uint32_t aShard)
+{
+  return fmt::format("{}{:04}", kOwnerPrefix, aShard);
+}
+
+std::string CrewKey(std::uint32_t aShard)
+{
+  return fmt::format("vc/crew/{:04}", aShard);
+}
+
+std::string InboxPrefix(std::uint32_t aShard)
+{
+  return fmt::format("vc/in/{:04}/", aShard);
+}
+
+std::string JobKey(std::uint32_t aShard, const JobId& aJob)
+{
+  return InboxPrefix(aShard) + aJob + ".job";
+}
+
+std::string CancelKey(std::uint32_t aShard, const JobId& aJob)
+{
+  return InboxPrefix(aShard) + aJob + ".cancel";
+}
+
+std::string ProgressPrefix(std::uint32_t aShard)
+{
+  return fmt::format("vc/progress/{:04}/", aShard);
+}
+
+std::string ProgressKey(std::uint32_t aShard, const JobId& aJob)
+{
+  return ProgressPrefix(aShard) + aJob;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcNodeContext.h
@@ -0,0 +1,145 @@
+#pragma once
+
+/// What the parts of a node share: its settings, its connections, and what
+/// it knows of operators, other nodes and owners.
+
+#include "vcFleetConfig.h"
+#include "vcKeyValue.h"
+#include "vcNodeSettings.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+
+namespace verbenacroft {
+
+class ShardRunner;
+
+/// Record of a node under its lease.
+struct NodeRecord
+{
+  std::string mPeerAddress;
+  std::string mDataCentre;
+};
+BOOST_DESCRIBE_STRUCT(NodeRecord, (), (mPeerAddress, mDataCentre))
+
+/// Record of a shard's owner under the owner's lease.
+struct OwnerRecord
+{
+  std::string mNode;
+  std::string mPeerAddress;
+};
+BOOST_DESCRIBE_STRUCT(OwnerRecord, (), (mNode, mPeerAddress))
+
+/// How the deployment is divided; written once.
+struct LayoutRecord
+{
+  std::uint32_t mShards = 0;
+};
+BOOST_DESCRIBE_STRUCT(LayoutRecord, (), (mShards))
+
+/// A shard's owner as the store shows it.
+struct ShardOwner
+{
+  OwnerRecord mRecord;
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mLease = 0;
+};
+
+/// Reads and writes what a worker says in the words of one platform.
+struct DocumentCodec
+{
+  std::string mOperatorsPrefix;
+  std::string mConfigKey;
+  std::string mEvacuationPrefix;
+  std::string mDiscoveryPrefix;
+  std::function<std::optional<FleetConfig>(std::string_view, Faults&)>
+    mDecodeConfig;
+  std::function<std::optional<
+    WorkerEntry>(std::string_view aKey, std::string_view aText, Faults&)>
+    mDecodeWorker;
+  std::function<std::optional<JobSpec>(std::string_view, Faults&)> mDecodeJob;
+  std::function<std::string(JobState)> mEncodeState;
+  std::function<std::string(std::uint64_t)> mEncodeWaiting;
+};
+
+/// Counts and latencies that the metrics page shows.
+struct NodeCounters
+{
+  std::map<std::string, std::uint64_t> mAnswers;
+  std::uint64_t mRelayed = 0;
+  std::uint64_t mTakeovers = 0;
+  /// Answers to callers by latency bucket; see kLatencyBoundsMs.
+  std::vector<std::uint64_t> mLatencies;
+  double mLatencySumMs = 0;
+};
+
+struct NodeContext
+{
+  NodeContext(asio::io_context& aIo, NodeSettings aSettings)
+    : mIo(aIo)
+    , mSettings(std::move(aSettings))
+    , mHttp(aIo)
+  {
+  }
+
+  asio::io_context& mIo;
+  NodeSettings mSettings;
+  HttpClient mHttp;
+  KeyValueStore mStore;
+  WorkerPort mWorkers;
+  DocumentCodec mCodec;
+  NodeCounters mCounters;
+
+  /// Empty until the first configuration is read.
+  std::optional<OperatorState> mOperators;
+  std::map<std::string, NodeRecord> mNodes;
+  std::map<std::uint32_t, ShardOwner> mOwners;
+  std::uint32_t mShards = 0;
+  std::map<std::uint32_t, std::shared_ptr<ShardRunner>> mRunners;
+
+  /// This node's lease in the store; 0 for none.
+  std::uint64_t mLease = 0;
+  /// The store holds the lease at least until then.
+  TimePoint mLeaseValidUntil{ kNever };
+  /// The process stood still; nothing starts before a renewal succeeds.
+  bool mIsLeaseInDoubt = true;
+  /// Last answer of the store to any call.
+  TimePoint mStoreHeardAt{ kNever };
+  /// The store's last call failed and none has succeeded since then.
+  TimePoint mStoreFailedAt{ kNever };
+  bool mIsStopping = false;
+};
+
+/// Pauses the calling coroutine.
+asio::awaitable<void> Sleep(Duration aTime);
+
+/// Notes whether the store answered, with a line when that changes.
+void NoteStoreReply(NodeContext& aNode, const KvReply& aReply);
+
+/// True while the store is known not to answer.
+bool IsStoreDown(const NodeContext& aNode, TimePoint aNow);
+
+std::string PeerAddressOf(const NodeSettings& aSettings);
+
+/// Shard of a job or of a worker, by its identifier alone.
+std::uint32_t ShardOf(std::string_view aName, std::uint32_t aShards);
+
+/// Keys of this product in the store.
+constexpr const char* kSystemPrefix = "vc/sys/";
+constexpr const char* kLayoutKey = "vc/sys/layout";
+constexpr const char* kNodePrefix = "vc/sys/node/";
+constexpr const char* kOwnerPrefix = "vc/sys/own/";
+std::string OwnerKey(std::uint32_t aShard);
+/// The shard's workers, for the next owner.
+std::string CrewKey(std::uint32_t aShard);
+/// Jobs and cancellations, written by any node.
+std::string InboxPrefix(std::uint32_t aShard);
+std::string JobKey(std::uint32_t aShard, const JobId& aJob);
+std::string CancelKey(std::uint32_t aShard, const JobId& aJob);
+/// Progress, written by the owner.
+std::string ProgressPrefix(std::uint32_t aShard);
+std::string ProgressKey(std::uint32_t aShard, const JobId& aJob);
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcNodeProgram.cxx
@@ -0,0 +1,213 @@
+#include "vcNodeProgram.h"
+
+#include "vcJobDesk.h"
+#include "vcMembership.h"
+#include "vcMetrics.h"
+#include "vcOperatorFeed.h"
+#include "vcPeers.h"
+#include "vcProgram.h"
+#include "vcServerSupport.h"
+#include "vcShardRunner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A node that hasn't heard the store for so long sends callers elsewhere.
+constexpr Duration kReadyStoreAge{ 1'500 };
+/// How long callers may take to notice that a node is leaving.
+constexpr Duration kLeaveNotice{ 2'300 };
+/// Time kept for ending the process within its grace period.
+constexpr Duration kExitMargin{ 900 };
+constexpr Duration kExitPoll{ 50 };
+constexpr Duration kFlushInterval{ 100 };
+constexpr double kMsPerSecond = 1'000;
+
+bool IsReady(const NodeContext& aNode)
+{
+  const bool isConfigured =
+    aNode.mOperators && aNode.mOperators->mConfig.mVersion > 0;
+  const bool hasStore =
+    SuspendAwareNow() - aNode.mStoreHeardAt < kReadyStoreAge;
+  return isConfigured && aNode.mShards > 0 && hasStore && !aNode.mIsStopping;
+}
+
+asio::awaitable<HttpResponse> AnswerReadiness(const NodeContext& aNode)
+{
+  co_return IsReady(aNode) ? JsonResponse("{}")
+                           : ErrorResponse(503, "not ready");
+}
+
+void CollectShard(MetricsPage& aPage, std::uint32_t aShard,
+                  const DispatchShard& aState)
+{
+  const MetricLabels labels{ { "shard", std::to_string(aShard) } };
+  std::uint64_t runs = 0;
+  std::uint64_t silent = 0;
+  for (const auto& [name, worker] : aState.mWorkers) {
+    runs += worker.mTasks.size();
+    silent += worker.mIsSilent ? 1 : 0;
+  }
+  const auto gauge = [&](const char* aName, const char* aHelp, auto aValue) {
+    aPage.Gauge(aName, aHelp, static_cast<double>(aValue), labels);
+  };
+  gauge("verbenacroft_shard_jobs", "Jobs in memory.", aState.mJobs.size());
+  gauge("verbenacroft_shard_workers", "Workers.", aState.mWorkers.size());
+  gauge("verbenacroft_shard_silent_workers", "Workers not heard.", silent);
+  gauge("verbenacroft_shard_runs", "Runs on workers.", runs);
+  gauge("verbenacroft_shard_epoch", "Epoch of this owner.", aState.mEpoch);
+}
+
+void Collect(const NodeContext& aNode, MetricsPage& aPage)
+{
+  for (const auto& [answer, count] : aNode.mCounters.mAnswers) {
+    aPage.Counter("verbenacroft_caller_answers_total",
+                  "Answers to callers.",
+                  static_cast<double>(count),
+                  { { "answer", answer } });
+  }
+  aPage.Histogram("verbenacroft_caller_latency_ms",
+                  "Time to answer callers.",
+                  LatencyBoundsMs(),
+                  aNode.mCounters.mLatencies,
+                  aNode.mCounters.mLatencySumMs,
+                  {});
+  aPage.Counter("verbenacroft_relayed_calls_total",
+                "Store calls asked of a peer.",
+                static_cast<double>(aNode.mCounters.mRelayed));
+  aPage.Counter("verbenacroft_takeovers_total",
+                "Shards taken over.",
+                static_cast<double>(aNode.mCounters.mTakeovers));
+  for (const auto& [shard, runner] : aNode.mRunners) {
+    CollectShard(aPage, shard, runner->State());
+  }
+}
+
+asio::awaitable<void> LeaveOnTerm(NodeContext& aNode, HttpServer& aCallers)
+{
+  auto executor = co_await asio::this_coro::executor;
+  asio::signal_set signals(executor, SIGTERM, SIGINT);
+  const int signal = co_await signals.async_wait(asio::use_awaitable);
+  const TimePoint since = SuspendAwareNow();
+  spdlog::info("process.stop signal={} in_flight={} shards={}",
+               signal,
+               aCallers.InFlight(),
+               aNode.mRunners.size());
+  aNode.mIsStopping = true;
+  co_await LeaveFleet(aNode);
+  const Duration grace(static_cast<std::int64_t>(
+    aNode.mSettings.mBounds.mGraceSeconds * kMsPerSecond));
+  const TimePoint drainAt = since + std::min(kLeaveNotice, grace / 2);
+  const TimePoint exitAt = since + std::max(grace / 2, grace - kExitMargin);
+  while (SuspendAwareNow() < drainAt) {
+    co_await Sleep(kExitPoll);
+  }
+  aCallers.StartDrain();
+  while (aCallers.InFlight() > 0 && SuspendAwareNow() < exitAt) {
+    co_await Sleep(kExitPoll);
+  }
+  co_await Sleep(kExitPoll);
+  spdlog::info("process.exit in_flight={} after_ms={}",
+               aCallers.InFlight(),
+               (SuspendAwareNow() - since).count());
+  aNode.mIo.stop();
+}
+
+/// Reads the settings again on SIGHUP. Addresses stay as they are until the
+/// process is replaced; bounds apply at once.
+asio::awaitable<void> ReloadOnHup(NodeContext& aNode, std::string aPath)
+{
+  auto executor = co_await asio::this_coro::executor;
+  asio::signal_set signals(executor, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    Faults faults;
+    const auto settings = LoadSettings<NodeSettings>(aPath, faults);
+    if (faults.empty()) {
+      CheckNodeSettings(settings, faults);
+    }
+    for (const auto& fault : faults) {
+      spdlog::error("settings.refused file={} key={}", aPath, fault.mPath);
+    }
+    if (faults.empty()) {
+      aNode.mSettings.mBounds = settings.mBounds;
+      spdlog::info("settings.reloaded file={}", aPath);
+    }
+  }
+}
+
+asio::awaitable<void> FlushLog()
+{
+  while (true) {
+    co_await Sleep(kFlushInterval);
+    spdlog::default_logger()->flush();
+  }
+}
+
+void RethrowFailure(const std::exception_ptr& aError)
+{
+  if (aError) {
+    std::rethrow_exception(aError);
+  }
+}
+
+} // namespace
+
+int RunNode(const NodeSettings& aSettings,
+            const std::string& aSettingsPath,
+            const PlatformBinder& aBind)
+{
+  // A peer that closed its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context io(1);
+  NodeContext node(io, aSettings);
+  aBind(node);
+  const auto callers =
+    Listen(io, aSettings.mCallerAddress, {}, [&](const HttpRequest& aRequest) {
+      return AnswerCaller(node, aRequest);
+    });
+  const auto ready =
+    Listen(io, aSettings.mReadyAddress, {}, [&](const HttpRequest&) {
+      return AnswerReadiness(node);
+    });
+  const auto peers = Listen(
+    io, PeerAddressOf(aSettings), {}, [&](const HttpRequest& aRequest) {
+      return AnswerPeer(node, aRequest);
+    });
+  const std::string metricsAddress =
+    aSettings.mInternalIp + ":" + std::to_string(aSettings.mInternalPorts[1]);
+  const auto metrics = Listen(
+    io,
+    metricsAddress,
+    {},
+    MakeHealthHandler({ [&](MetricsPage& aPage) { Collect(node, aPage); },
+                        [&]() { return IsReady(node); },
+                        {} }));
+  const auto spawn = [&](asio::awaitable<void> aLoop) {
+    asio::co_spawn(io, std::move(aLoop), RethrowFailure);
+  };
+  spawn(KeepLease(node));
+  spawn(FollowSystem(node));
+  spawn(FollowOperators(node));
+  spawn(ClaimShards(node));
+  spawn(LeaveOnTerm(node, *callers));
+  spawn(ReloadOnHup(node, aSettingsPath));
+  spawn(FlushLog());
+  spdlog::info("process.start name={} data_centre={} callers={} peers={}",
+               aSettings.mName,
+               aSettings.mDataCentre,
+               aSettings.mCallerAddress,
+               PeerAddressOf(aSettings));
+  io.run();
+  return static_cast<int>(ExitCode::kOk);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcShardRunner.h
@@ -0,0 +1,102 @@
+#pragma once
+
+/// The owner of one shard: carries the decisions of its core to the store
+/// and the workers, and what these answer back to it.
+
+#include "vcNodeContext.h"
+
+#include <deque>
+
+namespace verbenacroft {
+
+/// A worker that a shard uses, for the next owner.
+struct CrewMember
+{
+  std::string mWorker;
+  std::string mAddress;
+};
+BOOST_DESCRIBE_STRUCT(CrewMember, (), (mWorker, mAddress))
+
+struct CrewRecord
+{
+  /// Ownerships so far; run numbers of different owners never meet.
+  std::uint32_t mGeneration = 0;
+  std::vector<CrewMember> mWorkers;
+};
+BOOST_DESCRIBE_STRUCT(CrewRecord, (), (mGeneration, mWorkers))
+
+class ShardRunner : public std::enable_shared_from_this<ShardRunner>
+{
+public:
+  ShardRunner(NodeContext& aNode, std::uint32_t aShard, std::uint64_t aEpoch);
+
+  /// Reads the shard from the store and starts its loops.
+  void Start();
+
+  /// Ends the loops without another call.
+  void Stop();
+
+  /// Records what is not yet recorded and ends the loops.
+  asio::awaitable<void> HandOver();
+
+  bool IsStopped() const { return this->mIsStopped; }
+  /// The jobs have been read from the store.
+  bool IsLoaded() const { return this->mIsLoaded; }
+  std::uint64_t Epoch() const { return this->mShard.mEpoch; }
+  const DispatchShard& State() const { return this->mShard; }
+
+  /// State of a job as it may be shown, or nothing if it isn't known here.
+  std::optional<JobState> StateOf(const JobId& aJob) const;
+
+  /// Jobs without a started task, by queue.
+  std::map<std::string, std::uint64_t> Waiting() const;
+
+private:
+  struct OrderLane
+  {
+    std::deque<StartOrder> mStarts;
+    std::deque<StopOrder> mStops;
+    std::deque<PaceOrder> mPaces;
+    int mSenders = 0;
+  };
+
+  asio::awaitable<void> Run();
+  asio::awaitable<bool> Load();
+  asio::awaitable<bool> LoadCrew();
+  void ApplyInbox(const KvItem& aItem);
+  void ApplyStoredProgress(const KvItem& aItem);
+
+  asio::awaitable<void> FollowInbox(std::uint64_t aRevision);
+  asio::awaitable<void> FollowDiscovery();
+  asio::awaitable<void> FollowWorker(std::string aWorker);
+  asio::awaitable<void> Tick();
+  asio::awaitable<void> KeepRecorded();
+  asio::awaitable<bool> RecordProgress();
+  asio::awaitable<bool> CommitProgress(std::vector<JobId> aJobs);
+  asio::awaitable<bool> RecordCrew();
+  asio::awaitable<void> ForgetOldJobs();
+  void OnRecorded(const std::vector<JobId>& aJobs, std::uint64_t aRevision);
+  void OnProgressConflict(const KvReply& aReply);
+
+  void Plan();
+  void PlanSoon();
+  void Send(DispatchActions& aActions);
+  void StartSenders(const std::string& aWorker);
+  asio::awaitable<void> SendOrders(std::string aWorker);
+  void SyncShard(TimePoint aNow);
+
+  NodeContext& mNode;
+  std::uint32_t mNumber;
+  DispatchShard mShard;
+  CrewRecord mCrew;
+  std::uint64_t mCrewRevision = 0;
+  std::map<std::string, OrderLane> mLanes;
+  std::set<std::string> mFollowed;
+  /// The worker's next report is asked for without a wait.
+  bool mIsStopped = false;
+  bool mIsLoaded = false;
+  bool mIsPlanDue = false;
+  asio::steady_timer mRecordTimer;
+};
+
+} // namespace verbenacroft
--- a/Source/Programs/Programs.cmake
+++ b/Source/Programs/Programs.cmake
@@ -4,6 +4,9 @@
 target_link_libraries(verbenacroft-config PRIVATE vcShell)
 add_executable(verbenacroft-router Source/Programs/vcRouterMain.cxx)
 target_link_libraries(verbenacroft-router PRIVATE vcRouter)
+add_executable(verbenacroft-node Source/Programs/vcNodeMain.cxx)
+target_link_libraries(verbenacroft-node PRIVATE vcNode vcSitePlatform)
+
 add_executable(verbenactl
   Source/Programs/vcCtlMain.cxx Source/Programs/vcCtl.cxx)
 target_link_libraries(verbenactl PRIVATE vcShell)
--- /dev/null
+++ b/Source/Programs/vcNodeMain.cxx
@@ -0,0 +1,74 @@
+/// verbenacroft-node: one process of an entry instance on the users'
+/// platform. It takes callers' jobs and owns shards of jobs and workers.
+
+#include "vcNode.h"
+#include "vcProgram.h"
+#include "vcSitePlatform.h"
+
+#include <iostream>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr const char* kProgram = "verbenacroft-node";
+
+void BindPlatform(NodeContext& aNode, KvCallCounts& aCounts)
+{
+  const auto store = ParseEndpoint(aNode.mSettings.mStoreAddress);
+  aNode.mStore = MakeSiteStore(aNode.mHttp, *store, aCounts);
+  aNode.mWorkers = MakeSiteWorkers(aNode.mHttp);
+  aNode.mCodec.mOperatorsPrefix = kOperatorsPrefix;
+  aNode.mCodec.mConfigKey = kOperatorsConfigKey;
+  aNode.mCodec.mEvacuationPrefix = kOperatorsEvacuationPrefix;
+  aNode.mCodec.mDiscoveryPrefix = kDiscoveryPrefix;
+  aNode.mCodec.mDecodeConfig = DecodeFleetConfig;
+  aNode.mCodec.mDecodeWorker = DecodeWorkerEntry;
+  aNode.mCodec.mDecodeJob = DecodeJobSpec;
+  aNode.mCodec.mEncodeState = EncodeJobState;
+  aNode.mCodec.mEncodeWaiting = EncodeWaiting;
+}
+
+int Main(int aCount, char** aArguments)
+{
+  const CommandLine line =
+    ParseCommandLine(aCount,
+                     aArguments,
+                     kProgram,
+                     "Takes jobs and runs their tasks on the shards it owns.");
+  if (line.mExit) {
+    return static_cast<int>(*line.mExit);
+  }
+  Faults faults;
+  const auto settings = LoadSettings<NodeSettings>(line.mSettingsPath, faults);
+  if (faults.empty()) {
+    CheckNodeSettings(settings, faults);
+  }
+  if (!faults.empty()) {
+    PrintFaults(line.mSettingsPath, faults);
+    return static_cast<int>(ExitCode::kBadSettings);
+  }
+  if (line.mCheckOnly) {
+    return static_cast<int>(ExitCode::kOk);
+  }
+  SetUpEventLog({ kProgram, settings.mName, settings.mLogLevel, true },
+                settings.mLogLinesPerSecond);
+  KvCallCounts counts;
+  return RunNode(settings, line.mSettingsPath, [&](NodeContext& aNode) {
+    BindPlatform(aNode, counts);
+  });
+}
+
+} // namespace
+
+} // namespace verbenacroft
+
+int main(int aCount, char** aArguments)
+{
+  try {
+    return verbenacroft::Main(aCount, aArguments);
+  } catch (const std::exception& error) {
+    verbenacroft::PrintFailure(verbenacroft::kProgram, error);
+    return static_cast<int>(verbenacroft::ExitCode::kFailed);
+  }
+}
