Dispatch: Place filling work by learned interference and idle processors

Cause: the fourth column of a worker's list is progress, not pace; reading it as pace re-paced every filling task. Declared needs of serving tasks hide that more than half of their processors idle.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -7,6 +7,7 @@
 #include "vcDispatchJobs.h"
 #include "vcDispatchPacing.h"
 #include "vcDispatchPlacement.h"
+#include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
 #include "vcDispatchWorkers.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchPlacement.h"
 
 #include "vcDispatchJobs.h"
+#include "vcDispatchSharing.h"
 #include "vcDispatchWorkers.h"
 
 #include <spdlog/spdlog.h>
@@ -18,8 +19,11 @@
 /// A step that finds no room this often ends the round: those behind it need
 /// about as much.
 constexpr int kMostMisses = 24;
-/// Least share of its processors that a filling task is started with.
-constexpr double kLeastFillingShare = 0.95;
+/// A filling task is started with at least this share of its processors.
+constexpr double kLeastFillingShare = 0.9;
+/// Nothing that fills is added where a serving task would come so close to
+/// its target.
+constexpr double kMostExpectedShare = 0.85;
 
 struct Candidate
 {
@@ -137,17 +141,9 @@
   return step.mMaxPerWorker == 0 || there < step.mMaxPerWorker;
 }
 
-/// Share of its processors that one more filling task would get.
-double FillingShare(const DispatchWorker& aWorker, std::int64_t aMilliCpu)
-{
-  const auto left = static_cast<double>(aWorker.mEntry.mCapacity.mMilliCpu -
-                                        aWorker.mUsed.mMilliCpu);
-  const auto wanted = static_cast<double>(aWorker.mFillingCpu + aMilliCpu);
-  return wanted <= 0 ? 1 : left / wanted;
-}
-
 /// Cost of placing a task of the step on the worker; nothing if it can't be.
-std::optional<double> CostOf(const StepNeeds& aNeeds,
+std::optional<double> CostOf(const DispatchShard& aShard,
+                             const StepNeeds& aNeeds,
                              const DispatchWorker& aWorker,
                              TimePoint aNow)
 {
@@ -172,15 +168,22 @@
     cost += kColdPenalty;
   }
   if (step.mIsFilling) {
-    const double share = FillingShare(aWorker, step.mNeeds.mMilliCpu);
-    if (share < kLeastFillingShare || aNow < aWorker.mNoFillingUntil) {
+    const auto wanted = static_cast<double>(step.mNeeds.mMilliCpu);
+    const auto room = static_cast<double>(FillingRoom(aWorker));
+    const double expected = ExpectedShare(aShard, aWorker, step, aNow);
+    if (room < wanted * kLeastFillingShare || aNow < aWorker.mNoFillingUntil ||
+        expected > kMostExpectedShare) {
       return std::nullopt;
     }
-    return cost + (aWorker.mServingTasks > 0 ? 3 : 0) + used + filling;
+    return cost + 2 * expected - room / capacity;
   }
   if (step.mTargetMs > 0) {
-    // Serving tasks share workers, so that filling tasks have others.
-    return cost + 3 * filling - used;
+    // Images differ in how much they mind filling tasks. Kept apart, those
+    // that mind leave the workers of the others to all filling tasks.
+    const auto same = aWorker.mServingImages.count(step.mImage);
+    const auto others = aWorker.mServingImages.size() - same;
+    return cost + 4 * static_cast<double>(others) -
+           2 * static_cast<double>(same) + 2 * filling - used;
   }
   return cost + std::max(0.0, used + filling - 1) * 3 + used;
 }
@@ -197,7 +200,7 @@
     if (!IsUsable(aShard, worker, aNow) || !IsAllowed(aNeeds, worker)) {
       continue;
     }
-    auto cost = CostOf(aNeeds, worker, aNow);
+    auto cost = CostOf(aShard, aNeeds, worker, aNow);
     if (!cost) {
       continue;
     }
@@ -233,6 +236,10 @@
   order.mCheckpoint = task.mCheckpoint;
   order.mEpoch = aShard.mEpoch;
   order.mNotAfter = task.mNotAfter;
+  const StepSpec& step = StepOf(job, aKey);
+  if (step.mIsFilling) {
+    NotePlacedFilling(aShard, aWorker, step, aNow);
+  }
   spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={}",
                Describe(order.mTask),
                aRun,
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -13,7 +13,12 @@
     needs.mMilliCpu = 0;
   }
   if (aStep.mTargetMs > 0) {
-    aWorker.mServingTasks += static_cast<std::uint32_t>(aSign);
+    auto& count = aWorker.mServingImages[aStep.mImage];
+    count += static_cast<std::uint32_t>(aSign);
+    if (count == 0) {
+      aWorker.mServingImages.erase(aStep.mImage);
+    }
+    aWorker.mServingCpu += aSign * needs.mMilliCpu;
   }
   if (aSign > 0) {
     aWorker.mUsed += needs;
@@ -84,6 +89,9 @@
   task.mWorker = aWorker;
   task.mRun = std::max(task.mRun, aRun);
   task.mPacePercent = 100;
+  task.mProgressPercent = 0;
+  task.mProgressAt = kNever;
+  task.mPacedAt = kNever;
   task.mIsUncertain = false;
   task.mStopSentAt = kNever;
   worker.mTasks.insert(aKey);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -2,6 +2,7 @@
 
 /// State of a shard: its workers, its jobs and where their tasks run.
 
+#include "vcInterference.h"
 #include "vcWorkerOrders.h"
 
 #include <map>
@@ -29,6 +30,9 @@
 /// A worker's clock may run this much slower than ours.
 constexpr double kSlowestClock = 0.98;
 
+/// Pace of a task that an earlier owner may have slowed down.
+constexpr std::int64_t kUnknownPace = -1;
+
 enum class TaskPhase
 {
   kWaiting,
@@ -58,7 +62,13 @@
   TimePoint mConfirmedAt{ kNever };
   /// The start was not answered: it may have been or be yet carried out.
   bool mIsUncertain = false;
+  /// Share of its pace that the task was last ordered to keep, in percent.
   std::int64_t mPacePercent = 100;
+  /// When the pace was ordered last.
+  TimePoint mPacedAt{ kNever };
+  std::int64_t mProgressPercent = 0;
+  /// When the progress was last seen to change.
+  TimePoint mProgressAt{ kNever };
   TimePoint mStopSentAt{ kNever };
 };
 
@@ -147,7 +157,16 @@
   /// Processors that filling tasks here would use, in thousandths.
   std::int64_t mFillingCpu = 0;
   std::set<TaskKey> mTasks;
-  std::uint32_t mServingTasks = 0;
+  /// Serving tasks here, by image.
+  std::map<std::string, std::uint32_t> mServingImages;
+  /// Processors that serving tasks here have asked for, in thousandths, and
+  /// the share of them that they are thought to use.
+  std::int64_t mServingCpu = 0;
+  double mServingUse = 0.6;
+  /// By image of a serving task: the highest share of its target in the last
+  /// report, and what filling tasks placed since then are expected to add.
+  std::map<std::string, double> mServingShares;
+  std::map<std::string, double> mAddedShares;
   /// Nothing is started here before this.
   TimePoint mAvoidedUntil{ kNever };
   /// No filling task is started here before this.
@@ -157,7 +176,10 @@
   std::set<JobId> mFailedJobs;
   /// Runs that nobody wants any more, and when their stop was sent last.
   std::map<std::pair<TaskId, std::uint32_t>, TimePoint> mUnwanted;
+  /// Since when no serving task here was close to its target.
   TimePoint mCalmSince{ kNever };
+  /// Since when one is over it, if one is.
+  TimePoint mDisturbedSince{ kNever };
 };
 
 /// Run times of a queue's tasks, learned from those that were done.
@@ -184,6 +206,9 @@
   /// worker until then.
   TimePoint mBarrierUntil{ kNever };
   std::map<std::string, RunTimes> mRunTimes;
+  InterferenceModel mInterference{ 0.04, 20, {} };
+  /// Share of target of serving images beside which nothing fills.
+  std::map<std::string, double> mAloneShares;
   /// A worker refused this owner's epoch for a higher one.
   bool mIsDeposed = false;
   /// Starts are allowed; cleared while ownership is in doubt.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -16,11 +16,11 @@
 constexpr Duration kRefusalRest{ 250 };
 /// A worker that lists this many ends may hold more that it doesn't list.
 constexpr std::size_t kMostListedEnds = 500;
-/// A batch task is taken to stand still after this many times its expected
-/// run time, and not before the least.
-constexpr double kStandstillFactor = 6;
-constexpr Duration kLeastStandstill{ 5'000 };
-/// A start that is due is ended this much before its worker leaves.
+/// A batch task whose progress doesn't change for so long stands still.
+constexpr Duration kStandstill{ 2'000 };
+/// A filling task that was made to rest for so long is moved elsewhere.
+constexpr Duration kLongestRest{ 1'000 };
+/// Runs are ended this much before their worker leaves.
 constexpr Duration kLeaveMargin{ 600 };
 
 using RunKey = std::pair<TaskId, std::uint32_t>;
@@ -56,6 +56,15 @@
   }
 }
 
+void NoteProgress(TaskSlot& aTask, const RunningTask& aRow, TimePoint aNow)
+{
+  const bool isMoving = aRow.mProgressPercent != aTask.mProgressPercent;
+  if (isMoving || aTask.mProgressAt == kNever) {
+    aTask.mProgressAt = aNow;
+  }
+  aTask.mProgressPercent = aRow.mProgressPercent;
+}
+
 /// Takes in one row of what runs on a worker.
 void OnRunningRow(DispatchShard& aShard,
                   DispatchWorker& aWorker,
@@ -79,7 +88,7 @@
     if (!aRow.mCheckpoint.empty()) {
       task->mCheckpoint = aRow.mCheckpoint;
     }
-    task->mPacePercent = aRow.mPacePercent;
+    NoteProgress(*task, aRow, aNow);
     return;
   }
   const bool isAdoptable = task->mPhase == TaskPhase::kWaiting &&
@@ -92,7 +101,8 @@
   task->mPhase = TaskPhase::kRunning;
   task->mOrderedAt = aNow;
   task->mConfirmedAt = aNow;
-  task->mPacePercent = aRow.mPacePercent;
+  task->mPacePercent = kUnknownPace;
+  NoteProgress(*task, aRow, aNow);
   if (!aRow.mCheckpoint.empty()) {
     task->mCheckpoint = aRow.mCheckpoint;
   }
@@ -181,20 +191,26 @@
            aShard.mBounds.mStopTimeout + kLeaveMargin;
 }
 
-bool IsStandingStill(const DispatchShard& aShard,
-                     const DispatchJob& aJob,
-                     const StepSpec& aStep,
+bool IsStandingStill(const StepSpec& aStep,
                      const TaskSlot& aTask,
                      TimePoint aNow)
 {
-  if (aStep.mIsLasting || aTask.mPhase != TaskPhase::kRunning) {
-    return false;
-  }
-  const double expected = ExpectedRunMs(aShard, aJob, aStep);
-  const Duration limit = std::max(
-    kLeastStandstill,
-    Duration(static_cast<std::int64_t>(expected * kStandstillFactor)));
-  return aNow - aTask.mOrderedAt > limit;
+  const bool isAtWork = aTask.mPhase == TaskPhase::kRunning &&
+                        aTask.mPacePercent > 0 &&
+                        aTask.mProgressAt != kNever;
+  const TimePoint since = std::max(aTask.mProgressAt, aTask.mPacedAt);
+  return !aStep.mIsLasting && isAtWork && aNow - since > kStandstill;
+}
+
+/// True if the task rests for the sake of its neighbours, and has little to
+/// lose by a move.
+bool IsRestingLong(const StepSpec& aStep, const TaskSlot& aTask, TimePoint aNow)
+{
+  constexpr std::int64_t kLittleDone = 25;
+  const bool isCheap =
+    aStep.mIsCheckpointing || aTask.mProgressPercent < kLittleDone;
+  return aStep.mIsFilling && aTask.mPacePercent == 0 && isCheap &&
+         aNow - aTask.mPacedAt > kLongestRest;
 }
 
 bool MustStop(const DispatchShard& aShard,
@@ -210,7 +226,8 @@
   const StepSpec& step = StepOf(aJob, aKey);
   const bool isMoving = aWorker.mEntry.mIsDraining &&
                         (step.mIsLasting || IsAboutToLeave(aShard, aWorker));
-  return isMoving || IsStandingStill(aShard, aJob, step, aTask, aNow);
+  return isMoving || IsStandingStill(step, aTask, aNow) ||
+         IsRestingLong(step, aTask, aNow);
 }
 
 } // namespace
--- a/Source/Dispatch/vcWorkerOrders.h
+++ b/Source/Dispatch/vcWorkerOrders.h
@@ -50,8 +50,8 @@
   TaskId mTask;
   std::uint32_t mRun = 0;
   std::string mCheckpoint;
-  /// Share of its pace that the task is allowed, in percent.
-  std::int64_t mPacePercent = 100;
+  /// How far the task is, in percent; a lasting task is at work at 100.
+  std::int64_t mProgressPercent = 0;
   /// A serving task's tail response time in ms over the last half second;
   /// for any other task, the processors in use, in thousandths.
   std::int64_t mMeasured = 0;
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,8 +51,8 @@
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchPacing.cxx vcDispatchPlacement.cxx
-    vcDispatchState.cxx vcDispatchWorkers.cxx
-  LINK vcBatch)
+    vcDispatchSharing.cxx vcDispatchState.cxx vcDispatchWorkers.cxx
+  LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcJobDesk.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
     vcNodeSettings.cxx vcOperatorFeed.cxx vcPeers.cxx vcShardRunner.cxx
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -18,6 +18,7 @@
 constexpr Duration kInboxWait{ 2'000 };
 constexpr Duration kDiscoveryInterval{ 700 };
 constexpr Duration kTick{ 100 };
+constexpr Duration kLoadLogInterval{ 1'000 };
 /// Reports and outcomes of this time are planned for together.
 constexpr Duration kPlanDelay{ 4 };
 /// Ends of this time are recorded together.
@@ -26,6 +27,8 @@
 constexpr Duration kUrgentRecordInterval{ 25 };
 /// How long a worker may wait for an end before it reports.
 constexpr Duration kReportWait{ 1'000 };
+/// The same where a serving task is close to its target.
+constexpr Duration kDisturbedReportWait{ 350 };
 /// Ends that come close together share a report.
 constexpr Duration kReportPause{ 15 };
 constexpr Duration kSilentRetry{ 200 };
@@ -67,6 +70,89 @@
   return row;
 }
 
+/// What runs on a worker, for a look at how tasks share it: kind, image,
+/// needed processors, measurement, pace and progress of each.
+void LogReport(DispatchShard& aShard,
+               const std::string& aWorker,
+               const WorkerReport& aReport)
+{
+  if (!spdlog::should_log(spdlog::level::debug)) {
+    return;
+  }
+  std::string rows;
+  for (const auto& row : aReport.mRunning) {
+    const TaskKey key = KeyOf(row.mTask);
+    const TaskSlot* task = FindTask(aShard, key);
+    if (task == nullptr) {
+      continue;
+    }
+    const StepSpec& step = StepOf(aShard.mJobs.at(key.mJob), key);
+    const char* kind = step.mTargetMs > 0 ? "S" : step.mIsFilling ? "F" : "P";
+    rows += fmt::format("{}:{}:{}:{}:{}:{}:{};",
+                        kind,
+                        step.mImage,
+                        step.mNeeds.mMilliCpu,
+                        row.mMeasured,
+                        task->mPacePercent,
+                        step.mTargetMs,
+                        row.mProgressPercent);
+  }
+  spdlog::debug("worker.report worker={} capacity_mcpu={} rows={}",
+                aWorker,
+                aShard.mWorkers.at(aWorker).mEntry.mCapacity.mMilliCpu,
+                rows);
+}
+
+/// One line that says how full the shard is.
+void LogLoad(const DispatchShard& aShard, std::uint32_t aNumber)
+{
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  std::int64_t filling = 0;
+  std::size_t runs = 0;
+  std::size_t silent = 0;
+  std::size_t serving = 0;
+  std::size_t servingWorkers = 0;
+  std::size_t mixedWorkers = 0;
+  std::size_t noFilling = 0;
+  std::int64_t room = 0;
+  double servingUse = 0;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    capacity += worker.mEntry.mCapacity.mMilliCpu;
+    used += worker.mUsed.mMilliCpu;
+    filling += worker.mFillingCpu;
+    runs += worker.mTasks.size();
+    for (const auto& [image, count] : worker.mServingImages) {
+      serving += count;
+    }
+    servingWorkers += worker.mServingImages.empty() ? 0 : 1;
+    mixedWorkers += worker.mServingImages.size() > 1 ? 1 : 0;
+    silent += worker.mIsSilent ? 1 : 0;
+    room += std::max<std::int64_t>(FillingRoom(worker), 0);
+    servingUse += worker.mServingUse *
+                  static_cast<double>(worker.mServingCpu);
+    noFilling += worker.mNoFillingUntil > SuspendAwareNow() ? 1 : 0;
+  }
+  spdlog::info("shard.load shard={} workers={} silent={} capacity_mcpu={} "
+               "used_mcpu={} filling_mcpu={} filling_room_mcpu={} "
+               "serving_use_mcpu={:.0f} runs={} serving={} "
+               "serving_workers={} mixed_workers={} no_filling_workers={} jobs={}",
+               aNumber,
+               aShard.mWorkers.size(),
+               silent,
+               capacity,
+               used,
+               filling,
+               room,
+               servingUse,
+               runs,
+               serving,
+               servingWorkers,
+               mixedWorkers,
+               noFilling,
+               aShard.mJobs.size());
+}
+
 } // namespace
 
 ShardRunner::ShardRunner(NodeContext& aNode,
@@ -352,8 +438,12 @@
       break;
     }
     const TimePoint sentAt = SuspendAwareNow();
+    const bool isDisturbed = worker->mNoFillingUntil > sentAt;
     const RenewOrder order =
-      MakeRenewal(this->mShard, *worker, kReportWait, sentAt);
+      MakeRenewal(this->mShard,
+                  *worker,
+                  isDisturbed ? kDisturbedReportWait : kReportWait,
+                  sentAt);
     const WorkerAddress address{ aWorker, worker->mEndpoint };
     const WorkerReport report =
       co_await this->mNode.mWorkers.mRenew(address, order);
@@ -371,6 +461,7 @@
              actions);
     const bool isGood = report.mOutcome == OrderOutcome::kDone;
     if (isGood) {
+      LogReport(this->mShard, aWorker, report);
       PlanPaces(this->mShard, aWorker, report.mRunning, now, actions);
       this->Send(actions);
       this->PlanSoon();
@@ -390,7 +481,12 @@
 
 asio::awaitable<void> ShardRunner::Tick()
 {
+  TimePoint loadLoggedAt = SuspendAwareNow();
   while (!this->mIsStopped) {
+    if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
+      loadLoggedAt = SuspendAwareNow();
+      LogLoad(this->mShard, this->mNumber);
+    }
     if (this->mShard.mIsDeposed) {
       spdlog::warn(
         "shard.deposed shard={} epoch={}", this->mNumber, this->Epoch());
--- a/Source/Placement/vcInterference.cxx
+++ b/Source/Placement/vcInterference.cxx
@@ -9,10 +9,8 @@
 
 namespace {
 
-constexpr double kLearningRate = 0.3;
 constexpr double kHalfLifeMs = 300'000.0;
 constexpr double kMaxEvidence = 50.0;
-constexpr double kMaxCoefficient = 10.0;
 
 std::uint64_t PairKey(std::uint64_t aVictim, std::uint64_t aAggressor)
 {
@@ -57,9 +55,10 @@
     auto& pair = aModel.mPairs[PairKey(aVictim, neighbour.mKind)];
     const double evidence = DecayedEvidence(pair, aMeasuredAt);
     // The first reports of a pair count in full, later ones less.
-    const double rate = std::max(kLearningRate, 1.0 / (1.0 + evidence));
+    const double rate = std::max(aModel.mLearningRate, 1.0 / (1.0 + evidence));
     pair.mCoefficient += rate * error * neighbour.mLoad / norm;
-    pair.mCoefficient = std::clamp(pair.mCoefficient, 0.0, kMaxCoefficient);
+    pair.mCoefficient =
+      std::clamp(pair.mCoefficient, 0.0, aModel.mMaxCoefficient);
     pair.mEvidence = std::min(
       kMaxEvidence, evidence + neighbour.mLoad * neighbour.mLoad / norm);
     pair.mUpdatedAt = aMeasuredAt;
--- a/Source/Placement/vcInterference.h
+++ b/Source/Placement/vcInterference.h
@@ -33,6 +33,10 @@
 
 struct InterferenceModel
 {
+  /// Least weight of a new report. Low where many reports come: neighbours
+  /// that are seen together are then told apart.
+  double mLearningRate = 0.3;
+  double mMaxCoefficient = 10;
   std::unordered_map<std::uint64_t, PairEstimate> mPairs;
 };
 
