Dispatch: Keep adopted runs and the crew over a takeover

The number base of a new owner overwrote the number of an adopted run, so that every adopted run was stopped and its end not recognised. Workers of the crew that discovery had not listed yet were dropped before they were asked, and came back as not recorded, on which nothing starts. A deposed owner took its old epoch up again, and an old removal in a watch hid a newer owner.

Ruled out: the barrier (its time had passed at 15 s and nothing started) and the lease (no line says that the process stood still).

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -23,7 +23,7 @@
     StepSlots slots;
     slots.mTasks.resize(step.mCount);
     for (auto& task : slots.mTasks) {
-      task.mRun = aShard.mRunBase;
+      task.mHighestRun = aShard.mRunBase;
     }
     occurrence.mSteps.push_back(std::move(slots));
   }
@@ -244,7 +244,7 @@
     TaskSlot* task =
       FindTask(aShard, { aId, row.mOccurrence, row.mStep, row.mIndex });
     if (task != nullptr && task->mPhase != TaskPhase::kDone) {
-      task->mRun = std::max(task->mRun, row.mRun);
+      task->mHighestRun = std::max(task->mHighestRun, row.mRun);
       task->mEndedRun = row.mRun;
       task->mFailures = row.mFailures;
       task->mCheckpoint = row.mCheckpoint;
@@ -312,7 +312,7 @@
   const bool isCurrent = task->mWorker == aWorker.mEntry.mWorker &&
                          aEnd.mRun == task->mRun;
   const bool isLatest = aEnd.mRun >= task->mRun;
-  task->mRun = std::max(task->mRun, aEnd.mRun);
+  task->mHighestRun = std::max(task->mHighestRun, aEnd.mRun);
   if (isLatest && !aEnd.mCheckpoint.empty() &&
       task->mPhase != TaskPhase::kDone) {
     task->mCheckpoint = aEnd.mCheckpoint;
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -269,7 +269,7 @@
       return false;
     }
     ++needs.mOnWorker[worker->mEntry.mWorker];
-    StartOn(aShard, key, *worker, task.mRun + 1, aNow, aActions);
+    StartOn(aShard, key, *worker, task.mHighestRun + 1, aNow, aActions);
   }
   return true;
 }
@@ -291,10 +291,10 @@
     if (task.mPhase != TaskPhase::kWaiting) {
       return true;
     }
-    if (task.mRun >= run && !task.mCheckpoint.empty()) {
+    if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
       checkpoint = task.mCheckpoint;
     }
-    run = std::max(run, task.mRun);
+    run = std::max(run, task.mHighestRun);
   }
   std::vector<std::string> chosen;
   TaskKey key = aFirst;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -87,7 +87,8 @@
   TaskSlot& task = *FindTask(aShard, aKey);
   DispatchWorker& worker = aShard.mWorkers.at(aWorker);
   task.mWorker = aWorker;
-  task.mRun = std::max(task.mRun, aRun);
+  task.mRun = aRun;
+  task.mHighestRun = std::max(task.mHighestRun, aRun);
   task.mPacePercent = 100;
   task.mProgressPercent = 0;
   task.mProgressAt = kNever;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -46,8 +46,11 @@
 struct TaskSlot
 {
   TaskPhase mPhase = TaskPhase::kWaiting;
-  /// Highest run known; the next start takes a higher one.
+  /// The current run, or the last one.
   std::uint32_t mRun = 0;
+  /// No run above this is known, of this owner or an earlier one; the next
+  /// start takes a higher one.
+  std::uint32_t mHighestRun = 0;
   /// Highest run whose end is accounted for.
   std::uint32_t mEndedRun = 0;
   std::uint32_t mFailures = 0;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -419,8 +419,12 @@
         OnRunLost(aShard, key);
       }
     }
+    // What an earlier owner started may still run on a worker that hasn't
+    // answered, listed or not.
+    const bool isOwed = !IsBarrierClear(aShard, aNow) &&
+                        aShard.mUnansweredWorkers.contains(at->first);
     const bool isGone = !worker.mIsListed && worker.mTasks.empty() &&
-                        (isOver || !worker.mHasAnswered);
+                        !isOwed && (isOver || !worker.mHasAnswered);
     at = isGone ? aShard.mWorkers.erase(at) : std::next(at);
   }
 }
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -46,6 +46,12 @@
   if (!shard) {
     return;
   }
+  const auto known = aNode.mOwners.find(*shard);
+  const bool isOld = known != aNode.mOwners.end() &&
+                     known->second.mEpoch > aItem.mRevision;
+  if (isOld) {
+    return;
+  }
   if (aItem.mIsRemoved) {
     spdlog::info("owner.gone shard={} revision={}", *shard, aItem.mRevision);
     aNode.mOwners.erase(*shard);
@@ -228,8 +234,8 @@
   for (const auto& [shard, owner] : owners) {
     const bool isMine = owner.mRecord.mNode == aNode.mSettings.mName;
     const auto runner = aNode.mRunners.find(shard);
-    const bool isRunning = runner != aNode.mRunners.end() &&
-                           runner->second->Epoch() == owner.mEpoch;
+    // Once an epoch has ended here it isn't taken up again.
+    const bool isRunning = aNode.mLastEpochs[shard] >= owner.mEpoch;
     if (isMine && owner.mLease != aNode.mLease) {
       co_await EndEarlierLife(aNode, owner.mLease);
       continue;
@@ -241,6 +247,7 @@
       ++aNode.mCounters.mTakeovers;
       auto fresh = std::make_shared<ShardRunner>(aNode, shard, owner.mEpoch);
       aNode.mRunners[shard] = fresh;
+      aNode.mLastEpochs[shard] = owner.mEpoch;
       fresh->Start();
     }
     if (!isMine && runner != aNode.mRunners.end()) {
@@ -333,7 +340,9 @@
       co_await Sleep(kRetry);
       continue;
     }
-    aNode.mOwners.clear();
+    std::erase_if(aNode.mOwners, [&](const auto& aOwner) {
+      return aOwner.second.mEpoch <= all.mRevision;
+    });
     aNode.mNodes.clear();
     for (const auto& item : all.mItems) {
       ApplySystemItem(aNode, item);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -99,6 +99,9 @@
   std::uint32_t mShards = 0;
   std::map<std::uint32_t, std::shared_ptr<ShardRunner>> mRunners;
 
+  /// Last epoch of each shard that this node has owned.
+  std::map<std::uint32_t, std::uint64_t> mLastEpochs;
+
   /// This node's lease in the store; 0 for none.
   std::uint64_t mLease = 0;
   /// The store holds the lease at least until then.
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -771,6 +771,7 @@
                 !recorded.contains(name + " " + worker.mEntry.mAddress);
   }
   if (!isChanged) {
+    this->MarkRecorded();
     co_return true;
   }
   KvTransaction write;
@@ -792,13 +793,18 @@
   }
   this->mCrew = std::move(crew);
   this->mCrewRevision = reply.mRevision;
+  this->MarkRecorded();
+  co_return true;
+}
+
+void ShardRunner::MarkRecorded()
+{
   for (const auto& member : this->mCrew.mWorkers) {
     DispatchWorker* worker = FindWorker(this->mShard, member.mWorker);
     if (worker != nullptr) {
       worker->mIsRecorded = true;
     }
   }
-  co_return true;
 }
 
 asio::awaitable<void> ShardRunner::ForgetOldJobs()
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -74,6 +74,8 @@
   asio::awaitable<bool> RecordProgress();
   asio::awaitable<bool> CommitProgress(std::vector<JobId> aJobs);
   asio::awaitable<bool> RecordCrew();
+  /// Starts are allowed on the workers that the store's record names.
+  void MarkRecorded();
   asio::awaitable<void> ForgetOldJobs();
   void OnRecorded(const std::vector<JobId>& aJobs, std::uint64_t aRevision);
   void OnProgressConflict(const KvReply& aReply);
