Dispatch: Raise the estimate of what serving tasks use by their response times

Cause: with filling work at all idle processors, tasks that serve went over their target where use came near the capacity (share over target 0.045 at a use of 1.0, 0.01 below 0.9); filling work is never seen to starve, so the estimate only fell.

Tried and reverted: jobs that can't meet their objective stand behind those that can.

--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -14,10 +14,14 @@
 constexpr Duration kMeasuredAfter{ 1'200 };
 /// Weight of a new observation of what serving tasks use.
 constexpr double kUseRate = 0.5;
-/// Weight by which an estimate that nothing contradicts becomes bolder.
-constexpr double kBolderRate = 0.1;
-constexpr double kLeastUse = 0.3;
+/// The estimate rises at once where a serving task comes close to its target
+/// and falls slowly with each calm report: a full worker is seen only in its
+/// response times, and costs more than an idle processor.
+constexpr double kUseRise = 0.1;
+constexpr double kUseFall = 0.01;
+constexpr double kLeastUse = 0.5;
 constexpr double kMostUse = 1.0;
+constexpr double kCloseToTarget = 0.9;
 /// Weight of a new measurement of a serving task that runs alone.
 constexpr double kAloneRate = 0.1;
 /// What a pair of images that was never seen together is taken to add, for a
@@ -95,13 +99,16 @@
   const double left = CapacityOf(aWorker) - plain - aMix.mGot;
   const double observed = std::clamp(left / serving, kLeastUse, kMostUse);
   const bool isStarved = aMix.mGot < kStarvedShare * aMix.mWanted;
+  double& use = aWorker.mServingUse;
+  const bool isClose =
+    std::any_of(aMix.mServing.begin(),
+                aMix.mServing.end(),
+                [](const auto& aRow) { return aRow.second > kCloseToTarget; });
   if (isStarved) {
-    aWorker.mServingUse += kUseRate * (observed - aWorker.mServingUse);
-  } else if (observed < aWorker.mServingUse) {
-    aWorker.mServingUse = observed;
-  } else {
-    aWorker.mServingUse += kBolderRate * (kLeastUse - aWorker.mServingUse);
+    use += kUseRate * (observed - use);
   }
+  use += isClose ? kUseRise : -kUseFall;
+  use = std::clamp(use, kLeastUse, kMostUse);
 }
 
 } // namespace
