--- a/Source/Batch/vcJobProgress.cxx
+++ b/Source/Batch/vcBatchProgress.cxx
@@ -1,4 +1,4 @@
-#include "vcJobProgress.h"
+#include "vcBatchProgress.h"
 
 namespace verbenacroft {
 
--- a/Source/Batch/vcJobProgress.h
+++ b/Source/Batch/vcBatchProgress.h
@@ -2,11 +2,11 @@
 
 /// How far a job is, as its shard's owner records it in the store.
 
-#include "vcJobSpec.h"
+#include "vcBatchSpec.h"
 
 namespace verbenacroft {
 
-enum class JobState
+enum class BatchState
 {
   kQueued,
   kRunning,
@@ -16,21 +16,21 @@
 };
 
 template<>
-struct EnumTable<JobState>
+struct EnumTable<BatchState>
 {
-  static constexpr auto kRows = std::to_array<NameRow<JobState>>({
-    { JobState::kQueued, "queued" },
-    { JobState::kRunning, "running" },
-    { JobState::kCompleted, "completed" },
-    { JobState::kFailed, "failed" },
-    { JobState::kCancelled, "cancelled" },
+  static constexpr auto kRows = std::to_array<NameRow<BatchState>>({
+    { BatchState::kQueued, "queued" },
+    { BatchState::kRunning, "running" },
+    { BatchState::kCompleted, "completed" },
+    { BatchState::kFailed, "failed" },
+    { BatchState::kCancelled, "cancelled" },
   });
 };
 
-constexpr bool IsFinal(JobState aState)
+constexpr bool IsFinal(BatchState aState)
 {
-  return aState == JobState::kCompleted || aState == JobState::kFailed ||
-         aState == JobState::kCancelled;
+  return aState == BatchState::kCompleted || aState == BatchState::kFailed ||
+         aState == BatchState::kCancelled;
 }
 
 /// What is recorded of a task that has run and is not done.
@@ -42,13 +42,13 @@
   /// Number of its last known run.
   std::uint32_t mRun = 0;
   /// Runs that ended as failed.
-  std::uint32_t mFailures = 0;
+  std::vector<std::uint32_t> mFailedRuns;
   std::string mCheckpoint;
 };
 BOOST_DESCRIBE_STRUCT(
   TaskProgress,
   (),
-  (mOccurrence, mStep, mIndex, mRun, mFailures, mCheckpoint))
+  (mOccurrence, mStep, mIndex, mRun, mFailedRuns, mCheckpoint))
 
 /// Tasks of a step that are done, as ranges [first, last] one after another.
 struct StepProgress
@@ -59,15 +59,15 @@
 };
 BOOST_DESCRIBE_STRUCT(StepProgress, (), (mOccurrence, mStep, mDone))
 
-struct JobProgress
+struct BatchProgress
 {
-  JobState mState = JobState::kQueued;
+  BatchState mState = BatchState::kQueued;
   /// Time of day at which the job came to its end, in ms since 1970.
   std::int64_t mEndedAtMs = 0;
   std::vector<StepProgress> mSteps;
   std::vector<TaskProgress> mTasks;
 };
-BOOST_DESCRIBE_STRUCT(JobProgress, (), (mState, mEndedAtMs, mSteps, mTasks))
+BOOST_DESCRIBE_STRUCT(BatchProgress, (), (mState, mEndedAtMs, mSteps, mTasks))
 
 /// Ranges of the set positions of `aDone`.
 std::vector<std::uint32_t> RangesOf(const std::vector<bool>& aDone);
--- a/Source/Batch/vcJobSpec.cxx
+++ b/Source/Batch/vcBatchSpec.cxx
@@ -1,4 +1,4 @@
-#include "vcJobSpec.h"
+#include "vcBatchSpec.h"
 
 #include <algorithm>
 #include <charconv>
@@ -19,7 +19,7 @@
          (aDigit >= 'A' && aDigit <= 'F');
 }
 
-void CheckStep(const JobSpec& aSpec, std::size_t aStep, Faults& aFaults)
+void CheckStep(const BatchSpec& aSpec, std::size_t aStep, Faults& aFaults)
 {
   const std::string path = "$.steps[" + std::to_string(aStep) + "]";
   const StepSpec& step = aSpec.mSteps[aStep];
@@ -47,7 +47,7 @@
          std::all_of(aText.begin(), aText.end(), IsHexDigit);
 }
 
-void CheckJobSpec(const JobSpec& aSpec, Faults& aFaults)
+void CheckBatchSpec(const BatchSpec& aSpec, Faults& aFaults)
 {
   if (aSpec.mText.size() > kMaxTextBytes) {
     aFaults.push_back({ "$.spec",
@@ -69,7 +69,7 @@
   }
 }
 
-std::uint32_t OccurrencesOf(const JobSpec& aSpec)
+std::uint32_t OccurrencesOf(const BatchSpec& aSpec)
 {
   return std::max<std::uint32_t>(aSpec.mRepeatCount, 1);
 }
--- a/Source/Batch/vcJobSpec.h
+++ b/Source/Batch/vcBatchSpec.h
@@ -64,7 +64,7 @@
                        mIsFilling,
                        mMayMiss))
 
-struct JobSpec
+struct BatchSpec
 {
   /// Opaque text that every start of a task carries.
   std::string mText;
@@ -75,7 +75,7 @@
   std::int64_t mStartAtMs = 0;
   std::int64_t mIntervalMs = 0;
 };
-BOOST_DESCRIBE_STRUCT(JobSpec,
+BOOST_DESCRIBE_STRUCT(BatchSpec,
                       (),
                       (mText, mSteps, mRepeatCount, mStartAtMs, mIntervalMs))
 
@@ -99,21 +99,21 @@
   (mQueue, mService, mPriority, mMaxAttempts, mStretch, mTargetMs))
 
 /// A submitted job as it lies in the store; it never changes.
-struct JobRecord
+struct BatchRecord
 {
   QueueTerms mTerms;
   /// Time of day of the submission, in milliseconds since 1970.
   std::int64_t mAcceptedAtMs = 0;
-  JobSpec mSpec;
+  BatchSpec mSpec;
 };
-BOOST_DESCRIBE_STRUCT(JobRecord, (), (mTerms, mAcceptedAtMs, mSpec))
+BOOST_DESCRIBE_STRUCT(BatchRecord, (), (mTerms, mAcceptedAtMs, mSpec))
 
 /// Adds a fault for each step that can't be: no task, negative needs, a
 /// dependency on itself, a later or an unknown step.
-void CheckJobSpec(const JobSpec& aSpec, Faults& aFaults);
+void CheckBatchSpec(const BatchSpec& aSpec, Faults& aFaults);
 
 /// Number of times that the steps run.
-std::uint32_t OccurrencesOf(const JobSpec& aSpec);
+std::uint32_t OccurrencesOf(const BatchSpec& aSpec);
 
 /// One task: occurrence, step and index within a job.
 struct TaskId
--- a/Source/Batch/vcFleetConfig.cxx
+++ b/Source/Batch/vcFleetConfig.cxx
@@ -17,8 +17,8 @@
 {
   const QueueConfig* best = nullptr;
   for (const auto& queue : aConfig.mQueues) {
-    const bool isMatch = queue.mHost == WithoutPort(aHost) &&
-                         aPath.starts_with(queue.mPathPrefix);
+    const bool isMatch =
+      queue.mHost == WithoutPort(aHost) && aPath.starts_with(queue.mPathPrefix);
     const bool isLonger =
       best == nullptr || queue.mPathPrefix.size() > best->mPathPrefix.size();
     if (isMatch && isLonger) {
--- a/Source/Batch/vcFleetConfig.h
+++ b/Source/Batch/vcFleetConfig.h
@@ -2,7 +2,7 @@
 
 /// What operators declare: queues of jobs and the pools that run them.
 
-#include "vcJobSpec.h"
+#include "vcBatchSpec.h"
 
 #include <set>
 
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kBadWorkerFailures = 2;
 constexpr Duration kBadWorkerRest{ 3'000 };
 
-Occurrence MakeOccurrence(const DispatchShard& aShard, const JobSpec& aSpec)
+Occurrence MakeOccurrence(const DispatchShard& aShard, const BatchSpec& aSpec)
 {
   Occurrence occurrence;
   for (const auto& step : aSpec.mSteps) {
@@ -62,7 +62,7 @@
 }
 
 void EndJob(DispatchJob& aJob,
-            JobState aState,
+            BatchState aState,
             TimePoint aNow,
             std::int64_t aNowMs)
 {
@@ -84,15 +84,15 @@
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   TaskSlot& task = *FindTask(aShard, aKey);
-  if (task.mPhase == TaskPhase::kDone) {
+  if (task.mPhase == RunPhase::kDone) {
     return;
   }
-  Release(aShard, aKey, TaskPhase::kDone);
+  Release(aShard, aKey, RunPhase::kDone);
   task.mCheckpoint.clear();
   CountStepDone(job, aKey);
   const bool isComplete = job.mOccurrencesDone == job.mOccurrences.size();
   if (isComplete && !IsFinal(job.mState)) {
-    EndJob(job, JobState::kCompleted, aNow, aNowMs);
+    EndJob(job, BatchState::kCompleted, aNow, aNowMs);
   }
 }
 
@@ -101,9 +101,8 @@
                   const TaskSlot& aTask,
                   TimePoint aNow)
 {
-  const bool isWhole = aTask.mPhase == TaskPhase::kRunning &&
-                       aTask.mCheckpoint.empty() &&
-                       aTask.mOrderedAt != kNever;
+  const bool isWhole = aTask.mPhase == RunPhase::kRunning &&
+                       aTask.mCheckpoint.empty() && aTask.mOrderedAt != kNever;
   if (!isWhole) {
     return;
   }
@@ -143,17 +142,17 @@
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   TaskSlot& task = *FindTask(aShard, aKey);
-  const bool isCounted = aRun <= task.mEndedRun;
-  if (isCounted) {
+  const bool isNew = task.mFailedRuns.insert(aRun).second;
+  if (!isNew) {
     return;
   }
   CountWorkerFailure(aWorker, aKey.mJob, aNow);
   task.mAvoidedWorker = aWorker.mEntry.mWorker;
-  ++task.mFailures;
-  const bool isSpent = !StepOf(job, aKey).mIsLasting &&
-                       task.mFailures >= job.mRecord.mTerms.mMaxAttempts;
+  const bool isSpent =
+    !StepOf(job, aKey).mIsLasting &&
+    task.mFailedRuns.size() >= job.mRecord.mTerms.mMaxAttempts;
   if (isSpent && !IsFinal(job.mState)) {
-    EndJob(job, JobState::kFailed, aNow, aNowMs);
+    EndJob(job, BatchState::kFailed, aNow, aNowMs);
   }
 }
 
@@ -164,13 +163,13 @@
                      const StepSpec& aStep)
 {
   const auto found = aShard.mRunTimes.find(aJob.mRecord.mTerms.mQueue);
-  const bool isLearned = found != aShard.mRunTimes.end() &&
-                         found->second.mCount >= kLearnedAfter;
+  const bool isLearned =
+    found != aShard.mRunTimes.end() && found->second.mCount >= kLearnedAfter;
   return isLearned ? found->second.mMeanMs
                    : static_cast<double>(aStep.mEstimateMs);
 }
 
-std::int64_t DueAtMs(const JobSpec& aSpec, std::uint32_t aOccurrence)
+std::int64_t DueAtMs(const BatchSpec& aSpec, std::uint32_t aOccurrence)
 {
   if (aSpec.mRepeatCount == 0) {
     return 0;
@@ -180,7 +179,7 @@
 
 void AddJob(DispatchShard& aShard,
             const JobId& aId,
-            JobRecord aRecord,
+            BatchRecord aRecord,
             std::uint64_t aCreatedAt,
             TimePoint aNow,
             std::int64_t aNowMs)
@@ -196,23 +195,23 @@
   for (std::uint32_t i = 0; i < occurrences; ++i) {
     job.mOccurrences.push_back(MakeOccurrence(aShard, job.mRecord.mSpec));
   }
-  const std::int64_t age =
-    std::clamp<std::int64_t>(aNowMs - job.mRecord.mAcceptedAtMs,
-                             0,
-                             aShard.mBounds.mStatus.count());
+  const std::int64_t age = std::clamp<std::int64_t>(
+    aNowMs - job.mRecord.mAcceptedAtMs, 0, aShard.mBounds.mStatus.count());
   job.mAcceptedAt = aNow - Duration(age);
   const QueueTerms& terms = job.mRecord.mTerms;
-  const double objective =
-    terms.mStretch * LongestChainMs(aShard, job) +
-    static_cast<double>(terms.mTargetMs);
+  const double objective = terms.mStretch * LongestChainMs(aShard, job) +
+                           static_cast<double>(terms.mTargetMs);
   job.mObjectiveAt =
     job.mAcceptedAt + Duration(static_cast<std::int64_t>(objective));
   aShard.mJobs.emplace(aId, std::move(job));
+  if (aShard.mCancelledEarly.erase(aId) > 0) {
+    CancelJob(aShard, aId, aNow, aNowMs);
+  }
 }
 
 void ApplyProgress(DispatchShard& aShard,
                    const JobId& aId,
-                   const JobProgress& aProgress)
+                   const BatchProgress& aProgress)
 {
   DispatchJob* job = FindJob(aShard, aId);
   if (job == nullptr) {
@@ -223,9 +222,8 @@
       step.mOccurrence < job->mOccurrences.size() &&
       step.mStep < job->mOccurrences[step.mOccurrence].mSteps.size();
     if (!isKnown) {
-      spdlog::error("job.progress names an unknown step job={} step={}",
-                    aId,
-                    step.mStep);
+      spdlog::error(
+        "job.progress names an unknown step job={} step={}", aId, step.mStep);
       continue;
     }
     const auto count =
@@ -235,7 +233,7 @@
     for (std::uint32_t i = 0; i < count; ++i) {
       if (done[i]) {
         const TaskKey key{ aId, step.mOccurrence, step.mStep, i };
-        FindTask(aShard, key)->mPhase = TaskPhase::kDone;
+        FindTask(aShard, key)->mPhase = RunPhase::kDone;
         CountStepDone(*job, key);
       }
     }
@@ -243,16 +241,16 @@
   for (const auto& row : aProgress.mTasks) {
     TaskSlot* task =
       FindTask(aShard, { aId, row.mOccurrence, row.mStep, row.mIndex });
-    if (task != nullptr && task->mPhase != TaskPhase::kDone) {
+    if (task != nullptr && task->mPhase != RunPhase::kDone) {
       task->mHighestRun = std::max(task->mHighestRun, row.mRun);
       task->mEndedRun = row.mRun;
-      task->mFailures = row.mFailures;
+      task->mFailedRuns = { row.mFailedRuns.begin(), row.mFailedRuns.end() };
       task->mCheckpoint = row.mCheckpoint;
     }
   }
   const bool hasBegun = !aProgress.mSteps.empty() || !aProgress.mTasks.empty();
   job->mState = IsFinal(aProgress.mState) || !hasBegun ? aProgress.mState
-                                                       : JobState::kRunning;
+                                                       : BatchState::kRunning;
   job->mIsFinalStored = IsFinal(job->mState);
 }
 
@@ -262,8 +260,10 @@
                std::int64_t aNowMs)
 {
   DispatchJob* job = FindJob(aShard, aId);
-  if (job != nullptr && !IsFinal(job->mState)) {
-    EndJob(*job, JobState::kCancelled, aNow, aNowMs);
+  if (job == nullptr && !aShard.mEndedJobs.contains(aId)) {
+    aShard.mCancelledEarly.insert(aId);
+  } else if (job != nullptr && !IsFinal(job->mState)) {
+    EndJob(*job, BatchState::kCancelled, aNow, aNowMs);
   }
 }
 
@@ -271,7 +271,7 @@
 {
   TaskSlot* task = FindTask(aShard, aKey);
   if (task != nullptr && !task->mWorker.empty()) {
-    Release(aShard, aKey, TaskPhase::kWaiting);
+    Release(aShard, aKey, RunPhase::kWaiting);
   }
 }
 
@@ -309,22 +309,22 @@
     OnFailedRun(aShard, aWorker, key, aEnd.mRun, aNow, aNowMs);
   }
   task->mEndedRun = std::max(task->mEndedRun, aEnd.mRun);
-  const bool isCurrent = task->mWorker == aWorker.mEntry.mWorker &&
-                         aEnd.mRun == task->mRun;
+  const bool isCurrent =
+    task->mWorker == aWorker.mEntry.mWorker && aEnd.mRun == task->mRun;
   const bool isLatest = aEnd.mRun >= task->mRun;
   task->mHighestRun = std::max(task->mHighestRun, aEnd.mRun);
   if (isLatest && !aEnd.mCheckpoint.empty() &&
-      task->mPhase != TaskPhase::kDone) {
+      task->mPhase != RunPhase::kDone) {
     task->mCheckpoint = aEnd.mCheckpoint;
   }
   if (isCurrent) {
-    Release(aShard, key, TaskPhase::kWaiting);
+    Release(aShard, key, RunPhase::kWaiting);
   }
 }
 
-JobProgress ProgressOf(const DispatchJob& aJob)
+BatchProgress ProgressOf(const DispatchJob& aJob)
 {
-  JobProgress progress;
+  BatchProgress progress;
   progress.mState = aJob.mState;
   progress.mEndedAtMs = aJob.mEndedAtMs;
   if (IsFinal(aJob.mState)) {
@@ -336,12 +336,18 @@
       std::vector<bool> done;
       for (std::uint32_t i = 0; i < steps[s].mTasks.size(); ++i) {
         const TaskSlot& task = steps[s].mTasks[i];
-        done.push_back(task.mPhase == TaskPhase::kDone);
-        const bool isNoted = task.mPhase != TaskPhase::kDone &&
-                             (task.mFailures > 0 || !task.mCheckpoint.empty());
+        done.push_back(task.mPhase == RunPhase::kDone);
+        const bool isNoted =
+          task.mPhase != RunPhase::kDone &&
+          (!task.mFailedRuns.empty() || !task.mCheckpoint.empty());
         if (isNoted) {
           progress.mTasks.push_back(
-            { o, s, i, task.mEndedRun, task.mFailures, task.mCheckpoint });
+            { o,
+              s,
+              i,
+              task.mEndedRun,
+              { task.mFailedRuns.begin(), task.mFailedRuns.end() },
+              task.mCheckpoint });
         }
       }
       auto ranges = RangesOf(done);
@@ -370,7 +376,7 @@
   return static_cast<std::uint64_t>(std::count_if(
     aShard.mJobs.begin(), aShard.mJobs.end(), [&](const auto& aEntry) {
       const DispatchJob& job = aEntry.second;
-      return job.mState == JobState::kQueued &&
+      return job.mState == BatchState::kQueued &&
              job.mRecord.mTerms.mQueue == aQueue;
     }));
 }
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -11,7 +11,7 @@
 /// @param aNowMs time of day, to age the job
 void AddJob(DispatchShard& aShard,
             const JobId& aId,
-            JobRecord aRecord,
+            BatchRecord aRecord,
             std::uint64_t aCreatedAt,
             TimePoint aNow,
             std::int64_t aNowMs);
@@ -19,7 +19,7 @@
 /// Applies what an earlier owner recorded of a job.
 void ApplyProgress(DispatchShard& aShard,
                    const JobId& aId,
-                   const JobProgress& aProgress);
+                   const BatchProgress& aProgress);
 
 /// Cancels a job and stops what runs of it.
 void CancelJob(DispatchShard& aShard,
@@ -38,7 +38,7 @@
 void OnRunLost(DispatchShard& aShard, const TaskKey& aKey);
 
 /// What has to be recorded of a job.
-JobProgress ProgressOf(const DispatchJob& aJob);
+BatchProgress ProgressOf(const DispatchJob& aJob);
 
 /// True once every step that `aStep` waits for is done.
 bool IsStepReady(const DispatchJob& aJob,
@@ -46,7 +46,7 @@
                  std::uint32_t aStep);
 
 /// When occurrence `aOccurrence` is due, in ms since 1970; 0 for at once.
-std::int64_t DueAtMs(const JobSpec& aSpec, std::uint32_t aOccurrence);
+std::int64_t DueAtMs(const BatchSpec& aSpec, std::uint32_t aOccurrence);
 
 /// Jobs of queue `aQueue` of which no task has started.
 std::uint64_t CountWaiting(const DispatchShard& aShard,
--- a/Source/Dispatch/vcDispatchPacing.cxx
+++ b/Source/Dispatch/vcDispatchPacing.cxx
@@ -65,9 +65,10 @@
         { &row, task, AddedShare(aShard, aImage, step, aWorker, aNow) });
     }
   }
-  std::sort(rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.mAdds > aRight.mAdds;
-  });
+  std::sort(
+    rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mAdds > aRight.mAdds;
+    });
   return rows;
 }
 
@@ -92,11 +93,9 @@
                aWorst);
   aFilling.mTask->mPacePercent = aPercent;
   aFilling.mTask->mPacedAt = aNow;
-  aActions.mPaces.push_back({ aWorker,
-                              { aFilling.mRow->mTask,
-                                aFilling.mRow->mRun,
-                                aShard.mEpoch,
-                                aPercent } });
+  aActions.mPaces.push_back(
+    { aWorker,
+      { aFilling.mRow->mTask, aFilling.mRow->mRun, aShard.mEpoch, aPercent } });
 }
 
 /// Rests the tasks that add most, until what they add covers the excess.
@@ -116,13 +115,8 @@
     if (filling.mTask->mPacePercent != 0) {
       excess -= filling.mAdds;
     }
-    OrderPace(aShard,
-              aWorker.mEntry.mWorker,
-              filling,
-              0,
-              aWorst,
-              aNow,
-              aActions);
+    OrderPace(
+      aShard, aWorker.mEntry.mWorker, filling, 0, aWorst, aNow, aActions);
   }
 }
 
@@ -139,16 +133,11 @@
     if (pace == kFullPace) {
       continue;
     }
-    const std::int64_t next =
-      pace == kUnknownPace ? kFullPace
-                           : std::min(kFullPace, pace + kSpeedUpStep);
-    OrderPace(aShard,
-              aWorker.mEntry.mWorker,
-              *at,
-              next,
-              aWorst,
-              aNow,
-              aActions);
+    const std::int64_t next = pace == kUnknownPace
+                                ? kFullPace
+                                : std::min(kFullPace, pace + kSpeedUpStep);
+    OrderPace(
+      aShard, aWorker.mEntry.mWorker, *at, next, aWorst, aNow, aActions);
     aWorker.mCalmSince = aNow;
     return;
   }
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -35,13 +35,12 @@
 
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight)
 {
-  return std::tie(aLeft.mPriority,
-                  aLeft.mIsLate,
-                  aLeft.mObjectiveAt,
-                  aLeft.mFirst) < std::tie(aRight.mPriority,
-                                           aRight.mIsLate,
-                                           aRight.mObjectiveAt,
-                                           aRight.mFirst);
+  return std::tie(
+           aLeft.mPriority, aLeft.mIsLate, aLeft.mObjectiveAt, aLeft.mFirst) <
+         std::tie(aRight.mPriority,
+                  aRight.mIsLate,
+                  aRight.mObjectiveAt,
+                  aRight.mFirst);
 }
 
 /// Steps of a job that wait for a start.
@@ -51,7 +50,7 @@
                   std::int64_t aNowMs,
                   std::vector<Candidate>& aOut)
 {
-  const JobSpec& spec = aJob.mRecord.mSpec;
+  const BatchSpec& spec = aJob.mRecord.mSpec;
   for (std::uint32_t o = 0; o < aJob.mOccurrences.size(); ++o) {
     const std::int64_t dueAt = DueAtMs(spec, o);
     if (dueAt > aNowMs + aShard.mBounds.mEarly.count()) {
@@ -62,7 +61,7 @@
       const auto& tasks = occurrence.mSteps[s].mTasks;
       const bool hasWaiting =
         std::any_of(tasks.begin(), tasks.end(), [](const TaskSlot& aTask) {
-          return aTask.mPhase == TaskPhase::kWaiting;
+          return aTask.mPhase == RunPhase::kWaiting;
         });
       if (!hasWaiting || !IsStepReady(aJob, occurrence, s)) {
         continue;
@@ -98,10 +97,9 @@
 StepNeeds NeedsOf(DispatchShard& aShard, const TaskKey& aKey)
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-  StepNeeds needs{ StepOf(job, aKey),
-                   job.mRecord.mTerms.mService,
-                   StepOf(job, aKey).mNeeds,
-                   {} };
+  StepNeeds needs{
+    StepOf(job, aKey), job.mRecord.mTerms.mService, StepOf(job, aKey).mNeeds, {}
+  };
   if (needs.mStep.mIsFilling) {
     needs.mCounted.mMilliCpu = 0;
   }
@@ -119,8 +117,9 @@
               const DispatchWorker& aWorker,
               TimePoint aNow)
 {
-  return aWorker.mIsListed && aWorker.mIsRecorded && aWorker.mHasAnswered && !aWorker.mIsSilent &&
-         !aWorker.mEntry.mIsDraining && aNow >= aWorker.mAvoidedUntil &&
+  return aWorker.mIsListed && aWorker.mIsRecorded && aWorker.mHasAnswered &&
+         !aWorker.mIsSilent && !aWorker.mEntry.mIsDraining &&
+         aNow >= aWorker.mAvoidedUntil &&
          aNow - aWorker.mLastHeardAt < kFreshReport &&
          !aShard.mEvacuated.contains(aWorker.mEntry.mDataCentre);
 }
@@ -152,9 +151,8 @@
     return std::nullopt;
   }
   const StepSpec& step = aNeeds.mStep;
-  const auto capacity =
-    static_cast<double>(std::max<std::int64_t>(
-      aWorker.mEntry.mCapacity.mMilliCpu, 1));
+  const auto capacity = static_cast<double>(
+    std::max<std::int64_t>(aWorker.mEntry.mCapacity.mMilliCpu, 1));
   const double used = static_cast<double>(after.mMilliCpu) / capacity;
   const double filling = static_cast<double>(aWorker.mFillingCpu) / capacity;
   constexpr double kFarPenalty = 4;
@@ -225,7 +223,7 @@
   TaskSlot& task = *FindTask(aShard, aKey);
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   Assign(aShard, aKey, aWorker.mEntry.mWorker, aRun);
-  task.mPhase = TaskPhase::kStarting;
+  task.mPhase = RunPhase::kStarting;
   task.mOrderedAt = aNow;
   task.mNotAfter = EstimateClock(aWorker, aNow) + kStartWindow.count();
   aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, task.mNotAfter);
@@ -244,7 +242,7 @@
                Describe(order.mTask),
                aRun,
                aWorker.mEntry.mWorker,
-               task.mFailures,
+               task.mFailedRuns.size(),
                (aNow - job.mAcceptedAt).count());
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
 }
@@ -260,7 +258,7 @@
   TaskKey key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
     const TaskSlot& task = *FindTask(aShard, key);
-    if (task.mPhase != TaskPhase::kWaiting) {
+    if (task.mPhase != RunPhase::kWaiting) {
       continue;
     }
     DispatchWorker* worker =
@@ -288,7 +286,7 @@
   std::uint32_t run = 0;
   std::string checkpoint;
   for (const auto& task : tasks) {
-    if (task.mPhase != TaskPhase::kWaiting) {
+    if (task.mPhase != RunPhase::kWaiting) {
       return true;
     }
     if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
@@ -310,7 +308,7 @@
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
     Release(aShard,
             { aFirst.mJob, aFirst.mOccurrence, aFirst.mStep, i },
-            TaskPhase::kWaiting);
+            RunPhase::kWaiting);
   }
   if (chosen.size() < needs.mStep.mCount) {
     return false;
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -77,8 +77,7 @@
       continue;
     }
     const auto got = static_cast<double>(row.mMeasured);
-    mix.mFilling.push_back(
-      { KindOf(step.mImage), got / CapacityOf(aWorker) });
+    mix.mFilling.push_back({ KindOf(step.mImage), got / CapacityOf(aWorker) });
     if (isMeasured && task->mPacePercent == 100) {
       mix.mWanted += static_cast<double>(step.mNeeds.mMilliCpu);
       mix.mGot += got;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -98,12 +98,12 @@
   worker.mTasks.insert(aKey);
   CountNeeds(worker, StepOf(job, aKey), 1);
   ++job.mRunsOut;
-  if (job.mState == JobState::kQueued) {
-    job.mState = JobState::kRunning;
+  if (job.mState == BatchState::kQueued) {
+    job.mState = BatchState::kRunning;
   }
 }
 
-void Release(DispatchShard& aShard, const TaskKey& aKey, TaskPhase aPhase)
+void Release(DispatchShard& aShard, const TaskKey& aKey, RunPhase aPhase)
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   TaskSlot& task = *FindTask(aShard, aKey);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -33,7 +33,7 @@
 /// Pace of a task that an earlier owner may have slowed down.
 constexpr std::int64_t kUnknownPace = -1;
 
-enum class TaskPhase
+enum class RunPhase
 {
   kWaiting,
   /// Ordered to start; not yet known to run.
@@ -45,7 +45,7 @@
 
 struct TaskSlot
 {
-  TaskPhase mPhase = TaskPhase::kWaiting;
+  RunPhase mPhase = RunPhase::kWaiting;
   /// The current run, or the last one.
   std::uint32_t mRun = 0;
   /// No run above this is known, of this owner or an earlier one; the next
@@ -53,7 +53,9 @@
   std::uint32_t mHighestRun = 0;
   /// Highest run whose end is accounted for.
   std::uint32_t mEndedRun = 0;
-  std::uint32_t mFailures = 0;
+  /// Runs that ended as failed. Workers report in any order, so a count
+  /// and the highest run would not tell a new failure from a known one.
+  std::set<std::uint32_t> mFailedRuns;
   std::string mCheckpoint;
   /// Worker of the current run; empty while waiting or done.
   std::string mWorker;
@@ -91,10 +93,10 @@
 struct DispatchJob
 {
   JobId mId;
-  JobRecord mRecord;
+  BatchRecord mRecord;
   /// Revision of the store at which the job was accepted.
   std::uint64_t mCreatedAt = 0;
-  JobState mState = JobState::kQueued;
+  BatchState mState = BatchState::kQueued;
   std::vector<Occurrence> mOccurrences;
   std::uint32_t mOccurrencesDone = 0;
   /// When the job was accepted, on this process's clock.
@@ -116,7 +118,7 @@
 /// What is kept of a job whose end is in the store.
 struct EndedJob
 {
-  JobState mState = JobState::kCompleted;
+  BatchState mState = BatchState::kCompleted;
   std::int64_t mEndedAtMs = 0;
 };
 
@@ -201,6 +203,8 @@
   std::uint32_t mRunBase = 0;
   std::map<JobId, DispatchJob> mJobs;
   std::map<JobId, EndedJob> mEndedJobs;
+  /// Cancellations that were read before their jobs.
+  std::set<JobId> mCancelledEarly;
   std::map<std::string, DispatchWorker> mWorkers;
   std::set<std::string> mEvacuated;
   /// Workers that an earlier owner used and that haven't answered yet.
@@ -256,6 +260,6 @@
             std::uint32_t aRun);
 
 /// Takes the task's run away from its worker and frees the room there.
-void Release(DispatchShard& aShard, const TaskKey& aKey, TaskPhase aPhase);
+void Release(DispatchShard& aShard, const TaskKey& aKey, RunPhase aPhase);
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -48,7 +48,7 @@
   for (const auto& key : tasks) {
     TaskSlot& task = *FindTask(aShard, key);
     if (task.mIsUncertain) {
-      task.mPhase = TaskPhase::kStopping;
+      task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = kNever;
     } else {
       OnRunLost(aShard, key);
@@ -80,8 +80,8 @@
   DispatchJob& job = aShard.mJobs.at(key.mJob);
   const bool isMine = task->mWorker == aWorker.mEntry.mWorker;
   if (isMine && task->mRun == aRow.mRun) {
-    if (task->mPhase == TaskPhase::kStarting) {
-      task->mPhase = TaskPhase::kRunning;
+    if (task->mPhase == RunPhase::kStarting) {
+      task->mPhase = RunPhase::kRunning;
       task->mConfirmedAt = aNow;
     }
     task->mIsUncertain = false;
@@ -91,14 +91,14 @@
     NoteProgress(*task, aRow, aNow);
     return;
   }
-  const bool isAdoptable = task->mPhase == TaskPhase::kWaiting &&
+  const bool isAdoptable = task->mPhase == RunPhase::kWaiting &&
                            !IsFinal(job.mState) && aRow.mRun > task->mEndedRun;
   if (!isAdoptable) {
     WantStopped(aWorker, aRow.mTask, aRow.mRun);
     return;
   }
   Assign(aShard, key, aWorker.mEntry.mWorker, aRow.mRun);
-  task->mPhase = TaskPhase::kRunning;
+  task->mPhase = RunPhase::kRunning;
   task->mOrderedAt = aNow;
   task->mConfirmedAt = aNow;
   task->mPacePercent = kUnknownPace;
@@ -129,10 +129,9 @@
       continue;
     }
     const TaskSlot& task = *FindTask(aShard, key);
-    const bool isTooLate =
-      task.mIsUncertain && aReport.mClock > task.mNotAfter;
+    const bool isTooLate = task.mIsUncertain && aReport.mClock > task.mNotAfter;
     const bool isGone = !task.mIsUncertain &&
-                        task.mPhase != TaskPhase::kStarting &&
+                        task.mPhase != RunPhase::kStarting &&
                         task.mConfirmedAt < aSentAt;
     if (isTooLate || isGone) {
       spdlog::info("task.gone task={} run={} worker={} never_started={}",
@@ -195,9 +194,8 @@
                      const TaskSlot& aTask,
                      TimePoint aNow)
 {
-  const bool isAtWork = aTask.mPhase == TaskPhase::kRunning &&
-                        aTask.mPacePercent > 0 &&
-                        aTask.mProgressAt != kNever;
+  const bool isAtWork = aTask.mPhase == RunPhase::kRunning &&
+                        aTask.mPacePercent > 0 && aTask.mProgressAt != kNever;
   const TimePoint since = std::max(aTask.mProgressAt, aTask.mPacedAt);
   return !aStep.mIsLasting && isAtWork && aNow - since > kStandstill;
 }
@@ -220,7 +218,7 @@
               const TaskSlot& aTask,
               TimePoint aNow)
 {
-  if (aTask.mPhase == TaskPhase::kStopping || IsFinal(aJob.mState)) {
+  if (aTask.mPhase == RunPhase::kStopping || IsFinal(aJob.mState)) {
     return true;
   }
   const StepSpec& step = StepOf(aJob, aKey);
@@ -339,8 +337,7 @@
   DispatchWorker* worker = FindWorker(aShard, aWorker);
   TaskSlot* task = FindTask(aShard, key);
   const bool isCurrent = worker != nullptr && task != nullptr &&
-                         task->mWorker == aWorker &&
-                         task->mRun == aOrder.mRun;
+                         task->mWorker == aWorker && task->mRun == aOrder.mRun;
   if (aReply.mOutcome == OrderOutcome::kStaleEpoch) {
     aShard.mIsDeposed = true;
   }
@@ -348,8 +345,8 @@
     return;
   }
   if (aReply.mOutcome == OrderOutcome::kDone) {
-    if (task->mPhase == TaskPhase::kStarting) {
-      task->mPhase = TaskPhase::kRunning;
+    if (task->mPhase == RunPhase::kStarting) {
+      task->mPhase = RunPhase::kRunning;
       task->mConfirmedAt = aNow;
     }
     return;
@@ -360,15 +357,15 @@
                aWorker,
                NameOf(aReply.mOutcome));
   if (aReply.mOutcome == OrderOutcome::kUnknown) {
-    task->mIsUncertain = task->mPhase == TaskPhase::kStarting;
+    task->mIsUncertain = task->mPhase == RunPhase::kStarting;
     worker->mAvoidedUntil = aNow + kRefusalRest;
     return;
   }
-  if (task->mPhase != TaskPhase::kStarting) {
+  if (task->mPhase != RunPhase::kStarting) {
     return;
   }
   worker->mAvoidedUntil = aNow + kRefusalRest;
-  Release(aShard, key, TaskPhase::kWaiting);
+  Release(aShard, key, RunPhase::kWaiting);
 }
 
 void OnStopReply(DispatchShard& aShard,
@@ -386,8 +383,8 @@
   if (worker == nullptr || aReply.mOutcome != OrderOutcome::kDone) {
     return;
   }
-  const bool isCurrent = task != nullptr && task->mWorker == aWorker &&
-                         task->mRun == aOrder.mRun;
+  const bool isCurrent =
+    task != nullptr && task->mWorker == aWorker && task->mRun == aOrder.mRun;
   if (!isCurrent) {
     return;
   }
@@ -423,15 +420,13 @@
     // answered, listed or not.
     const bool isOwed = !IsBarrierClear(aShard, aNow) &&
                         aShard.mUnansweredWorkers.contains(at->first);
-    const bool isGone = !worker.mIsListed && worker.mTasks.empty() &&
-                        !isOwed && (isOver || !worker.mHasAnswered);
+    const bool isGone = !worker.mIsListed && worker.mTasks.empty() && !isOwed &&
+                        (isOver || !worker.mHasAnswered);
     at = isGone ? aShard.mWorkers.erase(at) : std::next(at);
   }
 }
 
-void PlanStops(DispatchShard& aShard,
-               TimePoint aNow,
-               DispatchActions& aActions)
+void PlanStops(DispatchShard& aShard, TimePoint aNow, DispatchActions& aActions)
 {
   for (auto& [name, worker] : aShard.mWorkers) {
     if (worker.mIsSilent) {
@@ -451,7 +446,7 @@
           !MustStop(aShard, job, worker, key, task, aNow)) {
         continue;
       }
-      if (task.mPhase == TaskPhase::kRunning) {
+      if (task.mPhase == RunPhase::kRunning) {
         task.mAvoidedWorker = name;
         spdlog::info("task.stop task={} run={} worker={} job_state={} "
                      "draining={} ran_ms={}",
@@ -462,7 +457,7 @@
                      worker.mEntry.mIsDraining,
                      (aNow - task.mOrderedAt).count());
       }
-      task.mPhase = TaskPhase::kStopping;
+      task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = aNow;
       aActions.mStops.push_back(
         { name, { IdOf(key), task.mRun, aShard.mEpoch } });
--- a/Source/Foundation/vcEventLog.cxx
+++ b/Source/Foundation/vcEventLog.cxx
@@ -21,9 +21,9 @@
   constexpr std::size_t kMostDigits = 15;
   const bool isNegative = aText.starts_with('-');
   const auto digits = aText.substr(isNegative ? 1 : 0);
-  const bool isPlain = !digits.empty() && digits.size() <= kMostDigits &&
-                       digits.find_first_not_of("0123456789") ==
-                         std::string_view::npos;
+  const bool isPlain =
+    !digits.empty() && digits.size() <= kMostDigits &&
+    digits.find_first_not_of("0123456789") == std::string_view::npos;
   return isPlain && (digits.size() == 1 || digits[0] != '0');
 }
 
@@ -37,8 +37,8 @@
   if (IsNumber(aValue)) {
     aOut += aValue;
   } else {
-    aOut += boost::json::serialize(
-      boost::json::string(aValue.data(), aValue.size()));
+    aOut +=
+      boost::json::serialize(boost::json::string(aValue.data(), aValue.size()));
   }
 }
 
@@ -52,8 +52,7 @@
   while (!aPayload.empty()) {
     const auto end = aPayload.find(' ');
     const auto word = aPayload.substr(0, end);
-    aPayload =
-      end == std::string_view::npos ? "" : aPayload.substr(end + 1);
+    aPayload = end == std::string_view::npos ? "" : aPayload.substr(end + 1);
     const auto equals = word.find('=');
     if (equals == std::string_view::npos || equals == 0) {
       rest += (rest.empty() ? "" : " ") + std::string(word);
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -47,7 +47,7 @@
   LINK vcShell vcRouting vcRequests vcBurn)
 verbenacroft_library(Operators SOURCES vcOperators.cxx LINK vcConfig)
 verbenacroft_library(Batch
-  SOURCES vcFleetConfig.cxx vcJobProgress.cxx vcJobSpec.cxx
+  SOURCES vcFleetConfig.cxx vcBatchProgress.cxx vcBatchSpec.cxx
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchPacing.cxx vcDispatchPlacement.cxx
--- a/Source/Node/vcJobDesk.cxx
+++ b/Source/Node/vcJobDesk.cxx
@@ -46,17 +46,17 @@
   }
   const JobId id = aRequest.mRest;
   const std::uint32_t shard = ShardOf(id, aNode.mShards);
-  JobRecord record{ aRequest.mTerms, WallClockMs(), std::move(*spec) };
+  BatchRecord record{ aRequest.mTerms, WallClockMs(), std::move(*spec) };
   KvTransaction write;
-  write.mConditions.push_back({ JobKey(shard, id), 0 });
+  write.mConditions.push_back({ InboxJobKey(shard, id), 0 });
   write.mConditions.push_back({ ProgressKey(shard, id), 0 });
-  write.mPuts.push_back({ JobKey(shard, id), Encode(record), 0 });
+  write.mPuts.push_back({ InboxJobKey(shard, id), Encode(record), 0 });
   bool isUnknown = false;
   for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
     const KvReply reply = co_await CommitAnyhow(aNode, write);
     // A conflict means that the job is there already: it stays one job.
-    const bool isStored = reply.mStatus == KvStatus::kOk ||
-                          reply.mStatus == KvStatus::kConflict;
+    const bool isStored =
+      reply.mStatus == KvStatus::kOk || reply.mStatus == KvStatus::kConflict;
     if (isStored) {
       co_return JsonResponse("{}");
     }
@@ -75,7 +75,7 @@
   /// False if the store could not be asked.
   bool mIsRead = false;
   bool mIsKnown = false;
-  JobState mState = JobState::kQueued;
+  BatchState mState = BatchState::kQueued;
   /// Revision of the job's record; 0 once the job has ended.
   std::uint64_t mRevision = 0;
 };
@@ -84,9 +84,9 @@
 {
   const std::uint32_t shard = ShardOf(aJob, aNode.mShards);
   StoredJob job;
-  const KvReply record = co_await ReadAnyhow(aNode, JobKey(shard, aJob));
-  const bool isRead = record.mStatus == KvStatus::kOk ||
-                      record.mStatus == KvStatus::kNotFound;
+  const KvReply record = co_await ReadAnyhow(aNode, InboxJobKey(shard, aJob));
+  const bool isRead =
+    record.mStatus == KvStatus::kOk || record.mStatus == KvStatus::kNotFound;
   if (!isRead) {
     co_return job;
   }
@@ -100,9 +100,9 @@
   job.mIsRead = progress.mStatus == KvStatus::kOk ||
                 progress.mStatus == KvStatus::kNotFound;
   if (!progress.mItems.empty()) {
-    const auto known = TryDecode<JobProgress>(progress.mItems[0].mValue);
+    const auto known = TryDecode<BatchProgress>(progress.mItems[0].mValue);
     job.mIsKnown = true;
-    job.mState = known ? known->mState : JobState::kRunning;
+    job.mState = known ? known->mState : BatchState::kRunning;
   }
   co_return job;
 }
@@ -140,7 +140,7 @@
       co_return JsonResponse("{}");
     }
     KvTransaction write;
-    write.mConditions.push_back({ JobKey(shard, aJob), stored.mRevision });
+    write.mConditions.push_back({ InboxJobKey(shard, aJob), stored.mRevision });
     write.mPuts.push_back({ CancelKey(shard, aJob), "{}", 0 });
     const KvReply reply = co_await CommitAnyhow(aNode, std::move(write));
     if (reply.mStatus == KvStatus::kOk) {
@@ -228,10 +228,8 @@
     response = NotAccepted("no configuration yet");
   } else {
     version = aNode.mOperators->mConfig.mVersion;
-    const QueueConfig* queue =
-      FindQueue(aNode.mOperators->mConfig,
-                FindHeader(aRequest.mHeaders, "Host"),
-                path);
+    const QueueConfig* queue = FindQueue(
+      aNode.mOperators->mConfig, FindHeader(aRequest.mHeaders, "Host"), path);
     if (queue == nullptr) {
       response = ErrorResponse(404, "no such queue");
     } else {
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -47,8 +47,8 @@
     return;
   }
   const auto known = aNode.mOwners.find(*shard);
-  const bool isOld = known != aNode.mOwners.end() &&
-                     known->second.mEpoch > aItem.mRevision;
+  const bool isOld =
+    known != aNode.mOwners.end() && known->second.mEpoch > aItem.mRevision;
   if (isOld) {
     return;
   }
@@ -57,7 +57,7 @@
     aNode.mOwners.erase(*shard);
     return;
   }
-  const auto record = TryDecode<OwnerRecord>(aItem.mValue);
+  const auto record = TryDecode<ShardOwnerRecord>(aItem.mValue);
   if (!record) {
     spdlog::error("owner.unreadable key={}", aItem.mKey);
     return;
@@ -100,9 +100,8 @@
 
 void OnLeaseLost(NodeContext& aNode)
 {
-  spdlog::warn("lease.lost lease={} shards={}",
-               aNode.mLease,
-               aNode.mRunners.size());
+  spdlog::warn(
+    "lease.lost lease={} shards={}", aNode.mLease, aNode.mRunners.size());
   aNode.mLease = 0;
   aNode.mLeaseValidUntil = kNever;
   aNode.mIsLeaseInDoubt = true;
@@ -166,8 +165,7 @@
 
 asio::awaitable<void> DecideLayout(NodeContext& aNode)
 {
-  const KvReply listed =
-    co_await ReadAll(aNode, aNode.mCodec.mDiscoveryPrefix);
+  const KvReply listed = co_await ReadAll(aNode, aNode.mCodec.mDiscoveryPrefix);
   if (listed.mStatus != KvStatus::kOk || listed.mItems.empty()) {
     co_return;
   }
@@ -203,7 +201,8 @@
     crew = TryDecode<CrewRecord>(crewRead.mItems[0].mValue).value_or(crew);
   }
   ++crew.mGeneration;
-  OwnerRecord owner{ aNode.mSettings.mName, PeerAddressOf(aNode.mSettings) };
+  ShardOwnerRecord owner{ aNode.mSettings.mName,
+                          PeerAddressOf(aNode.mSettings) };
   KvTransaction write;
   write.mConditions.push_back({ OwnerKey(aShard), 0 });
   write.mConditions.push_back({ CrewKey(aShard), crewRevision });
@@ -396,9 +395,9 @@
         ownerlessSince.erase(shard);
         continue;
       }
-      const TimePoint since = ownerlessSince.try_emplace(shard, now).first->second;
-      const auto rank =
-        ClaimRank(aNode.mNodes, aNode.mSettings.mName, shard);
+      const TimePoint since =
+        ownerlessSince.try_emplace(shard, now).first->second;
+      const auto rank = ClaimRank(aNode.mNodes, aNode.mSettings.mName, shard);
       const auto owned = static_cast<std::int64_t>(aNode.mRunners.size());
       if (now - since >= kRankDelay * rank + kBusyDelay * owned) {
         co_await Claim(aNode, shard);
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -73,7 +73,7 @@
   return fmt::format("vc/in/{:04}/", aShard);
 }
 
-std::string JobKey(std::uint32_t aShard, const JobId& aJob)
+std::string InboxJobKey(std::uint32_t aShard, const JobId& aJob)
 {
   return InboxPrefix(aShard) + aJob + ".job";
 }
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -25,12 +25,12 @@
 BOOST_DESCRIBE_STRUCT(NodeRecord, (), (mPeerAddress, mDataCentre))
 
 /// Record of a shard's owner under the owner's lease.
-struct OwnerRecord
+struct ShardOwnerRecord
 {
   std::string mNode;
   std::string mPeerAddress;
 };
-BOOST_DESCRIBE_STRUCT(OwnerRecord, (), (mNode, mPeerAddress))
+BOOST_DESCRIBE_STRUCT(ShardOwnerRecord, (), (mNode, mPeerAddress))
 
 /// How the deployment is divided; written once.
 struct LayoutRecord
@@ -42,7 +42,7 @@
 /// A shard's owner as the store shows it.
 struct ShardOwner
 {
-  OwnerRecord mRecord;
+  ShardOwnerRecord mRecord;
   std::uint64_t mEpoch = 0;
   std::uint64_t mLease = 0;
 };
@@ -56,11 +56,12 @@
   std::string mDiscoveryPrefix;
   std::function<std::optional<FleetConfig>(std::string_view, Faults&)>
     mDecodeConfig;
-  std::function<std::optional<
-    WorkerEntry>(std::string_view aKey, std::string_view aText, Faults&)>
+  std::function<std::optional<WorkerEntry>(std::string_view aKey,
+                                           std::string_view aText,
+                                           Faults&)>
     mDecodeWorker;
-  std::function<std::optional<JobSpec>(std::string_view, Faults&)> mDecodeJob;
-  std::function<std::string(JobState)> mEncodeState;
+  std::function<std::optional<BatchSpec>(std::string_view, Faults&)> mDecodeJob;
+  std::function<std::string(BatchState)> mEncodeState;
   std::function<std::string(std::uint64_t)> mEncodeWaiting;
 };
 
@@ -139,7 +140,7 @@
 std::string CrewKey(std::uint32_t aShard);
 /// Jobs and cancellations, written by any node.
 std::string InboxPrefix(std::uint32_t aShard);
-std::string JobKey(std::uint32_t aShard, const JobId& aJob);
+std::string InboxJobKey(std::uint32_t aShard, const JobId& aJob);
 std::string CancelKey(std::uint32_t aShard, const JobId& aJob);
 /// Progress, written by the owner.
 std::string ProgressPrefix(std::uint32_t aShard);
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -46,7 +46,8 @@
                            : ErrorResponse(503, "not ready");
 }
 
-void CollectShard(MetricsPage& aPage, std::uint32_t aShard,
+void CollectShard(MetricsPage& aPage,
+                  std::uint32_t aShard,
                   const DispatchShard& aState)
 {
   const MetricLabels labels{ { "shard", std::to_string(aShard) } };
@@ -178,8 +179,8 @@
     Listen(io, aSettings.mReadyAddress, {}, [&](const HttpRequest&) {
       return AnswerReadiness(node);
     });
-  const auto peers = Listen(
-    io, PeerAddressOf(aSettings), {}, [&](const HttpRequest& aRequest) {
+  const auto peers =
+    Listen(io, PeerAddressOf(aSettings), {}, [&](const HttpRequest& aRequest) {
       return AnswerPeer(node, aRequest);
     });
   const std::string metricsAddress =
--- a/Source/Node/vcOperatorFeed.cxx
+++ b/Source/Node/vcOperatorFeed.cxx
@@ -20,9 +20,8 @@
   auto config = aNode.mCodec.mDecodeConfig(aItem.mValue, faults);
   if (!config) {
     for (const auto& fault : faults) {
-      spdlog::error("config.unreadable revision={} fault={}",
-                    aItem.mRevision,
-                    fault.mPath);
+      spdlog::error(
+        "config.unreadable revision={} fault={}", aItem.mRevision, fault.mPath);
     }
     return;
   }
@@ -50,9 +49,8 @@
   const std::string dataCentre =
     aItem.mKey.substr(aNode.mCodec.mEvacuationPrefix.size());
   const bool isChanged =
-    aItem.mIsRemoved
-      ? aNode.mOperators->mEvacuated.erase(dataCentre) > 0
-      : aNode.mOperators->mEvacuated.insert(dataCentre).second;
+    aItem.mIsRemoved ? aNode.mOperators->mEvacuated.erase(dataCentre) > 0
+                     : aNode.mOperators->mEvacuated.insert(dataCentre).second;
   if (isChanged) {
     spdlog::info("evacuation data_centre={} is_on={} revision={}",
                  dataCentre,
@@ -75,8 +73,7 @@
 asio::awaitable<void> FollowOperators(NodeContext& aNode)
 {
   while (true) {
-    const KvReply all =
-      co_await ReadAll(aNode, aNode.mCodec.mOperatorsPrefix);
+    const KvReply all = co_await ReadAll(aNode, aNode.mCodec.mOperatorsPrefix);
     if (all.mStatus != KvStatus::kOk) {
       co_await Sleep(kRetry);
       continue;
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -24,8 +24,7 @@
 {
   const auto found = aNode.mRunners.find(aShard);
   const bool isReady = found != aNode.mRunners.end() &&
-                       found->second->IsLoaded() &&
-                       !found->second->IsStopped();
+                       found->second->IsLoaded() && !found->second->IsStopped();
   return isReady ? found->second : nullptr;
 }
 
@@ -41,7 +40,7 @@
   answer.mIsOwner = true;
   const auto state = runner->StateOf(aJob);
   answer.mIsKnown = state.has_value();
-  answer.mState = state.value_or(JobState::kQueued);
+  answer.mState = state.value_or(BatchState::kQueued);
   return answer;
 }
 
@@ -70,9 +69,8 @@
                                         std::uint32_t aShard)
 {
   const auto owner = aNode.mOwners.find(aShard);
-  const bool isOther =
-    owner != aNode.mOwners.end() &&
-    owner->second.mRecord.mNode != aNode.mSettings.mName;
+  const bool isOther = owner != aNode.mOwners.end() &&
+                       owner->second.mRecord.mNode != aNode.mSettings.mName;
   if (!isOther) {
     return std::nullopt;
   }
@@ -126,9 +124,8 @@
     if (result.mError && !result.mWasSent) {
       continue;
     }
-    const auto reply = result.mError
-                         ? std::nullopt
-                         : TryDecode<KvReply>(result.mResponse.mBody);
+    const auto reply =
+      result.mError ? std::nullopt : TryDecode<KvReply>(result.mResponse.mBody);
     if (!reply) {
       last.mStatus = KvStatus::kUnknown;
       co_return last;
@@ -153,8 +150,8 @@
       Encode(LocalJob(aNode, ShardOf(job, aNode.mShards), job)));
   }
   if (path.starts_with(kWaitingPath)) {
-    const auto shard = std::strtoul(
-      path.c_str() + kWaitingPath.size(), nullptr, 10);
+    const auto shard =
+      std::strtoul(path.c_str() + kWaitingPath.size(), nullptr, 10);
     co_return JsonResponse(
       Encode(LocalWaiting(aNode, static_cast<std::uint32_t>(shard))));
   }
@@ -164,8 +161,7 @@
     if (!faults.empty()) {
       co_return ErrorResponse(400, Describe(faults[0]));
     }
-    const KvReply reply =
-      co_await aNode.mStore.mCommit(std::move(transaction));
+    const KvReply reply = co_await aNode.mStore.mCommit(std::move(transaction));
     NoteStoreReply(aNode, reply);
     co_return JsonResponse(Encode(reply));
   }
@@ -231,8 +227,8 @@
     reply = co_await aNode.mStore.mRead(aKey);
     NoteStoreReply(aNode, reply);
   }
-  const bool isAnswer = reply.mStatus != KvStatus::kRefused &&
-                        reply.mStatus != KvStatus::kUnknown;
+  const bool isAnswer =
+    reply.mStatus != KvStatus::kRefused && reply.mStatus != KvStatus::kUnknown;
   if (!isAnswer) {
     reply = co_await Relay(aNode, kReadPath, std::move(aKey));
   }
--- a/Source/Node/vcPeers.h
+++ b/Source/Node/vcPeers.h
@@ -12,7 +12,7 @@
 {
   bool mIsOwner = false;
   bool mIsKnown = false;
-  JobState mState = JobState::kQueued;
+  BatchState mState = BatchState::kQueued;
 };
 BOOST_DESCRIBE_STRUCT(PeerJobAnswer, (), (mIsOwner, mIsKnown, mState))
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -129,28 +129,28 @@
     mixedWorkers += worker.mServingImages.size() > 1 ? 1 : 0;
     silent += worker.mIsSilent ? 1 : 0;
     room += std::max<std::int64_t>(FillingRoom(worker), 0);
-    servingUse += worker.mServingUse *
-                  static_cast<double>(worker.mServingCpu);
+    servingUse += worker.mServingUse * static_cast<double>(worker.mServingCpu);
     noFilling += worker.mNoFillingUntil > SuspendAwareNow() ? 1 : 0;
   }
-  spdlog::info("shard.load shard={} workers={} silent={} capacity_mcpu={} "
-               "used_mcpu={} filling_mcpu={} filling_room_mcpu={} "
-               "serving_use_mcpu={:.0f} runs={} serving={} "
-               "serving_workers={} mixed_workers={} no_filling_workers={} jobs={}",
-               aNumber,
-               aShard.mWorkers.size(),
-               silent,
-               capacity,
-               used,
-               filling,
-               room,
-               servingUse,
-               runs,
-               serving,
-               servingWorkers,
-               mixedWorkers,
-               noFilling,
-               aShard.mJobs.size());
+  spdlog::info(
+    "shard.load shard={} workers={} silent={} capacity_mcpu={} "
+    "used_mcpu={} filling_mcpu={} filling_room_mcpu={} "
+    "serving_use_mcpu={:.0f} runs={} serving={} "
+    "serving_workers={} mixed_workers={} no_filling_workers={} jobs={}",
+    aNumber,
+    aShard.mWorkers.size(),
+    silent,
+    capacity,
+    used,
+    filling,
+    room,
+    servingUse,
+    runs,
+    serving,
+    servingWorkers,
+    mixedWorkers,
+    noFilling,
+    aShard.mJobs.size());
 }
 
 } // namespace
@@ -195,8 +195,7 @@
 asio::awaitable<void> ShardRunner::Run()
 {
   const TimePoint startedAt = SuspendAwareNow();
-  spdlog::info(
-    "shard.take shard={} epoch={}", this->mNumber, this->Epoch());
+  spdlog::info("shard.take shard={} epoch={}", this->mNumber, this->Epoch());
   bool isLoaded = false;
   while (!isLoaded && !this->mIsStopped) {
     isLoaded = co_await this->Load();
@@ -227,7 +226,8 @@
 
 asio::awaitable<bool> ShardRunner::LoadCrew()
 {
-  const KvReply read = co_await this->mNode.mStore.mRead(CrewKey(this->mNumber));
+  const KvReply read =
+    co_await this->mNode.mStore.mRead(CrewKey(this->mNumber));
   NoteStoreReply(this->mNode, read);
   if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
     co_return false;
@@ -265,6 +265,7 @@
 {
   this->mShard.mJobs.clear();
   this->mShard.mEndedJobs.clear();
+  this->mShard.mCancelledEarly.clear();
   this->mShard.mWorkers.clear();
   this->mShard.mUnansweredWorkers.clear();
   const bool hasCrew = co_await this->LoadCrew();
@@ -317,13 +318,13 @@
     this->mRecordTimer.cancel();
     return;
   }
-  auto record = TryDecode<JobRecord>(aItem.mValue);
+  auto record = TryDecode<BatchRecord>(aItem.mValue);
   if (!record) {
     spdlog::error("job.unreadable job={} revision={}", id, aItem.mRevision);
     return;
   }
-  const bool isNew = !this->mShard.mJobs.contains(id) &&
-                     !this->mShard.mEndedJobs.contains(id);
+  const bool isNew =
+    !this->mShard.mJobs.contains(id) && !this->mShard.mEndedJobs.contains(id);
   if (!isNew) {
     return;
   }
@@ -340,7 +341,7 @@
 void ShardRunner::ApplyStoredProgress(const KvItem& aItem)
 {
   const JobId id = JobInKey(aItem.mKey, ProgressPrefix(this->mNumber));
-  const auto progress = TryDecode<JobProgress>(aItem.mValue);
+  const auto progress = TryDecode<BatchProgress>(aItem.mValue);
   if (!progress) {
     spdlog::error("job.progress-unreadable job={}", id);
     return;
@@ -402,8 +403,8 @@
           continue;
         }
         Faults faults;
-        auto entry = this->mNode.mCodec.mDecodeWorker(
-          item.mKey, item.mValue, faults);
+        auto entry =
+          this->mNode.mCodec.mDecodeWorker(item.mKey, item.mValue, faults);
         if (entry) {
           entries.push_back(std::move(*entry));
         } else {
@@ -452,13 +453,8 @@
     }
     const TimePoint now = SuspendAwareNow();
     DispatchActions actions;
-    OnReport(this->mShard,
-             aWorker,
-             report,
-             sentAt,
-             now,
-             WallClockMs(),
-             actions);
+    OnReport(
+      this->mShard, aWorker, report, sentAt, now, WallClockMs(), actions);
     const bool isGood = report.mOutcome == OrderOutcome::kDone;
     if (isGood) {
       LogReport(this->mShard, aWorker, report);
@@ -685,7 +681,7 @@
     write.mConditions.push_back({ key, job.mProgressRevision });
     write.mPuts.push_back({ key, Encode(ProgressOf(job)), 0 });
     if (IsFinal(job.mState)) {
-      write.mDeletes.push_back(JobKey(this->mNumber, id));
+      write.mDeletes.push_back(InboxJobKey(this->mNumber, id));
       write.mDeletes.push_back(CancelKey(this->mNumber, id));
     }
   }
@@ -767,8 +763,8 @@
   bool isChanged = recorded.size() != this->mShard.mWorkers.size();
   for (const auto& [name, worker] : this->mShard.mWorkers) {
     crew.mWorkers.push_back({ name, worker.mEntry.mAddress });
-    isChanged = isChanged ||
-                !recorded.contains(name + " " + worker.mEntry.mAddress);
+    isChanged =
+      isChanged || !recorded.contains(name + " " + worker.mEntry.mAddress);
   }
   if (!isChanged) {
     this->MarkRecorded();
@@ -814,7 +810,8 @@
   for (auto at = this->mShard.mJobs.begin(); at != this->mShard.mJobs.end();) {
     const DispatchJob& job = at->second;
     const bool isOver = job.mIsFinalStored && !job.mIsDirty &&
-                        job.mRunsOut == 0 && now - job.mEndedAt > kForgetInterval;
+                        job.mRunsOut == 0 &&
+                        now - job.mEndedAt > kForgetInterval;
     at = isOver ? this->mShard.mJobs.erase(at) : std::next(at);
   }
   KvTransaction write;
@@ -822,8 +819,8 @@
   std::vector<JobId> forgotten;
   const std::int64_t keptMs = 2 * this->mShard.mBounds.mStatus.count();
   for (const auto& [id, ended] : this->mShard.mEndedJobs) {
-    const bool isOld = nowMs - ended.mEndedAtMs > keptMs &&
-                       !this->mShard.mJobs.contains(id);
+    const bool isOld =
+      nowMs - ended.mEndedAtMs > keptMs && !this->mShard.mJobs.contains(id);
     if (isOld && forgotten.size() < kMostFinalsForgotten) {
       forgotten.push_back(id);
       write.mDeletes.push_back(ProgressKey(this->mNumber, id));
@@ -842,13 +839,13 @@
   }
 }
 
-std::optional<JobState> ShardRunner::StateOf(const JobId& aJob) const
+std::optional<BatchState> ShardRunner::StateOf(const JobId& aJob) const
 {
   const auto found = this->mShard.mJobs.find(aJob);
   if (found != this->mShard.mJobs.end()) {
     const DispatchJob& job = found->second;
     const bool isShown = !IsFinal(job.mState) || job.mIsFinalStored;
-    return isShown ? job.mState : JobState::kRunning;
+    return isShown ? job.mState : BatchState::kRunning;
   }
   const auto ended = this->mShard.mEndedJobs.find(aJob);
   if (ended != this->mShard.mEndedJobs.end()) {
@@ -861,7 +858,7 @@
 {
   std::map<std::string, std::uint64_t> waiting;
   for (const auto& [id, job] : this->mShard.mJobs) {
-    if (job.mState == JobState::kQueued) {
+    if (job.mState == BatchState::kQueued) {
       ++waiting[job.mRecord.mTerms.mQueue];
     }
   }
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -46,7 +46,7 @@
   const DispatchShard& State() const { return this->mShard; }
 
   /// State of a job as it may be shown, or nothing if it isn't known here.
-  std::optional<JobState> StateOf(const JobId& aJob) const;
+  std::optional<BatchState> StateOf(const JobId& aJob) const;
 
   /// Jobs without a started task, by queue.
   std::map<std::string, std::uint64_t> Waiting() const;
--- a/Source/Programs/vcNodeMain.cxx
+++ b/Source/Programs/vcNodeMain.cxx
@@ -24,8 +24,8 @@
   aNode.mCodec.mDiscoveryPrefix = kDiscoveryPrefix;
   aNode.mCodec.mDecodeConfig = DecodeFleetConfig;
   aNode.mCodec.mDecodeWorker = DecodeWorkerEntry;
-  aNode.mCodec.mDecodeJob = DecodeJobSpec;
-  aNode.mCodec.mEncodeState = EncodeJobState;
+  aNode.mCodec.mDecodeJob = DecodeBatchSpec;
+  aNode.mCodec.mEncodeState = EncodeBatchState;
   aNode.mCodec.mEncodeWaiting = EncodeWaiting;
 }
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -21,9 +21,10 @@
 add_executable(vcUnitTests
   Tests/Unit/vcTestMain.cxx Tests/Unit/vcCodecTest.cxx
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
-  Tests/Unit/vcDecisionTest.cxx)
+  Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
+  Tests/Unit/vcSitePlatformTest.cxx)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
-  vcBurn)
+  vcBurn vcDispatch vcSitePlatform)
 add_test(NAME unit COMMAND vcUnitTests)
 
 # Scenarios: each with some seeds, the random faults with 2,000.
--- /dev/null
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -0,0 +1,432 @@
+/// The decisions of a shard's owner: takeover, ends of runs, failures,
+/// cancellation, lapsed leases, placement and pacing.
+
+#include "vcDispatch.h"
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr const char* kJob = "00000000000000a1";
+constexpr std::int64_t kBorn = 5'000;
+constexpr std::int64_t kClock = 100'000;
+
+WorkerEntry MakeEntry(const std::string& aName)
+{
+  WorkerEntry entry;
+  entry.mWorker = aName;
+  entry.mService = "pool";
+  entry.mAddress = "127.0.0.1:9000";
+  entry.mDataCentre = "north";
+  entry.mCapacity.mMilliCpu = 10'000;
+  entry.mCapacity.mMemoryMb = 10'000;
+  return entry;
+}
+
+BatchRecord MakeRecord(std::uint32_t aTasks)
+{
+  BatchRecord record;
+  record.mTerms.mQueue = "queue";
+  record.mTerms.mService = "pool";
+  record.mTerms.mMaxAttempts = 2;
+  StepSpec step;
+  step.mCount = aTasks;
+  step.mNeeds.mMilliCpu = 1'000;
+  step.mNeeds.mMemoryMb = 100;
+  step.mEstimateMs = 1'000;
+  record.mSpec.mSteps.push_back(step);
+  return record;
+}
+
+/// A shard of some workers that have answered, as of time 0.
+struct Fixture
+{
+  explicit Fixture(std::vector<std::string> aWorkers)
+    : mNames(std::move(aWorkers))
+  {
+    this->mShard.mEpoch = 10;
+    std::vector<WorkerEntry> entries;
+    for (const auto& name : this->mNames) {
+      entries.push_back(MakeEntry(name));
+    }
+    OnDiscovery(this->mShard, entries, this->mNow);
+    for (auto& [name, worker] : this->mShard.mWorkers) {
+      worker.mIsRecorded = true;
+    }
+    this->Answer();
+  }
+
+  /// Every worker reports that nothing runs.
+  void Answer()
+  {
+    for (const auto& name : this->mNames) {
+      this->Report(name, {}, {});
+    }
+  }
+
+  void Report(const std::string& aWorker,
+              std::vector<RunningTask> aRunning,
+              std::vector<EndedRun> aEnded,
+              std::int64_t aBorn = kBorn)
+  {
+    WorkerReport report;
+    report.mOutcome = OrderOutcome::kDone;
+    report.mClock = kClock + this->mNow.count();
+    report.mBorn = aBorn;
+    report.mRunning = std::move(aRunning);
+    report.mEnded = std::move(aEnded);
+    DispatchActions actions;
+    OnReport(this->mShard,
+             aWorker,
+             report,
+             this->mNow,
+             this->mNow,
+             this->mNow.count(),
+             actions);
+  }
+
+  void Silence(const std::string& aWorker)
+  {
+    DispatchActions actions;
+    OnReport(this->mShard,
+             aWorker,
+             WorkerReport{},
+             this->mNow,
+             this->mNow,
+             this->mNow.count(),
+             actions);
+  }
+
+  void Add(std::uint32_t aTasks, std::uint64_t aCreatedAt = 20)
+  {
+    AddJob(this->mShard,
+           kJob,
+           MakeRecord(aTasks),
+           aCreatedAt,
+           this->mNow,
+           this->mNow.count());
+  }
+
+  DispatchActions Plan()
+  {
+    DispatchActions actions;
+    PlanStops(this->mShard, this->mNow, actions);
+    PlanStarts(this->mShard, this->mNow, this->mNow.count(), actions);
+    return actions;
+  }
+
+  TaskSlot& Task(std::uint32_t aIndex = 0)
+  {
+    return *FindTask(this->mShard, { kJob, 0, 0, aIndex });
+  }
+
+  DispatchJob& Job() { return this->mShard.mJobs.at(kJob); }
+
+  std::vector<std::string> mNames;
+  TimePoint mNow{ 0 };
+  DispatchShard mShard;
+};
+
+EndedRun MakeEnd(std::uint64_t aIndex,
+                 std::uint32_t aRun,
+                 RunEnd aHow,
+                 std::uint32_t aTask = 0)
+{
+  EndedRun end;
+  end.mIndex = aIndex;
+  end.mTask = { kJob, 0, 0, aTask };
+  end.mRun = aRun;
+  end.mHow = aHow;
+  return end;
+}
+
+RunningTask MakeRunning(std::uint32_t aRun, std::uint32_t aTask = 0)
+{
+  RunningTask running;
+  running.mTask = { kJob, 0, 0, aTask };
+  running.mRun = aRun;
+  return running;
+}
+
+} // namespace
+
+TEST_CASE("an adopted run keeps its number and isn't stopped", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.mShard.mRunBase = 256;
+  fixture.Add(1, 5);
+  fixture.Report("w1", { MakeRunning(3) }, {});
+  REQUIRE(fixture.Task().mPhase == RunPhase::kRunning);
+  fixture.mNow += Duration(100);
+  fixture.Report("w1", { MakeRunning(3) }, {});
+  CHECK(fixture.Plan().mStops.empty());
+  fixture.Report("w1", {}, { MakeEnd(1, 3, RunEnd::kDone) });
+  CHECK(fixture.Job().mState == BatchState::kCompleted);
+}
+
+TEST_CASE("a new owner's runs are above those of earlier owners", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.mShard.mRunBase = 256;
+  fixture.Add(1, 5);
+  const auto actions = fixture.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  CHECK(actions.mStarts[0].mOrder.mRun == 257);
+}
+
+TEST_CASE("workers of an earlier owner stay until they have answered",
+          "[dispatch]")
+{
+  Fixture fixture({});
+  fixture.mShard.mWorkers["w1"].mEntry.mWorker = "w1";
+  fixture.mShard.mUnansweredWorkers = { "w1" };
+  fixture.mShard.mBarrierUntil = TimePoint(9'000);
+  ReapWorkers(fixture.mShard, TimePoint(1'000));
+  CHECK(fixture.mShard.mWorkers.contains("w1"));
+  ReapWorkers(fixture.mShard, TimePoint(9'001));
+  CHECK_FALSE(fixture.mShard.mWorkers.contains("w1"));
+}
+
+TEST_CASE("old jobs wait for workers that haven't answered", "[dispatch]")
+{
+  struct Row
+  {
+    std::uint64_t mCreatedAt;
+    std::int64_t mNowMs;
+    std::size_t mStarts;
+  };
+  const auto row = GENERATE(
+    values<Row>({ { 5, 1'000, 0 }, { 20, 1'000, 1 }, { 5, 9'001, 1 } }));
+  Fixture fixture({ "w1" });
+  fixture.mShard.mUnansweredWorkers = { "w2" };
+  fixture.mShard.mBarrierUntil = TimePoint(9'000);
+  fixture.mNow = TimePoint(row.mNowMs);
+  fixture.Answer();
+  fixture.Add(1, row.mCreatedAt);
+  CHECK(fixture.Plan().mStarts.size() == row.mStarts);
+}
+
+TEST_CASE("failed runs count once each, in whatever order they are heard",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1", "w2" });
+  fixture.Add(1, 5);
+  fixture.Report("w2", {}, { MakeEnd(1, 2, RunEnd::kFailed) });
+  CHECK_FALSE(IsFinal(fixture.Job().mState));
+  fixture.Report("w1", {}, { MakeEnd(1, 1, RunEnd::kFailed) });
+  CHECK(fixture.Job().mState == BatchState::kFailed);
+  CHECK(fixture.Plan().mStarts.empty());
+}
+
+TEST_CASE("a failure that is listed again is no second failure", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1, 5);
+  const EndedRun end = MakeEnd(1, 1, RunEnd::kFailed);
+  fixture.Report("w1", {}, { end });
+  BatchProgress progress = ProgressOf(fixture.Job());
+  Fixture next({ "w1" });
+  next.Add(1, 5);
+  ApplyProgress(next.mShard, kJob, progress);
+  next.Report("w1", {}, { end });
+  CHECK(next.Task().mFailedRuns.size() == 1);
+  CHECK_FALSE(IsFinal(next.Job().mState));
+}
+
+TEST_CASE("a cancellation that is read before its job still holds",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  CancelJob(fixture.mShard, kJob, fixture.mNow, 0);
+  fixture.Add(1);
+  CHECK(fixture.Job().mState == BatchState::kCancelled);
+  CHECK(fixture.Plan().mStarts.empty());
+}
+
+TEST_CASE("a start without an answer blocks its task until it is late",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  const auto actions = fixture.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  OnStartReply(
+    fixture.mShard, "w1", actions.mStarts[0].mOrder, {}, fixture.mNow);
+  fixture.mNow += Duration(1'000);
+  fixture.Report("w1", {}, {});
+  CHECK(fixture.Plan().mStarts.empty());
+  fixture.mNow += Duration(1'000);
+  fixture.Report("w1", {}, {});
+  CHECK(fixture.Plan().mStarts.size() == 1);
+}
+
+TEST_CASE("a silent worker keeps its tasks until its lease has ended",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  fixture.Plan();
+  fixture.Report("w1", { MakeRunning(1) }, {});
+  auto& worker = fixture.mShard.mWorkers.at("w1");
+  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
+  fixture.Silence("w1");
+  // A clock that runs 2% slow ends a lease of 6 s after 6.13 s of ours.
+  ReapWorkers(fixture.mShard, TimePoint(6'100));
+  CHECK(fixture.Task().mPhase == RunPhase::kRunning);
+  ReapWorkers(fixture.mShard, TimePoint(6'200));
+  CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
+}
+
+TEST_CASE("a new lifetime of a worker holds nothing of the one before",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  fixture.Plan();
+  fixture.Report("w1", { MakeRunning(1) }, {});
+  fixture.mNow += Duration(100);
+  fixture.Report("w1", {}, {}, kBorn + 1);
+  CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
+}
+
+TEST_CASE("a start that may reach a new lifetime is stopped there first",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  const auto actions = fixture.Plan();
+  OnStartReply(
+    fixture.mShard, "w1", actions.mStarts[0].mOrder, {}, fixture.mNow);
+  fixture.mNow += Duration(100);
+  fixture.Report("w1", {}, {}, kBorn + 1);
+  const auto next = fixture.Plan();
+  CHECK(next.mStarts.empty());
+  REQUIRE(next.mStops.size() == 1);
+  CHECK(next.mStops[0].mOrder.mRun == actions.mStarts[0].mOrder.mRun);
+}
+
+TEST_CASE("nothing starts where it must not", "[dispatch]")
+{
+  using Spoil = void (*)(DispatchShard&);
+  const auto spoil = GENERATE(values<Spoil>({
+    [](DispatchShard& aShard) { aShard.mEvacuated.insert("north"); },
+    [](DispatchShard& aShard) {
+      aShard.mWorkers.at("w1").mEntry.mIsDraining = true;
+    },
+    [](DispatchShard& aShard) {
+      aShard.mWorkers.at("w1").mEntry.mService = "other";
+    },
+    [](DispatchShard& aShard) { aShard.mWorkers.at("w1").mIsListed = false; },
+    [](DispatchShard& aShard) { aShard.mWorkers.at("w1").mIsRecorded = false; },
+    [](DispatchShard& aShard) {
+      aShard.mWorkers.at("w1").mEntry.mCapacity.mMilliCpu = 999;
+    },
+    [](DispatchShard& aShard) { aShard.mMayStart = false; },
+    [](DispatchShard& aShard) { aShard.mIsDeposed = true; },
+  }));
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  spoil(fixture.mShard);
+  CHECK(fixture.Plan().mStarts.empty());
+}
+
+TEST_CASE("a worker's capacity is never exceeded", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(25);
+  CHECK(fixture.Plan().mStarts.size() == 10);
+}
+
+TEST_CASE("filling work rests beside a task over its target", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  BatchRecord record = MakeRecord(1);
+  StepSpec serving = record.mSpec.mSteps[0];
+  serving.mIsLasting = true;
+  serving.mTargetMs = 50;
+  serving.mImage = "serves";
+  StepSpec filling = record.mSpec.mSteps[0];
+  filling.mIsFilling = true;
+  filling.mImage = "fills";
+  record.mSpec.mSteps = { serving, filling };
+  AddJob(fixture.mShard, kJob, record, 20, fixture.mNow, 0);
+  fixture.Plan();
+  RunningTask server = MakeRunning(1);
+  RunningTask filler = MakeRunning(1);
+  filler.mTask.mStep = 1;
+  filler.mMeasured = 1'000;
+  const auto paces = [&](std::int64_t aTailMs) {
+    fixture.mNow += Duration(1'500);
+    server.mMeasured = aTailMs;
+    fixture.Report("w1", { server, filler }, {});
+    DispatchActions actions;
+    PlanPaces(fixture.mShard, "w1", { server, filler }, fixture.mNow, actions);
+    return actions.mPaces;
+  };
+  CHECK(paces(20).empty());
+  const auto slowed = paces(80);
+  REQUIRE(slowed.size() == 1);
+  CHECK(slowed[0].mOrder.mPercent == 0);
+  CHECK(paces(80).empty());
+  const auto raised = paces(20);
+  REQUIRE(raised.size() == 1);
+  CHECK(raised[0].mOrder.mPercent > 0);
+}
+
+TEST_CASE("images that serve are kept apart", "[dispatch]")
+{
+  Fixture fixture({ "w1", "w2" });
+  BatchRecord record = MakeRecord(2);
+  record.mSpec.mSteps[0].mIsLasting = true;
+  record.mSpec.mSteps[0].mTargetMs = 50;
+  record.mSpec.mSteps[0].mImage = "a";
+  StepSpec other = record.mSpec.mSteps[0];
+  other.mImage = "b";
+  record.mSpec.mSteps.push_back(other);
+  AddJob(fixture.mShard, kJob, record, 20, fixture.mNow, 0);
+  fixture.Plan();
+  for (const auto& [name, worker] : fixture.mShard.mWorkers) {
+    CHECK(worker.mServingImages.size() == 1);
+  }
+}
+
+TEST_CASE("progress is restored as it was recorded", "[dispatch]")
+{
+  const auto done = GENERATE(values<std::vector<bool>>(
+    { {}, { true }, { false, true }, { true, true, false, true } }));
+  std::vector<bool> restored(done.size());
+  SetRanges(RangesOf(done), restored);
+  CHECK(restored == done);
+}
+
+TEST_CASE("a job that can't be is refused with its place", "[batch]")
+{
+  using Spoil = void (*)(BatchSpec&);
+  const auto spoil = GENERATE(values<Spoil>({
+    [](BatchSpec& aSpec) { aSpec.mSteps[0].mCount = 0; },
+    [](BatchSpec& aSpec) { aSpec.mSteps[0].mNeeds.mMemoryMb = -1; },
+    [](BatchSpec& aSpec) { aSpec.mSteps[0].mAfter = { 0 }; },
+    [](BatchSpec& aSpec) { aSpec.mSteps[0].mAfter = { 7 }; },
+    [](BatchSpec& aSpec) { aSpec.mSteps.clear(); },
+    [](BatchSpec& aSpec) { aSpec.mText.assign(4'001, 'x'); },
+  }));
+  BatchSpec spec = MakeRecord(1).mSpec;
+  Faults faults;
+  CheckBatchSpec(spec, faults);
+  REQUIRE(faults.empty());
+  spoil(spec);
+  CheckBatchSpec(spec, faults);
+  CHECK(faults.size() == 1);
+}
+
+TEST_CASE("names of tasks are read back", "[batch]")
+{
+  const TaskId task{ kJob, 2, 0, 17 };
+  CHECK(ParseTaskId(Describe(task)) == task);
+  const auto bad = GENERATE("", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2.3.4");
+  CHECK_FALSE(ParseTaskId(bad));
+}
+
+} // namespace verbenacroft
