--- a/Source/Batch/vcBatchSpec.h
+++ b/Source/Batch/vcBatchSpec.h
@@ -123,7 +123,8 @@
   std::uint32_t mStep = 0;
   std::uint32_t mIndex = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  // The linter takes the comparison with 0 inside for a null pointer.
+  auto operator<=>(const TaskId&) const = default; // NOLINT
 };
 
 /// "JOB.OCCURRENCE.STEP.INDEX".
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -47,7 +47,7 @@
   return longest;
 }
 
-void CountStepDone(DispatchJob& aJob, const TaskKey& aKey)
+void CountStepDone(DispatchJob& aJob, const TaskId& aKey)
 {
   Occurrence& occurrence = aJob.mOccurrences[aKey.mOccurrence];
   StepSlots& step = occurrence.mSteps[aKey.mStep];
@@ -78,7 +78,7 @@
 }
 
 void MarkDone(DispatchShard& aShard,
-              const TaskKey& aKey,
+              const TaskId& aKey,
               TimePoint aNow,
               std::int64_t aNowMs)
 {
@@ -135,7 +135,7 @@
 
 void OnFailedRun(DispatchShard& aShard,
                  DispatchWorker& aWorker,
-                 const TaskKey& aKey,
+                 const TaskId& aKey,
                  std::uint32_t aRun,
                  TimePoint aNow,
                  std::int64_t aNowMs)
@@ -232,7 +232,7 @@
     SetRanges(step.mDone, done);
     for (std::uint32_t i = 0; i < count; ++i) {
       if (done[i]) {
-        const TaskKey key{ aId, step.mOccurrence, step.mStep, i };
+        const TaskId key{ aId, step.mOccurrence, step.mStep, i };
         FindTask(aShard, key)->mPhase = RunPhase::kDone;
         CountStepDone(*job, key);
       }
@@ -267,7 +267,7 @@
   }
 }
 
-void OnRunLost(DispatchShard& aShard, const TaskKey& aKey)
+void OnRunLost(DispatchShard& aShard, const TaskId& aKey)
 {
   TaskSlot* task = FindTask(aShard, aKey);
   if (task != nullptr && !task->mWorker.empty()) {
@@ -281,7 +281,7 @@
               TimePoint aNow,
               std::int64_t aNowMs)
 {
-  const TaskKey key = KeyOf(aEnd.mTask);
+  const TaskId key = aEnd.mTask;
   aWorker.mUnwanted.erase({ aEnd.mTask, aEnd.mRun });
   TaskSlot* task = FindTask(aShard, key);
   if (task == nullptr) {
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -35,7 +35,7 @@
               std::int64_t aNowMs);
 
 /// The run of a task is known to be gone without having ended as done.
-void OnRunLost(DispatchShard& aShard, const TaskKey& aKey);
+void OnRunLost(DispatchShard& aShard, const TaskId& aKey);
 
 /// What has to be recorded of a job.
 BatchProgress ProgressOf(const DispatchJob& aJob);
--- a/Source/Dispatch/vcDispatchPacing.cxx
+++ b/Source/Dispatch/vcDispatchPacing.cxx
@@ -51,7 +51,7 @@
 {
   std::vector<Filling> rows;
   for (const auto& row : aRunning) {
-    const TaskKey key = KeyOf(row.mTask);
+    const TaskId key = row.mTask;
     TaskSlot* task = FindTask(aShard, key);
     const bool isHere = task != nullptr &&
                         task->mWorker == aWorker.mEntry.mWorker &&
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -27,7 +27,7 @@
 
 struct Candidate
 {
-  TaskKey mFirst;
+  TaskId mFirst;
   std::int32_t mPriority = 0;
   bool mIsLate = false;
   TimePoint mObjectiveAt{ 0 };
@@ -94,7 +94,7 @@
   std::map<std::string, std::uint32_t> mOnWorker;
 };
 
-StepNeeds NeedsOf(DispatchShard& aShard, const TaskKey& aKey)
+StepNeeds NeedsOf(DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   StepNeeds needs{
@@ -214,7 +214,7 @@
 }
 
 void StartOn(DispatchShard& aShard,
-             const TaskKey& aKey,
+             const TaskId& aKey,
              DispatchWorker& aWorker,
              std::uint32_t aRun,
              TimePoint aNow,
@@ -228,7 +228,7 @@
   task.mNotAfter = EstimateClock(aWorker, aNow) + kStartWindow.count();
   aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, task.mNotAfter);
   StartOrder order;
-  order.mTask = IdOf(aKey);
+  order.mTask = aKey;
   order.mRun = aRun;
   order.mText = job.mRecord.mSpec.mText;
   order.mCheckpoint = task.mCheckpoint;
@@ -250,12 +250,12 @@
 /// Starts the waiting tasks of a step one by one.
 /// @return false if one of them found no worker
 bool StartSingly(DispatchShard& aShard,
-                 const TaskKey& aFirst,
+                 const TaskId& aFirst,
                  TimePoint aNow,
                  DispatchActions& aActions)
 {
   StepNeeds needs = NeedsOf(aShard, aFirst);
-  TaskKey key = aFirst;
+  TaskId key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
     const TaskSlot& task = *FindTask(aShard, key);
     if (task.mPhase != RunPhase::kWaiting) {
@@ -274,7 +274,7 @@
 
 /// Starts all tasks of a gang, or none of them.
 bool StartGang(DispatchShard& aShard,
-               const TaskKey& aFirst,
+               const TaskId& aFirst,
                TimePoint aNow,
                DispatchActions& aActions)
 {
@@ -295,7 +295,7 @@
     run = std::max(run, task.mHighestRun);
   }
   std::vector<std::string> chosen;
-  TaskKey key = aFirst;
+  TaskId key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
     DispatchWorker* worker = ChooseWorker(aShard, needs, {}, aNow);
     if (worker == nullptr) {
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -61,7 +61,7 @@
 {
   Mix mix;
   for (const auto& row : aRunning) {
-    const TaskKey key = KeyOf(row.mTask);
+    const TaskId key = row.mTask;
     const TaskSlot* task = FindTask(aShard, key);
     if (task == nullptr || task->mWorker != aWorker.mEntry.mWorker) {
       continue;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -41,7 +41,7 @@
   return found == aShard.mWorkers.end() ? nullptr : &found->second;
 }
 
-TaskSlot* FindTask(DispatchShard& aShard, const TaskKey& aKey)
+TaskSlot* FindTask(DispatchShard& aShard, const TaskId& aKey)
 {
   DispatchJob* job = FindJob(aShard, aKey.mJob);
   if (job == nullptr || aKey.mOccurrence >= job->mOccurrences.size()) {
@@ -55,17 +55,7 @@
   return &steps[aKey.mStep].mTasks[aKey.mIndex];
 }
 
-TaskKey KeyOf(const TaskId& aTask)
-{
-  return { aTask.mJob, aTask.mOccurrence, aTask.mStep, aTask.mIndex };
-}
-
-TaskId IdOf(const TaskKey& aKey)
-{
-  return { aKey.mJob, aKey.mOccurrence, aKey.mStep, aKey.mIndex };
-}
-
-const StepSpec& StepOf(const DispatchJob& aJob, const TaskKey& aKey)
+const StepSpec& StepOf(const DispatchJob& aJob, const TaskId& aKey)
 {
   return aJob.mRecord.mSpec.mSteps[aKey.mStep];
 }
@@ -79,7 +69,7 @@
 }
 
 void Assign(DispatchShard& aShard,
-            const TaskKey& aKey,
+            const TaskId& aKey,
             const std::string& aWorker,
             std::uint32_t aRun)
 {
@@ -103,7 +93,7 @@
   }
 }
 
-void Release(DispatchShard& aShard, const TaskKey& aKey, RunPhase aPhase)
+void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase)
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   TaskSlot& task = *FindTask(aShard, aKey);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -122,17 +122,6 @@
   std::int64_t mEndedAtMs = 0;
 };
 
-/// Position of a task in its job.
-struct TaskKey
-{
-  JobId mJob;
-  std::uint32_t mOccurrence = 0;
-  std::uint32_t mStep = 0;
-  std::uint32_t mIndex = 0;
-
-  auto operator<=>(const TaskKey&) const = default;
-};
-
 struct DispatchWorker
 {
   WorkerEntry mEntry;
@@ -161,7 +150,7 @@
   Resources mUsed;
   /// Processors that filling tasks here would use, in thousandths.
   std::int64_t mFillingCpu = 0;
-  std::set<TaskKey> mTasks;
+  std::set<TaskId> mTasks;
   /// Serving tasks here, by image.
   std::map<std::string, std::uint32_t> mServingImages;
   /// Processors that serving tasks here have asked for, in thousandths, and
@@ -241,25 +230,22 @@
 };
 
 /// The task at `aKey`, or null.
-TaskSlot* FindTask(DispatchShard& aShard, const TaskKey& aKey);
+TaskSlot* FindTask(DispatchShard& aShard, const TaskId& aKey);
 DispatchJob* FindJob(DispatchShard& aShard, const JobId& aJob);
 DispatchWorker* FindWorker(DispatchShard& aShard, const std::string& aWorker);
 
-TaskKey KeyOf(const TaskId& aTask);
-TaskId IdOf(const TaskKey& aKey);
-
-const StepSpec& StepOf(const DispatchJob& aJob, const TaskKey& aKey);
+const StepSpec& StepOf(const DispatchJob& aJob, const TaskId& aKey);
 
 /// The worker's clock now, by its last reading; 0 if it was never read.
 std::int64_t EstimateClock(const DispatchWorker& aWorker, TimePoint aNow);
 
 /// Gives the task a run on a worker and takes the room it needs there.
 void Assign(DispatchShard& aShard,
-            const TaskKey& aKey,
+            const TaskId& aKey,
             const std::string& aWorker,
             std::uint32_t aRun);
 
 /// Takes the task's run away from its worker and frees the room there.
-void Release(DispatchShard& aShard, const TaskKey& aKey, RunPhase aPhase);
+void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase);
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -37,7 +37,7 @@
 /// answer may yet reach it, and is stopped there.
 void OnNewLifetime(DispatchShard& aShard, DispatchWorker& aWorker)
 {
-  const std::set<TaskKey> tasks = aWorker.mTasks;
+  const std::set<TaskId> tasks = aWorker.mTasks;
   spdlog::info("worker.new-lifetime worker={} lost={}",
                aWorker.mEntry.mWorker,
                tasks.size());
@@ -71,7 +71,7 @@
                   const RunningTask& aRow,
                   TimePoint aNow)
 {
-  const TaskKey key = KeyOf(aRow.mTask);
+  const TaskId key = aRow.mTask;
   TaskSlot* task = FindTask(aShard, key);
   if (task == nullptr) {
     WantStopped(aWorker, aRow.mTask, aRow.mRun);
@@ -116,14 +116,14 @@
 void OnMissingTasks(DispatchShard& aShard,
                     DispatchWorker& aWorker,
                     const WorkerReport& aReport,
-                    const std::set<TaskKey>& aListed,
+                    const std::set<TaskId>& aListed,
                     TimePoint aSentAt)
 {
   const bool isWhole = aReport.mEnded.size() < kMostListedEnds;
   if (!isWhole) {
     return;
   }
-  const std::set<TaskKey> tasks = aWorker.mTasks;
+  const std::set<TaskId> tasks = aWorker.mTasks;
   for (const auto& key : tasks) {
     if (aListed.contains(key)) {
       continue;
@@ -135,7 +135,7 @@
                         task.mConfirmedAt < aSentAt;
     if (isTooLate || isGone) {
       spdlog::info("task.gone task={} run={} worker={} never_started={}",
-                   Describe(IdOf(key)),
+                   Describe(key),
                    task.mRun,
                    aWorker.mEntry.mWorker,
                    isTooLate);
@@ -151,13 +151,13 @@
                   TimePoint aNow,
                   std::int64_t aNowMs)
 {
-  std::set<TaskKey> listed;
+  std::set<TaskId> listed;
   for (const auto& row : aReport.mRunning) {
-    listed.insert(KeyOf(row.mTask));
+    listed.insert(row.mTask);
   }
   std::uint64_t seen = aWorker.mSeenIndex;
   for (const auto& end : aReport.mEnded) {
-    listed.insert(KeyOf(end.mTask));
+    listed.insert(end.mTask);
     if (end.mIndex > aWorker.mSeenIndex) {
       OnRunEnd(aShard, aWorker, end, aNow, aNowMs);
       seen = std::max(seen, end.mIndex);
@@ -214,7 +214,7 @@
 bool MustStop(const DispatchShard& aShard,
               const DispatchJob& aJob,
               const DispatchWorker& aWorker,
-              const TaskKey& aKey,
+              const TaskId& aKey,
               const TaskSlot& aTask,
               TimePoint aNow)
 {
@@ -333,7 +333,7 @@
                   const OrderReply& aReply,
                   TimePoint aNow)
 {
-  const TaskKey key = KeyOf(aOrder.mTask);
+  const TaskId key = aOrder.mTask;
   DispatchWorker* worker = FindWorker(aShard, aWorker);
   TaskSlot* task = FindTask(aShard, key);
   const bool isCurrent = worker != nullptr && task != nullptr &&
@@ -374,7 +374,7 @@
                  const OrderReply& aReply,
                  TimePoint aNow)
 {
-  const TaskKey key = KeyOf(aOrder.mTask);
+  const TaskId key = aOrder.mTask;
   DispatchWorker* worker = FindWorker(aShard, aWorker);
   TaskSlot* task = FindTask(aShard, key);
   if (aReply.mOutcome == OrderOutcome::kStaleEpoch) {
@@ -411,7 +411,7 @@
                    at->first,
                    worker.mTasks.size(),
                    (aNow - worker.mLastHeardAt).count());
-      const std::set<TaskKey> tasks = worker.mTasks;
+      const std::set<TaskId> tasks = worker.mTasks;
       for (const auto& key : tasks) {
         OnRunLost(aShard, key);
       }
@@ -450,7 +450,7 @@
         task.mAvoidedWorker = name;
         spdlog::info("task.stop task={} run={} worker={} job_state={} "
                      "draining={} ran_ms={}",
-                     Describe(IdOf(key)),
+                     Describe(key),
                      task.mRun,
                      name,
                      NameOf(job.mState),
@@ -459,8 +459,7 @@
       }
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = aNow;
-      aActions.mStops.push_back(
-        { name, { IdOf(key), task.mRun, aShard.mEpoch } });
+      aActions.mStops.push_back({ name, { key, task.mRun, aShard.mEpoch } });
     }
   }
 }
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -81,7 +81,7 @@
   }
   std::string rows;
   for (const auto& row : aReport.mRunning) {
-    const TaskKey key = KeyOf(row.mTask);
+    const TaskId key = row.mTask;
     const TaskSlot* task = FindTask(aShard, key);
     if (task == nullptr) {
       continue;
