Dispatch: Let the lease of a silent worker end

Cause: each question to a worker that doesn't answer asked for a new lease and so moved the time from which its tasks count as lost; tasks of crashed workers were never started again.

The unit test "questions to a silent worker don't prolong its lease" failed before the change and passes after it.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -270,7 +270,9 @@
   order.mEpoch = aShard.mEpoch;
   order.mAckIndex = aWorker.mAckIndex;
   const std::int64_t clock = EstimateClock(aWorker, aNow);
-  if (clock > 0) {
+  // A silent worker is only asked: what it may have heard but not answered
+  // would prolong its lease, and its tasks could never be given up for lost.
+  if (clock > 0 && !aWorker.mIsSilent) {
     order.mLeaseUntil = clock + aShard.mBounds.mMaxLease.count();
     aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, order.mLeaseUntil);
     order.mWait = aWait;
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -279,6 +279,23 @@
   CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
 }
 
+TEST_CASE("questions to a silent worker don't prolong its lease", "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  fixture.Plan();
+  fixture.Report("w1", { MakeRunning(1) }, {});
+  auto& worker = fixture.mShard.mWorkers.at("w1");
+  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
+  fixture.Silence("w1");
+  for (int i = 0; i < 20; ++i) {
+    fixture.mNow += Duration(300);
+    MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
+  }
+  ReapWorkers(fixture.mShard, TimePoint(6'200));
+  CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
+}
+
 TEST_CASE("a new lifetime of a worker holds nothing of the one before",
           "[dispatch]")
 {
