Dispatch: Give no task up for lost while the owner's lease is in doubt

Cause, as far as traced: eastcoast-south is cut from 33.5 s; the owner there goes on without its lease, hears no worker of the other data centres, counts their leases as over at 38.768 s and starts their tasks in its own data centre, while a new owner has renewed those leases. The way was open only since the lease of a silent worker can end.

The unit test "an owner in doubt gives no silent worker's task up for lost" checks both cases.

--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -209,6 +209,9 @@
   bool mIsDeposed = false;
   /// Starts are allowed; cleared while ownership is in doubt.
   bool mMayStart = true;
+  /// The owner's lease is proved to be valid. While it isn't, another owner
+  /// may be renewing the workers that this one doesn't hear.
+  bool mIsLeaseProved = true;
   /// Difference between the time of day and this process's clock.
   Duration mWallOffset{ 0 };
 };
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -407,7 +407,8 @@
 {
   for (auto at = aShard.mWorkers.begin(); at != aShard.mWorkers.end();) {
     DispatchWorker& worker = at->second;
-    const bool isOver = worker.mIsSilent && IsLeaseOver(worker, aNow);
+    const bool isOver =
+      aShard.mIsLeaseProved && worker.mIsSilent && IsLeaseOver(worker, aNow);
     if (isOver && !worker.mTasks.empty()) {
       spdlog::info("worker.lease-over worker={} tasks={} heard_ms_ago={}",
                    at->first,
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -470,6 +470,8 @@
 void ShardRunner::SyncShard(TimePoint aNow)
 {
   this->mShard.mMayStart = MayStart(this->mNode, aNow);
+  this->mShard.mIsLeaseProved =
+    !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
     this->mShard.mEvacuated = this->mNode.mOperators->mEvacuated;
   }
@@ -489,6 +491,7 @@
       this->Stop();
       break;
     }
+    this->SyncShard(SuspendAwareNow());
     ReapWorkers(this->mShard, SuspendAwareNow());
     this->Plan();
     co_await Sleep(kTick);
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -296,6 +296,22 @@
   CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
 }
 
+TEST_CASE("an owner in doubt gives no silent worker's task up for lost",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  fixture.Plan();
+  fixture.Report("w1", { MakeRunning(1) }, {});
+  auto& worker = fixture.mShard.mWorkers.at("w1");
+  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
+  fixture.Silence("w1");
+  const auto isProved = GENERATE(false, true);
+  fixture.mShard.mIsLeaseProved = isProved;
+  ReapWorkers(fixture.mShard, TimePoint(6'200));
+  CHECK((fixture.Task().mPhase == RunPhase::kWaiting) == isProved);
+}
+
 TEST_CASE("a new lifetime of a worker holds nothing of the one before",
           "[dispatch]")
 {
