Node: Follow both watches with one loop; remove what nothing uses

Cause: the loop that follows a watch stood in the membership and in the operators' feed word for word; CountWaiting had a twin in the runner and no caller; the count of failures in a row is the size of the set beside it; a report took actions that it never gave; the clocks' difference was never read. The unit tests of silent workers share one set-up; their checks are unchanged.

Behaviour stays as it is.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -13,7 +13,7 @@
 /// Runs after which the learned mean replaces the callers' estimates.
 constexpr std::uint32_t kLearnedAfter = 10;
 /// Failures in a row, of different jobs, after which a worker rests.
-constexpr std::uint32_t kBadWorkerFailures = 2;
+constexpr std::size_t kBadWorkerFailures = 2;
 constexpr Duration kBadWorkerRest{ 3'000 };
 
 Occurrence MakeOccurrence(const DispatchShard& aShard, const BatchSpec& aSpec)
@@ -121,15 +121,13 @@
                         TimePoint aNow)
 {
   aWorker.mFailedJobs.insert(aJob);
-  aWorker.mFailuresInARow =
-    static_cast<std::uint32_t>(aWorker.mFailedJobs.size());
-  if (aWorker.mFailuresInARow < kBadWorkerFailures) {
+  if (aWorker.mFailedJobs.size() < kBadWorkerFailures) {
     return;
   }
   aWorker.mAvoidedUntil = aNow + kBadWorkerRest;
   spdlog::info("worker.rest worker={} failures={} rest_ms={}",
                aWorker.mEntry.mWorker,
-               aWorker.mFailuresInARow,
+               aWorker.mFailedJobs.size(),
                kBadWorkerRest.count());
 }
 
@@ -298,7 +296,6 @@
   job.mIsDirty = job.mIsDirty || !job.mIsFinalStored;
   if (aEnd.mHow == RunEnd::kDone && !isLasting) {
     aWorker.mFailedJobs.clear();
-    aWorker.mFailuresInARow = 0;
     if (task->mWorker == aWorker.mEntry.mWorker) {
       LearnRunTime(aShard, job, *task, aNow);
     }
@@ -370,15 +367,4 @@
   });
 }
 
-std::uint64_t CountWaiting(const DispatchShard& aShard,
-                           const std::string& aQueue)
-{
-  return static_cast<std::uint64_t>(std::count_if(
-    aShard.mJobs.begin(), aShard.mJobs.end(), [&](const auto& aEntry) {
-      const DispatchJob& job = aEntry.second;
-      return job.mState == BatchState::kQueued &&
-             job.mRecord.mTerms.mQueue == aQueue;
-    }));
-}
-
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -48,10 +48,6 @@
 /// When occurrence `aOccurrence` is due, in ms since 1970; 0 for at once.
 std::int64_t DueAtMs(const BatchSpec& aSpec, std::uint32_t aOccurrence);
 
-/// Jobs of queue `aQueue` of which no task has started.
-std::uint64_t CountWaiting(const DispatchShard& aShard,
-                           const std::string& aQueue);
-
 /// Expected run time of a task of `aJob`'s step, in ms.
 double ExpectedRunMs(const DispatchShard& aShard,
                      const DispatchJob& aJob,
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -165,7 +165,6 @@
   TimePoint mAvoidedUntil{ kNever };
   /// No filling task is started here before this.
   TimePoint mNoFillingUntil{ kNever };
-  std::uint32_t mFailuresInARow = 0;
   /// Jobs of the failures in a row, to tell a bad worker from a bad job.
   std::set<JobId> mFailedJobs;
   /// Runs that nobody wants any more, and when their stop was sent last.
@@ -212,8 +211,6 @@
   /// The owner's lease is proved to be valid. While it isn't, another owner
   /// may be renewing the workers that this one doesn't hear.
   bool mIsLeaseProved = true;
-  /// Difference between the time of day and this process's clock.
-  Duration mWallOffset{ 0 };
 };
 
 /// An order and the worker that it is meant for.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -285,8 +285,7 @@
               const WorkerReport& aReport,
               TimePoint aSentAt,
               TimePoint aNow,
-              std::int64_t aNowMs,
-              DispatchActions& /*aActions*/)
+              std::int64_t aNowMs)
 {
   DispatchWorker* worker = FindWorker(aShard, aWorker);
   if (worker == nullptr) {
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -26,8 +26,7 @@
               const WorkerReport& aReport,
               TimePoint aSentAt,
               TimePoint aNow,
-              std::int64_t aNowMs,
-              DispatchActions& aActions);
+              std::int64_t aNowMs);
 
 void OnStartReply(DispatchShard& aShard,
                   const std::string& aWorker,
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -288,6 +288,27 @@
   co_return all;
 }
 
+asio::awaitable<void> FollowWatch(NodeContext& aNode,
+                                  KvWatch aWatch,
+                                  TimePoint aUntil,
+                                  ItemHandler aApply)
+{
+  bool isCurrent = true;
+  while (isCurrent && SuspendAwareNow() < aUntil) {
+    const KvReply news = co_await aNode.mStore.mWatch(aWatch);
+    NoteStoreReply(aNode, news);
+    isCurrent = news.mStatus != KvStatus::kCompacted;
+    if (news.mStatus == KvStatus::kOk) {
+      for (const auto& item : news.mItems) {
+        aApply(aNode, item);
+      }
+      aWatch.mAfterRevision = std::max(aWatch.mAfterRevision, news.mRevision);
+    } else {
+      co_await Sleep(kRetry);
+    }
+  }
+}
+
 std::uint32_t ClaimRank(const std::map<std::string, NodeRecord>& aNodes,
                         const std::string& aNode,
                         std::uint32_t aShard)
@@ -346,22 +367,9 @@
     for (const auto& item : all.mItems) {
       ApplySystemItem(aNode, item);
     }
-    KvWatch watch{ kSystemPrefix, all.mRevision, kSystemWait };
-    const TimePoint readAgainAt = SuspendAwareNow() + kFullRead;
-    bool isCurrent = true;
-    while (isCurrent && SuspendAwareNow() < readAgainAt) {
-      const KvReply news = co_await aNode.mStore.mWatch(watch);
-      NoteStoreReply(aNode, news);
-      isCurrent = news.mStatus != KvStatus::kCompacted;
-      if (news.mStatus == KvStatus::kOk) {
-        for (const auto& item : news.mItems) {
-          ApplySystemItem(aNode, item);
-        }
-        watch.mAfterRevision = std::max(watch.mAfterRevision, news.mRevision);
-      } else {
-        co_await Sleep(kRetry);
-      }
-    }
+    const KvWatch watch{ kSystemPrefix, all.mRevision, kSystemWait };
+    co_await FollowWatch(
+      aNode, watch, SuspendAwareNow() + kFullRead, ApplySystemItem);
   }
 }
 
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -32,4 +32,13 @@
 /// @return the items, with the revision as of the first page
 asio::awaitable<KvReply> ReadAll(NodeContext& aNode, std::string aPrefix);
 
+using ItemHandler = void (*)(NodeContext&, const KvItem&);
+
+/// Passes the events of a watch to `aApply` until `aUntil`, or until the
+/// history that it needs is gone.
+asio::awaitable<void> FollowWatch(NodeContext& aNode,
+                                  KvWatch aWatch,
+                                  TimePoint aUntil,
+                                  ItemHandler aApply);
+
 } // namespace verbenacroft
--- a/Source/Node/vcOperatorFeed.cxx
+++ b/Source/Node/vcOperatorFeed.cxx
@@ -89,24 +89,11 @@
     if (aNode.mOperators) {
       aNode.mOperators->mEvacuated = std::move(evacuated);
     }
-    KvWatch watch{ aNode.mCodec.mOperatorsPrefix,
-                   all.mRevision,
-                   kOperatorsWait };
-    const TimePoint readAgainAt = SuspendAwareNow() + kFullRead;
-    bool isCurrent = true;
-    while (isCurrent && SuspendAwareNow() < readAgainAt) {
-      const KvReply news = co_await aNode.mStore.mWatch(watch);
-      NoteStoreReply(aNode, news);
-      isCurrent = news.mStatus != KvStatus::kCompacted;
-      if (news.mStatus == KvStatus::kOk) {
-        for (const auto& item : news.mItems) {
-          ApplyOperatorItem(aNode, item);
-        }
-        watch.mAfterRevision = std::max(watch.mAfterRevision, news.mRevision);
-      } else {
-        co_await Sleep(kRetry);
-      }
-    }
+    const KvWatch watch{ aNode.mCodec.mOperatorsPrefix,
+                         all.mRevision,
+                         kOperatorsWait };
+    co_await FollowWatch(
+      aNode, watch, SuspendAwareNow() + kFullRead, ApplyOperatorItem);
   }
 }
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -453,8 +453,7 @@
     }
     const TimePoint now = SuspendAwareNow();
     DispatchActions actions;
-    OnReport(
-      this->mShard, aWorker, report, sentAt, now, WallClockMs(), actions);
+    OnReport(this->mShard, aWorker, report, sentAt, now, WallClockMs());
     const bool isGood = report.mOutcome == OrderOutcome::kDone;
     if (isGood) {
       LogReport(this->mShard, aWorker, report);
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -94,7 +94,6 @@
   std::uint64_t mCrewRevision = 0;
   std::map<std::string, OrderLane> mLanes;
   std::set<std::string> mFollowed;
-  /// The worker's next report is asked for without a wait.
   bool mIsStopped = false;
   bool mIsLoaded = false;
   bool mIsPlanDue = false;
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -77,26 +77,22 @@
     report.mBorn = aBorn;
     report.mRunning = std::move(aRunning);
     report.mEnded = std::move(aEnded);
-    DispatchActions actions;
     OnReport(this->mShard,
              aWorker,
              report,
              this->mNow,
              this->mNow,
-             this->mNow.count(),
-             actions);
+             this->mNow.count());
   }
 
   void Silence(const std::string& aWorker)
   {
-    DispatchActions actions;
     OnReport(this->mShard,
              aWorker,
              WorkerReport{},
              this->mNow,
              this->mNow,
-             this->mNow.count(),
-             actions);
+             this->mNow.count());
   }
 
   void Add(std::uint32_t aTasks, std::uint64_t aCreatedAt = 20)
@@ -150,6 +146,23 @@
   return running;
 }
 
+void Renew(Fixture& aFixture)
+{
+  auto& worker = aFixture.mShard.mWorkers.at("w1");
+  MakeRenewal(aFixture.mShard, worker, Duration(1'000), aFixture.mNow);
+}
+
+/// One task runs on the only worker, whose lease is renewed once more before
+/// it falls silent.
+void RunAndSilence(Fixture& aFixture)
+{
+  aFixture.Add(1);
+  aFixture.Plan();
+  aFixture.Report("w1", { MakeRunning(1) }, {});
+  Renew(aFixture);
+  aFixture.Silence("w1");
+}
+
 } // namespace
 
 TEST_CASE("an adopted run keeps its number and isn't stopped", "[dispatch]")
@@ -266,12 +279,7 @@
           "[dispatch]")
 {
   Fixture fixture({ "w1" });
-  fixture.Add(1);
-  fixture.Plan();
-  fixture.Report("w1", { MakeRunning(1) }, {});
-  auto& worker = fixture.mShard.mWorkers.at("w1");
-  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
-  fixture.Silence("w1");
+  RunAndSilence(fixture);
   // A clock that runs 2% slow ends a lease of 6 s after 6.13 s of ours.
   ReapWorkers(fixture.mShard, TimePoint(6'100));
   CHECK(fixture.Task().mPhase == RunPhase::kRunning);
@@ -282,15 +290,10 @@
 TEST_CASE("questions to a silent worker don't prolong its lease", "[dispatch]")
 {
   Fixture fixture({ "w1" });
-  fixture.Add(1);
-  fixture.Plan();
-  fixture.Report("w1", { MakeRunning(1) }, {});
-  auto& worker = fixture.mShard.mWorkers.at("w1");
-  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
-  fixture.Silence("w1");
+  RunAndSilence(fixture);
   for (int i = 0; i < 20; ++i) {
     fixture.mNow += Duration(300);
-    MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
+    Renew(fixture);
   }
   ReapWorkers(fixture.mShard, TimePoint(6'200));
   CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
@@ -300,12 +303,7 @@
           "[dispatch]")
 {
   Fixture fixture({ "w1" });
-  fixture.Add(1);
-  fixture.Plan();
-  fixture.Report("w1", { MakeRunning(1) }, {});
-  auto& worker = fixture.mShard.mWorkers.at("w1");
-  MakeRenewal(fixture.mShard, worker, Duration(1'000), fixture.mNow);
-  fixture.Silence("w1");
+  RunAndSilence(fixture);
   const auto isProved = GENERATE(false, true);
   fixture.mShard.mIsLeaseProved = isProved;
   ReapWorkers(fixture.mShard, TimePoint(6'200));
