Dispatch: Pace and place filling work by the load of serving tasks

Response times follow the serving task's own load as those of a queue (base / (1 - load)); two images of five mind no filling image, the other three mind six of nine. The old estimate of what serving tasks use rose with every response time near the target, whoever caused it, and all filling work rested whenever a task neared its target, and was moved after a second.

If a task is over its target for 0.4 of the longest time, all filling work there rests, whatever was learned.

--- a/Source/Dispatch/vcDispatchPacing.cxx
+++ b/Source/Dispatch/vcDispatchPacing.cxx
@@ -10,44 +10,42 @@
 
 namespace {
 
-/// Shares of a serving task's target above which filling work is slowed down
-/// and below which it is sped up again. The gap between them is hysteresis.
+/// Share of its target above which a serving task counts as disturbed.
 constexpr double kSlowDownAbove = 0.95;
-constexpr double kSpeedUpBelow = 0.7;
-constexpr std::int64_t kFullPace = 100;
-constexpr std::int64_t kSpeedUpStep = 50;
-/// How long a worker has to be calm before its filling work speeds up.
-constexpr Duration kCalmTime{ 1'000 };
+/// Share to which filling work beside a serving task is paced. The gap
+/// between the two is hysteresis.
+constexpr double kPacedShare = 0.85;
+/// The same beside a disturbed task, so that it recovers at once.
+constexpr double kRecoveryShare = 0.7;
+constexpr double kFullPace = 100;
+/// Paces are ordered in steps of this many percent, ...
+constexpr std::int64_t kPaceStep = 10;
+/// ... raised by at most this many at a time, ...
+constexpr std::int64_t kMostRaise = 50;
+/// ... and only once the effect of the last one has been measured.
+constexpr Duration kRaiseAfter{ 800 };
+/// Where no serving task is near its target, filling work goes on at least
+/// at this pace: its reports show whether it disturbs as was learned.
+constexpr double kLeastPace = 20;
 /// No further filling work is started beside a task that was disturbed.
-constexpr Duration kNoFillingTime{ 2'000 };
-/// Disturbed for longer than this, all filling work on a worker rests.
-constexpr Duration kDisturbedTime{ 700 };
+constexpr Duration kNoFillingTime{ 1'000 };
+/// The share of the longest time over target after which all filling work
+/// on the worker rests, whatever was learned of it.
+constexpr double kLongestOverTarget = 0.4;
 
-/// A filling task on the worker and what it adds to the worst share.
+/// A filling task on the worker and the pace that suits it.
 struct Filling
 {
   const RunningTask* mRow = nullptr;
   TaskSlot* mTask = nullptr;
-  double mAdds = 0;
+  const StepSpec* mStep = nullptr;
+  double mCpu = 0;
+  double mPace = kFullPace;
 };
 
-/// Image of the serving task that is closest to its target, or over it.
-std::pair<std::string, double> WorstOf(const DispatchWorker& aWorker)
-{
-  std::pair<std::string, double> worst;
-  for (const auto& [image, share] : aWorker.mServingShares) {
-    if (share > worst.second) {
-      worst = { image, share };
-    }
-  }
-  return worst;
-}
-
 std::vector<Filling> FillingOn(DispatchShard& aShard,
                                const DispatchWorker& aWorker,
-                               const std::vector<RunningTask>& aRunning,
-                               const std::string& aImage,
-                               TimePoint aNow)
+                               const std::vector<RunningTask>& aRunning)
 {
   std::vector<Filling> rows;
   for (const auto& row : aRunning) {
@@ -61,86 +59,122 @@
     }
     const StepSpec& step = StepOf(aShard.mJobs.at(key.mJob), key);
     if (step.mIsFilling) {
-      rows.push_back(
-        { &row, task, AddedShare(aShard, aImage, step, aWorker, aNow) });
+      const auto cpu = static_cast<double>(step.mNeeds.mMilliCpu);
+      rows.push_back({ &row, task, &step, cpu, kFullPace });
     }
   }
-  std::sort(
-    rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.mAdds > aRight.mAdds;
-    });
   return rows;
 }
 
-void OrderPace(const DispatchShard& aShard,
-               const std::string& aWorker,
-               const Filling& aFilling,
-               std::int64_t aPercent,
-               double aWorst,
-               TimePoint aNow,
-               DispatchActions& aActions)
+double PaceOf(const TaskSlot& aTask)
 {
-  if (aFilling.mTask->mPacePercent == aPercent) {
-    return;
+  return aTask.mPacePercent == kUnknownPace
+           ? kFullPace
+           : static_cast<double>(aTask.mPacePercent);
+}
+
+/// Slows the tasks that add most load to an image, until what all of them
+/// add fits below its target.
+void SlowBesides(const DispatchShard& aShard,
+                 const DispatchWorker& aWorker,
+                 const std::string& aImage,
+                 const ServingShare& aShare,
+                 std::vector<Filling>& aFilling,
+                 TimePoint aNow)
+{
+  std::vector<std::pair<double, Filling*>> disturbing;
+  double full = 0;
+  double cut = 0;
+  for (auto& filling : aFilling) {
+    const double added =
+      AddedLoad(aShard, aImage, *filling.mStep, aWorker, aNow);
+    if (added >= kLeastAdded) {
+      disturbing.emplace_back(added, &filling);
+      full += added;
+      cut += added * (1 - PaceOf(*filling.mTask) / kFullPace);
+    }
+  }
+  const ServingProfile& profile = aShard.mServingProfiles.at(aImage);
+  const double own = std::max(aShare.mLoad - aShare.mAdded, profile.mMeanLoad);
+  double excess = own + full - LoadAt(profile, kPacedShare);
+  if (aShare.mWorst > kSlowDownAbove) {
+    excess =
+      std::max(excess, aShare.mLoad + cut - LoadAt(profile, kRecoveryShare));
+  }
+  std::sort(disturbing.begin(),
+            disturbing.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.first > aRight.first;
+            });
+  for (auto& [added, filling] : disturbing) {
+    if (excess <= 0) {
+      return;
+    }
+    const double part = std::min(added, excess);
+    excess -= part;
+    filling->mPace = std::min(filling->mPace, kFullPace * (1 - part / added));
   }
-  spdlog::info("task.pace task={} run={} worker={} from={} to={} "
-               "worst_share={:.2f}",
-               Describe(aFilling.mRow->mTask),
-               aFilling.mRow->mRun,
-               aWorker,
-               aFilling.mTask->mPacePercent,
-               aPercent,
-               aWorst);
-  aFilling.mTask->mPacePercent = aPercent;
-  aFilling.mTask->mPacedAt = aNow;
-  aActions.mPaces.push_back(
-    { aWorker,
-      { aFilling.mRow->mTask, aFilling.mRow->mRun, aShard.mEpoch, aPercent } });
 }
 
-/// Rests the tasks that add most, until what they add covers the excess.
-void SlowDown(const DispatchShard& aShard,
-              DispatchWorker& aWorker,
-              const std::vector<Filling>& aFilling,
-              double aWorst,
-              TimePoint aNow,
-              DispatchActions& aActions)
+/// Slows the tasks that are least far where the worker has too few
+/// processors for all.
+void SlowForRoom(const DispatchWorker& aWorker, std::vector<Filling>& aFilling)
 {
-  const bool isLasting = aNow - aWorker.mDisturbedSince > kDisturbedTime;
-  double excess = aWorst - kSpeedUpBelow;
+  double excess = -FillingRoomNow(aWorker);
   for (const auto& filling : aFilling) {
-    if (excess <= 0 && !isLasting) {
+    excess += filling.mCpu * filling.mPace / kFullPace;
+  }
+  std::sort(aFilling.begin(),
+            aFilling.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.mRow->mProgressPercent <
+                     aRight.mRow->mProgressPercent;
+            });
+  for (auto& filling : aFilling) {
+    if (excess <= 0) {
       return;
     }
-    if (filling.mTask->mPacePercent != 0) {
-      excess -= filling.mAdds;
-    }
-    OrderPace(
-      aShard, aWorker.mEntry.mWorker, filling, 0, aWorst, aNow, aActions);
+    const double used = filling.mCpu * filling.mPace / kFullPace;
+    const double part = std::min(used, excess);
+    excess -= part;
+    filling.mPace -= kFullPace * part / std::max(filling.mCpu, 1.0);
   }
 }
 
-/// Speeds up the slowed task that adds least.
-void SpeedUp(const DispatchShard& aShard,
-             DispatchWorker& aWorker,
-             const std::vector<Filling>& aFilling,
-             double aWorst,
-             TimePoint aNow,
-             DispatchActions& aActions)
+void OrderPace(const DispatchShard& aShard,
+               const DispatchWorker& aWorker,
+               const Filling& aFilling,
+               double aWorst,
+               TimePoint aNow,
+               DispatchActions& aActions)
 {
-  for (auto at = aFilling.rbegin(); at != aFilling.rend(); ++at) {
-    const std::int64_t pace = at->mTask->mPacePercent;
-    if (pace == kFullPace) {
-      continue;
-    }
-    const std::int64_t next = pace == kUnknownPace
-                                ? kFullPace
-                                : std::min(kFullPace, pace + kSpeedUpStep);
-    OrderPace(
-      aShard, aWorker.mEntry.mWorker, *at, next, aWorst, aNow, aActions);
-    aWorker.mCalmSince = aNow;
+  TaskSlot& task = *aFilling.mTask;
+  const auto wanted =
+    static_cast<std::int64_t>(aFilling.mPace) / kPaceStep * kPaceStep;
+  const bool isRaise = wanted > task.mPacePercent;
+  const bool isKnown = task.mPacePercent != kUnknownPace;
+  const bool isTooEarly =
+    isRaise && isKnown && aNow - task.mPacedAt < kRaiseAfter;
+  if (wanted == task.mPacePercent || isTooEarly) {
     return;
   }
+  const std::int64_t pace = isRaise && isKnown
+                              ? std::min(wanted, task.mPacePercent + kMostRaise)
+                              : wanted;
+  spdlog::info("task.pace task={} run={} worker={} from={} to={} "
+               "worst_share={:.2f} serving_use_mcpu={:.0f}",
+               Describe(aFilling.mRow->mTask),
+               aFilling.mRow->mRun,
+               aWorker.mEntry.mWorker,
+               task.mPacePercent,
+               pace,
+               aWorst,
+               aWorker.mServingUse.mNow);
+  task.mPacePercent = pace;
+  task.mPacedAt = aNow;
+  aActions.mPaces.push_back(
+    { aWorker.mEntry.mWorker,
+      { aFilling.mRow->mTask, aFilling.mRow->mRun, aShard.mEpoch, pace } });
 }
 
 } // namespace
@@ -156,22 +190,38 @@
     return;
   }
   LearnSharing(aShard, *worker, aRunning, aNow);
-  const auto [image, worst] = WorstOf(*worker);
-  if (worst <= kSlowDownAbove) {
-    worker->mDisturbedSince = aNow;
+  double worst = 0;
+  for (const auto& [image, share] : worker->mServingShares) {
+    worst = std::max(worst, share.mWorst);
   }
-  if (worst > kSpeedUpBelow) {
-    worker->mCalmSince = aNow;
+  if (worst <= kSlowDownAbove) {
+    worker->mOverTargetSince = aNow;
   }
   if (worker->mFillingCpu == 0) {
     return;
   }
-  const auto filling = FillingOn(aShard, *worker, aRunning, image, aNow);
-  if (worst > kSlowDownAbove) {
+  auto filling = FillingOn(aShard, *worker, aRunning);
+  for (const auto& [image, share] : worker->mServingShares) {
+    SlowBesides(aShard, *worker, image, share, filling, aNow);
+  }
+  if (worker->mServingCpu > 0) {
+    SlowForRoom(*worker, filling);
+  }
+  const auto longest = Duration(static_cast<std::int64_t>(
+    static_cast<double>(aShard.mBounds.mHarm.count()) * kLongestOverTarget));
+  const bool isTooLong = aNow - worker->mOverTargetSince > longest;
+  bool isSlowed = false;
+  for (auto& row : filling) {
+    if (isTooLong) {
+      row.mPace = 0;
+    } else if (worst <= kRecoveryShare) {
+      row.mPace = std::max(row.mPace, kLeastPace);
+    }
+    isSlowed = isSlowed || row.mPace < PaceOf(*row.mTask);
+    OrderPace(aShard, *worker, row, worst, aNow, aActions);
+  }
+  if (isTooLong || (isSlowed && worst > kSlowDownAbove)) {
     worker->mNoFillingUntil = aNow + kNoFillingTime;
-    SlowDown(aShard, *worker, filling, worst, aNow, aActions);
-  } else if (aNow - worker->mCalmSince > kCalmTime) {
-    SpeedUp(aShard, *worker, filling, worst, aNow, aActions);
   }
 }
 
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -21,10 +21,6 @@
 constexpr int kMostMisses = 24;
 /// A filling task is started with at least this share of its processors.
 constexpr double kLeastFillingShare = 0.9;
-/// Nothing that fills is added where a serving task would come so close to
-/// its target.
-constexpr double kMostExpectedShare = 0.85;
-
 struct Candidate
 {
   TaskId mFirst;
@@ -168,12 +164,18 @@
   if (step.mIsFilling) {
     const auto wanted = static_cast<double>(step.mNeeds.mMilliCpu);
     const auto room = static_cast<double>(FillingRoom(aWorker));
-    const double expected = ExpectedShare(aShard, aWorker, step, aNow);
-    if (room < wanted * kLeastFillingShare || aNow < aWorker.mNoFillingUntil ||
-        expected > kMostExpectedShare) {
+    if (room < wanted * kLeastFillingShare || aNow < aWorker.mNoFillingUntil) {
+      return std::nullopt;
+    }
+    const FillingEffect effect = EffectOf(aShard, aWorker, step, aNow);
+    if (effect.mIsTooMuch) {
       return std::nullopt;
     }
-    return cost + 2 * expected - room / capacity;
+    // A task that disturbs little leaves the workers that nothing disturbs
+    // to those that disturb more.
+    constexpr double kRegretWeight = 4;
+    return cost + 2 * effect.mAdded +
+           kRegretWeight * (effect.mAdded - effect.mUsual) - room / capacity;
   }
   if (step.mTargetMs > 0) {
     // Images differ in how much they mind filling tasks. Kept apart, those
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -6,27 +6,32 @@
 
 namespace {
 
-/// Filling tasks that together get less than this share of what they want
-/// show that their worker has no processors left. Declared needs are off by
-/// a third at times, so the bound is well below that.
-constexpr double kStarvedShare = 0.5;
 /// A measurement covers the last half second of a task.
 constexpr Duration kMeasuredAfter{ 1'200 };
-/// Weight of a new observation of what serving tasks use.
-constexpr double kUseRate = 0.5;
-/// The estimate rises at once where a serving task comes close to its target
-/// and falls slowly with each calm report: a full worker is seen only in its
-/// response times, and costs more than an idle processor.
-constexpr double kUseRise = 0.1;
-constexpr double kUseFall = 0.01;
-constexpr double kLeastUse = 0.5;
-constexpr double kMostUse = 1.0;
-constexpr double kCloseToTarget = 0.9;
-/// Weight of a new measurement of a serving task that runs alone.
-constexpr double kAloneRate = 0.1;
-/// What a pair of images that was never seen together is taken to add, for a
-/// whole worker of the filling image.
-constexpr double kPriorCoefficient = 1.0;
+/// Weight of a new report in what is learned of an image's own load.
+constexpr double kProfileRate = 0.03;
+/// The least share follows low reports quickly and rises only slowly.
+constexpr double kLeastShareFall = 0.3;
+constexpr double kLeastShareRise = 0.0005;
+/// Load that a task is taken to have when its response times are lowest.
+constexpr double kLeastLoad = 0.2;
+/// Load of a serving task that hasn't been measured yet.
+constexpr double kUnknownLoad = 0.5;
+/// Share of a worker's processors that may be in use before response times
+/// suffer for the want of them.
+constexpr double kFullUse = 0.94;
+/// The same for placement: serving load rises while a task runs.
+constexpr double kPlacedUse = 0.89;
+/// Nothing that fills is added where a serving task would come so close to
+/// its target.
+constexpr double kMostExpectedShare = 0.8;
+/// Load that a pair of images that was never seen together is taken to add,
+/// for a whole worker of the filling image.
+constexpr double kPriorCoefficient = 1.5;
+/// The high load rises this much with each report above it, and falls by a
+/// tenth of that with each below.
+constexpr double kHighLoadRise = 0.02;
+constexpr double kHighLoadFall = 0.002;
 
 double CapacityOf(const DispatchWorker& aWorker)
 {
@@ -34,24 +39,21 @@
     std::max<std::int64_t>(aWorker.mEntry.mCapacity.mMilliCpu, 1));
 }
 
-/// Shares beyond this say no more about which neighbour is to blame.
-constexpr double kMostLearnedShare = 4;
-
-/// Shares of target of the tasks of one image on a worker.
-struct ImageShares
+/// A serving task of a report.
+struct ServingRow
 {
-  double mSum = 0;
-  int mCount = 0;
+  const std::string& mImage;
+  double mCpu = 0;
+  /// Share of its target; 0 if it wasn't measured long enough.
+  double mShare = 0;
 };
 
 /// What the rows of a report say, summed up.
 struct Mix
 {
-  double mWanted = 0;
-  double mGot = 0;
+  double mFillingCpu = 0;
   std::vector<Neighbour> mFilling;
-  /// Image and share of its target, for each serving task.
-  std::vector<std::pair<std::string, double>> mServing;
+  std::vector<ServingRow> mServing;
 };
 
 Mix MixOf(DispatchShard& aShard,
@@ -67,65 +69,139 @@
       continue;
     }
     const StepSpec& step = StepOf(aShard.mJobs.at(key.mJob), key);
-    const bool isMeasured = aNow - task->mConfirmedAt > kMeasuredAfter;
-    if (step.mTargetMs > 0 && isMeasured) {
-      mix.mServing.emplace_back(step.mImage,
-                                static_cast<double>(row.mMeasured) /
-                                  static_cast<double>(step.mTargetMs));
-    }
-    if (!step.mIsFilling) {
-      continue;
+    const auto measured = static_cast<double>(row.mMeasured);
+    if (step.mTargetMs > 0) {
+      const bool isMeasured = aNow - task->mConfirmedAt > kMeasuredAfter;
+      mix.mServing.push_back(
+        { step.mImage,
+          static_cast<double>(step.mNeeds.mMilliCpu),
+          isMeasured ? measured / static_cast<double>(step.mTargetMs) : 0 });
     }
-    const auto got = static_cast<double>(row.mMeasured);
-    mix.mFilling.push_back({ KindOf(step.mImage), got / CapacityOf(aWorker) });
-    if (isMeasured && task->mPacePercent == 100) {
-      mix.mWanted += static_cast<double>(step.mNeeds.mMilliCpu);
-      mix.mGot += got;
+    if (step.mIsFilling) {
+      aShard.mFillingImages.insert(step.mImage);
+      mix.mFillingCpu += measured;
+      mix.mFilling.push_back(
+        { KindOf(step.mImage), measured / CapacityOf(aWorker) });
     }
   }
   return mix;
 }
 
-/// What serving tasks use follows from what is left for those that fill.
-void LearnUse(DispatchWorker& aWorker, const Mix& aMix)
+double AddedBy(const DispatchShard& aShard,
+               const std::string& aServingImage,
+               const std::vector<Neighbour>& aFilling,
+               TimePoint aNow)
+{
+  return Predict(aShard.mInterference,
+                 KindOf(aServingImage),
+                 aFilling,
+                 kPriorCoefficient,
+                 0,
+                 aNow);
+}
+
+void LearnProfile(ServingProfile& aProfile, double aShare, double aAdded)
 {
-  const auto serving = static_cast<double>(aWorker.mServingCpu);
-  if (serving <= 0 || aMix.mWanted <= 0) {
+  const double error = aShare - aProfile.mLeastShare;
+  aProfile.mLeastShare +=
+    (error < 0 ? kLeastShareFall : kLeastShareRise) * error;
+  if (aAdded >= kLeastAdded) {
     return;
   }
-  const double plain =
-    static_cast<double>(aWorker.mUsed.mMilliCpu - aWorker.mServingCpu);
-  const double left = CapacityOf(aWorker) - plain - aMix.mGot;
-  const double observed = std::clamp(left / serving, kLeastUse, kMostUse);
-  const bool isStarved = aMix.mGot < kStarvedShare * aMix.mWanted;
-  double& use = aWorker.mServingUse;
-  const bool isClose =
-    std::any_of(aMix.mServing.begin(),
-                aMix.mServing.end(),
-                [](const auto& aRow) { return aRow.second > kCloseToTarget; });
-  if (isStarved) {
-    use += kUseRate * (observed - use);
+  const double load = LoadAt(aProfile, aShare);
+  aProfile.mMeanLoad += kProfileRate * (load - aProfile.mMeanLoad);
+  aProfile.mHighLoad +=
+    load > aProfile.mHighLoad ? kHighLoadRise : -kHighLoadFall;
+  aProfile.mHighLoad = std::clamp(aProfile.mHighLoad, aProfile.mMeanLoad, 1.0);
+}
+
+double MeanAdded(const DispatchShard& aShard,
+                 const std::string& aServingImage,
+                 TimePoint aNow)
+{
+  double sum = 0;
+  for (const auto& image : aShard.mFillingImages) {
+    sum += AddedBy(aShard, aServingImage, { { KindOf(image), 1 } }, aNow);
+  }
+  const auto count = static_cast<double>(aShard.mFillingImages.size());
+  return count > 0 ? sum / count : 0;
+}
+
+/// Takes in how much of their processors the serving tasks use.
+void EstimateUse(DispatchShard& aShard,
+                 DispatchWorker& aWorker,
+                 const Mix& aMix)
+{
+  ServingUse use;
+  for (const auto& row : aMix.mServing) {
+    use.mReported += row.mCpu;
+    if (row.mShare <= 0) {
+      use.mNow += row.mCpu * kUnknownLoad;
+      use.mExpected += row.mCpu * kUnknownLoad;
+      continue;
+    }
+    const ServingProfile& profile = aShard.mServingProfiles.at(row.mImage);
+    const double added = aWorker.mServingShares.at(row.mImage).mAdded;
+    const double own =
+      std::max(LoadAt(profile, row.mShare) - added, kLeastLoad);
+    use.mNow += row.mCpu * own;
+    use.mExpected += row.mCpu * std::max(own, profile.mMeanLoad);
+  }
+  aWorker.mServingUse = use;
+}
+
+/// Sum and number of the loads of an image's tasks.
+struct LoadSum
+{
+  double mSum = 0;
+  int mCount = 0;
+};
+
+/// Learns how much load the filling tasks of the report add to each image.
+void LearnPairs(DispatchShard& aShard,
+                const Mix& aMix,
+                const std::map<std::string, LoadSum>& aLoads,
+                TimePoint aNow)
+{
+  for (const auto& [image, loads] : aLoads) {
+    ServingProfile& profile = aShard.mServingProfiles.at(image);
+    Learn(aShard.mInterference,
+          KindOf(image),
+          aMix.mFilling,
+          loads.mSum / loads.mCount - profile.mMeanLoad,
+          aNow);
+    profile.mMeanAdded = MeanAdded(aShard, image, aNow);
   }
-  use += isClose ? kUseRise : -kUseFall;
-  use = std::clamp(use, kLeastUse, kMostUse);
+}
+
+double PlainCpu(const DispatchWorker& aWorker)
+{
+  return static_cast<double>(aWorker.mUsed.mMilliCpu - aWorker.mServingCpu);
 }
 
 } // namespace
 
-double AddedShare(const DispatchShard& aShard,
-                  const std::string& aServingImage,
-                  const StepSpec& aFilling,
-                  const DispatchWorker& aWorker,
-                  TimePoint aNow)
+double LoadAt(const ServingProfile& aProfile, double aShare)
+{
+  const double idle = aProfile.mLeastShare * (1 - kLeastLoad);
+  return aShare <= idle ? 0 : 1 - idle / aShare;
+}
+
+double UsualLoad(const ServingProfile& aProfile)
+{
+  return aProfile.mHighLoad;
+}
+
+double AddedLoad(const DispatchShard& aShard,
+                 const std::string& aServingImage,
+                 const StepSpec& aFilling,
+                 const DispatchWorker& aWorker,
+                 TimePoint aNow)
 {
   const double load =
     static_cast<double>(aFilling.mNeeds.mMilliCpu) / CapacityOf(aWorker);
-  return Predict(aShard.mInterference,
-                 KindOf(aServingImage),
-                 { { KindOf(aFilling.mImage), load } },
-                 kPriorCoefficient,
-                 0,
-                 aNow);
+  return AddedBy(
+    aShard, aServingImage, { { KindOf(aFilling.mImage), load } }, aNow);
 }
 
 void LearnSharing(DispatchShard& aShard,
@@ -134,52 +210,86 @@
                   TimePoint aNow)
 {
   const Mix mix = MixOf(aShard, aWorker, aRunning, aNow);
-  LearnUse(aWorker, mix);
   aWorker.mServingShares.clear();
-  aWorker.mAddedShares.clear();
-  std::map<std::string, ImageShares> images;
-  for (const auto& [image, share] : mix.mServing) {
-    double& worst = aWorker.mServingShares[image];
-    worst = std::max(worst, share);
-    images[image].mSum += std::min(share, kMostLearnedShare);
-    ++images[image].mCount;
-  }
-  for (const auto& [image, shares] : images) {
-    const double mean = shares.mSum / shares.mCount;
-    double& alone = aShard.mAloneShares.try_emplace(image, mean).first->second;
-    if (mix.mFilling.empty()) {
-      alone += kAloneRate * (mean - alone);
+  std::map<std::string, LoadSum> loads;
+  for (const auto& row : mix.mServing) {
+    if (row.mShare <= 0) {
       continue;
     }
-    Learn(
-      aShard.mInterference, KindOf(image), mix.mFilling, mean - alone, aNow);
+    const ServingProfile fresh{ row.mShare, kUnknownLoad, kUnknownLoad, 0 };
+    const ServingProfile& profile =
+      aShard.mServingProfiles.try_emplace(row.mImage, fresh).first->second;
+    ServingShare& share = aWorker.mServingShares[row.mImage];
+    const double load = LoadAt(profile, row.mShare);
+    share.mWorst = std::max(share.mWorst, row.mShare);
+    share.mLoad = std::max(share.mLoad, load);
+    loads[row.mImage].mSum += load;
+    ++loads[row.mImage].mCount;
+  }
+  for (auto& [image, share] : aWorker.mServingShares) {
+    share.mAdded = AddedBy(aShard, image, mix.mFilling, aNow);
   }
+  EstimateUse(aShard, aWorker, mix);
+  // Where processors are short, response times say nothing of the images.
+  const bool isFull =
+    aWorker.mServingUse.mNow + PlainCpu(aWorker) + mix.mFillingCpu >
+    CapacityOf(aWorker) * kFullUse;
+  if (isFull) {
+    return;
+  }
+  for (const auto& row : mix.mServing) {
+    if (row.mShare > 0) {
+      LearnProfile(aShard.mServingProfiles.at(row.mImage),
+                   row.mShare,
+                   aWorker.mServingShares.at(row.mImage).mAdded);
+    }
+  }
+  if (!mix.mFilling.empty()) {
+    LearnPairs(aShard, mix, loads, aNow);
+  }
+}
+
+double FillingRoomNow(const DispatchWorker& aWorker)
+{
+  return CapacityOf(aWorker) * kFullUse - PlainCpu(aWorker) -
+         aWorker.mServingUse.mNow;
 }
 
 std::int64_t FillingRoom(const DispatchWorker& aWorker)
 {
-  const double plain =
-    static_cast<double>(aWorker.mUsed.mMilliCpu - aWorker.mServingCpu);
+  // Serving tasks that came after the last report aren't in it.
+  const double unreported =
+    static_cast<double>(aWorker.mServingCpu) - aWorker.mServingUse.mReported;
   const double serving =
-    static_cast<double>(aWorker.mServingCpu) * aWorker.mServingUse;
-  return static_cast<std::int64_t>(CapacityOf(aWorker) - plain - serving) -
+    aWorker.mServingUse.mExpected + std::max(0.0, unreported) * kUnknownLoad;
+  return static_cast<std::int64_t>(CapacityOf(aWorker) * kPlacedUse -
+                                   PlainCpu(aWorker) - serving) -
          aWorker.mFillingCpu;
 }
 
-double ExpectedShare(const DispatchShard& aShard,
-                     const DispatchWorker& aWorker,
-                     const StepSpec& aFilling,
-                     TimePoint aNow)
+FillingEffect EffectOf(const DispatchShard& aShard,
+                       const DispatchWorker& aWorker,
+                       const StepSpec& aFilling,
+                       TimePoint aNow)
 {
-  double worst = 0;
+  const double load =
+    static_cast<double>(aFilling.mNeeds.mMilliCpu) / CapacityOf(aWorker);
+  FillingEffect effect;
   for (const auto& [image, share] : aWorker.mServingShares) {
-    const auto placed = aWorker.mAddedShares.find(image);
-    const double added =
-      (placed == aWorker.mAddedShares.end() ? 0 : placed->second) +
-      AddedShare(aShard, image, aFilling, aWorker, aNow);
-    worst = std::max(worst, share + added);
+    const ServingProfile& profile = aShard.mServingProfiles.at(image);
+    effect.mUsual = std::max(effect.mUsual, profile.mMeanAdded * load);
+    const double added = AddedLoad(aShard, image, aFilling, aWorker, aNow);
+    if (added < kLeastAdded) {
+      continue;
+    }
+    effect.mAdded = std::max(effect.mAdded, added);
+    const double before =
+      std::max(share.mLoad, UsualLoad(profile) + share.mAdded);
+    const double most = LoadAt(profile, kMostExpectedShare);
+    effect.mIsTooMuch =
+      effect.mIsTooMuch || before + share.mPlaced + added > most;
   }
-  return worst;
+  return effect;
 }
 
 void NotePlacedFilling(const DispatchShard& aShard,
@@ -187,9 +297,8 @@
                        const StepSpec& aFilling,
                        TimePoint aNow)
 {
-  for (const auto& [image, share] : aWorker.mServingShares) {
-    aWorker.mAddedShares[image] +=
-      AddedShare(aShard, image, aFilling, aWorker, aNow);
+  for (auto& [image, share] : aWorker.mServingShares) {
+    share.mPlaced += AddedLoad(aShard, image, aFilling, aWorker, aNow);
   }
 }
 
--- a/Source/Dispatch/vcDispatchSharing.h
+++ b/Source/Dispatch/vcDispatchSharing.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// Sharing of a worker between serving tasks and tasks that fill: how much of
-/// their processors serving tasks leave idle, and how much each image of a
-/// filling task adds to the response times of each image that serves. Both
+/// their processors serving tasks leave idle, and how much load each
+/// image of a filling task adds to each image that serves. Both
 /// are learned from the workers' reports.
 
 #include "vcDispatchState.h"
@@ -19,12 +19,37 @@
 /// thousandths; negative if they take too much already.
 std::int64_t FillingRoom(const DispatchWorker& aWorker);
 
-/// Highest share of its target that a serving task on the worker is expected
-/// to reach with one more filling task.
-double ExpectedShare(const DispatchShard& aShard,
-                     const DispatchWorker& aWorker,
-                     const StepSpec& aFilling,
-                     TimePoint aNow);
+/// Processors that all filling tasks on the worker may use just now, in
+/// thousandths.
+double FillingRoomNow(const DispatchWorker& aWorker);
+
+/// Load of a serving task at a share of its target. Its response times are
+/// taken for those of a queue: with the load L they are 1 / (1 - L) times
+/// those of an idle one.
+double LoadAt(const ServingProfile& aProfile, double aShare);
+
+/// Load of a serving task that it has to be expected to come back to.
+double UsualLoad(const ServingProfile& aProfile);
+
+/// A filling task that adds less load than this to a serving task doesn't
+/// disturb it: the estimates aren't better than that.
+constexpr double kLeastAdded = 0.05;
+
+/// What one more filling task would do to the serving tasks of a worker.
+struct FillingEffect
+{
+  /// Most load that it adds to any image there.
+  double mAdded = 0;
+  /// The same of a task of the usual filling image.
+  double mUsual = 0;
+  /// An image to which it adds load would come too close to its target.
+  bool mIsTooMuch = false;
+};
+
+FillingEffect EffectOf(const DispatchShard& aShard,
+                       const DispatchWorker& aWorker,
+                       const StepSpec& aFilling,
+                       TimePoint aNow);
 
 /// Notes that a filling task was placed since the worker's last report.
 void NotePlacedFilling(const DispatchShard& aShard,
@@ -32,11 +57,11 @@
                        const StepSpec& aFilling,
                        TimePoint aNow);
 
-/// What a filling task adds to the share of target of an image that serves.
-double AddedShare(const DispatchShard& aShard,
-                  const std::string& aServingImage,
-                  const StepSpec& aFilling,
-                  const DispatchWorker& aWorker,
-                  TimePoint aNow);
+/// Load that a filling task adds to the tasks of an image that serves.
+double AddedLoad(const DispatchShard& aShard,
+                 const std::string& aServingImage,
+                 const StepSpec& aFilling,
+                 const DispatchWorker& aWorker,
+                 TimePoint aNow);
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -122,6 +122,30 @@
   std::int64_t mEndedAtMs = 0;
 };
 
+/// How close the tasks of a serving image on a worker are to their target.
+struct ServingShare
+{
+  /// Highest share of the target that a task reported.
+  double mWorst = 0;
+  /// The load that goes with it, from 0 to 1.
+  double mLoad = 0;
+  /// What filling tasks add to the load, as far as is learned.
+  double mAdded = 0;
+  /// The same of those that were placed since the report.
+  double mPlaced = 0;
+};
+
+/// Processors that a worker's serving tasks use, in thousandths.
+struct ServingUse
+{
+  /// What the tasks of the last report asked for.
+  double mReported = 0;
+  /// What they use now.
+  double mNow = 0;
+  /// What they will use once those with little load are back at their mean.
+  double mExpected = 0;
+};
+
 struct DispatchWorker
 {
   WorkerEntry mEntry;
@@ -153,14 +177,12 @@
   std::set<TaskId> mTasks;
   /// Serving tasks here, by image.
   std::map<std::string, std::uint32_t> mServingImages;
-  /// Processors that serving tasks here have asked for, in thousandths, and
-  /// the share of them that they are thought to use.
+  /// Processors that serving tasks here have asked for, in thousandths.
   std::int64_t mServingCpu = 0;
-  double mServingUse = 0.6;
-  /// By image of a serving task: the highest share of its target in the last
-  /// report, and what filling tasks placed since then are expected to add.
-  std::map<std::string, double> mServingShares;
-  std::map<std::string, double> mAddedShares;
+  /// What the last report says of the serving tasks here.
+  ServingUse mServingUse;
+  /// By image of a serving task, as of the last report.
+  std::map<std::string, ServingShare> mServingShares;
   /// Nothing is started here before this.
   TimePoint mAvoidedUntil{ kNever };
   /// No filling task is started here before this.
@@ -169,10 +191,8 @@
   std::set<JobId> mFailedJobs;
   /// Runs that nobody wants any more, and when their stop was sent last.
   std::map<std::pair<TaskId, std::uint32_t>, TimePoint> mUnwanted;
-  /// Since when no serving task here was close to its target.
-  TimePoint mCalmSince{ kNever };
-  /// Since when one is over it, if one is.
-  TimePoint mDisturbedSince{ kNever };
+  /// Since when a serving task here is over its target, if one is.
+  TimePoint mOverTargetSince{ kNever };
 };
 
 /// Run times of a queue's tasks, learned from those that were done.
@@ -182,6 +202,20 @@
   std::uint32_t mCount = 0;
 };
 
+/// What is learned of an image that serves. A task's load is the share of
+/// the processors it asked for that it uses.
+struct ServingProfile
+{
+  /// Lowest share of its target that a task reports.
+  double mLeastShare = 0;
+  double mMeanLoad = 0;
+  /// Load that is seldom exceeded.
+  double mHighLoad = 0;
+  /// Load that a whole worker of filling tasks would add: the mean over
+  /// their images.
+  double mMeanAdded = 0;
+};
+
 struct DispatchShard
 {
   DispatchBounds mBounds;
@@ -201,9 +235,11 @@
   /// worker until then.
   TimePoint mBarrierUntil{ kNever };
   std::map<std::string, RunTimes> mRunTimes;
-  InterferenceModel mInterference{ 0.04, 20, {} };
-  /// Share of target of serving images beside which nothing fills.
-  std::map<std::string, double> mAloneShares;
+  InterferenceModel mInterference{ 0.04, 10, 0.01, {} };
+  /// By image of a serving task.
+  std::map<std::string, ServingProfile> mServingProfiles;
+  /// Images of filling tasks that were reported so far.
+  std::set<std::string> mFillingImages;
   /// A worker refused this owner's epoch for a higher one.
   bool mIsDeposed = false;
   /// Starts are allowed; cleared while ownership is in doubt.
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -129,7 +129,7 @@
     mixedWorkers += worker.mServingImages.size() > 1 ? 1 : 0;
     silent += worker.mIsSilent ? 1 : 0;
     room += std::max<std::int64_t>(FillingRoom(worker), 0);
-    servingUse += worker.mServingUse * static_cast<double>(worker.mServingCpu);
+    servingUse += worker.mServingUse.mNow;
     noFilling += worker.mNoFillingUntil > SuspendAwareNow() ? 1 : 0;
   }
   spdlog::info(
@@ -151,6 +151,16 @@
     mixedWorkers,
     noFilling,
     aShard.mJobs.size());
+  for (const auto& [image, profile] : aShard.mServingProfiles) {
+    spdlog::debug("shard.image shard={} image={} least_share={:.3f} "
+                  "mean_load={:.2f} high_load={:.2f} mean_added={:.2f}",
+                  aNumber,
+                  image,
+                  profile.mLeastShare,
+                  profile.mMeanLoad,
+                  profile.mHighLoad,
+                  profile.mMeanAdded);
+  }
 }
 
 } // namespace
--- a/Source/Placement/vcInterference.cxx
+++ b/Source/Placement/vcInterference.cxx
@@ -41,13 +41,13 @@
            TimePoint aMeasuredAt)
 {
   double predicted = 0;
-  double norm = 0;
+  double norm = aModel.mLeastNorm;
   for (const auto& neighbour : aNeighbours) {
     const auto key = PairKey(aVictim, neighbour.mKind);
     predicted += aModel.mPairs[key].mCoefficient * neighbour.mLoad;
     norm += neighbour.mLoad * neighbour.mLoad;
   }
-  if (norm <= 0) {
+  if (aNeighbours.empty() || norm <= 0) {
     return;
   }
   const double error = aSlowdown - predicted;
--- a/Source/Placement/vcInterference.h
+++ b/Source/Placement/vcInterference.h
@@ -37,6 +37,9 @@
   /// that are seen together are then told apart.
   double mLearningRate = 0.3;
   double mMaxCoefficient = 10;
+  /// Added to the sum of squared loads, so that neighbours with little load,
+  /// of which a report tells little, change little.
+  double mLeastNorm = 0;
   std::unordered_map<std::uint64_t, PairEstimate> mPairs;
 };
 
