Dispatch: Hold the takeover barrier while the owner's lease is in doubt

Cause: an owner whose lease is in doubt counted no silent worker's lease as over, yet took the barrier of its takeover for cleared once its time was up, and would have started older jobs whose runs another owner may be renewing by then.

A barrier that ran out while the lease was proved stays cleared. Unit tests: all passed.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -399,11 +399,16 @@
 
 bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow)
 {
-  return aShard.mUnansweredWorkers.empty() || aNow >= aShard.mBarrierUntil;
+  return aShard.mUnansweredWorkers.empty() ||
+         (aShard.mIsLeaseProved && aNow >= aShard.mBarrierUntil);
 }
 
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow)
 {
+  // What may run on them is over, also if the lease comes into doubt later.
+  if (IsBarrierClear(aShard, aNow)) {
+    aShard.mUnansweredWorkers.clear();
+  }
   for (auto at = aShard.mWorkers.begin(); at != aShard.mWorkers.end();) {
     DispatchWorker& worker = at->second;
     const bool isOver =
@@ -420,8 +425,7 @@
     }
     // What an earlier owner started may still run on a worker that hasn't
     // answered, listed or not.
-    const bool isOwed = !IsBarrierClear(aShard, aNow) &&
-                        aShard.mUnansweredWorkers.contains(at->first);
+    const bool isOwed = aShard.mUnansweredWorkers.contains(at->first);
     const bool isGone = !worker.mIsListed && worker.mTasks.empty() && !isOwed &&
                         (isOver || !worker.mHasAnswered);
     at = isGone ? aShard.mWorkers.erase(at) : std::next(at);
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -208,11 +208,15 @@
   {
     std::uint64_t mCreatedAt;
     std::int64_t mNowMs;
+    bool mIsLeaseProved;
     std::size_t mStarts;
   };
-  const auto row = GENERATE(
-    values<Row>({ { 5, 1'000, 0 }, { 20, 1'000, 1 }, { 5, 9'001, 1 } }));
+  const auto row = GENERATE(values<Row>({ { 5, 1'000, true, 0 },
+                                          { 20, 1'000, true, 1 },
+                                          { 5, 9'001, true, 1 },
+                                          { 5, 9'001, false, 0 } }));
   Fixture fixture({ "w1" });
+  fixture.mShard.mIsLeaseProved = row.mIsLeaseProved;
   fixture.mShard.mUnansweredWorkers = { "w2" };
   fixture.mShard.mBarrierUntil = TimePoint(9'000);
   fixture.mNow = TimePoint(row.mNowMs);
