Node: Let nodes with more processors own the shards

The rank of a claim knew nothing of the node's size.

A node's record names its processors, the rank goes by them first. The kind of an image is hashed once a report or a step instead of once a worker. One shard is meant for 60 workers (80 before): one on the present sites, 6 and 8 when grown.

Ruled out: memory and links (18 MB; no call timed out in the node's log).

--- a/Source/Dispatch/vcDispatchPacing.cxx
+++ b/Source/Dispatch/vcDispatchPacing.cxx
@@ -38,8 +38,7 @@
 {
   const RunningTask* mRow = nullptr;
   TaskSlot* mTask = nullptr;
-  const StepSpec* mStep = nullptr;
-  double mCpu = 0;
+  FillingNeeds mNeeds;
   double mPace = kFullPace;
 };
 
@@ -59,8 +58,7 @@
     }
     const StepSpec& step = StepOf(aShard.mJobs.at(key.mJob), key);
     if (step.mIsFilling) {
-      const auto cpu = static_cast<double>(step.mNeeds.mMilliCpu);
-      rows.push_back({ &row, task, &step, cpu, kFullPace });
+      rows.push_back({ &row, task, FillingNeedsOf(step), kFullPace });
     }
   }
   return rows;
@@ -87,7 +85,7 @@
   double cut = 0;
   for (auto& filling : aFilling) {
     const double added =
-      AddedLoad(aShard, aImage, *filling.mStep, aWorker, aNow);
+      AddedLoad(aShard, aShare, filling.mNeeds, aWorker, aNow);
     if (added >= kLeastAdded) {
       disturbing.emplace_back(added, &filling);
       full += added;
@@ -122,7 +120,7 @@
 {
   double excess = -FillingRoomNow(aWorker);
   for (const auto& filling : aFilling) {
-    excess += filling.mCpu * filling.mPace / kFullPace;
+    excess += filling.mNeeds.mCpu * filling.mPace / kFullPace;
   }
   std::sort(aFilling.begin(),
             aFilling.end(),
@@ -134,10 +132,10 @@
     if (excess <= 0) {
       return;
     }
-    const double used = filling.mCpu * filling.mPace / kFullPace;
+    const double used = filling.mNeeds.mCpu * filling.mPace / kFullPace;
     const double part = std::min(used, excess);
     excess -= part;
-    filling.mPace -= kFullPace * part / std::max(filling.mCpu, 1.0);
+    filling.mPace -= kFullPace * part / std::max(filling.mNeeds.mCpu, 1.0);
   }
 }
 
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -86,6 +86,8 @@
   const StepSpec& mStep;
   const std::string& mService;
   Resources mCounted;
+  /// Only of a step whose tasks fill.
+  FillingNeeds mFilling;
   /// Tasks of the step on each worker.
   std::map<std::string, std::uint32_t> mOnWorker;
 };
@@ -93,11 +95,14 @@
 StepNeeds NeedsOf(DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-  StepNeeds needs{
-    StepOf(job, aKey), job.mRecord.mTerms.mService, StepOf(job, aKey).mNeeds, {}
-  };
+  StepNeeds needs{ StepOf(job, aKey),
+                   job.mRecord.mTerms.mService,
+                   StepOf(job, aKey).mNeeds,
+                   {},
+                   {} };
   if (needs.mStep.mIsFilling) {
     needs.mCounted.mMilliCpu = 0;
+    needs.mFilling = FillingNeedsOf(needs.mStep);
   }
   const auto& tasks =
     job.mOccurrences[aKey.mOccurrence].mSteps[aKey.mStep].mTasks;
@@ -162,12 +167,13 @@
     cost += kColdPenalty;
   }
   if (step.mIsFilling) {
-    const auto wanted = static_cast<double>(step.mNeeds.mMilliCpu);
+    const auto wanted = aNeeds.mFilling.mCpu;
     const auto room = static_cast<double>(FillingRoom(aWorker));
     if (room < wanted * kLeastFillingShare || aNow < aWorker.mNoFillingUntil) {
       return std::nullopt;
     }
-    const FillingEffect effect = EffectOf(aShard, aWorker, step, aNow);
+    const FillingEffect effect =
+      EffectOf(aShard, aWorker, aNeeds.mFilling, aNow);
     if (effect.mIsTooMuch) {
       return std::nullopt;
     }
@@ -238,7 +244,7 @@
   order.mNotAfter = task.mNotAfter;
   const StepSpec& step = StepOf(job, aKey);
   if (step.mIsFilling) {
-    NotePlacedFilling(aShard, aWorker, step, aNow);
+    NotePlacedFilling(aShard, aWorker, FillingNeedsOf(step), aNow);
   }
   spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={}",
                Describe(order.mTask),
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -78,26 +78,22 @@
           isMeasured ? measured / static_cast<double>(step.mTargetMs) : 0 });
     }
     if (step.mIsFilling) {
-      aShard.mFillingImages.insert(step.mImage);
       mix.mFillingCpu += measured;
-      mix.mFilling.push_back(
-        { KindOf(step.mImage), measured / CapacityOf(aWorker) });
+      const std::uint64_t kind = KindOf(step.mImage);
+      aShard.mFillingKinds.insert(kind);
+      mix.mFilling.push_back({ kind, measured / CapacityOf(aWorker) });
     }
   }
   return mix;
 }
 
 double AddedBy(const DispatchShard& aShard,
-               const std::string& aServingImage,
-               const std::vector<Neighbour>& aFilling,
+               std::uint64_t aServingKind,
+               std::span<const Neighbour> aFilling,
                TimePoint aNow)
 {
-  return Predict(aShard.mInterference,
-                 KindOf(aServingImage),
-                 aFilling,
-                 kPriorCoefficient,
-                 0,
-                 aNow);
+  return Predict(
+    aShard.mInterference, aServingKind, aFilling, kPriorCoefficient, 0, aNow);
 }
 
 void LearnProfile(ServingProfile& aProfile, double aShare, double aAdded)
@@ -116,14 +112,15 @@
 }
 
 double MeanAdded(const DispatchShard& aShard,
-                 const std::string& aServingImage,
+                 std::uint64_t aServingKind,
                  TimePoint aNow)
 {
   double sum = 0;
-  for (const auto& image : aShard.mFillingImages) {
-    sum += AddedBy(aShard, aServingImage, { { KindOf(image), 1 } }, aNow);
+  for (const auto kind : aShard.mFillingKinds) {
+    const Neighbour whole{ kind, 1 };
+    sum += AddedBy(aShard, aServingKind, { &whole, 1 }, aNow);
   }
-  const auto count = static_cast<double>(aShard.mFillingImages.size());
+  const auto count = static_cast<double>(aShard.mFillingKinds.size());
   return count > 0 ? sum / count : 0;
 }
 
@@ -170,7 +167,7 @@
           aMix.mFilling,
           loads.mSum / loads.mCount - profile.mMeanLoad,
           aNow);
-    profile.mMeanAdded = MeanAdded(aShard, image, aNow);
+    profile.mMeanAdded = MeanAdded(aShard, KindOf(image), aNow);
   }
 }
 
@@ -187,21 +184,25 @@
   return aShare <= idle ? 0 : 1 - idle / aShare;
 }
 
+FillingNeeds FillingNeedsOf(const StepSpec& aStep)
+{
+  return { KindOf(aStep.mImage), static_cast<double>(aStep.mNeeds.mMilliCpu) };
+}
+
 double UsualLoad(const ServingProfile& aProfile)
 {
   return aProfile.mHighLoad;
 }
 
 double AddedLoad(const DispatchShard& aShard,
-                 const std::string& aServingImage,
-                 const StepSpec& aFilling,
+                 const ServingShare& aServing,
+                 const FillingNeeds& aFilling,
                  const DispatchWorker& aWorker,
                  TimePoint aNow)
 {
-  const double load =
-    static_cast<double>(aFilling.mNeeds.mMilliCpu) / CapacityOf(aWorker);
-  return AddedBy(
-    aShard, aServingImage, { { KindOf(aFilling.mImage), load } }, aNow);
+  const Neighbour filling{ aFilling.mKind,
+                           aFilling.mCpu / CapacityOf(aWorker) };
+  return AddedBy(aShard, aServing.mKind, { &filling, 1 }, aNow);
 }
 
 void LearnSharing(DispatchShard& aShard,
@@ -221,13 +222,14 @@
       aShard.mServingProfiles.try_emplace(row.mImage, fresh).first->second;
     ServingShare& share = aWorker.mServingShares[row.mImage];
     const double load = LoadAt(profile, row.mShare);
+    share.mKind = KindOf(row.mImage);
     share.mWorst = std::max(share.mWorst, row.mShare);
     share.mLoad = std::max(share.mLoad, load);
     loads[row.mImage].mSum += load;
     ++loads[row.mImage].mCount;
   }
   for (auto& [image, share] : aWorker.mServingShares) {
-    share.mAdded = AddedBy(aShard, image, mix.mFilling, aNow);
+    share.mAdded = AddedBy(aShard, share.mKind, mix.mFilling, aNow);
   }
   EstimateUse(aShard, aWorker, mix);
   // Where processors are short, response times say nothing of the images.
@@ -269,16 +271,15 @@
 
 FillingEffect EffectOf(const DispatchShard& aShard,
                        const DispatchWorker& aWorker,
-                       const StepSpec& aFilling,
+                       const FillingNeeds& aFilling,
                        TimePoint aNow)
 {
-  const double load =
-    static_cast<double>(aFilling.mNeeds.mMilliCpu) / CapacityOf(aWorker);
+  const double load = aFilling.mCpu / CapacityOf(aWorker);
   FillingEffect effect;
   for (const auto& [image, share] : aWorker.mServingShares) {
     const ServingProfile& profile = aShard.mServingProfiles.at(image);
     effect.mUsual = std::max(effect.mUsual, profile.mMeanAdded * load);
-    const double added = AddedLoad(aShard, image, aFilling, aWorker, aNow);
+    const double added = AddedLoad(aShard, share, aFilling, aWorker, aNow);
     if (added < kLeastAdded) {
       continue;
     }
@@ -294,11 +295,11 @@
 
 void NotePlacedFilling(const DispatchShard& aShard,
                        DispatchWorker& aWorker,
-                       const StepSpec& aFilling,
+                       const FillingNeeds& aFilling,
                        TimePoint aNow)
 {
   for (auto& [image, share] : aWorker.mServingShares) {
-    share.mPlaced += AddedLoad(aShard, image, aFilling, aWorker, aNow);
+    share.mPlaced += AddedLoad(aShard, share, aFilling, aWorker, aNow);
   }
 }
 
--- a/Source/Dispatch/vcDispatchSharing.h
+++ b/Source/Dispatch/vcDispatchSharing.h
@@ -35,6 +35,15 @@
 /// disturb it: the estimates aren't better than that.
 constexpr double kLeastAdded = 0.05;
 
+/// A filling task's kind and the processors it needs, in thousandths.
+struct FillingNeeds
+{
+  std::uint64_t mKind = 0;
+  double mCpu = 0;
+};
+
+FillingNeeds FillingNeedsOf(const StepSpec& aStep);
+
 /// What one more filling task would do to the serving tasks of a worker.
 struct FillingEffect
 {
@@ -48,19 +57,19 @@
 
 FillingEffect EffectOf(const DispatchShard& aShard,
                        const DispatchWorker& aWorker,
-                       const StepSpec& aFilling,
+                       const FillingNeeds& aFilling,
                        TimePoint aNow);
 
 /// Notes that a filling task was placed since the worker's last report.
 void NotePlacedFilling(const DispatchShard& aShard,
                        DispatchWorker& aWorker,
-                       const StepSpec& aFilling,
+                       const FillingNeeds& aFilling,
                        TimePoint aNow);
 
 /// Load that a filling task adds to the tasks of an image that serves.
 double AddedLoad(const DispatchShard& aShard,
-                 const std::string& aServingImage,
-                 const StepSpec& aFilling,
+                 const ServingShare& aServing,
+                 const FillingNeeds& aFilling,
                  const DispatchWorker& aWorker,
                  TimePoint aNow);
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -125,6 +125,7 @@
 /// How close the tasks of a serving image on a worker are to their target.
 struct ServingShare
 {
+  std::uint64_t mKind = 0;
   /// Highest share of the target that a task reported.
   double mWorst = 0;
   /// The load that goes with it, from 0 to 1.
@@ -238,8 +239,8 @@
   InterferenceModel mInterference{ 0.04, 10, 0.01, {} };
   /// By image of a serving task.
   std::map<std::string, ServingProfile> mServingProfiles;
-  /// Images of filling tasks that were reported so far.
-  std::set<std::string> mFillingImages;
+  /// Kinds of the images of filling tasks that were reported so far.
+  std::set<std::uint64_t> mFillingKinds;
   /// A worker refused this owner's epoch for a higher one.
   bool mIsDeposed = false;
   /// Starts are allowed; cleared while ownership is in doubt.
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -125,7 +125,8 @@
   aNode.mIsLeaseInDoubt = false;
   spdlog::info("lease.granted lease={}", aNode.mLease);
   NodeRecord record{ PeerAddressOf(aNode.mSettings),
-                     aNode.mSettings.mDataCentre };
+                     aNode.mSettings.mDataCentre,
+                     aNode.mSettings.mProcessors };
   KvTransaction enter;
   enter.mPuts.push_back(
     { kNodePrefix + aNode.mSettings.mName, Encode(record), aNode.mLease });
@@ -314,10 +315,14 @@
                         std::uint32_t aShard)
 {
   const std::string key = "shard-" + std::to_string(aShard);
-  const std::uint64_t mine = RendezvousWeight(key, aNode);
+  const auto self = aNodes.find(aNode);
+  const double processors = self == aNodes.end() ? 0 : self->second.mProcessors;
+  const auto mine = std::pair(processors, RendezvousWeight(key, aNode));
   std::uint32_t rank = 0;
   for (const auto& [name, record] : aNodes) {
-    if (name != aNode && RendezvousWeight(key, name) > mine) {
+    const auto other =
+      std::pair(record.mProcessors, RendezvousWeight(key, name));
+    if (name != aNode && other > mine) {
       ++rank;
     }
   }
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -21,8 +21,9 @@
 {
   std::string mPeerAddress;
   std::string mDataCentre;
+  double mProcessors = 1;
 };
-BOOST_DESCRIBE_STRUCT(NodeRecord, (), (mPeerAddress, mDataCentre))
+BOOST_DESCRIBE_STRUCT(NodeRecord, (), (mPeerAddress, mDataCentre, mProcessors))
 
 /// Record of a shard's owner under the owner's lease.
 struct ShardOwnerRecord
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -28,6 +28,10 @@
   if (aSettings.mWorkersPerShard == 0) {
     aFaults.push_back({ "$.workersPerShard", "0", "1 or more" });
   }
+  if (aSettings.mProcessors <= 0) {
+    aFaults.push_back(
+      { "$.processors", std::to_string(aSettings.mProcessors), "more than 0" });
+  }
   if (aSettings.mBounds.mGraceSeconds <= 0) {
     aFaults.push_back({ "$.bounds.graceSeconds",
                         std::to_string(aSettings.mBounds.mGraceSeconds),
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -38,8 +38,11 @@
   /// Shortest lease that the store grants.
   Duration mLeastLeaseMs{ 1'000 };
   NodeBounds mBounds;
+  /// Processors that the process may use. Nodes with more of them own shards
+  /// before those with less.
+  double mProcessors = 1;
   /// Workers for which one shard is meant.
-  std::uint32_t mWorkersPerShard = 80;
+  std::uint32_t mWorkersPerShard = 60;
   /// Most lines of log a second; those beyond are counted, not written.
   std::uint32_t mLogLinesPerSecond = 500;
   std::string mLogLevel = "info";
@@ -55,6 +58,7 @@
                        mStoreAddress,
                        mLeastLeaseMs,
                        mBounds,
+                       mProcessors,
                        mWorkersPerShard,
                        mLogLinesPerSecond,
                        mLogLevel))
--- a/Source/Placement/vcInterference.cxx
+++ b/Source/Placement/vcInterference.cxx
@@ -67,7 +67,7 @@
 
 double Predict(const InterferenceModel& aModel,
                std::uint64_t aVictim,
-               const std::vector<Neighbour>& aNeighbours,
+               std::span<const Neighbour> aNeighbours,
                double aPrior,
                double aCaution,
                TimePoint aNow)
--- a/Source/Placement/vcInterference.h
+++ b/Source/Placement/vcInterference.h
@@ -6,6 +6,7 @@
 
 #include "vcFoundation.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,7 +59,7 @@
 /// evidence count `aPrior`; `aCaution` times the uncertainty is added.
 double Predict(const InterferenceModel& aModel,
                std::uint64_t aVictim,
-               const std::vector<Neighbour>& aNeighbours,
+               std::span<const Neighbour> aNeighbours,
                double aPrior,
                double aCaution,
                TimePoint aNow);
--- a/Source/Scheduler/vcShardPressure.cxx
+++ b/Source/Scheduler/vcShardPressure.cxx
@@ -45,13 +45,14 @@
   const double load = static_cast<double>(task.mResources.mMilliCpu) /
                       static_cast<double>(std::max<std::int64_t>(
                         aWorker.mInstance.mCapacity.mMilliCpu, 1));
+  const Neighbour added{ KindOf(task.mOwner), load };
   double harm = 0;
   for (const auto& name : aWorker.mTasks) {
     const auto& other = aShard.mData.mPlaced.at(name);
     if (other.mKind == TaskKind::kService) {
       harm += Predict(aShard.mInterference,
                       KindOf(other.mOwner),
-                      { { KindOf(task.mOwner), load } },
+                      { &added, 1 },
                       0.3,
                       0.0,
                       aNow);
--- a/Tests/Bench/vcPolicyMain.cxx
+++ b/Tests/Bench/vcPolicyMain.cxx
@@ -583,9 +583,10 @@
       for (const int other : tasks) {
         const auto& service = aBench.mTasks[static_cast<std::size_t>(other)];
         if (service.mKind == TaskKind::kService) {
+          const Neighbour added{ KindOf(task.mOwner), LoadOf(task) };
           own += Predict(aBench.mModel,
                          KindOf(service.mOwner),
-                         { { KindOf(task.mOwner), LoadOf(task) } },
+                         { &added, 1 },
                          0.3,
                          0,
                          At(aBench.mNow));
