--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -189,11 +189,6 @@
   return { KindOf(aStep.mImage), static_cast<double>(aStep.mNeeds.mMilliCpu) };
 }
 
-double UsualLoad(const ServingProfile& aProfile)
-{
-  return aProfile.mHighLoad;
-}
-
 double AddedLoad(const DispatchShard& aShard,
                  const ServingShare& aServing,
                  const FillingNeeds& aFilling,
@@ -285,7 +280,7 @@
     }
     effect.mAdded = std::max(effect.mAdded, added);
     const double before =
-      std::max(share.mLoad, UsualLoad(profile) + share.mAdded);
+      std::max(share.mLoad, profile.mHighLoad + share.mAdded);
     const double most = LoadAt(profile, kMostExpectedShare);
     effect.mIsTooMuch =
       effect.mIsTooMuch || before + share.mPlaced + added > most;
--- a/Source/Dispatch/vcDispatchSharing.h
+++ b/Source/Dispatch/vcDispatchSharing.h
@@ -28,9 +28,6 @@
 /// those of an idle one.
 double LoadAt(const ServingProfile& aProfile, double aShare);
 
-/// Load of a serving task that it has to be expected to come back to.
-double UsualLoad(const ServingProfile& aProfile);
-
 /// A filling task that adds less load than this to a serving task doesn't
 /// disturb it: the estimates aren't better than that.
 constexpr double kLeastAdded = 0.05;
