Node: Judge the fleet's size once it has stopped to grow

The number of shards was decided 1.5 s after the start, by the 61 workers that had entered by then.

The count is now taken every half second until it stops growing for a second, or 4.5 s after the start. The unit test "a fleet is up once it has stopped to grow" covers it; before, nothing did.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -25,8 +25,12 @@
 constexpr Duration kRankDelay{ 200 };
 /// Nodes that own shards already leave others to those that own none.
 constexpr Duration kBusyDelay{ 60 };
-/// How long the fleet is given to come up before its size is judged.
-constexpr Duration kSettleTime{ 1'500 };
+/// The fleet counts as up once no worker has been added for this time, ...
+constexpr Duration kSettleTime{ 1'000 };
+/// ... or after this time, since jobs have to wait until then.
+constexpr Duration kLongestSettle{ 4'500 };
+/// How often the workers are counted until then.
+constexpr Duration kCountInterval{ 500 };
 
 std::optional<std::uint32_t> ShardInKey(std::string_view aKey)
 {
@@ -164,13 +168,15 @@
   NoteStoreReply(aNode, reply);
 }
 
-asio::awaitable<void> DecideLayout(NodeContext& aNode)
+/// Writes the number of shards, once the fleet is up.
+asio::awaitable<void> DecideLayout(NodeContext& aNode, FleetCount& aCount)
 {
   const KvReply listed = co_await ReadAll(aNode, aNode.mCodec.mDiscoveryPrefix);
-  if (listed.mStatus != KvStatus::kOk || listed.mItems.empty()) {
+  const auto workers = static_cast<std::uint32_t>(listed.mItems.size());
+  const bool isCounted = listed.mStatus == KvStatus::kOk && workers > 0;
+  if (!isCounted || !IsFleetUp(aCount, workers, SuspendAwareNow())) {
     co_return;
   }
-  const auto workers = static_cast<std::uint32_t>(listed.mItems.size());
   const std::uint32_t each = aNode.mSettings.mWorkersPerShard;
   LayoutRecord layout;
   layout.mShards = std::max<std::uint32_t>(1, (workers + each / 2) / each);
@@ -329,6 +335,19 @@
   return rank;
 }
 
+bool IsFleetUp(FleetCount& aCount, std::uint32_t aWorkers, TimePoint aNow)
+{
+  if (aCount.mCountedSince == kNever) {
+    aCount.mCountedSince = aNow;
+  }
+  if (aWorkers > aCount.mWorkers) {
+    aCount.mWorkers = aWorkers;
+    aCount.mGrewAt = aNow;
+  }
+  return aNow - aCount.mGrewAt >= kSettleTime ||
+         aNow - aCount.mCountedSince >= kLongestSettle;
+}
+
 bool MayStart(const NodeContext& aNode, TimePoint aNow)
 {
   if (aNode.mIsLeaseInDoubt || aNode.mLease == 0 || aNode.mIsStopping) {
@@ -380,8 +399,9 @@
 
 asio::awaitable<void> ClaimShards(NodeContext& aNode)
 {
-  const TimePoint startedAt = SuspendAwareNow();
-  TimePoint lastTick = startedAt;
+  TimePoint lastTick = SuspendAwareNow();
+  TimePoint countedAt = lastTick;
+  FleetCount fleet;
   std::map<std::uint32_t, TimePoint> ownerlessSince;
   constexpr Duration kLongestTick{ 700 };
   while (!aNode.mIsStopping) {
@@ -396,8 +416,9 @@
       continue;
     }
     if (aNode.mShards == 0) {
-      if (now - startedAt > kSettleTime && aNode.mOperators) {
-        co_await DecideLayout(aNode);
+      if (now - countedAt >= kCountInterval && aNode.mOperators) {
+        countedAt = now;
+        co_await DecideLayout(aNode, fleet);
         lastTick = SuspendAwareNow();
       }
       continue;
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -16,6 +16,18 @@
 /// Claims shards without an owner, and decides on the layout at first.
 asio::awaitable<void> ClaimShards(NodeContext& aNode);
 
+/// Workers counted while the fleet comes up.
+struct FleetCount
+{
+  std::uint32_t mWorkers = 0;
+  TimePoint mCountedSince = kNever;
+  TimePoint mGrewAt = kNever;
+};
+
+/// Takes in a new count.
+/// @return true once the fleet's size can be judged
+bool IsFleetUp(FleetCount& aCount, std::uint32_t aWorkers, TimePoint aNow);
+
 /// Place of `aNode` in the order in which nodes may claim `aShard`.
 std::uint32_t ClaimRank(const std::map<std::string, NodeRecord>& aNodes,
                         const std::string& aNode,
--- a/Tests/Unit/vcMembershipTest.cxx
+++ b/Tests/Unit/vcMembershipTest.cxx
@@ -24,4 +24,29 @@
   CHECK(ranks.size() == nodes.size());
 }
 
+TEST_CASE("a fleet is up once it has stopped to grow, or after a while",
+          "[node]")
+{
+  struct Row
+  {
+    std::vector<std::uint32_t> mCounts;
+    bool mIsUp;
+  };
+  // Counts of every half second.
+  const auto row = GENERATE(
+    values<Row>({ { { 61 }, false },
+                  { { 61, 200, 340 }, false },
+                  { { 61, 200, 340, 350, 350, 350 }, true },
+                  { { 10, 20, 30, 40, 50, 60, 70, 80, 90 }, false },
+                  { { 10, 20, 30, 40, 50, 60, 70, 80, 90, 100 }, true } }));
+  FleetCount count;
+  TimePoint now{ 10'000 };
+  bool isUp = false;
+  for (const auto workers : row.mCounts) {
+    isUp = IsFleetUp(count, workers, now);
+    now += Duration(500);
+  }
+  CHECK(isUp == row.mIsUp);
+}
+
 } // namespace verbenacroft
