Dispatch: Split the planning of paces by step

Cause: PlanPaces had grown over the learning, the choice of the paces and the orders. The worst share, the time over target and the choice are functions of their own now; behaviour stays as it is.

--- a/Source/Dispatch/vcDispatchPacing.cxx
+++ b/Source/Dispatch/vcDispatchPacing.cxx
@@ -175,6 +175,49 @@
       { aFilling.mRow->mTask, aFilling.mRow->mRun, aShard.mEpoch, pace } });
 }
 
+double WorstShare(const DispatchWorker& aWorker)
+{
+  double worst = 0;
+  for (const auto& [image, share] : aWorker.mServingShares) {
+    worst = std::max(worst, share.mWorst);
+  }
+  return worst;
+}
+
+bool IsOverTooLong(const DispatchShard& aShard,
+                   const DispatchWorker& aWorker,
+                   TimePoint aNow)
+{
+  const auto longest =
+    static_cast<double>(aShard.mBounds.mHarm.count()) * kLongestOverTarget;
+  const auto over =
+    static_cast<double>((aNow - aWorker.mOverTargetSince).count());
+  return over > longest;
+}
+
+/// Finds the pace of each filling task on the worker.
+void ChoosePaces(const DispatchShard& aShard,
+                 const DispatchWorker& aWorker,
+                 double aWorst,
+                 std::vector<Filling>& aFilling,
+                 TimePoint aNow)
+{
+  for (const auto& [image, share] : aWorker.mServingShares) {
+    SlowBesides(aShard, aWorker, image, share, aFilling, aNow);
+  }
+  if (aWorker.mServingCpu > 0) {
+    SlowForRoom(aWorker, aFilling);
+  }
+  const bool isTooLong = IsOverTooLong(aShard, aWorker, aNow);
+  for (auto& row : aFilling) {
+    if (isTooLong) {
+      row.mPace = 0;
+    } else if (aWorst <= kRecoveryShare) {
+      row.mPace = std::max(row.mPace, kLeastPace);
+    }
+  }
+}
+
 } // namespace
 
 void PlanPaces(DispatchShard& aShard,
@@ -188,10 +231,7 @@
     return;
   }
   LearnSharing(aShard, *worker, aRunning, aNow);
-  double worst = 0;
-  for (const auto& [image, share] : worker->mServingShares) {
-    worst = std::max(worst, share.mWorst);
-  }
+  const double worst = WorstShare(*worker);
   if (worst <= kSlowDownAbove) {
     worker->mOverTargetSince = aNow;
   }
@@ -199,26 +239,13 @@
     return;
   }
   auto filling = FillingOn(aShard, *worker, aRunning);
-  for (const auto& [image, share] : worker->mServingShares) {
-    SlowBesides(aShard, *worker, image, share, filling, aNow);
-  }
-  if (worker->mServingCpu > 0) {
-    SlowForRoom(*worker, filling);
-  }
-  const auto longest = Duration(static_cast<std::int64_t>(
-    static_cast<double>(aShard.mBounds.mHarm.count()) * kLongestOverTarget));
-  const bool isTooLong = aNow - worker->mOverTargetSince > longest;
-  bool isSlowed = false;
-  for (auto& row : filling) {
-    if (isTooLong) {
-      row.mPace = 0;
-    } else if (worst <= kRecoveryShare) {
-      row.mPace = std::max(row.mPace, kLeastPace);
-    }
+  ChoosePaces(aShard, *worker, worst, filling, aNow);
+  bool isSlowed = IsOverTooLong(aShard, *worker, aNow);
+  for (const auto& row : filling) {
     isSlowed = isSlowed || row.mPace < PaceOf(*row.mTask);
     OrderPace(aShard, *worker, row, worst, aNow, aActions);
   }
-  if (isTooLong || (isSlowed && worst > kSlowDownAbove)) {
+  if (isSlowed && worst > kSlowDownAbove) {
     worker->mNoFillingUntil = aNow + kNoFillingTime;
   }
 }
