--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -268,7 +268,9 @@
 {
   RenewOrder order;
   order.mEpoch = aShard.mEpoch;
-  order.mAckIndex = aWorker.mAckIndex;
+  // A worker that was silent may be a new lifetime, whose ends would be
+  // forgotten unseen.
+  order.mAckIndex = aWorker.mIsSilent ? 0 : aWorker.mAckIndex;
   const std::int64_t clock = EstimateClock(aWorker, aNow);
   // A silent worker is only asked: what it may have heard but not answered
   // would prolong its lease, and its tasks could never be given up for lost.
--- a/Source/Foundation/vcTime.h
+++ b/Source/Foundation/vcTime.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace verbenacroft {
 
@@ -30,4 +31,22 @@
 /// Time of day in milliseconds since 1970. Only the shells call it.
 std::int64_t WallClockMs();
 
+/// For tests: both clocks above show `aNow` in the calling thread, or the
+/// machine's time again if nothing is given.
+void UseManualTime(std::optional<TimePoint> aNow);
+
+bool IsTimeManual();
+
+/// `SuspendAwareNow()` as a clock for timers.
+struct SuspendAwareClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<SuspendAwareClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() { return time_point(SuspendAwareNow()); }
+};
+
 } // namespace verbenacroft
--- a/Source/Node/vcJobDesk.cxx
+++ b/Source/Node/vcJobDesk.cxx
@@ -50,7 +50,7 @@
   KvTransaction write;
   write.mConditions.push_back({ InboxJobKey(shard, id), 0 });
   write.mConditions.push_back({ ProgressKey(shard, id), 0 });
-  write.mPuts.push_back({ InboxJobKey(shard, id), Encode(record), 0 });
+  write.mPuts.push_back(LastingPut(InboxJobKey(shard, id), Encode(record)));
   bool isUnknown = false;
   for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
     const KvReply reply = co_await CommitAnyhow(aNode, write);
@@ -141,7 +141,7 @@
     }
     KvTransaction write;
     write.mConditions.push_back({ InboxJobKey(shard, aJob), stored.mRevision });
-    write.mPuts.push_back({ CancelKey(shard, aJob), "{}", 0 });
+    write.mPuts.push_back(LastingPut(CancelKey(shard, aJob), "{}"));
     const KvReply reply = co_await CommitAnyhow(aNode, std::move(write));
     if (reply.mStatus == KvStatus::kOk) {
       co_return JsonResponse("{}");
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -70,7 +70,9 @@
                *shard,
                record->mNode,
                aItem.mCreateRevision);
-  aNode.mOwners[*shard] = { *record, aItem.mCreateRevision, aItem.mLease };
+  aNode.mOwners[*shard] = { *record,
+                            aItem.mCreateRevision,
+                            LeaseId::Of(aItem.mLease) };
 }
 
 void ApplyNode(NodeContext& aNode, const KvItem& aItem)
@@ -104,9 +106,10 @@
 
 void OnLeaseLost(NodeContext& aNode)
 {
-  spdlog::warn(
-    "lease.lost lease={} shards={}", aNode.mLease, aNode.mRunners.size());
-  aNode.mLease = 0;
+  spdlog::warn("lease.lost lease={} shards={}",
+               NumberOf(aNode.mLease),
+               aNode.mRunners.size());
+  aNode.mLease.reset();
   aNode.mLeaseValidUntil = kNever;
   aNode.mIsLeaseInDoubt = true;
   for (auto& [shard, runner] : aNode.mRunners) {
@@ -121,35 +124,37 @@
   const TimePoint sentAt = SuspendAwareNow();
   const KvReply reply = co_await aNode.mStore.mGrant(ttl);
   NoteStoreReply(aNode, reply);
-  if (reply.mStatus != KvStatus::kOk || reply.mLease == 0) {
+  const auto lease = LeaseId::Of(reply.mLease);
+  if (reply.mStatus != KvStatus::kOk || !lease) {
     co_return;
   }
-  aNode.mLease = reply.mLease;
-  aNode.mLeaseValidUntil = sentAt + ttl - kLeaseMargin;
-  aNode.mIsLeaseInDoubt = false;
-  spdlog::info("lease.granted lease={}", aNode.mLease);
   NodeRecord record{ PeerAddressOf(aNode.mSettings),
                      aNode.mSettings.mDataCentre,
                      aNode.mSettings.mProcessors };
   KvTransaction enter;
   enter.mPuts.push_back(
-    { kNodePrefix + aNode.mSettings.mName, Encode(record), aNode.mLease });
+    LeasedPut(kNodePrefix + aNode.mSettings.mName, Encode(record), *lease));
   const KvReply entered = co_await aNode.mStore.mCommit(std::move(enter));
   NoteStoreReply(aNode, entered);
+  spdlog::info("lease.granted lease={} entered={}",
+               lease->Number(),
+               NameOf(entered.mStatus));
   if (entered.mStatus != KvStatus::kOk) {
     // Without its record nobody would find the node: begin again.
-    OnLeaseLost(aNode);
+    co_return;
   }
+  aNode.mLease = lease;
+  aNode.mLeaseValidUntil = sentAt + ttl - kLeaseMargin;
+  aNode.mIsLeaseInDoubt = false;
 }
 
-asio::awaitable<void> RenewLease(NodeContext& aNode)
+asio::awaitable<void> RenewLease(NodeContext& aNode, LeaseId aLease)
 {
   const Duration ttl = LeaseTimeOf(aNode.mSettings);
   const TimePoint sentAt = SuspendAwareNow();
-  const std::uint64_t lease = aNode.mLease;
-  const KvReply reply = co_await aNode.mStore.mRenew(lease);
+  const KvReply reply = co_await aNode.mStore.mRenew(aLease);
   NoteStoreReply(aNode, reply);
-  if (aNode.mLease != lease) {
+  if (aNode.mLease != aLease) {
     co_return;
   }
   if (reply.mStatus == KvStatus::kNotFound) {
@@ -160,12 +165,52 @@
   }
 }
 
+/// Takes in the owner of a shard as the store shows it now.
+asio::awaitable<void> ReadOwner(NodeContext& aNode, std::uint32_t aShard)
+{
+  const KvReply read = co_await aNode.mStore.mRead(OwnerKey(aShard));
+  NoteStoreReply(aNode, read);
+  for (const auto& item : read.mItems) {
+    ApplyOwner(aNode, item);
+  }
+  const auto known = aNode.mOwners.find(aShard);
+  const bool isGone = read.mStatus == KvStatus::kNotFound &&
+                      known != aNode.mOwners.end() &&
+                      known->second.mEpoch <= read.mRevision;
+  if (isGone) {
+    aNode.mOwners.erase(known);
+  }
+}
+
 /// Ends the lease of this node's earlier life, so that its shards are free.
-asio::awaitable<void> EndEarlierLife(NodeContext& aNode, std::uint64_t aLease)
+asio::awaitable<void> EndEarlierLife(NodeContext& aNode,
+                                     std::uint32_t aShard,
+                                     LeaseId aLease)
 {
-  spdlog::info("lease.end-earlier-life lease={}", aLease);
+  spdlog::info(
+    "lease.end-earlier-life shard={} lease={}", aShard, aLease.Number());
   const KvReply reply = co_await aNode.mStore.mRevoke(aLease);
   NoteStoreReply(aNode, reply);
+  co_await ReadOwner(aNode, aShard);
+}
+
+/// Removes an owner's record, unless the store has another one by now.
+asio::awaitable<void> RemoveOwner(NodeContext& aNode,
+                                  std::uint32_t aShard,
+                                  ShardOwner aOwner)
+{
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(aShard), aOwner.mEpoch });
+  write.mDeletes.push_back(OwnerKey(aShard));
+  const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
+  NoteStoreReply(aNode, reply);
+  spdlog::warn("owner.removed shard={} node={} epoch={} lease={} outcome={}",
+               aShard,
+               aOwner.mRecord.mNode,
+               aOwner.mEpoch,
+               NumberOf(aOwner.mLease),
+               NameOf(reply.mStatus));
+  co_await ReadOwner(aNode, aShard);
 }
 
 /// Writes the number of shards, once the fleet is up.
@@ -182,7 +227,7 @@
   layout.mShards = std::max<std::uint32_t>(1, (workers + each / 2) / each);
   KvTransaction write;
   write.mConditions.push_back({ kLayoutKey, 0 });
-  write.mPuts.push_back({ kLayoutKey, Encode(layout), 0 });
+  write.mPuts.push_back(LastingPut(kLayoutKey, Encode(layout)));
   const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
   NoteStoreReply(aNode, reply);
   spdlog::info("layout.decided shards={} workers={} outcome={}",
@@ -191,14 +236,16 @@
                NameOf(reply.mStatus));
 }
 
-asio::awaitable<void> Claim(NodeContext& aNode, std::uint32_t aShard)
+/// Claims a shard under the lease that the node had when it decided to.
+asio::awaitable<void> Claim(NodeContext& aNode,
+                            std::uint32_t aShard,
+                            LeaseId aLease)
 {
-  const std::uint64_t lease = aNode.mLease;
   const KvReply crewRead = co_await aNode.mStore.mRead(CrewKey(aShard));
   NoteStoreReply(aNode, crewRead);
   const bool isRead = crewRead.mStatus == KvStatus::kOk ||
                       crewRead.mStatus == KvStatus::kNotFound;
-  if (!isRead || aNode.mLease != lease || aNode.mIsStopping) {
+  if (!isRead || aNode.mLease != aLease || aNode.mIsStopping) {
     co_return;
   }
   CrewRecord crew;
@@ -213,24 +260,53 @@
   KvTransaction write;
   write.mConditions.push_back({ OwnerKey(aShard), 0 });
   write.mConditions.push_back({ CrewKey(aShard), crewRevision });
-  write.mPuts.push_back({ OwnerKey(aShard), Encode(owner), lease });
-  write.mPuts.push_back({ CrewKey(aShard), Encode(crew), 0 });
+  write.mPuts.push_back(LeasedPut(OwnerKey(aShard), Encode(owner), aLease));
+  write.mPuts.push_back(LastingPut(CrewKey(aShard), Encode(crew)));
+  write.mPuts.push_back(LastingPut(InboxOwnerKey(aShard), Encode(owner)));
   const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
   NoteStoreReply(aNode, reply);
-  spdlog::info("shard.claim shard={} outcome={} revision={}",
+  spdlog::info("shard.claim shard={} lease={} outcome={} revision={}",
                aShard,
+               aLease.Number(),
                NameOf(reply.mStatus),
                reply.mRevision);
   if (reply.mStatus == KvStatus::kOk) {
-    aNode.mOwners[aShard] = { owner, reply.mRevision, lease };
+    aNode.mOwners[aShard] = { owner, reply.mRevision, aLease };
   } else if (reply.mStatus != KvStatus::kRefused) {
     // The record tells who owns the shard, also after a lost answer.
-    const KvReply read = co_await aNode.mStore.mRead(OwnerKey(aShard));
-    NoteStoreReply(aNode, read);
-    for (const auto& item : read.mItems) {
-      ApplyOwner(aNode, item);
-    }
+    co_await ReadOwner(aNode, aShard);
+  }
+}
+
+/// Takes up, or gives up, a shard whose record names this node.
+asio::awaitable<void> FollowOwnShard(NodeContext& aNode,
+                                     std::uint32_t aShard,
+                                     ShardOwner aOwner)
+{
+  if (aNode.mIsStopping) {
+    co_return;
+  }
+  if (aOwner.mLease != aNode.mLease) {
+    co_await EndEarlierLife(aNode, aShard, *aOwner.mLease);
+    co_return;
+  }
+  const auto runner = aNode.mRunners.find(aShard);
+  // Once an epoch has ended here it isn't taken up again.
+  const bool isKnown = aNode.mLastEpochs[aShard] >= aOwner.mEpoch;
+  if (isKnown && runner == aNode.mRunners.end()) {
+    co_await RemoveOwner(aNode, aShard, aOwner);
+  }
+  if (isKnown) {
+    co_return;
   }
+  if (runner != aNode.mRunners.end()) {
+    runner->second->Stop();
+  }
+  ++aNode.mCounters.mTakeovers;
+  auto fresh = std::make_shared<ShardRunner>(aNode, aShard, aOwner.mEpoch);
+  aNode.mRunners[aShard] = fresh;
+  aNode.mLastEpochs[aShard] = aOwner.mEpoch;
+  fresh->Start();
 }
 
 /// Starts and stops runners as the table of owners says.
@@ -238,31 +314,54 @@
 {
   const auto owners = aNode.mOwners;
   for (const auto& [shard, owner] : owners) {
-    const bool isMine = owner.mRecord.mNode == aNode.mSettings.mName;
-    const auto runner = aNode.mRunners.find(shard);
-    // Once an epoch has ended here it isn't taken up again.
-    const bool isRunning = aNode.mLastEpochs[shard] >= owner.mEpoch;
-    if (isMine && owner.mLease != aNode.mLease) {
-      co_await EndEarlierLife(aNode, owner.mLease);
+    if (!owner.mLease) {
       continue;
     }
-    if (isMine && !isRunning && !aNode.mIsStopping) {
-      if (runner != aNode.mRunners.end()) {
-        runner->second->Stop();
-      }
-      ++aNode.mCounters.mTakeovers;
-      auto fresh = std::make_shared<ShardRunner>(aNode, shard, owner.mEpoch);
-      aNode.mRunners[shard] = fresh;
-      aNode.mLastEpochs[shard] = owner.mEpoch;
-      fresh->Start();
+    if (owner.mRecord.mNode == aNode.mSettings.mName) {
+      co_await FollowOwnShard(aNode, shard, owner);
+      continue;
     }
-    if (!isMine && runner != aNode.mRunners.end()) {
+    const auto runner = aNode.mRunners.find(shard);
+    if (runner != aNode.mRunners.end()) {
       runner->second->Stop();
-      aNode.mRunners.erase(runner);
     }
   }
-  for (auto at = aNode.mRunners.begin(); at != aNode.mRunners.end();) {
-    at = at->second->IsStopped() ? aNode.mRunners.erase(at) : std::next(at);
+  std::erase_if(aNode.mRunners, [](const auto& aRunner) {
+    return aRunner.second->IsStopped();
+  });
+}
+
+/// Claims the shards that have no owner, each node in its turn.
+asio::awaitable<void> ClaimOwnerless(
+  NodeContext& aNode,
+  std::map<std::uint32_t, TimePoint>& aOwnerlessSince,
+  TimePoint aNow)
+{
+  for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
+    const auto owner = aNode.mOwners.find(shard);
+    const bool isStale =
+      owner != aNode.mOwners.end() && !owner->second.mLease.has_value();
+    if (owner != aNode.mOwners.end() && !isStale) {
+      aOwnerlessSince.erase(shard);
+      continue;
+    }
+    const TimePoint since =
+      aOwnerlessSince.try_emplace(shard, aNow).first->second;
+    const auto rank = ClaimRank(aNode.mNodes, aNode.mSettings.mName, shard);
+    const auto owned = static_cast<std::int64_t>(aNode.mRunners.size());
+    if (aNow - since < kRankDelay * rank + kBusyDelay * owned) {
+      continue;
+    }
+    aOwnerlessSince.erase(shard);
+    if (isStale) {
+      co_await RemoveOwner(aNode, shard, owner->second);
+    }
+    // The lease may have ended while this waited for the store.
+    const auto lease = aNode.mLease;
+    if (!lease || aNode.mIsLeaseInDoubt) {
+      co_return;
+    }
+    co_await Claim(aNode, shard, *lease);
   }
 }
 
@@ -350,7 +449,7 @@
 
 bool MayStart(const NodeContext& aNode, TimePoint aNow)
 {
-  if (aNode.mIsLeaseInDoubt || aNode.mLease == 0 || aNode.mIsStopping) {
+  if (aNode.mIsLeaseInDoubt || !aNode.mLease || aNode.mIsStopping) {
     return false;
   }
   if (aNow < aNode.mLeaseValidUntil) {
@@ -365,13 +464,13 @@
 {
   const Duration interval = LeaseTimeOf(aNode.mSettings) / kRenewalsPerLease;
   while (!aNode.mIsStopping) {
-    const bool hasLease = aNode.mLease != 0;
-    if (hasLease) {
-      co_await RenewLease(aNode);
+    const auto lease = aNode.mLease;
+    if (lease) {
+      co_await RenewLease(aNode, *lease);
     } else {
       co_await GrantLease(aNode);
     }
-    const bool isGood = aNode.mLease != 0 && aNode.mStoreFailedAt == kNever;
+    const bool isGood = aNode.mLease && aNode.mStoreFailedAt == kNever;
     co_await Sleep(isGood ? interval : kRetry);
   }
 }
@@ -412,7 +511,7 @@
       aNode.mIsLeaseInDoubt = true;
     }
     lastTick = now;
-    if (aNode.mLease == 0 || aNode.mIsLeaseInDoubt) {
+    if (!aNode.mLease || aNode.mIsLeaseInDoubt) {
       continue;
     }
     if (aNode.mShards == 0) {
@@ -424,20 +523,7 @@
       continue;
     }
     co_await FollowOwners(aNode);
-    for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
-      if (aNode.mOwners.contains(shard)) {
-        ownerlessSince.erase(shard);
-        continue;
-      }
-      const TimePoint since =
-        ownerlessSince.try_emplace(shard, now).first->second;
-      const auto rank = ClaimRank(aNode.mNodes, aNode.mSettings.mName, shard);
-      const auto owned = static_cast<std::int64_t>(aNode.mRunners.size());
-      if (now - since >= kRankDelay * rank + kBusyDelay * owned) {
-        co_await Claim(aNode, shard);
-        ownerlessSince.erase(shard);
-      }
-    }
+    co_await ClaimOwnerless(aNode, ownerlessSince, now);
     co_await FollowOwners(aNode);
     lastTick = SuspendAwareNow();
   }
@@ -460,8 +546,9 @@
                  runners.size(),
                  NameOf(reply.mStatus));
   }
-  if (aNode.mLease != 0) {
-    const KvReply reply = co_await aNode.mStore.mRevoke(aNode.mLease);
+  const auto lease = aNode.mLease;
+  if (lease) {
+    const KvReply reply = co_await aNode.mStore.mRevoke(*lease);
     NoteStoreReply(aNode, reply);
   }
 }
--- a/Source/Node/vcNode.h
+++ b/Source/Node/vcNode.h
@@ -3,5 +3,8 @@
 /// Public header of the Node library: the one process of an entry instance
 /// that takes callers' jobs and owns shards of jobs and workers.
 
+#include "vcMembership.h"
 #include "vcNodeProgram.h"
 #include "vcNodeSettings.h"
+#include "vcOperatorFeed.h"
+#include "vcShardRunner.h"
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -15,7 +15,7 @@
 
 asio::awaitable<void> Sleep(Duration aTime)
 {
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  NodeTimer timer(co_await asio::this_coro::executor, aTime);
   co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -83,6 +83,12 @@
   return InboxPrefix(aShard) + aJob + ".cancel";
 }
 
+std::string InboxOwnerKey(std::uint32_t aShard)
+{
+  // Sorts behind all jobs, so that a listing reads it last.
+  return InboxPrefix(aShard) + "~owner";
+}
+
 std::string ProgressPrefix(std::uint32_t aShard)
 {
   return fmt::format("vc/progress/{:04}/", aShard);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -7,7 +7,7 @@
 #include "vcKeyValue.h"
 #include "vcNodeSettings.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -16,6 +16,22 @@
 
 class ShardRunner;
 
+/// How long the event loop may sleep before it looks at a timer. A manual
+/// clock may jump at any time, so it is looked at in every round.
+struct NodeTimerWait
+{
+  static Duration to_wait_duration(Duration aTime) // NOLINT
+  {
+    return IsTimeManual() ? Duration(0) : aTime;
+  }
+  static Duration to_wait_duration(SuspendAwareClock::time_point aAt) // NOLINT
+  {
+    return to_wait_duration(aAt - SuspendAwareClock::now());
+  }
+};
+
+using NodeTimer = asio::basic_waitable_timer<SuspendAwareClock, NodeTimerWait>;
+
 /// Record of a node under its lease.
 struct NodeRecord
 {
@@ -45,7 +61,8 @@
 {
   ShardOwnerRecord mRecord;
   std::uint64_t mEpoch = 0;
-  std::uint64_t mLease = 0;
+  /// A record without a lease outlives its node and counts for nothing.
+  std::optional<LeaseId> mLease;
 };
 
 /// Reads and writes what a worker says in the words of one platform.
@@ -104,8 +121,8 @@
   /// Last epoch of each shard that this node has owned.
   std::map<std::uint32_t, std::uint64_t> mLastEpochs;
 
-  /// This node's lease in the store; 0 for none.
-  std::uint64_t mLease = 0;
+  /// This node's lease in the store.
+  std::optional<LeaseId> mLease;
   /// The store holds the lease at least until then.
   TimePoint mLeaseValidUntil{ kNever };
   /// The process stood still; nothing starts before a renewal succeeds.
@@ -143,6 +160,10 @@
 std::string InboxPrefix(std::uint32_t aShard);
 std::string InboxJobKey(std::uint32_t aShard, const JobId& aJob);
 std::string CancelKey(std::uint32_t aShard, const JobId& aJob);
+/// Written with each claim of the shard. It stands in the inbox, so that an
+/// earlier owner that still reads the inbox learns of the claim before it
+/// learns of any job that came after it.
+std::string InboxOwnerKey(std::uint32_t aShard);
 /// Progress, written by the owner.
 std::string ProgressPrefix(std::uint32_t aShard);
 std::string ProgressKey(std::uint32_t aShard, const JobId& aJob);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -289,7 +289,8 @@
   }
   const KvReply progress =
     co_await ReadAll(this->mNode, ProgressPrefix(this->mNumber));
-  if (progress.mStatus != KvStatus::kOk) {
+  if (progress.mStatus != KvStatus::kOk ||
+      !this->IsInboxMine(inbox.mItems)) {
     co_return false;
   }
   for (const auto& item : inbox.mItems) {
@@ -315,9 +316,25 @@
   co_return true;
 }
 
+bool ShardRunner::IsInboxMine(const std::vector<KvItem>& aItems)
+{
+  const std::string ownerKey = InboxOwnerKey(this->mNumber);
+  const bool isTaken =
+    std::any_of(aItems.begin(), aItems.end(), [&](const KvItem& aItem) {
+      return aItem.mKey == ownerKey && aItem.mRevision > this->Epoch();
+    });
+  if (isTaken) {
+    spdlog::warn("shard.lost shard={} epoch={} reason=claimed-by-another",
+                 this->mNumber,
+                 this->Epoch());
+    this->Stop();
+  }
+  return !isTaken;
+}
+
 void ShardRunner::ApplyInbox(const KvItem& aItem)
 {
-  if (aItem.mIsRemoved) {
+  if (aItem.mIsRemoved || aItem.mKey == InboxOwnerKey(this->mNumber)) {
     return;
   }
   const JobId id = JobInKey(aItem.mKey, InboxPrefix(this->mNumber));
@@ -379,13 +396,20 @@
     }
     if (news.mStatus == KvStatus::kCompacted) {
       const KvReply all = co_await ReadAll(this->mNode, watch.mPrefix);
-      if (all.mStatus == KvStatus::kOk) {
+      const bool isRead = all.mStatus == KvStatus::kOk;
+      if (isRead && !this->IsInboxMine(all.mItems)) {
+        co_return;
+      }
+      if (isRead) {
         for (const auto& item : all.mItems) {
           this->ApplyInbox(item);
         }
         watch.mAfterRevision = all.mRevision;
       }
     } else if (news.mStatus == KvStatus::kOk) {
+      if (!this->IsInboxMine(news.mItems)) {
+        co_return;
+      }
       for (const auto& item : news.mItems) {
         this->ApplyInbox(item);
       }
@@ -691,7 +715,7 @@
     job.mIsDirty = false;
     const std::string key = ProgressKey(this->mNumber, id);
     write.mConditions.push_back({ key, job.mProgressRevision });
-    write.mPuts.push_back({ key, Encode(ProgressOf(job)), 0 });
+    write.mPuts.push_back(LastingPut(key, Encode(ProgressOf(job))));
     if (IsFinal(job.mState)) {
       write.mDeletes.push_back(InboxJobKey(this->mNumber, id));
       write.mDeletes.push_back(CancelKey(this->mNumber, id));
@@ -785,7 +809,7 @@
   KvTransaction write;
   write.mConditions.push_back({ OwnerKey(this->mNumber), this->Epoch() });
   write.mConditions.push_back({ CrewKey(this->mNumber), this->mCrewRevision });
-  write.mPuts.push_back({ CrewKey(this->mNumber), Encode(crew), 0 });
+  write.mPuts.push_back(LastingPut(CrewKey(this->mNumber), Encode(crew)));
   const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
   NoteStoreReply(this->mNode, reply);
   if (reply.mStatus == KvStatus::kConflict) {
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -63,6 +63,9 @@
   asio::awaitable<void> Run();
   asio::awaitable<bool> Load();
   asio::awaitable<bool> LoadCrew();
+  /// Stops the runner if the items tell of a claim after its own.
+  /// @return false if they do
+  bool IsInboxMine(const std::vector<KvItem>& aItems);
   void ApplyInbox(const KvItem& aItem);
   void ApplyStoredProgress(const KvItem& aItem);
 
@@ -97,7 +100,7 @@
   bool mIsStopped = false;
   bool mIsLoaded = false;
   bool mIsPlanDue = false;
-  asio::steady_timer mRecordTimer;
+  NodeTimer mRecordTimer;
 };
 
 } // namespace verbenacroft
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,35 @@
   });
 };
 
+/// A lease that the store has granted. There is none without a number, so
+/// that no record that has to end with its writer is written without one.
+class LeaseId
+{
+public:
+  /// @return nothing for 0, by which the store says that there is no lease
+  static std::optional<LeaseId> Of(std::uint64_t aNumber)
+  {
+    return aNumber == 0 ? std::nullopt : std::optional(LeaseId(aNumber));
+  }
+
+  std::uint64_t Number() const { return this->mNumber; }
+  bool operator==(const LeaseId&) const = default;
+
+private:
+  explicit LeaseId(std::uint64_t aNumber)
+    : mNumber(aNumber)
+  {
+  }
+
+  std::uint64_t mNumber;
+};
+
+/// Number of the lease for a line of log; 0 for none.
+inline std::uint64_t NumberOf(const std::optional<LeaseId>& aLease)
+{
+  return aLease ? aLease->Number() : 0;
+}
+
 struct KvItem
 {
   std::string mKey;
@@ -65,6 +95,7 @@
 };
 BOOST_DESCRIBE_STRUCT(KvCondition, (), (mKey, mRevision))
 
+/// Made by `LastingPut` or `LeasedPut`.
 struct KvPut
 {
   std::string mKey;
@@ -73,6 +104,18 @@
 };
 BOOST_DESCRIBE_STRUCT(KvPut, (), (mKey, mValue, mLease))
 
+/// A record that stays until it is deleted.
+inline KvPut LastingPut(std::string aKey, std::string aValue)
+{
+  return { std::move(aKey), std::move(aValue), 0 };
+}
+
+/// A record that ends with the lease.
+inline KvPut LeasedPut(std::string aKey, std::string aValue, LeaseId aLease)
+{
+  return { std::move(aKey), std::move(aValue), aLease.Number() };
+}
+
 struct KvTransaction
 {
   std::vector<KvCondition> mConditions;
@@ -119,8 +162,8 @@
   std::function<Answer(KvWatch)> mWatch;
   std::function<Answer(KvTransaction)> mCommit;
   std::function<Answer(Duration aTtl)> mGrant;
-  std::function<Answer(std::uint64_t aLease)> mRenew;
-  std::function<Answer(std::uint64_t aLease)> mRevoke;
+  std::function<Answer(LeaseId)> mRenew;
+  std::function<Answer(LeaseId)> mRevoke;
 };
 
 /// Most entries of one transaction, conditions, puts and deletes together.
--- /dev/null
+++ b/Tests/Fleet/vcFleet.cxx
@@ -0,0 +1,523 @@
+#include "vcFleet.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iostream>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr Duration kStep{ 5 };
+constexpr Duration kJobInterval{ 250 };
+constexpr Duration kQuietStart{ 5'000 };
+/// After a calm of this length every shard has an owner at work.
+constexpr Duration kOwnedWithin{ 4'000 };
+constexpr TimePoint kStart{ 1'000'000 };
+constexpr const char* kWorkersPrefix = "servers/";
+constexpr const char* kOperatorsPrefix = "op/";
+constexpr const char* kConfig = "op/config";
+constexpr std::int64_t kWorkerCpu = 100'000;
+
+/// A moment at which something is changed.
+struct Change
+{
+  TimePoint mAt{ 0 };
+  std::string mWhat;
+  std::function<void()> mDo;
+};
+
+class Fleet
+{
+public:
+  explicit Fleet(const FleetOptions& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+  {
+    this->mStore.mRandom.seed(aOptions.mSeed + 1);
+    this->mWorkers.mRandom.seed(aOptions.mSeed + 2);
+  }
+
+  ~Fleet()
+  {
+    for (auto& [name, life] : this->mLives) {
+      EndLife(life);
+    }
+    UseManualTime(std::nullopt);
+  }
+
+  FleetResult Play();
+
+private:
+  int Draw(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(this->mRandom);
+  }
+  bool Toss(int aPercent) { return this->Draw(1, 100) <= aPercent; }
+  std::string DrawNode()
+  {
+    return fmt::format("node-{}",
+                       this->Draw(1, static_cast<int>(this->mOptions.mNodes)));
+  }
+  std::string DrawWorker()
+  {
+    return fmt::format("w{}",
+                       this->Draw(1, static_cast<int>(this->mOptions.mWorkers)));
+  }
+  /// The node that owns a drawn shard, or any.
+  std::string DrawOwner();
+
+  static void EndLife(NodeLife& aLife);
+  void StartNode(const std::string& aName);
+  void StopNode(const std::string& aName);
+  void SetUp();
+  void SubmitJob();
+  void At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo);
+  void ScheduleFaults();
+  void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
+  void ScheduleNodeFault(TimePoint aAt, TimePoint aEnd);
+  void ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd);
+  void Step();
+  void CheckOwners();
+  void CheckEnd();
+  void Problem(std::string aText);
+
+  FleetOptions mOptions;
+  std::mt19937_64 mRandom;
+  TimePoint mNow = kStart;
+  TimePoint mCalmAt = kStart;
+  MemoryStore mStore;
+  MemoryFleet mWorkers;
+  std::map<std::string, NodeLife> mLives;
+  std::vector<Change> mChanges;
+  std::vector<std::string> mJobs;
+  std::set<std::string> mLasting;
+  FleetResult mResult;
+};
+
+void Fleet::Problem(std::string aText)
+{
+  this->mResult.mProblems.push_back(
+    fmt::format("{} ms: {}", (this->mNow - kStart).count(), aText));
+}
+
+void Fleet::EndLife(NodeLife& aLife)
+{
+  if (aLife.mNode) {
+    aLife.mNode->mRunners.clear();
+  }
+  // Ends the coroutines, which still refer to the node.
+  aLife.mIo.reset();
+  aLife.mNode.reset();
+}
+
+void Fleet::StartNode(const std::string& aName)
+{
+  this->StopNode(aName);
+  NodeSettings settings;
+  settings.mName = aName;
+  settings.mDataCentre = "north";
+  settings.mInternalIp = "127.0.0.1";
+  settings.mInternalPorts = { 1, 2 };
+  settings.mWorkersPerShard = this->mOptions.mWorkers / this->mOptions.mShards;
+  NodeLife life;
+  life.mIo = std::make_unique<asio::io_context>(1);
+  life.mNode = std::make_unique<NodeContext>(*life.mIo, settings);
+  NodeContext& node = *life.mNode;
+  node.mStore = MakeMemoryStore(this->mStore, aName);
+  node.mWorkers = MakeMemoryWorkers(this->mWorkers, aName);
+  node.mCodec.mOperatorsPrefix = kOperatorsPrefix;
+  node.mCodec.mConfigKey = kConfig;
+  node.mCodec.mEvacuationPrefix = "op/evacuate/";
+  node.mCodec.mDiscoveryPrefix = kWorkersPrefix;
+  node.mCodec.mDecodeConfig = [](std::string_view, Faults&) {
+    FleetConfig config;
+    config.mVersion = 1;
+    return std::optional(config);
+  };
+  node.mCodec.mDecodeWorker =
+    [](std::string_view aKey, std::string_view aText, Faults&) {
+      WorkerEntry entry;
+      entry.mWorker = aKey.substr(std::string_view(kWorkersPrefix).size());
+      entry.mService = "pool";
+      entry.mAddress = "127.0.0.1:9";
+      entry.mDataCentre = aText;
+      entry.mCapacity.mMilliCpu = kWorkerCpu;
+      entry.mCapacity.mMemoryMb = kWorkerCpu;
+      return std::optional(entry);
+    };
+  const auto spawn = [&](asio::awaitable<void> aLoop) {
+    asio::co_spawn(*life.mIo, std::move(aLoop), asio::detached);
+  };
+  spawn(KeepLease(node));
+  spawn(FollowSystem(node));
+  spawn(FollowOperators(node));
+  spawn(ClaimShards(node));
+  this->mLives[aName] = std::move(life);
+}
+
+void Fleet::StopNode(const std::string& aName)
+{
+  const auto found = this->mLives.find(aName);
+  if (found != this->mLives.end()) {
+    EndLife(found->second);
+    this->mLives.erase(found);
+  }
+}
+
+std::string Fleet::DrawOwner()
+{
+  const auto shard = static_cast<std::uint32_t>(
+    this->Draw(0, static_cast<int>(this->mOptions.mShards) - 1));
+  const auto found = this->mStore.mItems.find(OwnerKey(shard));
+  const auto record =
+    found == this->mStore.mItems.end()
+      ? std::nullopt
+      : TryDecode<ShardOwnerRecord>(found->second.mValue);
+  return record ? record->mNode : this->DrawNode();
+}
+
+void Fleet::SetUp()
+{
+  UseManualTime(this->mNow);
+  KvTransaction write;
+  write.mPuts.push_back({ kConfig, "{}", 0 });
+  for (std::uint32_t i = 1; i <= this->mOptions.mWorkers; ++i) {
+    MemoryWorker worker;
+    worker.mName = fmt::format("w{}", i);
+    worker.mDataCentre = i % 2 == 0 ? "north" : "south";
+    worker.mClockStart = this->mNow - Duration(this->Draw(1, 100'000));
+    write.mPuts.push_back(
+      { kWorkersPrefix + worker.mName, worker.mDataCentre, 0 });
+    this->mWorkers.mWorkers[worker.mName] = worker;
+  }
+  CommitNow(this->mStore, write);
+  for (std::uint32_t i = 1; i <= this->mOptions.mNodes; ++i) {
+    this->StartNode(fmt::format("node-{}", i));
+  }
+}
+
+void Fleet::SubmitJob()
+{
+  const bool isServing = this->mStore.mMood == StoreMood::kServing;
+  if (!isServing) {
+    return;
+  }
+  const JobId id = fmt::format("{:016x}", this->mRandom());
+  BatchRecord record;
+  record.mTerms.mQueue = "queue";
+  record.mTerms.mService = "pool";
+  record.mTerms.mMaxAttempts = 3;
+  record.mTerms.mTargetMs = 1'000;
+  record.mAcceptedAtMs = WallClockMs();
+  const bool isLasting = this->Toss(10);
+  const int steps = isLasting ? 1 : this->Draw(1, 2);
+  for (int s = 0; s < steps; ++s) {
+    StepSpec step;
+    step.mCount = static_cast<std::uint32_t>(this->Draw(1, 3));
+    step.mNeeds.mMilliCpu = 1'000;
+    step.mNeeds.mMemoryMb = 100;
+    step.mEstimateMs = 500;
+    step.mIsLasting = isLasting;
+    if (s > 0) {
+      step.mAfter = { 0 };
+    }
+    record.mSpec.mSteps.push_back(step);
+    for (std::uint32_t i = 0; i < step.mCount; ++i) {
+      const TaskId task{ id, 0, static_cast<std::uint32_t>(s), i };
+      this->mWorkers.mPlans[task] = { Duration(this->Draw(100, 2'500)),
+                                      isLasting };
+    }
+  }
+  const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
+  KvTransaction write;
+  write.mPuts.push_back({ InboxJobKey(shard, id), Encode(record), 0 });
+  CommitNow(this->mStore, write);
+  this->mJobs.push_back(id);
+  if (isLasting) {
+    this->mLasting.insert(id);
+  }
+}
+
+void Fleet::At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo)
+{
+  this->mChanges.push_back({ aWhen, std::move(aWhat), std::move(aDo) });
+}
+
+void Fleet::ScheduleStoreFault(TimePoint aAt, TimePoint aEnd)
+{
+  const StoreMood mood =
+    this->Toss(50) ? StoreMood::kSilent : StoreMood::kRefusing;
+  const int kind = this->Draw(1, 6);
+  if (kind == 1) {
+    const bool isForgetting = this->Toss(60);
+    this->At(aAt, "store down", [this, mood, isForgetting] {
+      this->mStore.mMood = mood;
+      if (isForgetting) {
+        ForgetLeases(this->mStore);
+      }
+    });
+    this->At(aEnd, "store back", [this] {
+      this->mStore.mMood = StoreMood::kServing;
+    });
+  } else if (kind == 2) {
+    const bool isRevoking = this->Toss(50);
+    const auto turned = std::make_shared<std::string>();
+    this->At(aAt, "store turns an owner away", [=, this] {
+      *turned = this->DrawOwner();
+      this->mStore.mMoodFor[*turned] = mood;
+      if (isRevoking) {
+        ForgetLeaseOf(this->mStore, kNodePrefix + *turned);
+      }
+    });
+    this->At(aEnd, "store serves it again", [=, this] {
+      this->mStore.mMoodFor.erase(*turned);
+    });
+  } else if (kind == 3) {
+    const bool isLate = this->Toss(50);
+    const double share = this->Draw(2, 10) / 10.0;
+    this->At(aAt, "answers lost", [=, this] {
+      this->mStore.mLostShare = share;
+      this->mStore.mIsLostLate = isLate;
+    });
+    this->At(aEnd, "answers heard", [this] { this->mStore.mLostShare = 0; });
+  } else if (kind == 4) {
+    const Duration delay(this->Draw(50, 900));
+    this->At(aAt, "store slow", [=, this] { this->mStore.mDelay = delay; });
+    this->At(aEnd, "store fast", [this] { this->mStore.mDelay = Duration(3); });
+  } else if (kind == 5) {
+    this->At(aAt, "history gone", [this] { ForgetHistory(this->mStore); });
+  } else {
+    this->At(aAt, "leases gone", [this] { ForgetLeases(this->mStore); });
+  }
+}
+
+void Fleet::ScheduleNodeFault(TimePoint aAt, TimePoint aEnd)
+{
+  const int kind = this->Draw(1, 4);
+  const auto name = std::make_shared<std::string>();
+  const bool isOwner = this->Toss(80);
+  const auto choose = [=, this] {
+    *name = isOwner ? this->DrawOwner() : this->DrawNode();
+  };
+  const auto restart = [=, this] { this->StartNode(*name); };
+  if (kind == 1) {
+    this->At(aAt, "node killed", [=, this] {
+      choose();
+      this->StopNode(*name);
+    });
+    this->At(aEnd, "node back", restart);
+  } else if (kind == 2) {
+    this->At(aAt, "node paused", [=, this] {
+      choose();
+      const auto found = this->mLives.find(*name);
+      if (found != this->mLives.end()) {
+        found->second.mIsPaused = true;
+      }
+    });
+    this->At(aEnd, "node goes on", [=, this] {
+      const auto found = this->mLives.find(*name);
+      if (found != this->mLives.end()) {
+        found->second.mIsPaused = false;
+      }
+    });
+  } else if (kind == 3) {
+    this->At(aAt, "node leaves", [=, this] {
+      choose();
+      const auto found = this->mLives.find(*name);
+      if (found == this->mLives.end()) {
+        return;
+      }
+      found->second.mNode->mIsStopping = true;
+      asio::co_spawn(*found->second.mIo,
+                     LeaveFleet(*found->second.mNode),
+                     asio::detached);
+    });
+    this->At(aAt + Duration(3'000), "node back", restart);
+  } else {
+    this->At(aAt, "all nodes killed", [this] {
+      for (auto& [other, life] : this->mLives) {
+        EndLife(life);
+      }
+      this->mLives.clear();
+    });
+    this->At(aEnd, "all nodes back", [this] {
+      for (std::uint32_t i = 1; i <= this->mOptions.mNodes; ++i) {
+        this->StartNode(fmt::format("node-{}", i));
+      }
+    });
+  }
+}
+
+void Fleet::ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd)
+{
+  const int kind = this->Draw(1, 4);
+  const std::string name = this->DrawWorker();
+  if (kind == 1) {
+    this->At(aAt, "worker cut off", [=, this] {
+      this->mWorkers.mWorkers.at(name).mCutFrom.insert("*");
+    });
+    this->At(aEnd, "worker reached", [=, this] {
+      this->mWorkers.mWorkers.at(name).mCutFrom.erase("*");
+    });
+  } else if (kind == 2) {
+    const std::string node = this->DrawNode();
+    this->At(aAt, "worker cut from a node", [=, this] {
+      this->mWorkers.mWorkers.at(name).mCutFrom.insert(node);
+    });
+    this->At(aEnd, "worker reached by it", [=, this] {
+      this->mWorkers.mWorkers.at(name).mCutFrom.erase(node);
+    });
+  } else if (kind == 3) {
+    this->At(aAt, "worker crashes", [=, this] {
+      Restart(this->mWorkers, name, this->mNow);
+    });
+  } else {
+    this->At(aAt, "orders late", [=, this] {
+      this->mWorkers.mWorkers.at(name).mLateShare = 0.5;
+    });
+    this->At(aEnd, "orders on time", [=, this] {
+      this->mWorkers.mWorkers.at(name).mLateShare = 0;
+    });
+  }
+}
+
+void Fleet::ScheduleFaults()
+{
+  const int count = this->Draw(2, 8);
+  const auto faultTime = static_cast<int>(this->mOptions.mFaultTime.count());
+  for (int i = 0; i < count; ++i) {
+    const TimePoint at =
+      kStart + kQuietStart + Duration(this->Draw(0, faultTime));
+    const TimePoint end = at + Duration(this->Draw(200, 6'000));
+    // A node that leaves is back 3 s later, a late order comes after 8 s.
+    this->mCalmAt = std::max(this->mCalmAt, end + Duration(8'000));
+    const int kind = this->Draw(1, 10);
+    if (kind <= 5) {
+      this->ScheduleStoreFault(at, end);
+    } else if (kind <= 8) {
+      this->ScheduleNodeFault(at, end);
+    } else {
+      this->ScheduleWorkerFault(at, end);
+    }
+  }
+  std::stable_sort(
+    this->mChanges.begin(),
+    this->mChanges.end(),
+    [](const Change& aLeft, const Change& aRight) {
+      return aLeft.mAt < aRight.mAt;
+    });
+}
+
+void Fleet::Step()
+{
+  this->mNow += kStep;
+  UseManualTime(this->mNow);
+  while (!this->mChanges.empty() && this->mChanges.front().mAt <= this->mNow) {
+    const Change change = std::move(this->mChanges.front());
+    this->mChanges.erase(this->mChanges.begin());
+    this->mResult.mFaults.push_back(
+      fmt::format("{} ms: {}", (this->mNow - kStart).count(), change.mWhat));
+    change.mDo();
+  }
+  Advance(this->mStore, this->mNow);
+  Advance(this->mWorkers, this->mNow);
+  for (auto& [name, life] : this->mLives) {
+    if (!life.mIsPaused) {
+      life.mIo->poll();
+    }
+  }
+}
+
+void Fleet::CheckOwners()
+{
+  for (std::uint32_t shard = 0; shard < this->mOptions.mShards; ++shard) {
+    const auto key = this->mStore.mItems.find(OwnerKey(shard));
+    if (key == this->mStore.mItems.end()) {
+      this->Problem(fmt::format("shard {} has no owner", shard));
+      continue;
+    }
+    const auto record = TryDecode<ShardOwnerRecord>(key->second.mValue);
+    const auto life = this->mLives.find(record ? record->mNode : "");
+    const auto& runners = life == this->mLives.end()
+                            ? std::map<std::uint32_t, std::shared_ptr<ShardRunner>>{}
+                            : life->second.mNode->mRunners;
+    const auto runner = runners.find(shard);
+    const bool isAtWork = runner != runners.end() &&
+                          runner->second->IsLoaded() &&
+                          !runner->second->IsStopped() &&
+                          runner->second->Epoch() == key->second.mCreateRevision;
+    if (!isAtWork) {
+      this->Problem(fmt::format("shard {} of {} isn't at work, lease {}",
+                                shard,
+                                record ? record->mNode : "?",
+                                key->second.mLease));
+    }
+  }
+}
+
+void Fleet::CheckEnd()
+{
+  for (const auto& task : this->mWorkers.mStartedAgain) {
+    if (this->mWorkers.mAcknowledged.contains(task)) {
+      this->Problem(Describe(task) + " was started after its end");
+    }
+  }
+  for (const auto& id : this->mJobs) {
+    if (this->mLasting.contains(id)) {
+      continue;
+    }
+    const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
+    const auto item = this->mStore.mItems.find(ProgressKey(shard, id));
+    const auto progress = item == this->mStore.mItems.end()
+                            ? std::nullopt
+                            : TryDecode<BatchProgress>(item->second.mValue);
+    if (!progress || progress->mState != BatchState::kCompleted) {
+      this->Problem(fmt::format("job {} of shard {} isn't completed", id, shard));
+    }
+  }
+  for (const auto& [task, plan] : this->mWorkers.mPlans) {
+    if (plan.mIsLasting && this->mWorkers.mRunning[task].empty()) {
+      this->Problem(Describe(task) + " doesn't run");
+    }
+  }
+  for (const auto& text : this->mWorkers.mProblems) {
+    this->mResult.mProblems.push_back(text);
+  }
+}
+
+FleetResult Fleet::Play()
+{
+  this->SetUp();
+  this->ScheduleFaults();
+  const TimePoint end = this->mCalmAt + this->mOptions.mCalmTime;
+  const TimePoint lastJob = this->mCalmAt;
+  const TimePoint owned = this->mCalmAt + kOwnedWithin;
+  TimePoint nextJob = kStart + kQuietStart;
+  bool isChecked = false;
+  while (this->mNow < end) {
+    this->Step();
+    if (this->mNow >= nextJob && this->mNow < lastJob) {
+      nextJob += kJobInterval;
+      this->SubmitJob();
+    }
+    if (!isChecked && this->mNow >= owned) {
+      isChecked = true;
+      this->CheckOwners();
+    }
+  }
+  this->CheckEnd();
+  return this->mResult;
+}
+
+} // namespace
+
+FleetResult PlayFleet(const FleetOptions& aOptions)
+{
+  return Fleet(aOptions).Play();
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -0,0 +1,303 @@
+#include "vcFleetWorkers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr std::int64_t kMaxLeaseMs = 6'000;
+constexpr Duration kAnswerTime{ 2 };
+constexpr Duration kOrderTimeout{ 1'000 };
+constexpr Duration kReportPoll{ 10 };
+constexpr int kShortestLateMs = 1'000;
+constexpr int kLongestLateMs = 8'000;
+
+std::int64_t ClockOf(const MemoryWorker& aWorker, TimePoint aNow)
+{
+  return (aNow - aWorker.mClockStart).count() + 1;
+}
+
+void EndRun(MemoryFleet& aFleet,
+            MemoryWorker& aWorker,
+            const TaskId& aTask,
+            RunEnd aHow)
+{
+  const MemoryRun run = aWorker.mRuns.at(aTask);
+  aWorker.mRuns.erase(aTask);
+  auto& highest = aWorker.mHighest[aTask];
+  highest = std::max(highest, run.mRun);
+  EndedRun end;
+  end.mIndex = aWorker.mNextEnd++;
+  end.mTask = aTask;
+  end.mRun = run.mRun;
+  end.mHow = aHow;
+  aWorker.mEnds.push_back(end);
+  aFleet.mRunning[aTask].erase(aWorker.mName);
+  if (aHow == RunEnd::kDone) {
+    aFleet.mDoneOnce.insert(aTask);
+  }
+}
+
+OrderOutcome StartRun(MemoryFleet& aFleet,
+                      MemoryWorker& aWorker,
+                      const StartOrder& aOrder,
+                      TimePoint aNow)
+{
+  if (aOrder.mEpoch < aWorker.mFence) {
+    return OrderOutcome::kStaleEpoch;
+  }
+  aWorker.mFence = aOrder.mEpoch;
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  if (clock > aOrder.mNotAfter) {
+    return OrderOutcome::kLate;
+  }
+  aWorker.mLeaseUntil =
+    std::max(aWorker.mLeaseUntil, std::min(aOrder.mNotAfter, clock + kMaxLeaseMs));
+  const auto there = aWorker.mRuns.find(aOrder.mTask);
+  if (there != aWorker.mRuns.end()) {
+    return there->second.mRun == aOrder.mRun ? OrderOutcome::kDone
+                                             : OrderOutcome::kOldRun;
+  }
+  const auto highest = aWorker.mHighest.find(aOrder.mTask);
+  if (highest != aWorker.mHighest.end() && aOrder.mRun <= highest->second) {
+    return OrderOutcome::kOldRun;
+  }
+  auto& places = aFleet.mRunning[aOrder.mTask];
+  if (!places.empty()) {
+    aFleet.mProblems.push_back(fmt::format("{} ms: {} starts on {} and runs on {}",
+                                           aNow.count(),
+                                           Describe(aOrder.mTask),
+                                           aWorker.mName,
+                                           *places.begin()));
+  }
+  if (aFleet.mDoneOnce.contains(aOrder.mTask)) {
+    aFleet.mStartedAgain.insert(aOrder.mTask);
+  }
+  places.insert(aWorker.mName);
+  const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
+  MemoryRun run;
+  run.mRun = aOrder.mRun;
+  run.mDoneAt = plan.mIsLasting ? std::numeric_limits<std::int64_t>::max()
+                                : clock + plan.mWork.count();
+  aWorker.mRuns[aOrder.mTask] = run;
+  return OrderOutcome::kDone;
+}
+
+bool IsReached(const MemoryWorker& aWorker, const std::string& aCaller)
+{
+  return aWorker.mIsUp && !aWorker.mCutFrom.contains("*") &&
+         !aWorker.mCutFrom.contains(aCaller);
+}
+
+bool IsLate(MemoryFleet& aFleet, const MemoryWorker& aWorker)
+{
+  std::uniform_real_distribution<double> share(0, 1);
+  return share(aFleet.mRandom) < aWorker.mLateShare;
+}
+
+asio::awaitable<OrderReply> Start(MemoryFleet& aFleet,
+                                  std::string aCaller,
+                                  WorkerAddress aTo,
+                                  StartOrder aOrder)
+{
+  co_await Sleep(kAnswerTime);
+  MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
+  if (!IsReached(worker, aCaller)) {
+    co_await Sleep(kOrderTimeout);
+    co_return OrderReply{};
+  }
+  if (IsLate(aFleet, worker)) {
+    std::uniform_int_distribution<int> late(kShortestLateMs, kLongestLateMs);
+    const TimePoint at = SuspendAwareNow() + Duration(late(aFleet.mRandom));
+    aFleet.mLate.push_back({ at, aTo.mWorker, std::move(aOrder) });
+    co_await Sleep(kOrderTimeout);
+    co_return OrderReply{};
+  }
+  const TimePoint now = SuspendAwareNow();
+  OrderReply reply;
+  reply.mOutcome = StartRun(aFleet, worker, aOrder, now);
+  reply.mClock = ClockOf(worker, now);
+  co_return reply;
+}
+
+asio::awaitable<OrderReply> Stop(MemoryFleet& aFleet,
+                                 std::string aCaller,
+                                 WorkerAddress aTo,
+                                 StopOrder aOrder)
+{
+  co_await Sleep(kAnswerTime);
+  MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
+  if (!IsReached(worker, aCaller)) {
+    co_await Sleep(kOrderTimeout);
+    co_return OrderReply{};
+  }
+  OrderReply reply;
+  reply.mClock = ClockOf(worker, SuspendAwareNow());
+  reply.mOutcome = OrderOutcome::kStaleEpoch;
+  if (aOrder.mEpoch < worker.mFence) {
+    co_return reply;
+  }
+  worker.mFence = aOrder.mEpoch;
+  auto& highest = worker.mHighest[aOrder.mTask];
+  highest = std::max(highest, aOrder.mRun);
+  const auto run = worker.mRuns.find(aOrder.mTask);
+  if (run != worker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
+    EndRun(aFleet, worker, aOrder.mTask, RunEnd::kStopped);
+  }
+  reply.mOutcome = OrderOutcome::kDone;
+  co_return reply;
+}
+
+void Acknowledge(MemoryFleet& aFleet, MemoryWorker& aWorker, std::uint64_t aTo)
+{
+  std::erase_if(aWorker.mEnds, [&](const EndedRun& aEnd) {
+    const bool isOver = aEnd.mIndex <= aTo;
+    if (isOver && aEnd.mHow == RunEnd::kDone) {
+      aFleet.mAcknowledged.insert(aEnd.mTask);
+    }
+    return isOver;
+  });
+}
+
+WorkerReport ReportOf(const MemoryWorker& aWorker)
+{
+  WorkerReport report;
+  report.mOutcome = OrderOutcome::kDone;
+  report.mClock = ClockOf(aWorker, SuspendAwareNow());
+  report.mBorn = aWorker.mBorn;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    constexpr std::int64_t kAtWork = 100;
+    // Changes with every report, as of a task that goes on.
+    const std::int64_t progress =
+      run.mDoneAt == std::numeric_limits<std::int64_t>::max()
+        ? kAtWork
+        : report.mClock % kAtWork;
+    report.mRunning.push_back({ task, run.mRun, {}, progress, 0 });
+  }
+  report.mEnded = aWorker.mEnds;
+  return report;
+}
+
+asio::awaitable<WorkerReport> Renew(MemoryFleet& aFleet,
+                                    std::string aCaller,
+                                    WorkerAddress aTo,
+                                    RenewOrder aOrder)
+{
+  co_await Sleep(kAnswerTime);
+  MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
+  const std::int64_t born = worker.mBorn;
+  WorkerReport report;
+  if (!IsReached(worker, aCaller)) {
+    co_await Sleep(aOrder.mWait + kOrderTimeout);
+    co_return report;
+  }
+  if (aOrder.mEpoch < worker.mFence) {
+    report.mOutcome = OrderOutcome::kStaleEpoch;
+    co_return report;
+  }
+  worker.mFence = aOrder.mEpoch;
+  const std::int64_t clock = ClockOf(worker, SuspendAwareNow());
+  if (aOrder.mLeaseUntil > 0) {
+    worker.mLeaseUntil = std::max(
+      worker.mLeaseUntil, std::min(aOrder.mLeaseUntil, clock + kMaxLeaseMs));
+  }
+  Acknowledge(aFleet, worker, aOrder.mAckIndex);
+  const TimePoint until = SuspendAwareNow() + aOrder.mWait;
+  while (worker.mEnds.empty() && SuspendAwareNow() < until) {
+    co_await Sleep(kReportPoll);
+  }
+  const bool isAnswered = IsReached(worker, aCaller) && worker.mBorn == born;
+  if (isAnswered) {
+    co_return ReportOf(worker);
+  }
+  co_await Sleep(kOrderTimeout);
+  co_return WorkerReport{};
+}
+
+asio::awaitable<OrderReply> Pace()
+{
+  co_await Sleep(kAnswerTime);
+  co_return OrderReply{ OrderOutcome::kDone, 0 };
+}
+
+void AdvanceWorker(MemoryFleet& aFleet, MemoryWorker& aWorker, TimePoint aNow)
+{
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  std::vector<TaskId> done;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    if (run.mDoneAt <= clock) {
+      done.push_back(task);
+    }
+  }
+  for (const auto& task : done) {
+    EndRun(aFleet, aWorker, task, RunEnd::kDone);
+  }
+  while (clock > aWorker.mLeaseUntil && !aWorker.mRuns.empty()) {
+    EndRun(aFleet, aWorker, aWorker.mRuns.begin()->first, RunEnd::kLapsed);
+  }
+}
+
+} // namespace
+
+void Advance(MemoryFleet& aFleet, TimePoint aNow)
+{
+  std::vector<LateStart> due;
+  std::erase_if(aFleet.mLate, [&](const LateStart& aRow) {
+    const bool isDue = aRow.mAt <= aNow;
+    if (isDue) {
+      due.push_back(aRow);
+    }
+    return isDue;
+  });
+  for (const auto& row : due) {
+    MemoryWorker& worker = aFleet.mWorkers.at(row.mWorker);
+    if (worker.mIsUp) {
+      StartRun(aFleet, worker, row.mOrder, aNow);
+    }
+  }
+  for (auto& [name, worker] : aFleet.mWorkers) {
+    if (worker.mIsUp) {
+      AdvanceWorker(aFleet, worker, aNow);
+    }
+  }
+}
+
+void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow)
+{
+  MemoryWorker& worker = aFleet.mWorkers.at(aWorker);
+  for (const auto& [task, run] : worker.mRuns) {
+    aFleet.mRunning[task].erase(aWorker);
+  }
+  // An end that nobody heard of is lost, and its task has to run again.
+  for (const auto& end : worker.mEnds) {
+    aFleet.mDoneOnce.erase(end.mTask);
+  }
+  MemoryWorker fresh;
+  fresh.mName = worker.mName;
+  fresh.mDataCentre = worker.mDataCentre;
+  fresh.mBorn = worker.mBorn + 1;
+  fresh.mClockStart = aNow;
+  fresh.mCutFrom = worker.mCutFrom;
+  worker = std::move(fresh);
+}
+
+WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, std::string aCaller)
+{
+  WorkerPort port;
+  port.mRenew = [&aFleet, aCaller](WorkerAddress aTo, RenewOrder aOrder) {
+    return Renew(aFleet, aCaller, std::move(aTo), aOrder);
+  };
+  port.mStart = [&aFleet, aCaller](WorkerAddress aTo, StartOrder aOrder) {
+    return Start(aFleet, aCaller, std::move(aTo), std::move(aOrder));
+  };
+  port.mStop = [&aFleet, aCaller](WorkerAddress aTo, StopOrder aOrder) {
+    return Stop(aFleet, aCaller, std::move(aTo), std::move(aOrder));
+  };
+  port.mPace = [](WorkerAddress, PaceOrder) { return Pace(); };
+  return port;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// Workers in memory for the nodes of a test: fences, leases, runs, ends and
+/// late orders, and the judge of what runs where.
+
+#include "vcNode.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace verbenacroft {
+
+struct MemoryRun
+{
+  std::uint32_t mRun = 0;
+  /// Worker's clock at which the task is done; never for a lasting task.
+  std::int64_t mDoneAt = 0;
+  bool mIsFailing = false;
+};
+
+struct MemoryWorker
+{
+  std::string mName;
+  std::string mDataCentre;
+  bool mIsUp = true;
+  std::int64_t mBorn = 1;
+  /// Time of the fleet at which the worker's clock showed 0.
+  TimePoint mClockStart{ 0 };
+  std::uint64_t mFence = 0;
+  std::int64_t mLeaseUntil = 0;
+  std::map<TaskId, MemoryRun> mRuns;
+  std::vector<EndedRun> mEnds;
+  std::uint64_t mNextEnd = 1;
+  /// Highest run of each task that was stopped or ended here.
+  std::map<TaskId, std::uint32_t> mHighest;
+  /// Nodes that can't reach it; "*" stands for all.
+  std::set<std::string> mCutFrom;
+  /// Part of the orders that are carried out late and not answered, 0 to 1.
+  double mLateShare = 0;
+};
+
+/// A start that reaches its worker late.
+struct LateStart
+{
+  TimePoint mAt{ 0 };
+  std::string mWorker;
+  StartOrder mOrder;
+};
+
+/// What a task of the test does.
+struct TaskPlan
+{
+  Duration mWork{ 500 };
+  bool mIsLasting = false;
+};
+
+struct MemoryFleet
+{
+  std::mt19937_64 mRandom;
+  std::map<std::string, MemoryWorker> mWorkers;
+  std::vector<LateStart> mLate;
+  std::map<TaskId, TaskPlan> mPlans;
+  /// Where each task runs; more than one place breaks the promise.
+  std::map<TaskId, std::set<std::string>> mRunning;
+  /// Tasks whose end `done` was acknowledged.
+  std::set<TaskId> mAcknowledged;
+  /// Tasks that were started after an end `done`.
+  std::set<TaskId> mDoneOnce;
+  std::set<TaskId> mStartedAgain;
+  std::vector<std::string> mProblems;
+};
+
+/// Lets the runs of all workers go on to `aNow`.
+void Advance(MemoryFleet& aFleet, TimePoint aNow);
+
+/// The worker loses what it runs and starts anew under its name.
+void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow);
+
+/// The workers' calls as the node `aCaller` makes them.
+WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, std::string aCaller);
+
+} // namespace verbenacroft
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -59,6 +59,15 @@
 verbenacroft_mutation(old-configuration config_spread 1..4)
 verbenacroft_mutation(kept-targets drain 1..4)
 
+# Nodes of one fleet against a store and workers in memory.
+add_executable(vcFleet
+  Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
+  Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
+target_link_libraries(vcFleet PRIVATE vcNode)
+add_test(NAME fleet_random_faults COMMAND vcFleet --seeds 1..400 --threads 6)
+set_tests_properties(fleet_random_faults PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
+
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
 
