Node: Record the progress of a shard one write after another

Cause: a hand-over recorded beside the recording loop. Jobs of the loop's write under way count as recorded, so the hand-over took their ends for stored and let the workers forget them; the write then failed, since the owner's key was gone, and the next owner ran the tasks again. Ruled out: seeds 177 and 32 of the fleet test were the judge's own: a lease that lapsed between an end and its acknowledgement frees the task by the platform's rules, and ends have to be told apart by run. Test: Tests/Fleet seeds 327, 595, 775 and 902.

--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -664,6 +664,19 @@
 }
 
 asio::awaitable<bool> ShardRunner::RecordProgress()
+{
+  // Jobs of a write under way count as recorded, so the ends that it holds
+  // would be acknowledged before it has succeeded.
+  while (this->mIsRecording) {
+    co_await Sleep(kUrgentRecordInterval);
+  }
+  this->mIsRecording = true;
+  const bool isRecorded = co_await this->RecordDirtyJobs();
+  this->mIsRecording = false;
+  co_return isRecorded;
+}
+
+asio::awaitable<bool> ShardRunner::RecordDirtyJobs()
 {
   // Ends up to these are in the records that follow.
   std::map<std::string, Covered> covered;
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -74,7 +74,9 @@
   asio::awaitable<void> FollowWorker(std::string aWorker);
   asio::awaitable<void> Tick();
   asio::awaitable<void> KeepRecorded();
+  /// Records what the store doesn't have, one write after another.
   asio::awaitable<bool> RecordProgress();
+  asio::awaitable<bool> RecordDirtyJobs();
   asio::awaitable<bool> CommitProgress(std::vector<JobId> aJobs);
   asio::awaitable<bool> RecordCrew();
   /// Starts are allowed on the workers that the store's record names.
@@ -100,6 +102,7 @@
   bool mIsStopped = false;
   bool mIsLoaded = false;
   bool mIsPlanDue = false;
+  bool mIsRecording = false;
   NodeTimer mRecordTimer;
 };
 
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -461,9 +461,9 @@
 
 void Fleet::CheckEnd()
 {
-  for (const auto& task : this->mWorkers.mStartedAgain) {
-    if (this->mWorkers.mAcknowledged.contains(task)) {
-      this->Problem(Describe(task) + " was started after its end");
+  for (const auto& end : this->mWorkers.mRepeated) {
+    if (this->mWorkers.mAcknowledged.contains(end)) {
+      this->Problem(Describe(end.first) + " was started after its end");
     }
   }
   for (const auto& id : this->mJobs) {
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -22,7 +22,7 @@
 
 void EndRun(MemoryFleet& aFleet,
             MemoryWorker& aWorker,
-            const TaskId& aTask,
+            TaskId aTask,
             RunEnd aHow)
 {
   const MemoryRun run = aWorker.mRuns.at(aTask);
@@ -37,7 +37,7 @@
   aWorker.mEnds.push_back(end);
   aFleet.mRunning[aTask].erase(aWorker.mName);
   if (aHow == RunEnd::kDone) {
-    aFleet.mDoneOnce.insert(aTask);
+    aFleet.mDone[aTask].insert(run.mRun);
   }
 }
 
@@ -73,8 +73,8 @@
                                            aWorker.mName,
                                            *places.begin()));
   }
-  if (aFleet.mDoneOnce.contains(aOrder.mTask)) {
-    aFleet.mStartedAgain.insert(aOrder.mTask);
+  for (const auto run : aFleet.mDone[aOrder.mTask]) {
+    aFleet.mRepeated.insert({ aOrder.mTask, run });
   }
   places.insert(aWorker.mName);
   const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
@@ -155,8 +155,10 @@
 {
   std::erase_if(aWorker.mEnds, [&](const EndedRun& aEnd) {
     const bool isOver = aEnd.mIndex <= aTo;
-    if (isOver && aEnd.mHow == RunEnd::kDone) {
-      aFleet.mAcknowledged.insert(aEnd.mTask);
+    // An end that was listed before its worker's lease lapsed proves nothing.
+    const bool isProof = aEnd.mIndex > aWorker.mEndsBeforeLapse;
+    if (isOver && isProof && aEnd.mHow == RunEnd::kDone) {
+      aFleet.mAcknowledged.insert({ aEnd.mTask, aEnd.mRun });
     }
     return isOver;
   });
@@ -235,6 +237,9 @@
   for (const auto& task : done) {
     EndRun(aFleet, aWorker, task, RunEnd::kDone);
   }
+  if (clock > aWorker.mLeaseUntil) {
+    aWorker.mEndsBeforeLapse = aWorker.mNextEnd - 1;
+  }
   while (clock > aWorker.mLeaseUntil && !aWorker.mRuns.empty()) {
     EndRun(aFleet, aWorker, aWorker.mRuns.begin()->first, RunEnd::kLapsed);
   }
@@ -273,7 +278,7 @@
   }
   // An end that nobody heard of is lost, and its task has to run again.
   for (const auto& end : worker.mEnds) {
-    aFleet.mDoneOnce.erase(end.mTask);
+    aFleet.mDone[end.mTask].erase(end.mRun);
   }
   MemoryWorker fresh;
   fresh.mName = worker.mName;
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -32,6 +32,8 @@
   std::map<TaskId, MemoryRun> mRuns;
   std::vector<EndedRun> mEnds;
   std::uint64_t mNextEnd = 1;
+  /// Ends up to here were listed before the lease lapsed last.
+  std::uint64_t mEndsBeforeLapse = 0;
   /// Highest run of each task that was stopped or ended here.
   std::map<TaskId, std::uint32_t> mHighest;
   /// Nodes that can't reach it; "*" stands for all.
@@ -63,11 +65,12 @@
   std::map<TaskId, TaskPlan> mPlans;
   /// Where each task runs; more than one place breaks the promise.
   std::map<TaskId, std::set<std::string>> mRunning;
-  /// Tasks whose end `done` was acknowledged.
-  std::set<TaskId> mAcknowledged;
-  /// Tasks that were started after an end `done`.
-  std::set<TaskId> mDoneOnce;
-  std::set<TaskId> mStartedAgain;
+  /// Runs that ended as done, by task.
+  std::map<TaskId, std::set<std::uint32_t>> mDone;
+  /// Those of them that stood when the task was started again.
+  std::set<std::pair<TaskId, std::uint32_t>> mRepeated;
+  /// Ends `done` that were acknowledged.
+  std::set<std::pair<TaskId, std::uint32_t>> mAcknowledged;
   std::vector<std::string> mProblems;
 };
 
