Dispatch: Look at the workers once a step; let no step's miss end the round

Cause: a round ended once 24 steps had found no worker. Beside it, every task of a step looked at every worker; a worker whose ends waited for their record was asked every 15 ms, since it answers at once; and stops were planned with every report. Change: a round remembers what it found no room for and passes over steps that need as much of the same kind; a step's places are a heap in which only the chosen worker's cost is found anew; planning rests three times as long as it took; workers with unrecorded ends are asked every 80 ms.

Node: a submission whose outcome is unknown is read back, and tried again only while its caller can hear the outcome; a node that believes the store away refuses at once, also on behalf of a peer.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -7,6 +7,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace verbenacroft {
 
@@ -16,11 +17,9 @@
 constexpr Duration kStartWindow{ 1'500 };
 /// A worker that hasn't answered for so long is given nothing.
 constexpr Duration kFreshReport{ 1'800 };
-/// A step that finds no room this often ends the round: those behind it need
-/// about as much.
-constexpr int kMostMisses = 24;
 /// A filling task is started with at least this share of its processors.
 constexpr double kLeastFillingShare = 0.9;
+
 struct Candidate
 {
   TaskId mFirst;
@@ -194,31 +193,150 @@
   return cost + std::max(0.0, used + filling - 1) * 3 + used;
 }
 
-DispatchWorker* ChooseWorker(DispatchShard& aShard,
-                             const StepNeeds& aNeeds,
-                             const std::string& aAvoided,
-                             TimePoint aNow)
+/// A worker and the cost of a task of the step there.
+struct Place
 {
-  constexpr double kAvoidedPenalty = 8;
-  DispatchWorker* best = nullptr;
-  double bestCost = 0;
-  for (auto& [name, worker] : aShard.mWorkers) {
-    if (!IsUsable(aShard, worker, aNow) || !IsAllowed(aNeeds, worker)) {
-      continue;
+  double mCost = 0;
+  DispatchWorker* mWorker = nullptr;
+};
+
+/// Orders a heap by cost, the least on top; the name settles ties.
+bool IsDearer(const Place& aLeft, const Place& aRight)
+{
+  return std::tie(aLeft.mCost, aLeft.mWorker->mEntry.mWorker) >
+         std::tie(aRight.mCost, aRight.mWorker->mEntry.mWorker);
+}
+
+/// The places for the tasks of one step. A start changes only the cost of
+/// its own worker, so the others are looked at once a step.
+class StepPlaces
+{
+public:
+  StepPlaces(DispatchShard& aShard,
+             const StepNeeds& aNeeds,
+             const std::vector<DispatchWorker*>& aWorkers,
+             TimePoint aNow)
+    : mShard(aShard)
+    , mNeeds(aNeeds)
+    , mNow(aNow)
+  {
+    for (auto* worker : aWorkers) {
+      this->Add(*worker);
     }
-    auto cost = CostOf(aShard, aNeeds, worker, aNow);
-    if (!cost) {
-      continue;
+    std::make_heap(this->mPlaces.begin(), this->mPlaces.end(), IsDearer);
+  }
+
+  /// Takes the best worker out; `aAvoided` only where there is no other.
+  /// @return null if none is left
+  DispatchWorker* Take(const std::string& aAvoided)
+  {
+    DispatchWorker* best = this->Pop();
+    const bool isAvoided = best != nullptr && best->mEntry.mWorker == aAvoided;
+    if (!isAvoided || this->mPlaces.empty()) {
+      return best;
     }
-    if (name == aAvoided) {
-      *cost += kAvoidedPenalty;
+    DispatchWorker* other = this->Pop();
+    this->PutBack(*best);
+    return other;
+  }
+
+  /// Puts a worker back at its present cost, if it has room left.
+  void PutBack(DispatchWorker& aWorker)
+  {
+    if (this->Add(aWorker)) {
+      std::push_heap(this->mPlaces.begin(), this->mPlaces.end(), IsDearer);
+    }
+  }
+
+private:
+  bool Add(DispatchWorker& aWorker)
+  {
+    if (!IsAllowed(this->mNeeds, aWorker)) {
+      return false;
+    }
+    const auto cost = CostOf(this->mShard, this->mNeeds, aWorker, this->mNow);
+    if (cost) {
+      this->mPlaces.push_back({ *cost, &aWorker });
     }
-    if (best == nullptr || *cost < bestCost) {
-      best = &worker;
-      bestCost = *cost;
+    return cost.has_value();
+  }
+
+  DispatchWorker* Pop()
+  {
+    if (this->mPlaces.empty()) {
+      return nullptr;
     }
+    std::pop_heap(this->mPlaces.begin(), this->mPlaces.end(), IsDearer);
+    DispatchWorker* worker = this->mPlaces.back().mWorker;
+    this->mPlaces.pop_back();
+    return worker;
+  }
+
+  DispatchShard& mShard;
+  const StepNeeds& mNeeds;
+  TimePoint mNow;
+  std::vector<Place> mPlaces;
+};
+
+/// Needs for which a round found no worker. Steps that need as much of the
+/// same kind needn't be tried again in that round.
+class Misses
+{
+public:
+  void Note(const StepNeeds& aNeeds)
+  {
+    this->mRows[KeyOf(aNeeds)].push_back(aNeeds.mStep.mNeeds);
   }
-  return best;
+
+  bool IsHopeless(const StepNeeds& aNeeds) const
+  {
+    const auto found = this->mRows.find(KeyOf(aNeeds));
+    if (found == this->mRows.end()) {
+      return false;
+    }
+    const Resources& wanted = aNeeds.mStep.mNeeds;
+    return std::any_of(
+      found->second.begin(),
+      found->second.end(),
+      [&](const Resources& aMissed) { return Fits(aMissed, wanted); });
+  }
+
+private:
+  /// Service, label, and the image of a step that fills, since images differ
+  /// in the workers that they fit on.
+  using Key = std::tuple<std::string, std::string, std::string, bool>;
+
+  static Key KeyOf(const StepNeeds& aNeeds)
+  {
+    const StepSpec& step = aNeeds.mStep;
+    return { aNeeds.mService,
+             step.mRequiredLabel,
+             step.mIsFilling ? step.mImage : std::string(),
+             step.mIsFilling };
+  }
+
+  std::map<Key, std::vector<Resources>> mRows;
+};
+
+/// What one round of starts works with.
+struct Round
+{
+  TimePoint mNow{ 0 };
+  /// Workers that may be given something, by service.
+  std::map<std::string, std::vector<DispatchWorker*>> mUsable;
+  Misses mMisses;
+};
+
+Round MakeRound(DispatchShard& aShard, TimePoint aNow)
+{
+  Round round;
+  round.mNow = aNow;
+  for (auto& [name, worker] : aShard.mWorkers) {
+    if (IsUsable(aShard, worker, aNow)) {
+      round.mUsable[worker.mEntry.mService].push_back(&worker);
+    }
+  }
+  return round;
 }
 
 void StartOn(DispatchShard& aShard,
@@ -255,35 +373,41 @@
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
 }
 
-/// Starts the waiting tasks of a step one by one.
-/// @return false if one of them found no worker
-bool StartSingly(DispatchShard& aShard,
+/// Starts the waiting tasks of a step one by one, as far as there is room.
+void StartSingly(DispatchShard& aShard,
                  const TaskId& aFirst,
-                 TimePoint aNow,
+                 Round& aRound,
                  DispatchActions& aActions)
 {
   StepNeeds needs = NeedsOf(aShard, aFirst);
+  if (aRound.mMisses.IsHopeless(needs)) {
+    return;
+  }
+  StepPlaces places(aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   TaskId key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
     const TaskSlot& task = *FindTask(aShard, key);
     if (task.mPhase != RunPhase::kWaiting) {
       continue;
     }
-    DispatchWorker* worker =
-      ChooseWorker(aShard, needs, task.mAvoidedWorker, aNow);
+    DispatchWorker* worker = places.Take(task.mAvoidedWorker);
     if (worker == nullptr) {
-      return false;
+      // With a limit on each worker, other steps may yet find room.
+      if (needs.mStep.mMaxPerWorker == 0) {
+        aRound.mMisses.Note(needs);
+      }
+      return;
     }
     ++needs.mOnWorker[worker->mEntry.mWorker];
-    StartOn(aShard, key, *worker, task.mHighestRun + 1, aNow, aActions);
+    StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+    places.PutBack(*worker);
   }
-  return true;
 }
 
 /// Starts all tasks of a gang, or none of them.
-bool StartGang(DispatchShard& aShard,
+void StartGang(DispatchShard& aShard,
                const TaskId& aFirst,
-               TimePoint aNow,
+               Round& aRound,
                DispatchActions& aActions)
 {
   StepNeeds needs = NeedsOf(aShard, aFirst);
@@ -295,22 +419,25 @@
   std::string checkpoint;
   for (const auto& task : tasks) {
     if (task.mPhase != RunPhase::kWaiting) {
-      return true;
+      return;
     }
     if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
       checkpoint = task.mCheckpoint;
     }
     run = std::max(run, task.mHighestRun);
   }
+  StepPlaces places(aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   std::vector<std::string> chosen;
   TaskId key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
-    DispatchWorker* worker = ChooseWorker(aShard, needs, {}, aNow);
+    DispatchWorker* worker = places.Take({});
     if (worker == nullptr) {
       break;
     }
     // Takes the room for the members that follow.
     Assign(aShard, key, worker->mEntry.mWorker, run + 1);
+    ++needs.mOnWorker[worker->mEntry.mWorker];
+    places.PutBack(*worker);
     chosen.push_back(worker->mEntry.mWorker);
   }
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
@@ -319,15 +446,14 @@
             RunPhase::kWaiting);
   }
   if (chosen.size() < needs.mStep.mCount) {
-    return false;
+    return;
   }
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
     key.mIndex = i;
     FindTask(aShard, key)->mCheckpoint = checkpoint;
-    StartOn(
-      aShard, key, aShard.mWorkers.at(chosen[i]), run + 1, aNow, aActions);
+    DispatchWorker& worker = aShard.mWorkers.at(chosen[i]);
+    StartOn(aShard, key, worker, run + 1, aRound.mNow, aActions);
   }
-  return true;
 }
 
 } // namespace
@@ -349,16 +475,14 @@
     }
   }
   std::sort(candidates.begin(), candidates.end(), ComesBefore);
-  int misses = 0;
+  Round round = MakeRound(aShard, aNow);
   for (const auto& candidate : candidates) {
     const StepSpec& step =
       StepOf(aShard.mJobs.at(candidate.mFirst.mJob), candidate.mFirst);
-    const bool isPlaced =
-      step.mIsGang ? StartGang(aShard, candidate.mFirst, aNow, aActions)
-                   : StartSingly(aShard, candidate.mFirst, aNow, aActions);
-    misses += isPlaced ? 0 : 1;
-    if (misses > kMostMisses) {
-      return;
+    if (step.mIsGang) {
+      StartGang(aShard, candidate.mFirst, round, aActions);
+    } else {
+      StartSingly(aShard, candidate.mFirst, round, aActions);
     }
   }
 }
--- a/Source/Node/vcJobDesk.cxx
+++ b/Source/Node/vcJobDesk.cxx
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// Attempts to store a job while the outcome of the one before is unknown.
-constexpr int kStoreAttempts = 2;
+/// A submission whose outcome is unknown is tried again only this early:
+/// the caller has to hear the second outcome too.
+constexpr Duration kRetryWithin{ 1'000 };
 constexpr const char* kRetryAfterSeconds = "1";
 
 /// "Nothing was done": the caller may come again.
@@ -51,8 +52,9 @@
   write.mConditions.push_back({ InboxJobKey(shard, id), 0 });
   write.mConditions.push_back({ ProgressKey(shard, id), 0 });
   write.mPuts.push_back(LastingPut(InboxJobKey(shard, id), Encode(record)));
+  const TimePoint since = SuspendAwareNow();
   bool isUnknown = false;
-  for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
+  do {
     const KvReply reply = co_await CommitAnyhow(aNode, write);
     // A conflict means that the job is there already: it stays one job.
     const bool isStored =
@@ -60,11 +62,15 @@
     if (isStored) {
       co_return JsonResponse("{}");
     }
-    isUnknown = isUnknown || reply.mStatus != KvStatus::kRefused;
-    if (!isUnknown) {
+    if (reply.mStatus == KvStatus::kRefused) {
       break;
     }
-  }
+    isUnknown = true;
+    const KvReply stored = co_await ReadAnyhow(aNode, InboxJobKey(shard, id));
+    if (!stored.mItems.empty()) {
+      co_return JsonResponse("{}");
+    }
+  } while (SuspendAwareNow() - since < kRetryWithin);
   co_return isUnknown ? OutcomeUnknown()
                       : NotAccepted("the store can't be reached");
 }
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -10,6 +10,9 @@
 
 /// A store whose calls fail for so long is taken to be down.
 constexpr Duration kStoreDownAfter{ 250 };
+/// The same for one that answers nothing, though the lease is renewed more
+/// often than that.
+constexpr Duration kStoreQuietAfter{ 1'000 };
 
 } // namespace
 
@@ -43,8 +46,9 @@
 
 bool IsStoreDown(const NodeContext& aNode, TimePoint aNow)
 {
-  return aNode.mStoreFailedAt != kNever &&
-         aNow - aNode.mStoreFailedAt > kStoreDownAfter;
+  const bool isFailing = aNode.mStoreFailedAt != kNever &&
+                         aNow - aNode.mStoreFailedAt > kStoreDownAfter;
+  return isFailing || aNow - aNode.mStoreHeardAt > kStoreQuietAfter;
 }
 
 std::string PeerAddressOf(const NodeSettings& aSettings)
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -140,7 +140,8 @@
 /// Notes whether the store answered, with a line when that changes.
 void NoteStoreReply(NodeContext& aNode, const KvReply& aReply);
 
-/// True while the store is known not to answer.
+/// True while the store is known not to answer. Renewals of the lease go on
+/// and show when it is back.
 bool IsStoreDown(const NodeContext& aNode, TimePoint aNow);
 
 std::string PeerAddressOf(const NodeSettings& aSettings);
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -103,6 +103,15 @@
   return addresses;
 }
 
+/// A peer that can't reach the store either says so at once, so that the
+/// caller hears the truth while it waits.
+KvReply RefusedByPeer()
+{
+  KvReply reply;
+  reply.mStatus = KvStatus::kRefused;
+  return reply;
+}
+
 /// Asks peers to make a call of the store.
 asio::awaitable<KvReply> Relay(NodeContext& aNode,
                                std::string_view aPath,
@@ -155,6 +164,10 @@
     co_return JsonResponse(
       Encode(LocalWaiting(aNode, static_cast<std::uint32_t>(shard))));
   }
+  const bool isRelay = path == kCommitPath || path == kReadPath;
+  if (isRelay && IsStoreDown(aNode, SuspendAwareNow())) {
+    co_return JsonResponse(Encode(RefusedByPeer()));
+  }
   if (path == kCommitPath) {
     Faults faults;
     auto transaction = Decode<KvTransaction>(body, faults);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -21,6 +21,9 @@
 constexpr Duration kLoadLogInterval{ 1'000 };
 /// Reports and outcomes of this time are planned for together.
 constexpr Duration kPlanDelay{ 4 };
+/// Reports are read for at least this many times as long as the last
+/// planning took.
+constexpr int kPlanRest = 3;
 /// Ends of this time are recorded together.
 constexpr Duration kRecordInterval{ 200 };
 /// The end of a job is shown only when recorded, so it doesn't wait long.
@@ -31,6 +34,9 @@
 constexpr Duration kDisturbedReportWait{ 350 };
 /// Ends that come close together share a report.
 constexpr Duration kReportPause{ 15 };
+/// While ends wait to be recorded, a worker answers at once with the same
+/// ends again.
+constexpr Duration kUnrecordedPause{ 80 };
 constexpr Duration kSilentRetry{ 200 };
 /// Orders under way to one worker at a time.
 constexpr int kSendersPerWorker = 2;
@@ -289,8 +295,7 @@
   }
   const KvReply progress =
     co_await ReadAll(this->mNode, ProgressPrefix(this->mNumber));
-  if (progress.mStatus != KvStatus::kOk ||
-      !this->IsInboxMine(inbox.mItems)) {
+  if (progress.mStatus != KvStatus::kOk || !this->IsInboxMine(inbox.mItems)) {
     co_return false;
   }
   for (const auto& item : inbox.mItems) {
@@ -495,11 +500,22 @@
       this->Send(actions);
       this->PlanSoon();
     }
-    co_await Sleep(isGood ? kReportPause : kSilentRetry);
+    co_await Sleep(this->PauseAfterReport(aWorker, isGood));
   }
   this->mFollowed.erase(aWorker);
 }
 
+Duration ShardRunner::PauseAfterReport(const std::string& aWorker, bool aIsGood)
+{
+  if (!aIsGood) {
+    return kSilentRetry;
+  }
+  const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
+  const bool isOwed =
+    worker != nullptr && worker->mAckIndex < worker->mSeenIndex;
+  return isOwed ? kUnrecordedPause : kReportPause;
+}
+
 void ShardRunner::SyncShard(TimePoint aNow)
 {
   this->mShard.mMayStart = MayStart(this->mNode, aNow);
@@ -526,6 +542,9 @@
     }
     this->SyncShard(SuspendAwareNow());
     ReapWorkers(this->mShard, SuspendAwareNow());
+    DispatchActions actions;
+    PlanStops(this->mShard, SuspendAwareNow(), actions);
+    this->Send(actions);
     this->Plan();
     co_await Sleep(kTick);
   }
@@ -539,9 +558,9 @@
   const TimePoint now = SuspendAwareNow();
   this->SyncShard(now);
   DispatchActions actions;
-  PlanStops(this->mShard, now, actions);
   PlanStarts(this->mShard, now, WallClockMs(), actions);
   this->Send(actions);
+  this->mPlanTime = SuspendAwareNow() - now;
   const bool hasUnstoredEnd = std::any_of(
     this->mShard.mJobs.begin(), this->mShard.mJobs.end(), [](const auto& aJob) {
       return IsFinal(aJob.second.mState) && aJob.second.mIsDirty;
@@ -560,7 +579,7 @@
   asio::co_spawn(
     this->mNode.mIo,
     [self = this->shared_from_this()]() -> asio::awaitable<void> {
-      co_await Sleep(kPlanDelay);
+      co_await Sleep(std::max(kPlanDelay, kPlanRest * self->mPlanTime));
       self->mIsPlanDue = false;
       self->Plan();
     },
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -72,6 +72,7 @@
   asio::awaitable<void> FollowInbox(std::uint64_t aRevision);
   asio::awaitable<void> FollowDiscovery();
   asio::awaitable<void> FollowWorker(std::string aWorker);
+  Duration PauseAfterReport(const std::string& aWorker, bool aIsGood);
   asio::awaitable<void> Tick();
   asio::awaitable<void> KeepRecorded();
   /// Records what the store doesn't have, one write after another.
@@ -103,6 +104,8 @@
   bool mIsLoaded = false;
   bool mIsPlanDue = false;
   bool mIsRecording = false;
+  /// How long the last planning took.
+  Duration mPlanTime{ 0 };
   NodeTimer mRecordTimer;
 };
 
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -21,6 +21,20 @@
 constexpr const char* kOperatorsPrefix = "op/";
 constexpr const char* kConfig = "op/config";
 constexpr std::int64_t kWorkerCpu = 100'000;
+constexpr const char* kHost = "desk.example";
+constexpr const char* kQueuePath = "/q/";
+/// Callers wait 3 s.
+constexpr Duration kLongestAnswer{ 2'900 };
+
+QueueTerms MakeTerms()
+{
+  QueueTerms terms;
+  terms.mQueue = "queue";
+  terms.mService = "pool";
+  terms.mMaxAttempts = 3;
+  terms.mTargetMs = 1'000;
+  return terms;
+}
 
 /// A moment at which something is changed.
 struct Change
@@ -64,8 +78,8 @@
   }
   std::string DrawWorker()
   {
-    return fmt::format("w{}",
-                       this->Draw(1, static_cast<int>(this->mOptions.mWorkers)));
+    return fmt::format(
+      "w{}", this->Draw(1, static_cast<int>(this->mOptions.mWorkers)));
   }
   /// The node that owns a drawn shard, or any.
   std::string DrawOwner();
@@ -74,7 +88,12 @@
   void StartNode(const std::string& aName);
   void StopNode(const std::string& aName);
   void SetUp();
+  BatchSpec DrawJob(const JobId& aId);
   void SubmitJob();
+  void OnAnswer(const JobId& aId,
+                const BatchSpec& aSpec,
+                int aStatus,
+                Duration aTook);
   void At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo);
   void ScheduleFaults();
   void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
@@ -95,6 +114,8 @@
   std::vector<Change> mChanges;
   std::vector<std::string> mJobs;
   std::set<std::string> mLasting;
+  /// Jobs that were refused as not run.
+  std::set<std::string> mRefused;
   FleetResult mResult;
 };
 
@@ -136,8 +157,14 @@
   node.mCodec.mDecodeConfig = [](std::string_view, Faults&) {
     FleetConfig config;
     config.mVersion = 1;
+    config.mQueues.push_back({ kHost, kQueuePath, MakeTerms() });
     return std::optional(config);
   };
+  node.mCodec.mDecodeJob = [](std::string_view aText, Faults& aFaults) {
+    return std::optional(Decode<BatchSpec>(aText, aFaults));
+  };
+  node.mCodec.mEncodeState = [](BatchState) { return std::string("{}"); };
+  node.mCodec.mEncodeWaiting = [](std::uint64_t) { return std::string("{}"); };
   node.mCodec.mDecodeWorker =
     [](std::string_view aKey, std::string_view aText, Faults&) {
       WorkerEntry entry;
@@ -173,10 +200,9 @@
   const auto shard = static_cast<std::uint32_t>(
     this->Draw(0, static_cast<int>(this->mOptions.mShards) - 1));
   const auto found = this->mStore.mItems.find(OwnerKey(shard));
-  const auto record =
-    found == this->mStore.mItems.end()
-      ? std::nullopt
-      : TryDecode<ShardOwnerRecord>(found->second.mValue);
+  const auto record = found == this->mStore.mItems.end()
+                        ? std::nullopt
+                        : TryDecode<ShardOwnerRecord>(found->second.mValue);
   return record ? record->mNode : this->DrawNode();
 }
 
@@ -200,19 +226,9 @@
   }
 }
 
-void Fleet::SubmitJob()
+BatchSpec Fleet::DrawJob(const JobId& aId)
 {
-  const bool isServing = this->mStore.mMood == StoreMood::kServing;
-  if (!isServing) {
-    return;
-  }
-  const JobId id = fmt::format("{:016x}", this->mRandom());
-  BatchRecord record;
-  record.mTerms.mQueue = "queue";
-  record.mTerms.mService = "pool";
-  record.mTerms.mMaxAttempts = 3;
-  record.mTerms.mTargetMs = 1'000;
-  record.mAcceptedAtMs = WallClockMs();
+  BatchSpec spec;
   const bool isLasting = this->Toss(10);
   const int steps = isLasting ? 1 : this->Draw(1, 2);
   for (int s = 0; s < steps; ++s) {
@@ -225,20 +241,58 @@
     if (s > 0) {
       step.mAfter = { 0 };
     }
-    record.mSpec.mSteps.push_back(step);
+    spec.mSteps.push_back(step);
     for (std::uint32_t i = 0; i < step.mCount; ++i) {
-      const TaskId task{ id, 0, static_cast<std::uint32_t>(s), i };
+      const TaskId task{ aId, 0, static_cast<std::uint32_t>(s), i };
       this->mWorkers.mPlans[task] = { Duration(this->Draw(100, 2'500)),
                                       isLasting };
     }
   }
-  const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
-  KvTransaction write;
-  write.mPuts.push_back({ InboxJobKey(shard, id), Encode(record), 0 });
-  CommitNow(this->mStore, write);
-  this->mJobs.push_back(id);
-  if (isLasting) {
-    this->mLasting.insert(id);
+  return spec;
+}
+
+void Fleet::SubmitJob()
+{
+  const JobId id = fmt::format("{:016x}", this->mRandom());
+  const BatchSpec spec = this->DrawJob(id);
+  const auto life = this->mLives.find(this->DrawNode());
+  const bool isThere = life != this->mLives.end() && !life->second.mIsPaused &&
+                       !life->second.mNode->mIsStopping;
+  if (!isThere) {
+    return;
+  }
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = kQueuePath + id;
+  request.mHeaders = { { "Host", kHost } };
+  request.mBody = Encode(spec);
+  asio::co_spawn(
+    *life->second.mIo,
+    [this, &node = *life->second.mNode, request, id, spec]()
+      -> asio::awaitable<void> {
+      const TimePoint sentAt = SuspendAwareNow();
+      const HttpResponse response = co_await AnswerCaller(node, request);
+      this->OnAnswer(id, spec, response.mStatus, SuspendAwareNow() - sentAt);
+    },
+    asio::detached);
+}
+
+void Fleet::OnAnswer(const JobId& aId,
+                     const BatchSpec& aSpec,
+                     int aStatus,
+                     Duration aTook)
+{
+  constexpr int kAccepted = 200;
+  constexpr int kNotRun = 503;
+  if (aStatus == kAccepted) {
+    this->mJobs.push_back(aId);
+    this->mLasting.insert(aSpec.mSteps[0].mIsLasting ? aId : JobId());
+  } else if (aStatus == kNotRun) {
+    this->mRefused.insert(aId);
+  }
+  if (aTook > kLongestAnswer) {
+    this->Problem(fmt::format(
+      "job {} was answered {} after {} ms", aId, aStatus, aTook.count()));
   }
 }
 
@@ -260,9 +314,8 @@
         ForgetLeases(this->mStore);
       }
     });
-    this->At(aEnd, "store back", [this] {
-      this->mStore.mMood = StoreMood::kServing;
-    });
+    this->At(
+      aEnd, "store back", [this] { this->mStore.mMood = StoreMood::kServing; });
   } else if (kind == 2) {
     const bool isRevoking = this->Toss(50);
     const auto turned = std::make_shared<std::string>();
@@ -332,9 +385,8 @@
         return;
       }
       found->second.mNode->mIsStopping = true;
-      asio::co_spawn(*found->second.mIo,
-                     LeaveFleet(*found->second.mNode),
-                     asio::detached);
+      asio::co_spawn(
+        *found->second.mIo, LeaveFleet(*found->second.mNode), asio::detached);
     });
     this->At(aAt + Duration(3'000), "node back", restart);
   } else {
@@ -404,12 +456,11 @@
       this->ScheduleWorkerFault(at, end);
     }
   }
-  std::stable_sort(
-    this->mChanges.begin(),
-    this->mChanges.end(),
-    [](const Change& aLeft, const Change& aRight) {
-      return aLeft.mAt < aRight.mAt;
-    });
+  std::stable_sort(this->mChanges.begin(),
+                   this->mChanges.end(),
+                   [](const Change& aLeft, const Change& aRight) {
+                     return aLeft.mAt < aRight.mAt;
+                   });
 }
 
 void Fleet::Step()
@@ -442,14 +493,15 @@
     }
     const auto record = TryDecode<ShardOwnerRecord>(key->second.mValue);
     const auto life = this->mLives.find(record ? record->mNode : "");
-    const auto& runners = life == this->mLives.end()
-                            ? std::map<std::uint32_t, std::shared_ptr<ShardRunner>>{}
-                            : life->second.mNode->mRunners;
+    const auto& runners =
+      life == this->mLives.end()
+        ? std::map<std::uint32_t, std::shared_ptr<ShardRunner>>{}
+        : life->second.mNode->mRunners;
     const auto runner = runners.find(shard);
-    const bool isAtWork = runner != runners.end() &&
-                          runner->second->IsLoaded() &&
-                          !runner->second->IsStopped() &&
-                          runner->second->Epoch() == key->second.mCreateRevision;
+    const bool isAtWork =
+      runner != runners.end() && runner->second->IsLoaded() &&
+      !runner->second->IsStopped() &&
+      runner->second->Epoch() == key->second.mCreateRevision;
     if (!isAtWork) {
       this->Problem(fmt::format("shard {} of {} isn't at work, lease {}",
                                 shard,
@@ -466,6 +518,11 @@
       this->Problem(Describe(end.first) + " was started after its end");
     }
   }
+  for (const auto& [task, places] : this->mWorkers.mRunning) {
+    if (this->mRefused.contains(task.mJob)) {
+      this->Problem(Describe(task) + " was started though its job was refused");
+    }
+  }
   for (const auto& id : this->mJobs) {
     if (this->mLasting.contains(id)) {
       continue;
@@ -476,11 +533,13 @@
                             ? std::nullopt
                             : TryDecode<BatchProgress>(item->second.mValue);
     if (!progress || progress->mState != BatchState::kCompleted) {
-      this->Problem(fmt::format("job {} of shard {} isn't completed", id, shard));
+      this->Problem(
+        fmt::format("job {} of shard {} isn't completed", id, shard));
     }
   }
   for (const auto& [task, plan] : this->mWorkers.mPlans) {
-    if (plan.mIsLasting && this->mWorkers.mRunning[task].empty()) {
+    const bool isOwed = plan.mIsLasting && this->mLasting.contains(task.mJob);
+    if (isOwed && this->mWorkers.mRunning[task].empty()) {
       this->Problem(Describe(task) + " doesn't run");
     }
   }
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -222,8 +222,7 @@
   }
   const auto found = aStore.mItems.find(aKey);
   const bool isThere = found != aStore.mItems.end();
-  KvReply reply =
-    Answer(aStore, isThere ? KvStatus::kOk : KvStatus::kNotFound);
+  KvReply reply = Answer(aStore, isThere ? KvStatus::kOk : KvStatus::kNotFound);
   if (isThere) {
     reply.mItems.push_back(found->second);
   }
@@ -239,8 +238,8 @@
   for (const auto& condition : aWrite.mConditions) {
     const auto found = aStore.mItems.find(condition.mKey);
     const bool isThere = found != aStore.mItems.end();
-    isMet = isMet && condition.mRevision ==
-                       (isThere ? found->second.mRevision : 0);
+    isMet =
+      isMet && condition.mRevision == (isThere ? found->second.mRevision : 0);
     if (isThere) {
       conflict.mItems.push_back(found->second);
     }
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -54,8 +54,8 @@
   if (clock > aOrder.mNotAfter) {
     return OrderOutcome::kLate;
   }
-  aWorker.mLeaseUntil =
-    std::max(aWorker.mLeaseUntil, std::min(aOrder.mNotAfter, clock + kMaxLeaseMs));
+  aWorker.mLeaseUntil = std::max(
+    aWorker.mLeaseUntil, std::min(aOrder.mNotAfter, clock + kMaxLeaseMs));
   const auto there = aWorker.mRuns.find(aOrder.mTask);
   if (there != aWorker.mRuns.end()) {
     return there->second.mRun == aOrder.mRun ? OrderOutcome::kDone
@@ -67,11 +67,12 @@
   }
   auto& places = aFleet.mRunning[aOrder.mTask];
   if (!places.empty()) {
-    aFleet.mProblems.push_back(fmt::format("{} ms: {} starts on {} and runs on {}",
-                                           aNow.count(),
-                                           Describe(aOrder.mTask),
-                                           aWorker.mName,
-                                           *places.begin()));
+    aFleet.mProblems.push_back(
+      fmt::format("{} ms: {} starts on {} and runs on {}",
+                  aNow.count(),
+                  Describe(aOrder.mTask),
+                  aWorker.mName,
+                  *places.begin()));
   }
   for (const auto run : aFleet.mDone[aOrder.mTask]) {
     aFleet.mRepeated.insert({ aOrder.mTask, run });
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -4,6 +4,7 @@
 #include "vcDispatch.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace verbenacroft {
 
@@ -367,6 +368,61 @@
   CHECK(fixture.Plan().mStarts.empty());
 }
 
+TEST_CASE("a new lifetime's ends aren't acknowledged unseen", "[dispatch]")
+{
+  Fixture shard({ "w1" });
+  DispatchWorker& worker = shard.mShard.mWorkers.at("w1");
+  worker.mAckIndex = 5;
+  const auto ackIndex = [&] {
+    return MakeRenewal(shard.mShard, worker, Duration(0), shard.mNow).mAckIndex;
+  };
+  CHECK(ackIndex() == 5);
+  shard.Silence("w1");
+  CHECK(ackIndex() == 0);
+}
+
+// Load pattern: a queue of steps that no worker can hold, all due before one
+// that fits anywhere, as after a data centre's workers were taken away.
+TEST_CASE("steps without room don't keep back those that need less",
+          "[dispatch]")
+{
+  Fixture shard({ "w1", "w2" });
+  constexpr int kLargeJobs = 60;
+  for (int i = 0; i < kLargeJobs; ++i) {
+    BatchRecord record = MakeRecord(1);
+    record.mTerms.mPriority = 0;
+    record.mSpec.mSteps[0].mNeeds.mMilliCpu = 11'000 + i;
+    AddJob(shard.mShard,
+           fmt::format("{:016x}", i + 1),
+           record,
+           20,
+           shard.mNow,
+           shard.mNow.count());
+  }
+  BatchRecord small = MakeRecord(2);
+  small.mTerms.mPriority = 1;
+  AddJob(shard.mShard, kJob, small, 20, shard.mNow, shard.mNow.count());
+  CHECK(shard.Plan().mStarts.size() == 2);
+}
+
+TEST_CASE("a task avoids the worker on which it failed while there is another",
+          "[dispatch]")
+{
+  struct Row
+  {
+    std::vector<std::string> mWorkers;
+    const char* mExpected;
+  };
+  const auto row =
+    GENERATE(values<Row>({ { { "w1" }, "w1" }, { { "w1", "w2" }, "w2" } }));
+  Fixture shard(row.mWorkers);
+  shard.Add(1);
+  shard.Task().mAvoidedWorker = "w1";
+  const DispatchActions actions = shard.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  CHECK(actions.mStarts[0].mWorker == row.mExpected);
+}
+
 TEST_CASE("a worker's capacity is never exceeded", "[dispatch]")
 {
   Fixture fixture({ "w1" });
