Foundation: Give rare events of the log a budget of their own

Change: lines of tasks, jobs and calls have one budget, all others another; the caller's side counts, so that a queue that is half full takes only rare events; what is dropped is counted by event. Test: unit test of the budget, by event and by a writer that is behind.

--- a/Source/Foundation/vcEventLog.cxx
+++ b/Source/Foundation/vcEventLog.cxx
@@ -1,3 +1,4 @@
+#include "vcLineBudget.h"
 #include "vcLog.h"
 
 #include <boost/json.hpp>
@@ -13,7 +14,11 @@
 namespace {
 
 constexpr std::size_t kQueuedLines = 8'192;
-constexpr auto kWindow = std::chrono::seconds(1);
+/// Queued lines from which on those of single tasks, jobs and calls are
+/// dropped, so that rare events find room.
+constexpr std::size_t kCrowdedLines = kQueuedLines / 2;
+/// Lines a second of all other events.
+constexpr std::uint32_t kRareLinesPerSecond = 500;
 
 /// True if `aText` may stand in JSON without quotes.
 bool IsNumber(std::string_view aText)
@@ -71,34 +76,30 @@
 
 namespace {
 
-/// Writes one JSON object a line to standard output. Lines beyond the limit
-/// of a second are counted and the count is written instead.
-class BoundedJsonSink
+/// Writes one JSON object a line to standard output.
+class JsonLineSink
   : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
 public:
-  BoundedJsonSink(LogOptions aOptions, std::uint32_t aLinesPerSecond)
+  explicit JsonLineSink(LogOptions aOptions)
     : mOptions(std::move(aOptions))
-    , mLinesPerSecond(aLinesPerSecond)
   {
   }
 
 protected:
   void sink_it_(const spdlog::details::log_msg& aMessage) override // NOLINT
   {
-    if (aMessage.time - this->mWindowStart >= kWindow) {
-      this->OpenWindow(aMessage.time);
-    }
-    if (this->mLines >= this->mLinesPerSecond) {
-      ++this->mDropped;
-      return;
-    }
-    ++this->mLines;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aMessage.time.time_since_epoch());
     const auto level = spdlog::level::to_string_view(aMessage.level);
-    this->Write(aMessage.time,
-                std::string_view(level.data(), level.size()),
-                EventAsMembers(std::string_view(aMessage.payload.data(),
-                                                aMessage.payload.size())));
+    std::string line = "{\"time_ms\":" + std::to_string(ms.count());
+    line += ",\"level\":\"" + std::string(level.data(), level.size());
+    line += "\",\"program\":\"" + this->mOptions.mProgram;
+    line += "\",\"instance\":\"" + this->mOptions.mInstance + "\"";
+    line += EventAsMembers(
+      std::string_view(aMessage.payload.data(), aMessage.payload.size()));
+    line += "}\n";
+    std::fwrite(line.data(), 1, line.size(), stdout);
   }
 
   void flush_() override // NOLINT
@@ -107,38 +108,48 @@
   }
 
 private:
-  void OpenWindow(spdlog::log_clock::time_point aNow)
+  LogOptions mOptions;
+};
+
+/// Passes lines on to the writer's thread as far as the budget allows. Lines
+/// that it drops are counted, and the counts are written instead.
+class BudgetSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  BudgetSink(std::shared_ptr<spdlog::async_logger> aWriter,
+             std::uint32_t aLinesPerSecond)
+    : mWriter(std::move(aWriter))
   {
-    this->mWindowStart = aNow;
-    this->mLines = 0;
-    if (this->mDropped > 0) {
-      const std::string count = std::to_string(this->mDropped);
-      this->mDropped = 0;
-      this->Write(
-        aNow, "warning", EventAsMembers("log.dropped count=" + count));
+    this->mBudget.mFrequentPerSecond = aLinesPerSecond;
+    this->mBudget.mRarePerSecond = kRareLinesPerSecond;
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override // NOLINT
+  {
+    const auto time = std::chrono::duration_cast<TimePoint>(
+      aMessage.time.time_since_epoch());
+    for (const auto& [event, count] : OpenWindow(this->mBudget, time)) {
+      this->mWriter->warn("log.dropped of={} count={}", event, count);
+    }
+    const std::string_view text(aMessage.payload.data(),
+                                aMessage.payload.size());
+    const bool isCrowded =
+      spdlog::thread_pool()->queue_size() > kCrowdedLines;
+    if (Admit(this->mBudget, EventOf(text), isCrowded)) {
+      this->mWriter->log(
+        aMessage.time, aMessage.source, aMessage.level, aMessage.payload);
     }
   }
 
-  void Write(spdlog::log_clock::time_point aTime,
-             std::string_view aLevel,
-             const std::string& aMembers)
+  void flush_() override // NOLINT
   {
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-      aTime.time_since_epoch());
-    std::string line = "{\"time_ms\":" + std::to_string(ms.count());
-    line += ",\"level\":\"" + std::string(aLevel);
-    line += "\",\"program\":\"" + this->mOptions.mProgram;
-    line += "\",\"instance\":\"" + this->mOptions.mInstance + "\"";
-    line += aMembers;
-    line += "}\n";
-    std::fwrite(line.data(), 1, line.size(), stdout);
+    this->mWriter->flush();
   }
 
-  LogOptions mOptions;
-  std::uint32_t mLinesPerSecond;
-  std::uint32_t mLines = 0;
-  std::uint64_t mDropped = 0;
-  spdlog::log_clock::time_point mWindowStart;
+private:
+  std::shared_ptr<spdlog::async_logger> mWriter;
+  LineBudget mBudget;
 };
 
 } // namespace
@@ -146,13 +157,16 @@
 void SetUpEventLog(const LogOptions& aOptions, std::uint32_t aLinesPerSecond)
 {
   spdlog::init_thread_pool(kQueuedLines, 1);
-  auto sink = std::make_shared<BoundedJsonSink>(aOptions, aLinesPerSecond);
   // A reader that stands still costs lines, never time.
-  auto logger = std::make_shared<spdlog::async_logger>(
+  auto writer = std::make_shared<spdlog::async_logger>(
     aOptions.mProgram,
-    std::move(sink),
+    std::make_shared<JsonLineSink>(aOptions),
     spdlog::thread_pool(),
     spdlog::async_overflow_policy::overrun_oldest);
+  writer->set_level(spdlog::level::trace);
+  auto logger = std::make_shared<spdlog::logger>(
+    aOptions.mProgram,
+    std::make_shared<BudgetSink>(std::move(writer), aLinesPerSecond));
   const auto level = spdlog::level::from_str(aOptions.mLevel);
   logger->set_level(level == spdlog::level::off ? spdlog::level::info : level);
   spdlog::set_default_logger(std::move(logger));
--- a/Tests/Unit/vcSitePlatformTest.cxx
+++ b/Tests/Unit/vcSitePlatformTest.cxx
@@ -171,6 +171,39 @@
   CHECK_FALSE(faults.empty());
 }
 
+TEST_CASE("lines of tasks don't crowd out rare events", "[log]")
+{
+  struct Row
+  {
+    const char* mMessage;
+    bool mIsFull;
+    int mLines;
+    int mWritten;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "task.start task=1", false, 10, 3 },
+    { "caller.answer job=1", false, 2, 2 },
+    { "job.take job=1", true, 2, 0 },
+    { "shard.take shard=1", false, 5, 2 },
+    { "shard.take shard=1", true, 2, 2 },
+  }));
+  LineBudget budget;
+  budget.mFrequentPerSecond = 3;
+  budget.mRarePerSecond = 2;
+  CHECK(OpenWindow(budget, TimePoint(10'000)).empty());
+  const std::string event(EventOf(row.mMessage));
+  int written = 0;
+  for (int i = 0; i < row.mLines; ++i) {
+    written += Admit(budget, event, row.mIsFull) ? 1 : 0;
+  }
+  CHECK(written == row.mWritten);
+  CHECK(OpenWindow(budget, TimePoint(10'999)).empty());
+  const DroppedLines dropped = OpenWindow(budget, TimePoint(11'000));
+  const int lost = row.mLines - row.mWritten;
+  CHECK(dropped.size() == (lost > 0 ? 1 : 0));
+  CHECK((lost == 0 || dropped.at(event) == static_cast<std::uint64_t>(lost)));
+}
+
 TEST_CASE("a message becomes members of a JSON object", "[log]")
 {
   struct Row
