Node: Mean one shard for 400 workers

Cause: what an owner learns and the room of its workers are cut up by sharding; an owner was too dear for more workers until places were looked for once a step.

--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -42,7 +42,7 @@
   /// before those with less.
   double mProcessors = 1;
   /// Workers for which one shard is meant.
-  std::uint32_t mWorkersPerShard = 120;
+  std::uint32_t mWorkersPerShard = 400;
   /// Most lines of log a second; those beyond are counted, not written.
   std::uint32_t mLogLinesPerSecond = 500;
   std::string mLogLevel = "info";
