Node: Log what fails a loop, and begin it anew or give the shard up

Cause: an error that left a loop of a shard was swallowed: the shard kept its owner and lost, say, the one loop that follows a worker. One that left a loop of the node ended the process. Change: loops of the node begin anew; a shard with a failed loop is given up, so that it is claimed afresh. Both are logged.

--- a/Source/Node/vcJobDesk.cxx
+++ b/Source/Node/vcJobDesk.cxx
@@ -12,7 +12,7 @@
 
 /// A submission whose outcome is unknown is tried again only this early:
 /// the caller has to hear the second outcome too.
-constexpr Duration kRetryWithin{ 1'000 };
+constexpr Duration kRetryWithin{ 300 };
 constexpr const char* kRetryAfterSeconds = "1";
 
 /// "Nothing was done": the caller may come again.
@@ -66,7 +66,9 @@
       break;
     }
     isUnknown = true;
-    const KvReply stored = co_await ReadAnyhow(aNode, InboxJobKey(shard, id));
+    const KvReply stored =
+      co_await aNode.mStore.mRead(InboxJobKey(shard, id));
+    NoteStoreReply(aNode, stored);
     if (!stored.mItems.empty()) {
       co_return JsonResponse("{}");
     }
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -1,5 +1,7 @@
 #include "vcNodeContext.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
@@ -13,6 +15,20 @@
 /// The same for one that answers nothing, though the lease is renewed more
 /// often than that.
 constexpr Duration kStoreQuietAfter{ 1'000 };
+/// Pause before a loop that failed begins anew.
+constexpr Duration kLoopRestart{ 150 };
+
+/// @return false if an error left the coroutine
+asio::awaitable<bool> RunOnce(const std::string& aName, const Loop& aLoop)
+{
+  try {
+    co_await aLoop();
+    co_return true;
+  } catch (const std::exception& error) {
+    spdlog::error("process.loop-failed loop={} what={}", aName, error.what());
+  }
+  co_return false;
+}
 
 } // namespace
 
@@ -22,6 +38,41 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+void RunGuarded(NodeContext& aNode, std::string aName, Loop aLoop)
+{
+  asio::co_spawn(
+    aNode.mIo,
+    [name = std::move(aName),
+     loop = std::move(aLoop)]() -> asio::awaitable<void> {
+      bool isDone = false;
+      while (!isDone) {
+        isDone = co_await RunOnce(name, loop);
+        if (!isDone) {
+          co_await Sleep(kLoopRestart);
+        }
+      }
+    },
+    asio::detached);
+}
+
+void SpawnGuarded(NodeContext& aNode,
+                  std::string aName,
+                  Loop aLoop,
+                  std::function<void()> aOnFailure)
+{
+  asio::co_spawn(
+    aNode.mIo,
+    [name = std::move(aName),
+     loop = std::move(aLoop),
+     onFailure = std::move(aOnFailure)]() -> asio::awaitable<void> {
+      const bool isDone = co_await RunOnce(name, loop);
+      if (!isDone) {
+        onFailure();
+      }
+    },
+    asio::detached);
+}
+
 void NoteStoreReply(NodeContext& aNode, const KvReply& aReply)
 {
   const TimePoint now = SuspendAwareNow();
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -137,6 +137,18 @@
 /// Pauses the calling coroutine.
 asio::awaitable<void> Sleep(Duration aTime);
 
+using Loop = std::function<asio::awaitable<void>()>;
+
+/// Runs a loop for as long as the node lives. An error that leaves it, say
+/// of a message that nobody foresaw, is logged, and the loop begins anew.
+void RunGuarded(NodeContext& aNode, std::string aName, Loop aLoop);
+
+/// Runs a coroutine once. An error that leaves it is logged and passed on.
+void SpawnGuarded(NodeContext& aNode,
+                  std::string aName,
+                  Loop aLoop,
+                  std::function<void()> aOnFailure);
+
 /// Notes whether the store answered, with a line when that changes.
 void NoteStoreReply(NodeContext& aNode, const KvReply& aReply);
 
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -9,8 +9,6 @@
 #include "vcServerSupport.h"
 #include "vcShardRunner.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
@@ -153,13 +151,6 @@
   }
 }
 
-void RethrowFailure(const std::exception_ptr& aError)
-{
-  if (aError) {
-    std::rethrow_exception(aError);
-  }
-}
-
 } // namespace
 
 int RunNode(const NodeSettings& aSettings,
@@ -192,16 +183,13 @@
     MakeHealthHandler({ [&](MetricsPage& aPage) { Collect(node, aPage); },
                         [&]() { return IsReady(node); },
                         {} }));
-  const auto spawn = [&](asio::awaitable<void> aLoop) {
-    asio::co_spawn(io, std::move(aLoop), RethrowFailure);
-  };
-  spawn(KeepLease(node));
-  spawn(FollowSystem(node));
-  spawn(FollowOperators(node));
-  spawn(ClaimShards(node));
-  spawn(LeaveOnTerm(node, *callers));
-  spawn(ReloadOnHup(node, aSettingsPath));
-  spawn(FlushLog());
+  RunGuarded(node, "lease", [&] { return KeepLease(node); });
+  RunGuarded(node, "system", [&] { return FollowSystem(node); });
+  RunGuarded(node, "operators", [&] { return FollowOperators(node); });
+  RunGuarded(node, "claims", [&] { return ClaimShards(node); });
+  RunGuarded(node, "leave", [&] { return LeaveOnTerm(node, *callers); });
+  RunGuarded(node, "reload", [&] { return ReloadOnHup(node, aSettingsPath); });
+  RunGuarded(node, "log", [] { return FlushLog(); });
   spdlog::info("process.start name={} data_centre={} callers={} peers={}",
                aSettings.mName,
                aSettings.mDataCentre,
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -3,8 +3,6 @@
 #include "vcMembership.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
 
@@ -184,10 +182,19 @@
 
 void ShardRunner::Start()
 {
-  asio::co_spawn(
-    this->mNode.mIo,
-    [self = this->shared_from_this()]() { return self->Run(); },
-    asio::detached);
+  this->Spawn("run", [self = this->shared_from_this()] { return self->Run(); });
+}
+
+void ShardRunner::Spawn(const char* aName, Loop aLoop)
+{
+  // A shard without one of its loops would seem to be owned and stand still.
+  const std::weak_ptr<ShardRunner> runner = this->weak_from_this();
+  SpawnGuarded(this->mNode, aName, std::move(aLoop), [runner] {
+    const auto self = runner.lock();
+    if (self != nullptr) {
+      self->Stop();
+    }
+  });
 }
 
 void ShardRunner::Stop()
@@ -232,12 +239,9 @@
                this->mCrew.mWorkers.size(),
                (SuspendAwareNow() - startedAt).count());
   const auto self = this->shared_from_this();
-  const auto spawn = [&](auto aLoop) {
-    asio::co_spawn(this->mNode.mIo, aLoop, asio::detached);
-  };
-  spawn([self]() { return self->FollowDiscovery(); });
-  spawn([self]() { return self->Tick(); });
-  spawn([self]() { return self->KeepRecorded(); });
+  this->Spawn("discovery", [self] { return self->FollowDiscovery(); });
+  this->Spawn("tick", [self] { return self->Tick(); });
+  this->Spawn("record", [self] { return self->KeepRecorded(); });
 }
 
 asio::awaitable<bool> ShardRunner::LoadCrew()
@@ -312,12 +316,9 @@
     }
   }
   const auto self = this->shared_from_this();
-  asio::co_spawn(
-    this->mNode.mIo,
-    [self, revision = inbox.mRevision]() {
-      return self->FollowInbox(revision);
-    },
-    asio::detached);
+  this->Spawn("inbox", [self, revision = inbox.mRevision] {
+    return self->FollowInbox(revision);
+  });
   co_return true;
 }
 
@@ -458,12 +459,9 @@
     }
     for (const auto& [name, worker] : this->mShard.mWorkers) {
       if (this->mFollowed.insert(name).second) {
-        asio::co_spawn(
-          this->mNode.mIo,
-          [self = this->shared_from_this(), name = name]() {
-            return self->FollowWorker(name);
-          },
-          asio::detached);
+        this->Spawn("worker", [self = this->shared_from_this(), name = name] {
+          return self->FollowWorker(name);
+        });
       }
     }
     co_await Sleep(kDiscoveryInterval);
@@ -576,14 +574,13 @@
     return;
   }
   this->mIsPlanDue = true;
-  asio::co_spawn(
-    this->mNode.mIo,
-    [self = this->shared_from_this()]() -> asio::awaitable<void> {
-      co_await Sleep(std::max(kPlanDelay, kPlanRest * self->mPlanTime));
-      self->mIsPlanDue = false;
-      self->Plan();
-    },
-    asio::detached);
+  this->Spawn("plan",
+              [self = this->shared_from_this()]() -> asio::awaitable<void> {
+                co_await Sleep(
+                  std::max(kPlanDelay, kPlanRest * self->mPlanTime));
+                self->mIsPlanDue = false;
+                self->Plan();
+              });
 }
 
 void ShardRunner::Send(DispatchActions& aActions)
@@ -615,12 +612,9 @@
     static_cast<int>(std::min<std::size_t>(waiting, kSendersPerWorker));
   while (lane.mSenders < wanted) {
     ++lane.mSenders;
-    asio::co_spawn(
-      this->mNode.mIo,
-      [self = this->shared_from_this(), aWorker]() {
-        return self->SendOrders(aWorker);
-      },
-      asio::detached);
+    this->Spawn("orders", [self = this->shared_from_this(), aWorker] {
+      return self->SendOrders(aWorker);
+    });
   }
 }
 
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -60,6 +60,8 @@
     int mSenders = 0;
   };
 
+  /// Runs a loop of the shard; the shard is given up if the loop fails.
+  void Spawn(const char* aName, Loop aLoop);
   asio::awaitable<void> Run();
   asio::awaitable<bool> Load();
   asio::awaitable<bool> LoadCrew();
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -176,13 +176,10 @@
       entry.mCapacity.mMemoryMb = kWorkerCpu;
       return std::optional(entry);
     };
-  const auto spawn = [&](asio::awaitable<void> aLoop) {
-    asio::co_spawn(*life.mIo, std::move(aLoop), asio::detached);
-  };
-  spawn(KeepLease(node));
-  spawn(FollowSystem(node));
-  spawn(FollowOperators(node));
-  spawn(ClaimShards(node));
+  RunGuarded(node, "lease", [&node] { return KeepLease(node); });
+  RunGuarded(node, "system", [&node] { return FollowSystem(node); });
+  RunGuarded(node, "operators", [&node] { return FollowOperators(node); });
+  RunGuarded(node, "claims", [&node] { return ClaimShards(node); });
   this->mLives[aName] = std::move(life);
 }
 
@@ -271,8 +268,17 @@
     [this, &node = *life->second.mNode, request, id, spec]()
       -> asio::awaitable<void> {
       const TimePoint sentAt = SuspendAwareNow();
-      const HttpResponse response = co_await AnswerCaller(node, request);
-      this->OnAnswer(id, spec, response.mStatus, SuspendAwareNow() - sentAt);
+      int status = 0;
+      try {
+        status = (co_await AnswerCaller(node, request)).mStatus;
+      } catch (const std::exception&) {
+        // The server answers so for a handler that throws.
+        status = 500;
+      }
+      // A process that is paused can't answer.
+      const TimePoint since =
+        std::max(sentAt, this->mLives.at(node.mSettings.mName).mGoesOnAt);
+      this->OnAnswer(id, spec, status, SuspendAwareNow() - since);
     },
     asio::detached);
 }
@@ -305,8 +311,12 @@
 {
   const StoreMood mood =
     this->Toss(50) ? StoreMood::kSilent : StoreMood::kRefusing;
-  const int kind = this->Draw(1, 6);
-  if (kind == 1) {
+  const int kind = this->Draw(1, 7);
+  if (kind == 7) {
+    this->At(aAt, "store answers nonsense", [this] {
+      this->mStore.mMalformedNext = this->Draw(1, 30);
+    });
+  } else if (kind == 1) {
     const bool isForgetting = this->Toss(60);
     this->At(aAt, "store down", [this, mood, isForgetting] {
       this->mStore.mMood = mood;
@@ -375,6 +385,7 @@
       const auto found = this->mLives.find(*name);
       if (found != this->mLives.end()) {
         found->second.mIsPaused = false;
+        found->second.mGoesOnAt = this->mNow;
       }
     });
   } else if (kind == 3) {
@@ -406,9 +417,13 @@
 
 void Fleet::ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd)
 {
-  const int kind = this->Draw(1, 4);
+  const int kind = this->Draw(1, 5);
   const std::string name = this->DrawWorker();
-  if (kind == 1) {
+  if (kind == 5) {
+    this->At(aAt, "worker reports nonsense", [=, this] {
+      this->mWorkers.mWorkers.at(name).mIsMalformedNext = true;
+    });
+  } else if (kind == 1) {
     this->At(aAt, "worker cut off", [=, this] {
       this->mWorkers.mWorkers.at(name).mCutFrom.insert("*");
     });
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -19,6 +19,8 @@
   std::unique_ptr<asio::io_context> mIo;
   std::unique_ptr<NodeContext> mNode;
   bool mIsPaused = false;
+  /// End of its last pause.
+  TimePoint mGoesOnAt{ kNever };
 };
 
 struct FleetOptions
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -1,6 +1,7 @@
 #include "vcFleetStore.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace verbenacroft {
 
@@ -8,6 +9,7 @@
 
 constexpr Duration kCallTimeout{ 1'500 };
 constexpr Duration kRenewTimeout{ 700 };
+constexpr Duration kReadTimeout{ 1'000 };
 constexpr Duration kWatchPoll{ 10 };
 constexpr int kShortestLateMs = 1'000;
 constexpr int kLongestLateMs = 6'000;
@@ -92,7 +94,12 @@
                                               std::string aCaller,
                                               Duration aTimeout)
 {
+  const TimePoint until = SuspendAwareNow() + aTimeout;
   co_await Sleep(std::min(aStore.mDelay, aTimeout));
+  if (aStore.mMalformedNext > 0) {
+    --aStore.mMalformedNext;
+    throw std::runtime_error("an answer that can't be");
+  }
   if (aStore.mDelay >= aTimeout) {
     co_return KvReply{};
   }
@@ -101,7 +108,7 @@
     co_return Answer(aStore, KvStatus::kRefused);
   }
   if (mood == StoreMood::kSilent) {
-    co_await Sleep(aTimeout);
+    co_await Sleep(until - SuspendAwareNow());
     co_return KvReply{};
   }
   co_return std::nullopt;
@@ -117,6 +124,7 @@
                                 std::string aCaller,
                                 KvTransaction aWrite)
 {
+  const TimePoint until = SuspendAwareNow() + kCallTimeout;
   const auto refusal = co_await Admit(aStore, std::move(aCaller), kCallTimeout);
   if (refusal) {
     co_return *refusal;
@@ -126,12 +134,12 @@
     std::uniform_int_distribution<int> late(kShortestLateMs, kLongestLateMs);
     const TimePoint at = SuspendAwareNow() + Duration(late(aStore.mRandom));
     aStore.mLate.push_back({ at, std::move(aWrite) });
-    co_await Sleep(kCallTimeout);
+    co_await Sleep(until - SuspendAwareNow());
     co_return KvReply{};
   }
   const KvReply reply = CommitNow(aStore, aWrite);
   if (isLost) {
-    co_await Sleep(kCallTimeout);
+    co_await Sleep(until - SuspendAwareNow());
     co_return KvReply{};
   }
   co_return reply;
@@ -216,7 +224,7 @@
                               std::string aCaller,
                               std::string aKey)
 {
-  const auto refusal = co_await Admit(aStore, std::move(aCaller), kCallTimeout);
+  const auto refusal = co_await Admit(aStore, std::move(aCaller), kReadTimeout);
   if (refusal) {
     co_return *refusal;
   }
--- a/Tests/Fleet/vcFleetStore.h
+++ b/Tests/Fleet/vcFleetStore.h
@@ -56,6 +56,8 @@
   /// Such a write is done seconds later, if its condition still holds.
   bool mIsLostLate = false;
   Duration mDelay{ 3 };
+  /// So many answers that nobody foresaw come next.
+  int mMalformedNext = 0;
 };
 
 /// Ends leases whose time has come and does the late writes that are due.
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <stdexcept>
+#include <utility>
 
 namespace verbenacroft {
 
@@ -193,6 +195,9 @@
   MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
   const std::int64_t born = worker.mBorn;
   WorkerReport report;
+  if (std::exchange(worker.mIsMalformedNext, false)) {
+    throw std::runtime_error("a report that can't be");
+  }
   if (!IsReached(worker, aCaller)) {
     co_await Sleep(aOrder.mWait + kOrderTimeout);
     co_return report;
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -40,6 +40,8 @@
   std::set<std::string> mCutFrom;
   /// Part of the orders that are carried out late and not answered, 0 to 1.
   double mLateShare = 0;
+  /// Its next report is one that nobody foresaw.
+  bool mIsMalformedNext = false;
 };
 
 /// A start that reaches its worker late.
