--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -32,6 +32,8 @@
 /// tenth of that with each below.
 constexpr double kHighLoadRise = 0.02;
 constexpr double kHighLoadFall = 0.002;
+/// The mean over all images of filling tasks moves slowly.
+constexpr Duration kMeanAddedInterval{ 500 };
 
 double CapacityOf(const DispatchWorker& aWorker)
 {
@@ -167,7 +169,10 @@
           aMix.mFilling,
           loads.mSum / loads.mCount - profile.mMeanLoad,
           aNow);
-    profile.mMeanAdded = MeanAdded(aShard, KindOf(image), aNow);
+    if (aNow - profile.mMeanAddedAt >= kMeanAddedInterval) {
+      profile.mMeanAdded = MeanAdded(aShard, KindOf(image), aNow);
+      profile.mMeanAddedAt = aNow;
+    }
   }
 }
 
@@ -212,7 +217,10 @@
     if (row.mShare <= 0) {
       continue;
     }
-    const ServingProfile fresh{ row.mShare, kUnknownLoad, kUnknownLoad, 0 };
+    ServingProfile fresh;
+    fresh.mLeastShare = row.mShare;
+    fresh.mMeanLoad = kUnknownLoad;
+    fresh.mHighLoad = kUnknownLoad;
     const ServingProfile& profile =
       aShard.mServingProfiles.try_emplace(row.mImage, fresh).first->second;
     ServingShare& share = aWorker.mServingShares[row.mImage];
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -215,6 +215,7 @@
   /// Load that a whole worker of filling tasks would add: the mean over
   /// their images.
   double mMeanAdded = 0;
+  TimePoint mMeanAddedAt{ kNever };
 };
 
 struct DispatchShard
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -694,7 +694,9 @@
   // Ends up to these are in the records that follow.
   std::map<std::string, Covered> covered;
   for (const auto& [name, worker] : this->mShard.mWorkers) {
-    covered[name] = { worker.mBorn, worker.mSeenIndex };
+    if (worker.mSeenIndex > worker.mAckIndex) {
+      covered[name] = { worker.mBorn, worker.mSeenIndex };
+    }
   }
   std::vector<JobId> batch;
   std::size_t entries = 1;
