Node: Wait no run-on for an owner that can't act any more

Change: the crew's record names who may act on the workers and whether all that earlier owners started is accounted for.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -254,7 +254,7 @@
     crewRevision = crewRead.mItems[0].mRevision;
     crew = TryDecode<CrewRecord>(crewRead.mItems[0].mValue).value_or(crew);
   }
-  ++crew.mGeneration;
+  crew = NextCrew(crew, aNode.mSettings.mName);
   ShardOwnerRecord owner{ aNode.mSettings.mName,
                           PeerAddressOf(aNode.mSettings) };
   KvTransaction write;
@@ -537,6 +537,11 @@
     co_await runner->HandOver();
     leave.mConditions.push_back({ OwnerKey(shard), runner->Epoch() });
     leave.mDeletes.push_back(OwnerKey(shard));
+    // Before it is loaded, the runner knows no crew that it could name.
+    if (runner->IsLoaded()) {
+      leave.mPuts.push_back(
+        LastingPut(CrewKey(shard), Encode(runner->HandedOverCrew())));
+    }
   }
   aNode.mRunners.clear();
   if (!leave.mDeletes.empty()) {
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -169,6 +169,19 @@
 
 } // namespace
 
+CrewRecord NextCrew(const CrewRecord& aEarlier, const std::string& aNode)
+{
+  CrewRecord crew = aEarlier;
+  ++crew.mGeneration;
+  // An earlier life of this very node can't act any more.
+  const bool hasStopped =
+    aEarlier.mOwner.empty() || aEarlier.mOwner == aNode;
+  crew.mHasEarlierStopped = aEarlier.mIsSettled && hasStopped;
+  crew.mOwner = aNode;
+  crew.mIsSettled = false;
+  return crew;
+}
+
 ShardRunner::ShardRunner(NodeContext& aNode,
                          std::uint32_t aShard,
                          std::uint64_t aEpoch)
@@ -215,6 +228,13 @@
   this->Stop();
 }
 
+CrewRecord ShardRunner::HandedOverCrew() const
+{
+  CrewRecord crew = this->mCrew;
+  crew.mOwner.clear();
+  return crew;
+}
+
 asio::awaitable<void> ShardRunner::Run()
 {
   const TimePoint startedAt = SuspendAwareNow();
@@ -264,7 +284,9 @@
   const DispatchBounds& bounds = this->mShard.mBounds;
   const auto longestLease = Duration(static_cast<std::int64_t>(
     static_cast<double>(bounds.mMaxLease.count()) / kSlowestClock));
-  this->mShard.mBarrierUntil = now + bounds.mOwnerRunOn + longestLease;
+  const Duration runOn =
+    crew->mHasEarlierStopped ? Duration(0) : bounds.mOwnerRunOn;
+  this->mShard.mBarrierUntil = now + runOn + longestLease;
   for (const auto& member : crew->mWorkers) {
     const auto endpoint = ParseEndpoint(member.mAddress);
     if (!endpoint) {
@@ -822,9 +844,11 @@
   for (const auto& member : this->mCrew.mWorkers) {
     recorded.insert(member.mWorker + " " + member.mAddress);
   }
-  CrewRecord crew;
-  crew.mGeneration = this->mCrew.mGeneration;
-  bool isChanged = recorded.size() != this->mShard.mWorkers.size();
+  CrewRecord crew = this->mCrew;
+  crew.mWorkers.clear();
+  crew.mIsSettled = IsBarrierClear(this->mShard, SuspendAwareNow());
+  bool isChanged = recorded.size() != this->mShard.mWorkers.size() ||
+                   crew.mIsSettled != this->mCrew.mIsSettled;
   for (const auto& [name, worker] : this->mShard.mWorkers) {
     crew.mWorkers.push_back({ name, worker.mEntry.mAddress });
     isChanged =
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -22,8 +22,21 @@
   /// Ownerships so far; run numbers of different owners never meet.
   std::uint32_t mGeneration = 0;
   std::vector<CrewMember> mWorkers;
+  /// Node that may act on the workers; empty once it has handed over.
+  std::string mOwner;
+  /// All that owners before this one started is accounted for.
+  bool mIsSettled = false;
+  /// The owner before this one had certainly stopped to act when this one
+  /// claimed the shard.
+  bool mHasEarlierStopped = false;
 };
-BOOST_DESCRIBE_STRUCT(CrewRecord, (), (mGeneration, mWorkers))
+BOOST_DESCRIBE_STRUCT(
+  CrewRecord,
+  (),
+  (mGeneration, mWorkers, mOwner, mIsSettled, mHasEarlierStopped))
+
+/// The record with which `aNode` claims the shard after `aEarlier`.
+CrewRecord NextCrew(const CrewRecord& aEarlier, const std::string& aNode);
 
 class ShardRunner : public std::enable_shared_from_this<ShardRunner>
 {
@@ -39,6 +52,9 @@
   /// Records what is not yet recorded and ends the loops.
   asio::awaitable<void> HandOver();
 
+  /// The crew's record for the next owner, after `HandOver`.
+  CrewRecord HandedOverCrew() const;
+
   bool IsStopped() const { return this->mIsStopped; }
   /// The jobs have been read from the store.
   bool IsLoaded() const { return this->mIsLoaded; }
--- a/Tests/Unit/vcMembershipTest.cxx
+++ b/Tests/Unit/vcMembershipTest.cxx
@@ -1,6 +1,7 @@
-/// Which node claims a shard.
+/// Which node claims a shard, and what it may take for certain of the owner
+/// before it.
 
-#include "vcMembership.h"
+#include "vcNode.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,6 +25,38 @@
   CHECK(ranks.size() == nodes.size());
 }
 
+TEST_CASE("only an owner that can't act any more shortens the barrier",
+          "[node]")
+{
+  struct Row
+  {
+    const char* mEarlierOwner;
+    bool mIsSettled;
+    bool mHasStopped;
+  };
+  const auto row = GENERATE(values<Row>({
+    // Handed over, or an earlier life of the claimant.
+    { "", true, true },
+    { "node-1", true, true },
+    // Another node, that may only be cut off.
+    { "node-2", true, false },
+    // Owners before it may still act.
+    { "", false, false },
+    { "node-1", false, false },
+  }));
+  CrewRecord earlier;
+  earlier.mGeneration = 4;
+  earlier.mWorkers = { { "w1", "127.0.0.1:9000" } };
+  earlier.mOwner = row.mEarlierOwner;
+  earlier.mIsSettled = row.mIsSettled;
+  const CrewRecord crew = NextCrew(earlier, "node-1");
+  CHECK(crew.mHasEarlierStopped == row.mHasStopped);
+  CHECK(crew.mOwner == "node-1");
+  CHECK_FALSE(crew.mIsSettled);
+  CHECK(crew.mGeneration == 5);
+  CHECK(crew.mWorkers.size() == 1);
+}
+
 TEST_CASE("a fleet is up once it has stopped to grow, or after a while",
           "[node]")
 {
