Node: Split the shard's runner by duty

What the owner learns from the store (vcShardSources), what it writes there (vcShardRecords) and its log (vcShardLog) stand beside what it decides and sends.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -55,7 +55,8 @@
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcJobDesk.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
-    vcNodeSettings.cxx vcOperatorFeed.cxx vcPeers.cxx vcShardRunner.cxx
+    vcNodeSettings.cxx vcOperatorFeed.cxx vcPeers.cxx vcShardLog.cxx
+    vcShardRecords.cxx vcShardRunner.cxx vcShardSources.cxx
   LINK vcDispatch vcStore vcShell)
 
 # The adapter to the users' platform: the only folder that knows its words.
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -154,4 +154,10 @@
   return ProgressPrefix(aShard) + aJob;
 }
 
+JobId JobInKey(std::string_view aKey, std::string_view aPrefix)
+{
+  const auto rest = aKey.substr(aPrefix.size());
+  return JobId(rest.substr(0, rest.find('.')));
+}
+
 } // namespace verbenacroft
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -180,5 +180,7 @@
 /// Progress, written by the owner.
 std::string ProgressPrefix(std::uint32_t aShard);
 std::string ProgressKey(std::uint32_t aShard, const JobId& aJob);
+/// The job that a key below `aPrefix` is about; a dot may follow it.
+JobId JobInKey(std::string_view aKey, std::string_view aPrefix);
 
 } // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcShardRecords.cxx
@@ -0,0 +1,312 @@
+/// What the owner of a shard writes to the store: progress of jobs, the
+/// crew, and the removal of old ends.
+
+#include "vcShardRunner.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr Duration kRetry{ 150 };
+/// The end of a job is shown only when recorded, so it doesn't wait long.
+constexpr Duration kUrgentRecordInterval{ 25 };
+/// Ends of this time are recorded together.
+constexpr Duration kRecordInterval{ 200 };
+constexpr std::size_t kMostFinalsForgotten = 8;
+constexpr Duration kForgetInterval{ 5'000 };
+
+/// Entries of a transaction that recording the job's progress takes.
+std::size_t EntriesOf(const DispatchJob& aJob)
+{
+  constexpr std::size_t kCondition = 1;
+  constexpr std::size_t kPut = 1;
+  constexpr std::size_t kInboxKeys = 2;
+  return kCondition + kPut + (IsFinal(aJob.mState) ? kInboxKeys : 0);
+}
+
+/// Ends of one lifetime of a worker that a record covers.
+struct Covered
+{
+  std::int64_t mBorn = 0;
+  std::uint64_t mIndex = 0;
+};
+
+} // namespace
+
+asio::awaitable<void> ShardRunner::KeepRecorded()
+{
+  TimePoint forgottenAt = SuspendAwareNow();
+  while (!this->mIsStopped) {
+    co_await Sleep(kUrgentRecordInterval);
+    this->mRecordTimer.expires_after(kRecordInterval - kUrgentRecordInterval);
+    co_await this->mRecordTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (this->mIsStopped) {
+      co_return;
+    }
+    const bool isRecorded = co_await this->RecordProgress();
+    if (!isRecorded) {
+      co_await Sleep(kRetry);
+    }
+    const TimePoint now = SuspendAwareNow();
+    if (now - forgottenAt > kForgetInterval && !this->mIsStopped) {
+      forgottenAt = now;
+      co_await this->ForgetOldJobs();
+    }
+  }
+}
+
+asio::awaitable<bool> ShardRunner::RecordProgress()
+{
+  // Jobs of a write under way count as recorded, so the ends that it holds
+  // would be acknowledged before it has succeeded.
+  while (this->mIsRecording) {
+    co_await Sleep(kUrgentRecordInterval);
+  }
+  this->mIsRecording = true;
+  const bool isRecorded = co_await this->RecordDirtyJobs();
+  this->mIsRecording = false;
+  co_return isRecorded;
+}
+
+asio::awaitable<bool> ShardRunner::RecordDirtyJobs()
+{
+  // Ends up to these are in the records that follow.
+  std::map<std::string, Covered> covered;
+  for (const auto& [name, worker] : this->mShard.mWorkers) {
+    if (worker.mSeenIndex > worker.mAckIndex) {
+      covered[name] = { worker.mBorn, worker.mSeenIndex };
+    }
+  }
+  std::vector<JobId> batch;
+  std::size_t entries = 1;
+  std::vector<std::vector<JobId>> batches;
+  for (auto& [id, job] : this->mShard.mJobs) {
+    if (!job.mIsDirty) {
+      continue;
+    }
+    if (entries + EntriesOf(job) > kKvTransactionEntries) {
+      batches.push_back(std::move(batch));
+      batch = {};
+      entries = 1;
+    }
+    batch.push_back(id);
+    entries += EntriesOf(job);
+  }
+  if (!batch.empty()) {
+    batches.push_back(std::move(batch));
+  }
+  bool isRecorded = true;
+  for (auto& jobs : batches) {
+    const bool isCommitted = co_await this->CommitProgress(std::move(jobs));
+    isRecorded = isRecorded && isCommitted;
+    if (!isRecorded || this->mIsStopped) {
+      co_return false;
+    }
+  }
+  for (const auto& [name, ends] : covered) {
+    DispatchWorker* worker = FindWorker(this->mShard, name);
+    // A new lifetime counts its ends anew.
+    if (worker != nullptr && worker->mBorn == ends.mBorn) {
+      worker->mAckIndex = std::max(worker->mAckIndex, ends.mIndex);
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> ShardRunner::CommitProgress(std::vector<JobId> aJobs)
+{
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(this->mNumber), this->Epoch() });
+  for (const auto& id : aJobs) {
+    DispatchJob& job = this->mShard.mJobs.at(id);
+    job.mIsDirty = false;
+    const std::string key = ProgressKey(this->mNumber, id);
+    write.mConditions.push_back({ key, job.mProgressRevision });
+    write.mPuts.push_back(LastingPut(key, Encode(ProgressOf(job))));
+    if (IsFinal(job.mState)) {
+      write.mDeletes.push_back(InboxJobKey(this->mNumber, id));
+      write.mDeletes.push_back(CancelKey(this->mNumber, id));
+    }
+  }
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
+  NoteStoreReply(this->mNode, reply);
+  if (reply.mStatus == KvStatus::kOk) {
+    this->OnRecorded(aJobs, reply.mRevision);
+    co_return true;
+  }
+  spdlog::info("shard.record-failed shard={} epoch={} jobs={} outcome={}",
+               this->mNumber,
+               this->Epoch(),
+               aJobs.size(),
+               NameOf(reply.mStatus));
+  for (const auto& id : aJobs) {
+    DispatchJob* job = FindJob(this->mShard, id);
+    if (job != nullptr) {
+      job->mIsDirty = true;
+    }
+  }
+  if (reply.mStatus == KvStatus::kConflict) {
+    this->OnProgressConflict(reply);
+  }
+  co_return false;
+}
+
+void ShardRunner::OnRecorded(const std::vector<JobId>& aJobs,
+                             std::uint64_t aRevision)
+{
+  for (const auto& id : aJobs) {
+    DispatchJob* job = FindJob(this->mShard, id);
+    if (job == nullptr) {
+      continue;
+    }
+    job->mProgressRevision = aRevision;
+    // A job that ended while the write was under way is still dirty.
+    const bool isStored = IsFinal(job->mState) && !job->mIsDirty;
+    if (isStored) {
+      job->mIsFinalStored = true;
+      this->mShard.mEndedJobs[id] = { job->mState, job->mEndedAtMs };
+    }
+  }
+}
+
+void ShardRunner::OnProgressConflict(const KvReply& aReply)
+{
+  bool isOwner = false;
+  for (const auto& item : aReply.mItems) {
+    if (item.mKey == OwnerKey(this->mNumber)) {
+      isOwner = item.mRevision == this->Epoch();
+      continue;
+    }
+    // An earlier write of ours took effect although its answer was lost.
+    DispatchJob* job =
+      item.mKey.starts_with(ProgressPrefix(this->mNumber))
+        ? FindJob(this->mShard,
+                  JobInKey(item.mKey, ProgressPrefix(this->mNumber)))
+        : nullptr;
+    if (job != nullptr) {
+      job->mProgressRevision = item.mRevision;
+    }
+  }
+  if (!isOwner) {
+    spdlog::warn("shard.lost shard={} epoch={} reason=owner-key-changed",
+                 this->mNumber,
+                 this->Epoch());
+    this->Stop();
+  }
+}
+
+asio::awaitable<bool> ShardRunner::RecordCrew()
+{
+  std::set<std::string> recorded;
+  for (const auto& member : this->mCrew.mWorkers) {
+    recorded.insert(member.mWorker + " " + member.mAddress);
+  }
+  CrewRecord crew = this->mCrew;
+  crew.mWorkers.clear();
+  crew.mIsSettled = IsBarrierClear(this->mShard, SuspendAwareNow());
+  bool isChanged = recorded.size() != this->mShard.mWorkers.size() ||
+                   crew.mIsSettled != this->mCrew.mIsSettled;
+  for (const auto& [name, worker] : this->mShard.mWorkers) {
+    crew.mWorkers.push_back({ name, worker.mEntry.mAddress });
+    isChanged =
+      isChanged || !recorded.contains(name + " " + worker.mEntry.mAddress);
+  }
+  if (!isChanged) {
+    this->MarkRecorded();
+    co_return true;
+  }
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(this->mNumber), this->Epoch() });
+  write.mConditions.push_back({ CrewKey(this->mNumber), this->mCrewRevision });
+  write.mPuts.push_back(LastingPut(CrewKey(this->mNumber), Encode(crew)));
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
+  NoteStoreReply(this->mNode, reply);
+  if (reply.mStatus == KvStatus::kConflict) {
+    for (const auto& item : reply.mItems) {
+      if (item.mKey == CrewKey(this->mNumber)) {
+        this->mCrewRevision = item.mRevision;
+      }
+    }
+    this->OnProgressConflict(reply);
+  }
+  if (reply.mStatus != KvStatus::kOk) {
+    co_return false;
+  }
+  this->mCrew = std::move(crew);
+  this->mCrewRevision = reply.mRevision;
+  this->MarkRecorded();
+  co_return true;
+}
+
+void ShardRunner::MarkRecorded()
+{
+  for (const auto& member : this->mCrew.mWorkers) {
+    DispatchWorker* worker = FindWorker(this->mShard, member.mWorker);
+    if (worker != nullptr) {
+      worker->mIsRecorded = true;
+    }
+  }
+}
+
+asio::awaitable<void> ShardRunner::ForgetOldJobs()
+{
+  const TimePoint now = SuspendAwareNow();
+  const std::int64_t nowMs = WallClockMs();
+  for (auto at = this->mShard.mJobs.begin(); at != this->mShard.mJobs.end();) {
+    const DispatchJob& job = at->second;
+    const bool isOver = job.mIsFinalStored && !job.mIsDirty &&
+                        job.mRunsOut == 0 &&
+                        now - job.mEndedAt > kForgetInterval;
+    at = isOver ? this->mShard.mJobs.erase(at) : std::next(at);
+  }
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(this->mNumber), this->Epoch() });
+  std::vector<JobId> forgotten;
+  const std::int64_t keptMs = 2 * this->mShard.mBounds.mStatus.count();
+  for (const auto& [id, ended] : this->mShard.mEndedJobs) {
+    const bool isOld =
+      nowMs - ended.mEndedAtMs > keptMs && !this->mShard.mJobs.contains(id);
+    if (isOld && forgotten.size() < kMostFinalsForgotten) {
+      forgotten.push_back(id);
+      write.mDeletes.push_back(ProgressKey(this->mNumber, id));
+    }
+  }
+  if (forgotten.empty()) {
+    co_return;
+  }
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
+  NoteStoreReply(this->mNode, reply);
+  if (reply.mStatus != KvStatus::kOk) {
+    co_return;
+  }
+  for (const auto& id : forgotten) {
+    this->mShard.mEndedJobs.erase(id);
+  }
+}
+
+CrewRecord ShardRunner::HandedOverCrew() const
+{
+  CrewRecord crew = this->mCrew;
+  crew.mOwner.clear();
+  return crew;
+}
+
+CrewRecord NextCrew(const CrewRecord& aEarlier, const std::string& aNode)
+{
+  CrewRecord crew = aEarlier;
+  ++crew.mGeneration;
+  // An earlier life of this very node can't act any more.
+  const bool hasStopped = aEarlier.mOwner.empty() || aEarlier.mOwner == aNode;
+  crew.mHasEarlierStopped = aEarlier.mIsSettled && hasStopped;
+  crew.mOwner = aNode;
+  crew.mIsSettled = false;
+  return crew;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcShardSources.cxx
@@ -0,0 +1,251 @@
+/// What the owner of a shard learns from the store: the records of the
+/// owner before it, the inbox and the workers that discovery lists.
+
+#include "vcShardRunner.h"
+
+#include "vcMembership.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr Duration kRetry{ 150 };
+constexpr Duration kInboxWait{ 2'000 };
+/// Run numbers that one ownership may use for a task.
+constexpr std::uint32_t kRunsPerOwnership = 256;
+constexpr Duration kDiscoveryInterval{ 700 };
+
+} // namespace
+
+asio::awaitable<bool> ShardRunner::LoadCrew()
+{
+  const KvReply read =
+    co_await this->mNode.mStore.mRead(CrewKey(this->mNumber));
+  NoteStoreReply(this->mNode, read);
+  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
+    co_return false;
+  }
+  const auto crew = TryDecode<CrewRecord>(read.mItems[0].mValue);
+  if (!crew) {
+    spdlog::error("shard.crew-unreadable shard={}", this->mNumber);
+    co_return false;
+  }
+  this->mCrew = *crew;
+  this->mCrewRevision = read.mItems[0].mRevision;
+  this->mShard.mRunBase = (crew->mGeneration - 1) * kRunsPerOwnership;
+  const TimePoint now = SuspendAwareNow();
+  const DispatchBounds& bounds = this->mShard.mBounds;
+  const auto longestLease = Duration(static_cast<std::int64_t>(
+    static_cast<double>(bounds.mMaxLease.count()) / kSlowestClock));
+  const Duration runOn =
+    crew->mHasEarlierStopped ? Duration(0) : bounds.mOwnerRunOn;
+  this->mShard.mBarrierUntil = now + runOn + longestLease;
+  for (const auto& member : crew->mWorkers) {
+    const auto endpoint = ParseEndpoint(member.mAddress);
+    if (!endpoint) {
+      continue;
+    }
+    DispatchWorker& worker = this->mShard.mWorkers[member.mWorker];
+    worker.mEntry.mWorker = member.mWorker;
+    worker.mEntry.mAddress = member.mAddress;
+    worker.mEndpoint = *endpoint;
+    worker.mIsRecorded = true;
+    worker.mLastHeardAt = now;
+    this->mShard.mUnansweredWorkers.insert(member.mWorker);
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> ShardRunner::Load()
+{
+  this->mShard.mJobs.clear();
+  this->mShard.mEndedJobs.clear();
+  this->mShard.mCancelledEarly.clear();
+  this->mShard.mWorkers.clear();
+  this->mShard.mUnansweredWorkers.clear();
+  const bool hasCrew = co_await this->LoadCrew();
+  if (!hasCrew) {
+    co_return false;
+  }
+  const KvReply inbox =
+    co_await ReadAll(this->mNode, InboxPrefix(this->mNumber));
+  if (inbox.mStatus != KvStatus::kOk) {
+    co_return false;
+  }
+  const KvReply progress =
+    co_await ReadAll(this->mNode, ProgressPrefix(this->mNumber));
+  if (progress.mStatus != KvStatus::kOk || !this->IsInboxMine(inbox.mItems)) {
+    co_return false;
+  }
+  for (const auto& item : inbox.mItems) {
+    if (item.mKey.ends_with(".job")) {
+      this->ApplyInbox(item);
+    }
+  }
+  for (const auto& item : progress.mItems) {
+    this->ApplyStoredProgress(item);
+  }
+  for (const auto& item : inbox.mItems) {
+    if (!item.mKey.ends_with(".job")) {
+      this->ApplyInbox(item);
+    }
+  }
+  const auto self = this->shared_from_this();
+  this->Spawn("inbox", [self, revision = inbox.mRevision] {
+    return self->FollowInbox(revision);
+  });
+  co_return true;
+}
+
+bool ShardRunner::IsInboxMine(const std::vector<KvItem>& aItems)
+{
+  const std::string ownerKey = InboxOwnerKey(this->mNumber);
+  const bool isTaken =
+    std::any_of(aItems.begin(), aItems.end(), [&](const KvItem& aItem) {
+      return aItem.mKey == ownerKey && aItem.mRevision > this->Epoch();
+    });
+  if (isTaken) {
+    spdlog::warn("shard.lost shard={} epoch={} reason=claimed-by-another",
+                 this->mNumber,
+                 this->Epoch());
+    this->Stop();
+  }
+  return !isTaken;
+}
+
+void ShardRunner::ApplyInbox(const KvItem& aItem)
+{
+  if (aItem.mIsRemoved || aItem.mKey == InboxOwnerKey(this->mNumber)) {
+    return;
+  }
+  const JobId id = JobInKey(aItem.mKey, InboxPrefix(this->mNumber));
+  const TimePoint now = SuspendAwareNow();
+  const std::int64_t nowMs = WallClockMs();
+  if (aItem.mKey.ends_with(".cancel")) {
+    CancelJob(this->mShard, id, now, nowMs);
+    this->mRecordTimer.cancel();
+    return;
+  }
+  auto record = TryDecode<BatchRecord>(aItem.mValue);
+  if (!record) {
+    spdlog::error("job.unreadable job={} revision={}", id, aItem.mRevision);
+    return;
+  }
+  const bool isNew =
+    !this->mShard.mJobs.contains(id) && !this->mShard.mEndedJobs.contains(id);
+  if (!isNew) {
+    return;
+  }
+  spdlog::info("job.take job={} queue={} steps={} revision={} age_ms={}",
+               id,
+               record->mTerms.mQueue,
+               record->mSpec.mSteps.size(),
+               aItem.mRevision,
+               nowMs - record->mAcceptedAtMs);
+  AddJob(
+    this->mShard, id, std::move(*record), aItem.mCreateRevision, now, nowMs);
+}
+
+void ShardRunner::ApplyStoredProgress(const KvItem& aItem)
+{
+  const JobId id = JobInKey(aItem.mKey, ProgressPrefix(this->mNumber));
+  const auto progress = TryDecode<BatchProgress>(aItem.mValue);
+  if (!progress) {
+    spdlog::error("job.progress-unreadable job={}", id);
+    return;
+  }
+  if (IsFinal(progress->mState)) {
+    this->mShard.mEndedJobs[id] = { progress->mState, progress->mEndedAtMs };
+    this->mShard.mJobs.erase(id);
+    return;
+  }
+  ApplyProgress(this->mShard, id, *progress);
+  DispatchJob* job = FindJob(this->mShard, id);
+  if (job != nullptr) {
+    job->mProgressRevision = aItem.mRevision;
+  }
+}
+
+asio::awaitable<void> ShardRunner::FollowInbox(std::uint64_t aRevision)
+{
+  KvWatch watch{ InboxPrefix(this->mNumber), aRevision, kInboxWait };
+  while (!this->mIsStopped) {
+    const KvReply news = co_await this->mNode.mStore.mWatch(watch);
+    NoteStoreReply(this->mNode, news);
+    if (this->mIsStopped) {
+      co_return;
+    }
+    if (news.mStatus == KvStatus::kCompacted) {
+      const KvReply all = co_await ReadAll(this->mNode, watch.mPrefix);
+      const bool isRead = all.mStatus == KvStatus::kOk;
+      if (isRead && !this->IsInboxMine(all.mItems)) {
+        co_return;
+      }
+      if (isRead) {
+        for (const auto& item : all.mItems) {
+          this->ApplyInbox(item);
+        }
+        watch.mAfterRevision = all.mRevision;
+      }
+    } else if (news.mStatus == KvStatus::kOk) {
+      if (!this->IsInboxMine(news.mItems)) {
+        co_return;
+      }
+      for (const auto& item : news.mItems) {
+        this->ApplyInbox(item);
+      }
+      watch.mAfterRevision = std::max(watch.mAfterRevision, news.mRevision);
+    } else {
+      co_await Sleep(kRetry);
+      continue;
+    }
+    this->PlanSoon();
+  }
+}
+
+asio::awaitable<void> ShardRunner::FollowDiscovery()
+{
+  while (!this->mIsStopped) {
+    const std::string& prefix = this->mNode.mCodec.mDiscoveryPrefix;
+    const KvReply listed = co_await ReadAll(this->mNode, prefix);
+    if (this->mIsStopped) {
+      co_return;
+    }
+    if (listed.mStatus == KvStatus::kOk) {
+      std::vector<WorkerEntry> entries;
+      for (const auto& item : listed.mItems) {
+        if (ShardOf(item.mKey, this->mNode.mShards) != this->mNumber) {
+          continue;
+        }
+        Faults faults;
+        auto entry =
+          this->mNode.mCodec.mDecodeWorker(item.mKey, item.mValue, faults);
+        if (entry) {
+          entries.push_back(std::move(*entry));
+        } else {
+          spdlog::debug("worker.entry-skipped key={} fault={}",
+                        item.mKey,
+                        faults.empty() ? "" : faults[0].mPath);
+        }
+      }
+      OnDiscovery(this->mShard, entries, SuspendAwareNow());
+      co_await this->RecordCrew();
+      this->PlanSoon();
+    }
+    for (const auto& [name, worker] : this->mShard.mWorkers) {
+      if (this->mFollowed.insert(name).second) {
+        this->Spawn("worker", [self = this->shared_from_this(), name = name] {
+          return self->FollowWorker(name);
+        });
+      }
+    }
+    co_await Sleep(kDiscoveryInterval);
+  }
+}
+
+} // namespace verbenacroft
--- a/Utilities/sanitize.sh
+++ b/Utilities/sanitize.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Builds the scenarios and unit tests with the address and undefined
+# Builds scenarios, fleet and unit tests with the address and undefined
 # behaviour sanitizers and runs them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --preset sanitize >/dev/null
-cmake --build --preset sanitize --target vcScenario vcUnitTests
+cmake --build --preset sanitize --target vcScenario vcUnitTests vcFleet
 bin=build-sanitize/bin
 "$bin/vcUnitTests"
 for script in Tests/Scenarios/*.lua; do
@@ -14,4 +14,5 @@
   echo "$script"
   "$bin/vcScenario" "$script" --seeds 1..6 --threads 6
 done
+"$bin/vcFleet" --seeds 1..20 --threads 6
 echo "sanitize: ok"
