--- a/Source/Node/vcJobDesk.cxx
+++ b/Source/Node/vcJobDesk.cxx
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// A submission whose outcome is unknown is tried again only this early:
-/// the caller has to hear the second outcome too.
+/// Attempts to store a job while the outcome of the one before is unknown, ...
+constexpr int kStoreAttempts = 2;
+/// ... the last of them begun so early that its caller hears the outcome.
 constexpr Duration kRetryWithin{ 300 };
 /// Callers that were refused together are asked to come back over so many
 /// seconds, so that they don't come back together.
@@ -41,6 +42,40 @@
   QueueTerms mTerms;
 };
 
+/// Stores a job unless it is there already.
+/// @return `kOk`, `kRefused` if it certainly isn't stored, or `kUnknown`
+asio::awaitable<KvStatus> StoreJob(NodeContext& aNode,
+                                   std::uint32_t aShard,
+                                   JobId aJob,
+                                   KvTransaction aWrite)
+{
+  const TimePoint since = SuspendAwareNow();
+  KvStatus outcome = KvStatus::kRefused;
+  for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
+    const KvReply reply = co_await CommitAnyhow(aNode, aWrite);
+    // A conflict means that the job is there already: it stays one job.
+    const bool isStored =
+      reply.mStatus == KvStatus::kOk || reply.mStatus == KvStatus::kConflict;
+    if (isStored) {
+      co_return KvStatus::kOk;
+    }
+    if (reply.mStatus == KvStatus::kRefused) {
+      break;
+    }
+    outcome = KvStatus::kUnknown;
+    const KvReply stored =
+      co_await aNode.mStore.mRead(InboxJobKey(aShard, aJob));
+    NoteStoreReply(aNode, stored);
+    if (!stored.mItems.empty()) {
+      co_return KvStatus::kOk;
+    }
+    if (SuspendAwareNow() - since > kRetryWithin) {
+      break;
+    }
+  }
+  co_return outcome;
+}
+
 asio::awaitable<HttpResponse> Submit(NodeContext& aNode, CallerRequest aRequest)
 {
   Faults faults;
@@ -56,28 +91,16 @@
   write.mConditions.push_back({ InboxJobKey(shard, id), 0 });
   write.mConditions.push_back({ ProgressKey(shard, id), 0 });
   write.mPuts.push_back(LastingPut(InboxJobKey(shard, id), Encode(record)));
-  const TimePoint since = SuspendAwareNow();
-  bool isUnknown = false;
-  do {
-    const KvReply reply = co_await CommitAnyhow(aNode, write);
-    // A conflict means that the job is there already: it stays one job.
-    const bool isStored =
-      reply.mStatus == KvStatus::kOk || reply.mStatus == KvStatus::kConflict;
-    if (isStored) {
-      co_return JsonResponse("{}");
-    }
-    if (reply.mStatus == KvStatus::kRefused) {
-      break;
-    }
-    isUnknown = true;
-    const KvReply stored = co_await aNode.mStore.mRead(InboxJobKey(shard, id));
-    NoteStoreReply(aNode, stored);
-    if (!stored.mItems.empty()) {
+  const KvStatus outcome =
+    co_await StoreJob(aNode, shard, id, std::move(write));
+  switch (outcome) {
+    case KvStatus::kOk:
       co_return JsonResponse("{}");
-    }
-  } while (SuspendAwareNow() - since < kRetryWithin);
-  co_return isUnknown ? OutcomeUnknown()
-                      : NotAccepted(id, "the store can't be reached");
+    case KvStatus::kRefused:
+      co_return NotAccepted(id, "the store can't be reached");
+    default:
+      co_return OutcomeUnknown();
+  }
 }
 
 /// A job as the store shows it.
