--- a/Source/Foundation/vcTime.h
+++ b/Source/Foundation/vcTime.h
@@ -46,7 +46,10 @@
   using time_point = std::chrono::time_point<SuspendAwareClock>;
   static constexpr bool is_steady = true;
 
-  static time_point now() { return time_point(SuspendAwareNow()); }
+  static time_point now() // NOLINT(readability-identifier-naming)
+  {
+    return time_point(SuspendAwareNow());
+  }
 };
 
 } // namespace verbenacroft
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -322,7 +322,7 @@
   aStore.mHistoryFrom = aStore.mRevision;
 }
 
-KeyValueStore MakeMemoryStore(MemoryStore& aStore, std::string aCaller)
+KeyValueStore MakeMemoryStore(MemoryStore& aStore, const std::string& aCaller)
 {
   KeyValueStore store;
   store.mRead = [&aStore, aCaller](std::string aKey) {
--- a/Tests/Fleet/vcFleetStore.h
+++ b/Tests/Fleet/vcFleetStore.h
@@ -75,6 +75,6 @@
 KvReply CommitNow(MemoryStore& aStore, const KvTransaction& aWrite);
 
 /// The calls as the node `aCaller` makes them.
-KeyValueStore MakeMemoryStore(MemoryStore& aStore, std::string aCaller);
+KeyValueStore MakeMemoryStore(MemoryStore& aStore, const std::string& aCaller);
 
 } // namespace verbenacroft
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -24,7 +24,8 @@
 
 void EndRun(MemoryFleet& aFleet,
             MemoryWorker& aWorker,
-            TaskId aTask,
+            // A copy, since the caller's may stand in the map of runs.
+            TaskId aTask, // NOLINT(performance-unnecessary-value-param)
             RunEnd aHow)
 {
   const MemoryRun run = aWorker.mRuns.at(aTask);
@@ -295,7 +296,7 @@
   worker = std::move(fresh);
 }
 
-WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, std::string aCaller)
+WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, const std::string& aCaller)
 {
   WorkerPort port;
   port.mRenew = [&aFleet, aCaller](WorkerAddress aTo, RenewOrder aOrder) {
@@ -307,7 +308,7 @@
   port.mStop = [&aFleet, aCaller](WorkerAddress aTo, StopOrder aOrder) {
     return Stop(aFleet, aCaller, std::move(aTo), std::move(aOrder));
   };
-  port.mPace = [](WorkerAddress, PaceOrder) { return Pace(); };
+  port.mPace = [](const WorkerAddress&, const PaceOrder&) { return Pace(); };
   return port;
 }
 
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -83,6 +83,6 @@
 void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow);
 
 /// The workers' calls as the node `aCaller` makes them.
-WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, std::string aCaller);
+WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, const std::string& aCaller);
 
 } // namespace verbenacroft
