Node: Believe a read that finds no owner's record; Dispatch: Judge a hopeless step first

Cause (reading of the diff): the store's 404 doesn't say as of when, so a read that found no owner's record was never believed, and the node asked again every 50 ms until the watch told it; the fleet test's store now answers as the platform does. A step that the round had shown to be hopeless was still counted task by task before it was passed over.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -283,18 +283,18 @@
 class Misses
 {
 public:
-  void Note(const StepNeeds& aNeeds)
+  void Note(const std::string& aService, const StepSpec& aStep)
   {
-    this->mRows[KeyOf(aNeeds)].push_back(aNeeds.mStep.mNeeds);
+    this->mRows[KeyOf(aService, aStep)].push_back(aStep.mNeeds);
   }
 
-  bool IsHopeless(const StepNeeds& aNeeds) const
+  bool IsHopeless(const std::string& aService, const StepSpec& aStep) const
   {
-    const auto found = this->mRows.find(KeyOf(aNeeds));
+    const auto found = this->mRows.find(KeyOf(aService, aStep));
     if (found == this->mRows.end()) {
       return false;
     }
-    const Resources& wanted = aNeeds.mStep.mNeeds;
+    const Resources& wanted = aStep.mNeeds;
     return std::any_of(
       found->second.begin(),
       found->second.end(),
@@ -306,13 +306,12 @@
   /// in the workers that they fit on.
   using Key = std::tuple<std::string, std::string, std::string, bool>;
 
-  static Key KeyOf(const StepNeeds& aNeeds)
+  static Key KeyOf(const std::string& aService, const StepSpec& aStep)
   {
-    const StepSpec& step = aNeeds.mStep;
-    return { aNeeds.mService,
-             step.mRequiredLabel,
-             step.mIsFilling ? step.mImage : std::string(),
-             step.mIsFilling };
+    return { aService,
+             aStep.mRequiredLabel,
+             aStep.mIsFilling ? aStep.mImage : std::string(),
+             aStep.mIsFilling };
   }
 
   std::map<Key, std::vector<Resources>> mRows;
@@ -379,10 +378,12 @@
                  Round& aRound,
                  DispatchActions& aActions)
 {
-  StepNeeds needs = NeedsOf(aShard, aFirst);
-  if (aRound.mMisses.IsHopeless(needs)) {
+  const DispatchJob& job = aShard.mJobs.at(aFirst.mJob);
+  const std::string& service = job.mRecord.mTerms.mService;
+  if (aRound.mMisses.IsHopeless(service, StepOf(job, aFirst))) {
     return;
   }
+  StepNeeds needs = NeedsOf(aShard, aFirst);
   StepPlaces places(aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   TaskId key = aFirst;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
@@ -394,7 +395,7 @@
     if (worker == nullptr) {
       // With a limit on each worker, other steps may yet find room.
       if (needs.mStep.mMaxPerWorker == 0) {
-        aRound.mMisses.Note(needs);
+        aRound.mMisses.Note(service, needs.mStep);
       }
       return;
     }
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -174,9 +174,11 @@
     ApplyOwner(aNode, item);
   }
   const auto known = aNode.mOwners.find(aShard);
-  const bool isGone = read.mStatus == KvStatus::kNotFound &&
-                      known != aNode.mOwners.end() &&
-                      known->second.mEpoch <= read.mRevision;
+  // A store that doesn't say as of when has no such record: at worst an
+  // owner that came since is forgotten until its event is heard.
+  const bool isGone =
+    read.mStatus == KvStatus::kNotFound && known != aNode.mOwners.end() &&
+    (read.mRevision == 0 || known->second.mEpoch <= read.mRevision);
   if (isGone) {
     aNode.mOwners.erase(known);
   }
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -230,8 +230,11 @@
   }
   const auto found = aStore.mItems.find(aKey);
   const bool isThere = found != aStore.mItems.end();
-  KvReply reply = Answer(aStore, isThere ? KvStatus::kOk : KvStatus::kNotFound);
+  // As on the platform, "not found" doesn't say as of when.
+  KvReply reply;
+  reply.mStatus = KvStatus::kNotFound;
   if (isThere) {
+    reply = Answer(aStore, KvStatus::kOk);
     reply.mItems.push_back(found->second);
   }
   co_return reply;
