Tests: Drop what the fleet test's stand-ins never use

Cause (reading of the whole diff): a worker's mIsUp was never cleared, a run's mIsFailing and the option mIsTraced were never read, and a lost write waited for its caller's timeout in two places. Change: the three are gone, and a lost write waits in one place. No judge, bound or fault is changed.

--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -33,7 +33,6 @@
   Duration mFaultTime{ 25'000 };
   /// Time after the last fault has ended.
   Duration mCalmTime{ 22'000 };
-  bool mIsTraced = false;
 };
 
 struct FleetResult
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -129,20 +129,18 @@
   if (refusal) {
     co_return *refusal;
   }
-  const bool isLost = IsLost(aStore);
-  if (isLost && aStore.mIsLostLate) {
+  if (!IsLost(aStore)) {
+    co_return CommitNow(aStore, aWrite);
+  }
+  if (aStore.mIsLostLate) {
     std::uniform_int_distribution<int> late(kShortestLateMs, kLongestLateMs);
     const TimePoint at = SuspendAwareNow() + Duration(late(aStore.mRandom));
     aStore.mLate.push_back({ at, std::move(aWrite) });
-    co_await Sleep(until - SuspendAwareNow());
-    co_return KvReply{};
+  } else {
+    CommitNow(aStore, aWrite);
   }
-  const KvReply reply = CommitNow(aStore, aWrite);
-  if (isLost) {
-    co_await Sleep(until - SuspendAwareNow());
-    co_return KvReply{};
-  }
-  co_return reply;
+  co_await Sleep(until - SuspendAwareNow());
+  co_return KvReply{};
 }
 
 asio::awaitable<KvReply> Watch(MemoryStore& aStore,
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -92,8 +92,7 @@
 
 bool IsReached(const MemoryWorker& aWorker, const std::string& aCaller)
 {
-  return aWorker.mIsUp && !aWorker.mCutFrom.contains("*") &&
-         !aWorker.mCutFrom.contains(aCaller);
+  return !aWorker.mCutFrom.contains("*") && !aWorker.mCutFrom.contains(aCaller);
 }
 
 bool IsLate(MemoryFleet& aFleet, const MemoryWorker& aWorker)
@@ -266,14 +265,10 @@
   });
   for (const auto& row : due) {
     MemoryWorker& worker = aFleet.mWorkers.at(row.mWorker);
-    if (worker.mIsUp) {
-      StartRun(aFleet, worker, row.mOrder, aNow);
-    }
+    StartRun(aFleet, worker, row.mOrder, aNow);
   }
   for (auto& [name, worker] : aFleet.mWorkers) {
-    if (worker.mIsUp) {
-      AdvanceWorker(aFleet, worker, aNow);
-    }
+    AdvanceWorker(aFleet, worker, aNow);
   }
 }
 
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -16,14 +16,12 @@
   std::uint32_t mRun = 0;
   /// Worker's clock at which the task is done; never for a lasting task.
   std::int64_t mDoneAt = 0;
-  bool mIsFailing = false;
 };
 
 struct MemoryWorker
 {
   std::string mName;
   std::string mDataCentre;
-  bool mIsUp = true;
   std::int64_t mBorn = 1;
   /// Time of the fleet at which the worker's clock showed 0.
   TimePoint mClockStart{ 0 };
