Node: Log and count the calls to the store and the reads of the inbox

Cause: from logs alone nobody could tell why an owner's view of its inbox is late: a watch logged no failed call, no time, no size and no revision, and calls to the store were counted in the adapter but shown nowhere.

Change: MonitorStore wraps any KeyValueStore. It counts and times each call by kind and outcome for the metrics page, and logs `store.call` for a call that failed or was slow, with the bytes that arrived, which tells a silent connection from a reply that is read slowly. `shard.inbox` says once a second up to which revision the inbox is applied, the store's newest known revision, the longest time between two reads, and how late timers and planning were. `shard.inbox-reread` says that history was compacted.

Ruled out: logging `store.call` with the lines of tasks and jobs.

No logic changes; platform/ loses its counters.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -153,6 +153,8 @@
   /// False only if no byte of the request was passed to the network, so that
   /// the server certainly did not receive it.
   bool mWasSent = false;
+  /// Bytes of the response that arrived, also if the call failed.
+  std::size_t mReceivedBytes = 0;
   HttpResponse mResponse;
 };
 
--- a/Source/Http/vcHttpClient.cxx
+++ b/Source/Http/vcHttpClient.cxx
@@ -237,6 +237,7 @@
   parser.skip(isHead);
   auto [readError, received] = co_await http::async_read(
     connection->mStream, connection->mBuffer, parser, kAwaitTuple);
+  result.mReceivedBytes = received;
   if (readError) {
     result.mError = MakeError(ClassifyError(readError));
     co_return result;
--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -1,11 +1,10 @@
 #include "vcCallerRequests.h"
 
+#include "vcLatencyBounds.h"
 #include "vcPeers.h"
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 namespace verbenacroft {
 
 namespace {
@@ -250,25 +249,12 @@
                    Duration aDuration)
 {
   ++aNode.mCounters.mAnswers[aMethod + " " + std::to_string(aStatus)];
-  const auto& bounds = LatencyBoundsMs();
-  auto& buckets = aNode.mCounters.mLatencies;
-  buckets.resize(bounds.size() + 1);
-  const auto elapsed = static_cast<double>(aDuration.count());
-  const auto bucket =
-    std::lower_bound(bounds.begin(), bounds.end(), elapsed) - bounds.begin();
-  ++buckets[static_cast<std::size_t>(bucket)];
-  aNode.mCounters.mLatencySumMs += elapsed;
+  CountLatency(aNode.mCounters.mLatencies, aDuration);
+  aNode.mCounters.mLatencySumMs += static_cast<double>(aDuration.count());
 }
 
 } // namespace
 
-const std::vector<double>& LatencyBoundsMs()
-{
-  static const std::vector<double> bounds{ 2,   5,   10,  20,    50,
-                                           100, 250, 500, 1'000, 3'000 };
-  return bounds;
-}
-
 asio::awaitable<HttpResponse> HandleCallerRequest(NodeContext& aNode,
                                                   const HttpRequest& aRequest)
 {
--- a/Source/Node/vcCallerRequests.h
+++ b/Source/Node/vcCallerRequests.h
@@ -13,7 +13,4 @@
 asio::awaitable<HttpResponse> HandleCallerRequest(NodeContext& aNode,
                                                   const HttpRequest& aRequest);
 
-/// Upper bounds of the buckets of the histogram of response times, in ms.
-const std::vector<double>& LatencyBoundsMs();
-
 } // namespace verbenacroft
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -97,6 +99,7 @@
   }
   aNode.mStoreFailedAt = kNever;
   aNode.mLastStoreReplyAt = now;
+  aNode.mLatestRevision = std::max(aNode.mLatestRevision, aReply.mRevision);
 }
 
 bool IsStoreDown(const NodeContext& aNode, TimePoint aNow)
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -7,6 +7,7 @@
 #include "vcFleetConfig.h"
 #include "vcKeyValue.h"
 #include "vcNodeSettings.h"
+#include "vcStoreMonitor.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
@@ -130,6 +131,7 @@
   WorkerPort mWorkers;
   DocumentCodec mCodec;
   NodeCounters mCounters;
+  StoreStats mStoreStats;
 
   /// Empty until the first configuration or evacuation is read.
   std::optional<OperatorState> mOperators;
@@ -152,6 +154,8 @@
   /// True after the process was stalled, and while the node has no lease. No
   /// task is started until the lease is granted or renewed.
   bool mIsLeaseInDoubt = true;
+  /// Highest revision of the store in any reply to this node.
+  std::uint64_t mLatestRevision = 0;
   /// Time of the last store call whose outcome is known and not a refusal.
   TimePoint mLastStoreReplyAt{ kNever };
   /// Time of the first store call since then that was refused or whose outcome
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -1,6 +1,7 @@
 #include "vcNodeProgram.h"
 
 #include "vcCallerRequests.h"
+#include "vcLatencyBounds.h"
 #include "vcMembership.h"
 #include "vcMetrics.h"
 #include "vcOperatorWatch.h"
@@ -72,6 +73,34 @@
   gauge("verbenacroft_shard_epoch", "Epoch of this owner.", aState.mEpoch);
 }
 
+/// Adds the metrics of the calls to the store.
+void CollectStoreCalls(const StoreStats& aStats, MetricsPage& aPage)
+{
+  for (const auto& call : EnumTable<KvCall>::kRows) {
+    const auto& outcomes =
+      aStats[static_cast<std::size_t>(call.mValue)].mOutcomes;
+    for (const auto& outcome : EnumTable<KvStatus>::kRows) {
+      aPage.Counter(
+        "verbenacroft_store_calls_total",
+        "Calls to the store.",
+        static_cast<double>(outcomes[static_cast<std::size_t>(outcome.mValue)]),
+        { { "call", std::string(call.mName) },
+          { "outcome", std::string(outcome.mName) } });
+    }
+  }
+  for (const auto& call : EnumTable<KvCall>::kRows) {
+    const KvCallStats& stats = aStats[static_cast<std::size_t>(call.mValue)];
+    if (!stats.mLatencies.empty()) {
+      aPage.Histogram("verbenacroft_store_latency_ms",
+                      "Time of calls to the store.",
+                      LatencyBoundsMs(),
+                      stats.mLatencies,
+                      stats.mLatencySumMs,
+                      { { "call", std::string(call.mName) } });
+    }
+  }
+}
+
 /// Adds the metrics of the node and of its shards.
 void Collect(const NodeContext& aNode, MetricsPage& aPage)
 {
@@ -93,8 +122,14 @@
   aPage.Counter("verbenacroft_takeovers_total",
                 "Shards taken over.",
                 static_cast<double>(aNode.mCounters.mTakeovers));
+  CollectStoreCalls(aNode.mStoreStats, aPage);
+  const TimePoint now = SuspendAwareNow();
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
+    aPage.Gauge("verbenacroft_shard_inbox_age_ms",
+                "Time since the inbox was last read.",
+                static_cast<double>((now - runner->Inbox().mReadAt).count()),
+                { { "shard", std::to_string(shard) } });
   }
 }
 
@@ -175,6 +210,7 @@
   asio::io_context io(1);
   NodeContext node(io, aSettings);
   aBind(node);
+  node.mStore = MonitorStore(std::move(node.mStore), node.mStoreStats);
   const auto callers =
     Listen(io, aSettings.mCallerAddress, {}, [&](const HttpRequest& aRequest) {
       return HandleCallerRequest(node, aRequest);
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -39,6 +39,40 @@
                 rows);
 }
 
+void OnInboxRead(InboxReads& aReads,
+                 std::uint64_t aRevision,
+                 std::size_t aEvents,
+                 TimePoint aNow)
+{
+  if (aReads.mReadAt != kNever) {
+    aReads.mMaxGap = std::max(aReads.mMaxGap, aNow - aReads.mReadAt);
+  }
+  aReads.mRevision = std::max(aReads.mRevision, aRevision);
+  aReads.mReadAt = aNow;
+  ++aReads.mReplies;
+  aReads.mEvents += aEvents;
+}
+
+void LogInboxReads(InboxReads& aReads,
+                   std::uint32_t aShard,
+                   std::uint64_t aStoreRevision,
+                   TimePoint aNow)
+{
+  spdlog::info("shard.inbox shard={} revision={} store_revision={} "
+               "read_ms_ago={} replies={} events={} max_gap_ms={} "
+               "max_loop_delay_ms={} max_plan_ms={}",
+               aShard,
+               aReads.mRevision,
+               aStoreRevision,
+               (aNow - aReads.mReadAt).count(),
+               aReads.mReplies,
+               aReads.mEvents,
+               aReads.mMaxGap.count(),
+               aReads.mMaxLoopDelay.count(),
+               aReads.mMaxPlanTime.count());
+  aReads = { .mRevision = aReads.mRevision, .mReadAt = aReads.mReadAt };
+}
+
 void LogShardLoad(const DispatchShard& aShard, std::uint32_t aNumber)
 {
   std::int64_t capacity = 0;
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -15,6 +15,37 @@
                      const std::string& aWorker,
                      const WorkerReport& aReport);
 
+/// How far an owner has read the inbox of its shard, and how fast its event
+/// loop is. The counts and maxima cover the time since the last log line.
+struct InboxReads
+{
+  /// Store revision up to which the inbox has been applied.
+  std::uint64_t mRevision = 0;
+  /// Time of the last reply that was applied.
+  TimePoint mReadAt{ kNever };
+  std::uint64_t mReplies = 0;
+  std::uint64_t mEvents = 0;
+  /// Longest time between two replies, in ms.
+  Duration mMaxGap{ 0 };
+  /// Longest time by which a timer of the event loop was late, in ms.
+  Duration mMaxLoopDelay{ 0 };
+  /// Longest planning, in ms.
+  Duration mMaxPlanTime{ 0 };
+};
+
+/// Adds a reply that contained all events up to `aRevision`.
+void OnInboxRead(InboxReads& aReads,
+                 std::uint64_t aRevision,
+                 std::size_t aEvents,
+                 TimePoint aNow);
+
+/// Logs the reads of the inbox and starts the counts and maxima again.
+/// @param aStoreRevision highest revision of the store that the node knows
+void LogInboxReads(InboxReads& aReads,
+                   std::uint32_t aShard,
+                   std::uint64_t aStoreRevision,
+                   TimePoint aNow);
+
 /// Logs how much of the shard's capacity is in use.
 /// @param aNumber number of the shard
 void LogShardLoad(const DispatchShard& aShard, std::uint32_t aNumber);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -1,7 +1,6 @@
 #include "vcShardRunner.h"
 
 #include "vcMembership.h"
-#include "vcShardLog.h"
 
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
@@ -194,6 +193,10 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
+      LogInboxReads(this->mInboxReads,
+                    this->mShardNumber,
+                    this->mNode.mLatestRevision,
+                    loadLoggedAt);
     }
     if (this->mShard.mIsFenced) {
       spdlog::warn(
@@ -207,7 +210,11 @@
     PlanStops(this->mShard, SuspendAwareNow(), actions);
     this->EnqueueOrders(actions);
     this->Plan();
+    const TimePoint sleptAt = SuspendAwareNow();
     co_await Sleep(kTickInterval);
+    this->mInboxReads.mMaxLoopDelay =
+      std::max(this->mInboxReads.mMaxLoopDelay,
+               SuspendAwareNow() - sleptAt - kTickInterval);
   }
 }
 
@@ -222,6 +229,8 @@
   PlanStarts(this->mShard, now, WallClockMs(), actions);
   this->EnqueueOrders(actions);
   this->mPlanTime = SuspendAwareNow() - now;
+  this->mInboxReads.mMaxPlanTime =
+    std::max(this->mInboxReads.mMaxPlanTime, this->mPlanTime);
   const bool hasUnstoredEnd = std::any_of(
     this->mShard.mJobs.begin(), this->mShard.mJobs.end(), [](const auto& aJob) {
       return IsFinal(aJob.second.mState) && aJob.second.mIsDirty;
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -5,6 +5,7 @@
 /// both back to the core.
 
 #include "vcNodeContext.h"
+#include "vcShardLog.h"
 
 #include <deque>
 
@@ -75,6 +76,8 @@
   bool IsLoaded() const { return this->mIsLoaded; }
   /// Epoch of this owner.
   std::uint64_t Epoch() const { return this->mShard.mEpoch; }
+  /// How far the inbox has been read.
+  const InboxReads& Inbox() const { return this->mInboxReads; }
   /// State of the dispatch core.
   const DispatchShard& State() const { return this->mShard; }
 
@@ -181,6 +184,7 @@
   std::map<std::string, OrderQueue> mOrderQueues;
   /// Workers whose leases are being renewed.
   std::set<std::string> mPolledWorkers;
+  InboxReads mInboxReads;
   bool mIsStopped = false;
   bool mIsLoaded = false;
   bool mIsPlanningScheduled = false;
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -103,6 +103,8 @@
       this->ApplyInbox(item);
     }
   }
+  OnInboxRead(
+    this->mInboxReads, inbox.mRevision, inbox.mItems.size(), SuspendAwareNow());
   const auto self = this->shared_from_this();
   this->Spawn("inbox", [self, revision = inbox.mRevision] {
     return self->WatchInbox(revision);
@@ -199,7 +201,18 @@
           this->ApplyInbox(item);
         }
         watch.mAfterRevision = all.mRevision;
+        OnInboxRead(this->mInboxReads,
+                    all.mRevision,
+                    all.mItems.size(),
+                    SuspendAwareNow());
       }
+      spdlog::warn("shard.inbox-reread shard={} epoch={} outcome={} items={} "
+                   "revision={}",
+                   this->mShardNumber,
+                   this->Epoch(),
+                   NameOf(all.mStatus),
+                   all.mItems.size(),
+                   all.mRevision);
     } else if (reply.mStatus == KvStatus::kOk) {
       if (!this->CheckInboxOwner(reply.mItems)) {
         co_return;
@@ -208,6 +221,10 @@
         this->ApplyInbox(item);
       }
       watch.mAfterRevision = std::max(watch.mAfterRevision, reply.mRevision);
+      OnInboxRead(this->mInboxReads,
+                  watch.mAfterRevision,
+                  reply.mItems.size(),
+                  SuspendAwareNow());
     } else {
       co_await Sleep(kRetry);
       continue;
--- a/Source/Programs/vcNodeMain.cxx
+++ b/Source/Programs/vcNodeMain.cxx
@@ -14,10 +14,10 @@
 constexpr const char* kProgram = "verbenacroft-node";
 
 /// Connects the node to the store, workers and data formats of the platform.
-void BindPlatform(NodeContext& aNode, KvCallCounts& aCounts)
+void BindPlatform(NodeContext& aNode)
 {
   const auto store = ParseEndpoint(aNode.mSettings.mStoreAddress);
-  aNode.mStore = MakeSiteStore(aNode.mHttp, *store, aCounts);
+  aNode.mStore = MakeSiteStore(aNode.mHttp, *store);
   aNode.mWorkers = MakeSiteWorkers(aNode.mHttp);
   aNode.mCodec.mOperatorsPrefix = kOperatorKeyPrefix;
   aNode.mCodec.mConfigKey = kOperatorConfigKey;
@@ -54,10 +54,7 @@
   }
   SetUpEventLog({ kProgram, settings.mName, settings.mLogLevel, true },
                 settings.mLogLinesPerSecond);
-  KvCallCounts counts;
-  return RunNode(settings, line.mSettingsPath, [&](NodeContext& aNode) {
-    BindPlatform(aNode, counts);
-  });
+  return RunNode(settings, line.mSettingsPath, BindPlatform);
 }
 
 } // namespace
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -146,6 +146,11 @@
   bool mHasMore = false;
   /// Number of the lease granted; 0 for none.
   std::uint64_t mLease = 0;
+  /// Why the call failed, for log lines; empty if it succeeded. Not part of a
+  /// relayed reply.
+  std::string mReason;
+  /// Size of the reply as far as it arrived, for log lines.
+  std::size_t mReceivedBytes = 0;
 };
 BOOST_DESCRIBE_STRUCT(KvReply,
                       (),
