--- a/Tests/Unit/vcHttpTest.cxx
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -196,6 +197,33 @@
   CHECK_FALSE(refused.mWasSent);
 }
 
+// Guards against a large reply that is read in small pieces: on a busy event
+// loop each piece waits for a turn, so that the reply arrives seconds late or
+// never.
+TEST_CASE("a large reply takes few turns of a busy event loop", "[.busy-loop]")
+{
+  // A count that callers read may be 2 s old, and a turn of a loaded owner
+  // takes 40 ms.
+  constexpr int kMaxTurns = 2'000 / 40;
+  constexpr std::size_t kReplyBytes = 512 * 1'024;
+  asio::io_context context;
+  RawServer server(context,
+                   { kHead + "Content-Length: " + std::to_string(kReplyBytes) +
+                     "\r\n\r\n" + std::string(kReplyBytes, 'x') });
+  HttpClient client(context);
+  const HttpResult first = Call(context, client, server.Address(), "warm-up");
+  REQUIRE(first.mResponse.mBody.size() == kReplyBytes);
+  int turns = 0;
+  std::function<void()> takeTurn = [&] {
+    ++turns;
+    asio::post(context, takeTurn);
+  };
+  asio::post(context, takeTurn);
+  const HttpResult result = Call(context, client, server.Address(), "measured");
+  CHECK(result.mResponse.mBody.size() == kReplyBytes);
+  CHECK(turns <= kMaxTurns);
+}
+
 TEST_CASE("the server's limits give clear refusals", "[http]")
 {
   asio::io_context context;
