Http: Bound the pauses of a large response, not its whole transfer

On the other hand the limit wasn't kept while data was there already: the stream's timer doesn't end such reads, and calls with a limit of 1.5 s took up to 7.7 s.

Change: HttpCallOptions::mStallTimeout. All other calls check their time limit before each read.

Ruled out: a longer fixed limit, which a slower link or a larger fleet exceeds again; asking for less, which a watch can't.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -164,6 +164,11 @@
   /// Maximum time for sending the request and receiving the response, once the
   /// connection is open.
   Duration mTimeout{ 2'000 };
+  /// If not 0, `mTimeout` ends with the first data of the response. After that,
+  /// the call fails once no further data has arrived for this time. For
+  /// responses that may be large: one that takes longer than a fixed time would
+  /// never be received, however often it is requested again.
+  Duration mStallTimeout{ 0 };
   /// Maximum time for opening a connection; `mTimeout` is used if it is
   /// shorter.
   Duration mConnectTimeout{ 500 };
--- a/Source/Http/vcHttpClient.cxx
+++ b/Source/Http/vcHttpClient.cxx
@@ -8,6 +8,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <unordered_map>
 
 namespace verbenacroft {
@@ -197,6 +198,7 @@
 namespace {
 
 using ResponseParser = http::response_parser<http::string_body>;
+using SteadyTime = std::chrono::steady_clock::time_point;
 
 /// Error of a complete response that must not be used, or no error.
 std::error_code CheckResponse(const ResponseParser& aParser,
@@ -218,23 +220,34 @@
   return {};
 }
 
-/// Reads a response into `aParser`.
+/// Reads a response into `aParser`, within the timeouts of `aOptions`.
+/// @param aDeadline end of `HttpCallOptions::mTimeout`
 /// @param aReceived set to the number of bytes received, also after an error
 asio::awaitable<beast::error_code> ReadResponse(Connection& aConnection,
                                                 ResponseParser& aParser,
+                                                const HttpCallOptions& aOptions,
+                                                SteadyTime aDeadline,
                                                 std::size_t& aReceived)
 {
   auto& stream = aConnection.mStream;
   auto& buffer = aConnection.mBuffer;
   buffer.reserve(kFirstReadBytes);
   aParser.eager(true);
+  const bool mayExceedDeadline = aOptions.mStallTimeout > Duration(0);
   while (!aParser.is_done()) {
+    // The stream's timer doesn't end reads whose data is already there.
+    if (!mayExceedDeadline && std::chrono::steady_clock::now() >= aDeadline) {
+      co_return beast::error::timeout;
+    }
     auto [error, bytes] =
       co_await http::async_read_some(stream, buffer, aParser, kAwaitTuple);
     aReceived += bytes;
     if (error) {
       co_return error;
     }
+    if (mayExceedDeadline) {
+      stream.expires_after(aOptions.mStallTimeout);
+    }
     const auto remaining = aParser.content_length_remaining().value_or(0);
     buffer.reserve(std::min<std::uint64_t>(remaining, kMaxReadBytes));
   }
@@ -264,7 +277,9 @@
   }
   const bool isHead = aRequest.mMethod == "HEAD";
   auto message = ToBeast(aRequest, key, aOptions.mRequestId);
-  connection->mStream.expires_after(aOptions.mTimeout);
+  const SteadyTime deadline =
+    std::chrono::steady_clock::now() + aOptions.mTimeout;
+  connection->mStream.expires_at(deadline);
   result.mWasSent = true;
   auto [writeError, written] =
     co_await http::async_write(connection->mStream, message, kAwaitTuple);
@@ -275,8 +290,8 @@
   ResponseParser parser;
   parser.body_limit(aOptions.mMaxBodyBytes);
   parser.skip(isHead);
-  const beast::error_code readError =
-    co_await ReadResponse(*connection, parser, result.mReceivedBytes);
+  const beast::error_code readError = co_await ReadResponse(
+    *connection, parser, aOptions, deadline, result.mReceivedBytes);
   if (readError) {
     result.mError = MakeError(ClassifyError(readError));
     co_return result;
--- a/Tests/Unit/vcHttpTest.cxx
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -82,6 +82,45 @@
   std::vector<std::string> mAnswers;
 };
 
+/// Answers one request with 20 pieces and a pause after each.
+class SlowServer
+{
+public:
+  SlowServer(asio::io_context& aContext, Duration aPause)
+    : mAcceptor(aContext, { asio::ip::address_v4::loopback(), 0 })
+    , mPause(aPause)
+  {
+    asio::co_spawn(aContext, this->Serve(), asio::detached);
+  }
+
+  Endpoint Address() const { return this->mAcceptor.local_endpoint(); }
+
+private:
+  asio::awaitable<void> Serve()
+  {
+    constexpr int kPieces = 20;
+    const std::string piece(1'000, 'x');
+    auto socket = co_await this->mAcceptor.async_accept(asio::use_awaitable);
+    std::string request;
+    co_await asio::async_read_until(
+      socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::use_awaitable);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(kPieces * piece.size()) +
+                             "\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+    for (int i = 0; i < kPieces; ++i) {
+      co_await asio::async_write(
+        socket, asio::buffer(piece), asio::use_awaitable);
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               this->mPause);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  Duration mPause;
+};
+
 const std::string kHead = "HTTP/1.1 200 OK\r\nVerbenacroft-Request: ID\r\n";
 const std::string kGood = kHead + "Content-Length: 4\r\n\r\ngood";
 
@@ -89,13 +128,14 @@
                 HttpClient& aClient,
                 const Endpoint& aEndpoint,
                 const std::string& aId,
-                bool aNeedsEcho = true)
+                bool aNeedsEcho = true,
+                HttpCallOptions aOptions = {})
 {
   HttpResult result;
   bool isDone = false;
   const auto run = [&]() -> asio::awaitable<void> {
     HttpRequest request;
-    HttpCallOptions options;
+    HttpCallOptions options = aOptions;
     options.mTimeout = Duration{ 300 };
     options.mRequestId = aId;
     options.mRequiresRequestIdEcho = aNeedsEcho;
@@ -224,6 +264,35 @@
   CHECK(turns <= kMaxTurns);
 }
 
+// Guards against a large reply that is dropped while it arrives and requested
+// again from the start, and against a reply that takes longer than its caller
+// allows.
+TEST_CASE("a slow reply is cut by its timeout or by a stall", "[http]")
+{
+  struct Row
+  {
+    Duration mPause;
+    Duration mStallTimeout;
+    bool mIsReceived;
+  };
+  // The timeout of a call is 300 ms; the reply has 20 pieces.
+  const auto row = GENERATE(Row{ Duration(30), Duration(200), true },
+                            Row{ Duration(30), Duration(0), false },
+                            Row{ Duration(260), Duration(200), false });
+  asio::io_context context;
+  SlowServer server(context, row.mPause);
+  HttpClient client(context);
+  HttpCallOptions options;
+  options.mStallTimeout = row.mStallTimeout;
+  const HttpResult result =
+    Call(context, client, server.Address(), "slow", false, options);
+  CHECK(result.mReceivedBytes > 0);
+  CHECK(!result.mError == row.mIsReceived);
+  if (!row.mIsReceived) {
+    CHECK(result.mError == MakeError(HttpErrc::kTimeout));
+  }
+}
+
 TEST_CASE("the server's limits give clear refusals", "[http]")
 {
   asio::io_context context;
