Dispatch: Take a draining worker out of the worker set once it is idle

Cause: the worker set record kept every worker until its lease was over and its entry gone. Workers that a release had just replaced stood in it and never answered the next owner. If the owner before was paused and may still act, the takeover waited the grace period plus the longest lease before it started jobs that were accepted earlier, so long-running tasks didn't run meanwhile.

Change: MustBeRecorded decides who stands in the set. A draining worker leaves it once a report lists no run, the store has every end that it lists, and the worker's clock has passed the deadline of every start that was ordered there, answered or not. The set is chosen before the write and the others get no starts from then on, so a removal whose reply is lost can't meet a start; until a later write succeeds the set is in doubt and is written again. A worker that is ready again is recorded before anything starts there. A worker that was taken out doesn't return by falling silent.

Ruled out: deciding by the list of tasks alone (a task may be taken off it because it is done elsewhere, while its start is on its way); taking out workers that crashed or whose entry vanished without draining: a missing entry doesn't mean that the worker is gone, and its lease has to end first.

Tests: vcFleet has two more plays. "release": a release replaces half of the workers, then the owner is paused and a worker of long-running tasks crashes; all long-running tasks have to run again 5 s later.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -367,6 +367,7 @@
   // A worker that accepts the start may run tasks until the start deadline even
   // if its lease is not renewed.
   aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, task.mNotAfter);
+  aWorker.mStartsUntil = std::max(aWorker.mStartsUntil, task.mNotAfter);
   StartOrder order;
   order.mTask = aKey;
   order.mRun = aRun;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -175,7 +175,7 @@
   /// Discovery lists the worker at present.
   bool mIsListed = false;
   /// The worker set in the store contains this worker, so that the next owner
-  /// knows where tasks may run.
+  /// knows where tasks may run. Cleared before a write that removes the worker.
   bool mIsRecorded = false;
   /// The worker has answered a renewal with this owner's epoch.
   bool mHasAnswered = false;
@@ -188,6 +188,12 @@
   /// Latest lease end or start deadline that this owner ordered, in ms on the
   /// worker's clock.
   std::int64_t mLeaseUntil = 0;
+  /// Latest start deadline that this owner ordered, in ms on the worker's
+  /// clock. After it the worker refuses all starts ordered so far.
+  std::int64_t mStartsUntil = 0;
+  /// The last report, of the time `mClock`, listed no run, and all ends that
+  /// aren't acknowledged.
+  bool mIsReportedIdle = false;
   /// When the worker last answered a renewal, or was discovered.
   TimePoint mLastReportAt{ kNever };
   /// The last renewal did not succeed.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -50,6 +50,7 @@
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
   aWorker.mLeaseUntil = 0;
+  aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
@@ -176,6 +177,8 @@
     }
   }
   aWorker.mSeenIndex = seen;
+  aWorker.mIsReportedIdle =
+    aReport.mRunning.empty() && aReport.mEnded.size() < kMaxListedEnds;
   for (const auto& row : aReport.mRunning) {
     OnRunningTask(aShard, aWorker, row, aNow);
   }
@@ -242,6 +245,19 @@
          IsSuspendedTooLong(step, aTask, aNow);
 }
 
+/// True if nothing runs on the worker and no start that was ordered so far can
+/// begin there. The last report decides, not the list of tasks alone: a task
+/// may be taken off that list, because it is done elsewhere, while its start is
+/// on its way. A worker that has reported refuses earlier owners, and its ends
+/// are in the store. Silence afterwards changes nothing. A new incarnation's
+/// clock is behind the deadlines of starts that may still reach it.
+bool IsVacated(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsReportedIdle && aWorker.mTasks.empty() &&
+         aWorker.mClock > aWorker.mStartsUntil &&
+         aWorker.mAckIndex >= aWorker.mSeenIndex;
+}
+
 } // namespace
 
 void OnDiscovery(DispatchShard& aShard,
@@ -425,6 +441,15 @@
          (aShard.mIsLeaseProved && aNow >= aShard.mBarrierUntil);
 }
 
+bool MustBeRecorded(const DispatchWorker& aWorker)
+{
+  if (aWorker.mIsRecorded) {
+    return !aWorker.mEntry.mIsDraining || !IsVacated(aWorker);
+  }
+  // Nothing starts on a worker that isn't recorded, so nothing runs there.
+  return aWorker.mIsListed && !aWorker.mEntry.mIsDraining;
+}
+
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow)
 {
   // Runs of earlier owners on these workers have ended; this remains true if
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -18,6 +18,8 @@
   std::string mWorker;
   /// Address of the worker, as `host:port`.
   std::string mAddress;
+
+  bool operator==(const WorkerSetMember&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(WorkerSetMember, (), (mWorker, mAddress))
 
@@ -147,6 +149,9 @@
   /// workers.
   /// @return false if the write failed
   asio::awaitable<bool> RecordWorkerSet();
+  /// Returns the worker set that has to be recorded, and forbids starts on all
+  /// other workers.
+  WorkerSetRecord ChooseWorkerSet();
   /// Allows starts on the workers in the recorded worker set.
   void MarkRecordedWorkers();
   /// Removes ended jobs from memory and, after their retention time, from the
@@ -180,6 +185,9 @@
   /// The worker set as last recorded.
   WorkerSetRecord mWorkerSet;
   std::uint64_t mWorkerSetRevision = 0;
+  /// A later write of the worker set failed. It may have been carried out, so
+  /// the store need not contain `mWorkerSet`.
+  bool mIsWorkerSetInDoubt = false;
   /// Orders to send, by worker.
   std::map<std::string, OrderQueue> mOrderQueues;
   /// Workers whose leases are being renewed.
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -210,23 +210,34 @@
   }
 }
 
-asio::awaitable<bool> ShardRunner::RecordWorkerSet()
+WorkerSetRecord ShardRunner::ChooseWorkerSet()
 {
-  std::set<std::string> recorded;
-  for (const auto& member : this->mWorkerSet.mWorkers) {
-    recorded.insert(member.mWorker + " " + member.mAddress);
-  }
   WorkerSetRecord workerSet = this->mWorkerSet;
   workerSet.mWorkers.clear();
   workerSet.mIsSettled = IsBarrierClear(this->mShard, SuspendAwareNow());
-  bool isChanged = recorded.size() != this->mShard.mWorkers.size() ||
-                   workerSet.mIsSettled != this->mWorkerSet.mIsSettled;
-  for (const auto& [name, worker] : this->mShard.mWorkers) {
-    workerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
-    isChanged =
-      isChanged || !recorded.contains(name + " " + worker.mEntry.mAddress);
+  for (auto& [name, worker] : this->mShard.mWorkers) {
+    if (MustBeRecorded(worker)) {
+      workerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
+      continue;
+    }
+    if (worker.mIsRecorded) {
+      spdlog::info(
+        "worker.vacated worker={} shard={}", name, this->mShardNumber);
+    }
+    // The write that removes the worker may be carried out although its reply
+    // is lost. Only a later write that succeeds allows starts there again.
+    worker.mIsRecorded = false;
   }
-  if (!isChanged) {
+  return workerSet;
+}
+
+asio::awaitable<bool> ShardRunner::RecordWorkerSet()
+{
+  WorkerSetRecord workerSet = this->ChooseWorkerSet();
+  const bool isCurrent = !this->mIsWorkerSetInDoubt &&
+                         workerSet.mIsSettled == this->mWorkerSet.mIsSettled &&
+                         workerSet.mWorkers == this->mWorkerSet.mWorkers;
+  if (isCurrent) {
     this->MarkRecordedWorkers();
     co_return true;
   }
@@ -236,6 +247,7 @@
     { WorkerSetKey(this->mShardNumber), this->mWorkerSetRevision });
   write.mPuts.push_back(
     PersistentPut(WorkerSetKey(this->mShardNumber), Encode(workerSet)));
+  this->mIsWorkerSetInDoubt = true;
   const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
   UpdateStoreHealth(this->mNode, reply);
   if (reply.mStatus == KvStatus::kConflict) {
@@ -249,6 +261,7 @@
   if (reply.mStatus != KvStatus::kOk) {
     co_return false;
   }
+  this->mIsWorkerSetInDoubt = false;
   this->mWorkerSet = std::move(workerSet);
   this->mWorkerSetRevision = reply.mRevision;
   this->MarkRecordedWorkers();
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -20,7 +20,15 @@
 constexpr const char* kWorkersPrefix = "servers/";
 constexpr const char* kOperatorKeyPrefix = "op/";
 constexpr const char* kConfig = "op/config";
+constexpr const char* kDraining = " draining";
 constexpr std::int64_t kWorkerCpu = 100'000;
+/// Longer than the longest task that ends, so that a worker that leaves runs
+/// nothing.
+constexpr Duration kDrainTime{ 4'000 };
+/// Long-running tasks that stopped run again this soon after their owner was
+/// paused: its lease has ended, another owner has asked the workers, and these
+/// have started the tasks.
+constexpr Duration kRunAgainWithin{ 5'000 };
 constexpr const char* kHost = "desk.example";
 constexpr const char* kQueuePath = "/q/";
 /// Callers wait 3 s.
@@ -99,6 +107,17 @@
   void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
   void ScheduleNodeFault(TimePoint aAt, TimePoint aEnd);
   void ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd);
+  void AddWorker(const std::string& aName);
+  void SetEntry(const std::string& aName, const std::string& aSuffix);
+  void RemoveWorker(const std::string& aName);
+  void ScheduleDrain(const std::string& aName, TimePoint aAt);
+  /// @return when the last worker that is replaced has left
+  TimePoint ScheduleRelease(TimePoint aAt);
+  void ScheduleFreeze(TimePoint aAt);
+  void CrashLastingWorker();
+  void CheckLasting(const std::set<JobId>& aJobs);
+  void Schedule();
+  void SortChanges();
   void Step();
   void CheckOwners();
   void CheckEnd();
@@ -171,7 +190,9 @@
       entry.mWorker = aKey.substr(std::string_view(kWorkersPrefix).size());
       entry.mService = "pool";
       entry.mAddress = "127.0.0.1:9";
-      entry.mDataCentre = aText;
+      entry.mIsDraining = aText.ends_with(kDraining);
+      entry.mLeavesInMs = kDrainTime.count();
+      entry.mDataCentre = aText.substr(0, aText.find(' '));
       entry.mCapacity.mMilliCpu = kWorkerCpu;
       entry.mCapacity.mMemoryMb = kWorkerCpu;
       return std::optional(entry);
@@ -210,16 +231,10 @@
   UseManualTime(this->mNow);
   KvTransaction write;
   write.mPuts.push_back({ kConfig, "{}", 0 });
+  CommitNow(this->mStore, write);
   for (std::uint32_t i = 1; i <= this->mOptions.mWorkers; ++i) {
-    MemoryWorker worker;
-    worker.mName = fmt::format("w{}", i);
-    worker.mDataCentre = i % 2 == 0 ? "north" : "south";
-    worker.mClockStart = this->mNow - Duration(this->Draw(1, 100'000));
-    write.mPuts.push_back(
-      { kWorkersPrefix + worker.mName, worker.mDataCentre, 0 });
-    this->mWorkers.mWorkers[worker.mName] = worker;
+    this->AddWorker(fmt::format("w{}", i));
   }
-  CommitNow(this->mStore, write);
   for (std::uint32_t i = 1; i <= this->mOptions.mNodes; ++i) {
     this->StartNode(fmt::format("node-{}", i));
   }
@@ -454,6 +469,139 @@
   }
 }
 
+void Fleet::AddWorker(const std::string& aName)
+{
+  MemoryWorker worker;
+  worker.mName = aName;
+  worker.mDataCentre =
+    this->mWorkers.mWorkers.size() % 2 == 1 ? "north" : "south";
+  worker.mClockStart = this->mNow - Duration(this->Draw(1, 100'000));
+  this->mWorkers.mWorkers[aName] = worker;
+  this->SetEntry(aName, "");
+}
+
+void Fleet::SetEntry(const std::string& aName, const std::string& aSuffix)
+{
+  const std::string& dataCentre = this->mWorkers.mWorkers.at(aName).mDataCentre;
+  KvTransaction write;
+  write.mPuts.push_back({ kWorkersPrefix + aName, dataCentre + aSuffix, 0 });
+  CommitNow(this->mStore, write);
+}
+
+void Fleet::RemoveWorker(const std::string& aName)
+{
+  Restart(this->mWorkers, aName, this->mNow);
+  this->mWorkers.mWorkers.at(aName).mCutFrom.insert("*");
+  KvTransaction write;
+  write.mDeletes.push_back(kWorkersPrefix + aName);
+  CommitNow(this->mStore, write);
+}
+
+void Fleet::ScheduleDrain(const std::string& aName, TimePoint aAt)
+{
+  this->At(
+    aAt, aName + " drains", [=, this] { this->SetEntry(aName, kDraining); });
+  const TimePoint end = aAt + kDrainTime;
+  const bool isLeaving =
+    this->mOptions.mPlay == FleetPlay::kRelease || this->Toss(60);
+  if (isLeaving) {
+    this->At(end, aName + " leaves", [=, this] { this->RemoveWorker(aName); });
+    return;
+  }
+  const bool isRestarting = this->Toss(50);
+  this->At(end, aName + " is ready again", [=, this] {
+    if (isRestarting) {
+      Restart(this->mWorkers, aName, this->mNow);
+    }
+    this->SetEntry(aName, "");
+  });
+}
+
+TimePoint Fleet::ScheduleRelease(TimePoint aAt)
+{
+  constexpr int kFirstDrainMs = 1'000;
+  constexpr int kLastDrainMs = 2'000;
+  for (std::uint32_t i = 1; i <= this->mOptions.mWorkers / 2; ++i) {
+    const std::string replacement =
+      fmt::format("w{}", this->mOptions.mWorkers + i);
+    this->At(aAt, replacement + " is new", [=, this] {
+      this->AddWorker(replacement);
+    });
+    const Duration after(this->Draw(kFirstDrainMs, kLastDrainMs));
+    this->ScheduleDrain(fmt::format("w{}", i), aAt + after);
+  }
+  return aAt + Duration(kLastDrainMs) + kDrainTime;
+}
+
+void Fleet::CrashLastingWorker()
+{
+  for (const auto& [name, worker] : this->mWorkers.mWorkers) {
+    const bool isLasting = std::any_of(
+      worker.mRuns.begin(), worker.mRuns.end(), [this](const auto& aRun) {
+        return this->mWorkers.mPlans[aRun.first].mIsLasting;
+      });
+    if (isLasting) {
+      Restart(this->mWorkers, name, this->mNow);
+      return;
+    }
+  }
+}
+
+void Fleet::ScheduleFreeze(TimePoint aAt)
+{
+  const auto owner = std::make_shared<std::string>();
+  const auto jobs = std::make_shared<std::set<JobId>>();
+  this->At(aAt, "owner paused, a worker crashes", [=, this] {
+    *owner = this->DrawOwner();
+    *jobs = this->mLasting;
+    this->mLives.at(*owner).mIsPaused = true;
+    this->CrashLastingWorker();
+  });
+  this->At(aAt + kRunAgainWithin, "long-running tasks run again", [=, this] {
+    this->CheckLasting(*jobs);
+  });
+  this->mCalmAt = aAt + Duration(8'000);
+  this->At(this->mCalmAt, "owner goes on", [=, this] {
+    NodeLife& life = this->mLives.at(*owner);
+    life.mIsPaused = false;
+    life.mGoesOnAt = this->mNow;
+  });
+}
+
+void Fleet::CheckLasting(const std::set<JobId>& aJobs)
+{
+  for (const auto& [task, plan] : this->mWorkers.mPlans) {
+    const bool isOwed = plan.mIsLasting && aJobs.contains(task.mJob);
+    if (isOwed && this->mWorkers.mRunning[task].empty()) {
+      this->Problem(Describe(task) + " doesn't run");
+    }
+  }
+}
+
+void Fleet::Schedule()
+{
+  const TimePoint releaseAt = kStart + kQuietStart + Duration(5'000);
+  if (this->mOptions.mPlay == FleetPlay::kRelease) {
+    const TimePoint left = this->ScheduleRelease(releaseAt);
+    this->ScheduleFreeze(left + Duration(this->Draw(100, 1'500)));
+  } else {
+    this->ScheduleFaults();
+  }
+  if (this->mOptions.mPlay == FleetPlay::kReleaseAmidFaults) {
+    this->ScheduleRelease(releaseAt);
+  }
+  this->SortChanges();
+}
+
+void Fleet::SortChanges()
+{
+  std::stable_sort(this->mChanges.begin(),
+                   this->mChanges.end(),
+                   [](const Change& aLeft, const Change& aRight) {
+                     return aLeft.mAt < aRight.mAt;
+                   });
+}
+
 void Fleet::ScheduleFaults()
 {
   const int count = this->Draw(2, 8);
@@ -473,11 +621,6 @@
       this->ScheduleWorkerFault(at, end);
     }
   }
-  std::stable_sort(this->mChanges.begin(),
-                   this->mChanges.end(),
-                   [](const Change& aLeft, const Change& aRight) {
-                     return aLeft.mAt < aRight.mAt;
-                   });
 }
 
 void Fleet::Step()
@@ -554,12 +697,7 @@
         fmt::format("job {} of shard {} isn't completed", id, shard));
     }
   }
-  for (const auto& [task, plan] : this->mWorkers.mPlans) {
-    const bool isOwed = plan.mIsLasting && this->mLasting.contains(task.mJob);
-    if (isOwed && this->mWorkers.mRunning[task].empty()) {
-      this->Problem(Describe(task) + " doesn't run");
-    }
-  }
+  this->CheckLasting(this->mLasting);
   for (const auto& text : this->mWorkers.mProblems) {
     this->mResult.mProblems.push_back(text);
   }
@@ -568,7 +706,7 @@
 FleetResult Fleet::Play()
 {
   this->SetUp();
-  this->ScheduleFaults();
+  this->Schedule();
   const TimePoint end = this->mCalmAt + this->mOptions.mCalmTime;
   const TimePoint lastJob = this->mCalmAt;
   const TimePoint owned = this->mCalmAt + kOwnedWithin;
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -23,8 +23,31 @@
   TimePoint mGoesOnAt{ kNever };
 };
 
+/// What happens to a fleet.
+enum class FleetPlay
+{
+  /// Faults of the store, the nodes and the workers.
+  kFaults,
+  /// A release replaces half of the workers; then the owner is paused and a
+  /// worker of long-running tasks crashes.
+  kRelease,
+  /// A release amid faults, in which some workers go on instead of leaving.
+  kReleaseAmidFaults,
+};
+
+template<>
+struct EnumTable<FleetPlay>
+{
+  static constexpr auto kRows = std::to_array<NameRow<FleetPlay>>({
+    { FleetPlay::kFaults, "faults" },
+    { FleetPlay::kRelease, "release" },
+    { FleetPlay::kReleaseAmidFaults, "release-amid-faults" },
+  });
+};
+
 struct FleetOptions
 {
+  FleetPlay mPlay = FleetPlay::kFaults;
   std::uint64_t mSeed = 1;
   std::uint32_t mNodes = 4;
   std::uint32_t mShards = 3;
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <mutex>
@@ -15,10 +16,12 @@
 
 constexpr std::size_t kShownProblems = 4;
 
-void Print(std::uint64_t aSeed, const FleetResult& aResult)
+void Print(const FleetOptions& aOptions, const FleetResult& aResult)
 {
-  std::cout << "seed " << aSeed << " failed with " << aResult.mProblems.size()
-            << " problems; again: vcFleet --seeds " << aSeed << " --log\n";
+  std::cout << "seed " << aOptions.mSeed << " failed with "
+            << aResult.mProblems.size() << " problems; again: vcFleet --seeds "
+            << aOptions.mSeed << " --play " << NameOf(aOptions.mPlay)
+            << " --log\n";
   for (const auto& fault : aResult.mFaults) {
     std::cout << "    " << fault << "\n";
   }
@@ -28,7 +31,10 @@
   }
 }
 
-int PlaySeeds(std::uint64_t aFirst, std::uint64_t aLast, unsigned aThreads)
+int PlaySeeds(FleetPlay aPlay,
+              std::uint64_t aFirst,
+              std::uint64_t aLast,
+              unsigned aThreads)
 {
   std::atomic<std::uint64_t> next{ aFirst };
   std::atomic<std::uint64_t> failed{ 0 };
@@ -36,12 +42,15 @@
   const auto work = [&] {
     for (auto seed = next++; seed <= aLast; seed = next++) {
       FleetOptions options;
+      options.mPlay = aPlay;
+      // The owner that is paused has to be that of all tasks.
+      options.mShards = aPlay == FleetPlay::kRelease ? 1 : options.mShards;
       options.mSeed = seed;
       const FleetResult result = PlayFleet(options);
       if (!result.mProblems.empty()) {
         ++failed;
         const std::lock_guard lock(mutex);
-        Print(seed, result);
+        Print(options, result);
       }
     }
   };
@@ -51,11 +60,30 @@
       threads.emplace_back(work);
     }
   }
-  std::cout << aLast - aFirst + 1 - failed << " passed, " << failed
-            << " failed\n";
+  std::cout << NameOf(aPlay) << ": " << aLast - aFirst + 1 - failed
+            << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
 }
 
+/// The play that was asked for, or all of them.
+/// @throws std::invalid_argument if there is no play of that name
+std::vector<FleetPlay> PlaysOf(const cxxopts::ParseResult& aParsed)
+{
+  if (aParsed.count("play") == 0) {
+    std::vector<FleetPlay> plays;
+    plays.reserve(EnumTable<FleetPlay>::kRows.size());
+    for (const auto& row : EnumTable<FleetPlay>::kRows) {
+      plays.push_back(row.mValue);
+    }
+    return plays;
+  }
+  const auto play = ValueOf<FleetPlay>(aParsed["play"].as<std::string>());
+  if (!play) {
+    throw std::invalid_argument("no such play");
+  }
+  return { *play };
+}
+
 } // namespace
 } // namespace verbenacroft
 
@@ -68,6 +96,9 @@
   add("threads",
       "seeds played at a time",
       cxxopts::value<unsigned>()->default_value("4"));
+  add("play",
+      "one of the plays; all of them if it isn't given",
+      cxxopts::value<std::string>());
   add("log", "print the nodes' logs");
   add("help", "print this help and exit");
   try {
@@ -83,7 +114,12 @@
     const std::uint64_t first = std::stoull(seeds);
     const std::uint64_t last =
       dots == std::string::npos ? first : std::stoull(seeds.substr(dots + 2));
-    return PlaySeeds(first, last, parsed["threads"].as<unsigned>());
+    const auto threads = parsed["threads"].as<unsigned>();
+    int status = 0;
+    for (const auto play : PlaysOf(parsed)) {
+      status = std::max(status, PlaySeeds(play, first, last, threads));
+    }
+    return status;
   } catch (const std::exception& error) {
     std::cerr << "vcFleet: " << error.what() << "\n";
     return 2;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -64,8 +64,17 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
-add_test(NAME fleet_random_faults COMMAND vcFleet --seeds 1..250 --threads 6)
-set_tests_properties(fleet_random_faults PROPERTIES
+add_test(NAME fleet_random_faults
+  COMMAND vcFleet --play faults --seeds 1..250 --threads 6)
+# Guards against a takeover that waits for workers that a release has replaced.
+add_test(NAME fleet_release
+  COMMAND vcFleet --play release --seeds 1..60 --threads 6)
+# Guards against two runs of a task when draining workers leave, go on or
+# restart amid faults.
+add_test(NAME fleet_release_amid_faults
+  COMMAND vcFleet --play release-amid-faults --seeds 1..120 --threads 6)
+set_tests_properties(
+  fleet_random_faults fleet_release fleet_release_amid_faults PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -114,6 +114,24 @@
     return actions;
   }
 
+  /// Discovery lists `w1` as draining or as ready.
+  void SetDraining(bool aIsDraining)
+  {
+    WorkerEntry entry = MakeEntry("w1");
+    entry.mIsDraining = aIsDraining;
+    entry.mLeavesInMs = 60'000;
+    OnDiscovery(this->mShard, { entry }, this->mNow);
+  }
+
+  /// `w1` reports that nothing runs after the deadlines of all starts so far.
+  void AnswerLater()
+  {
+    this->mNow += Duration(2'000);
+    this->Report("w1", {}, {});
+  }
+
+  DispatchWorker& Worker() { return this->mShard.mWorkers.at("w1"); }
+
   DispatchTask& Task(std::uint32_t aIndex = 0)
   {
     return *FindTask(this->mShard, { kJob, 0, 0, aIndex });
@@ -203,6 +221,180 @@
   CHECK_FALSE(fixture.mShard.mWorkers.contains("w1"));
 }
 
+// Guards against a takeover that waits for workers that a release has
+// replaced, and against one that doesn't wait for a worker on which a task runs
+// or may still start.
+TEST_CASE("a draining worker is recorded while anything runs or may start "
+          "there",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    void (*mPlay)(Fixture&);
+    bool mIsRecorded;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "nothing runs", [](Fixture&) {}, false },
+    { "ready", [](Fixture& aShard) { aShard.SetDraining(false); }, true },
+    { "silent after its report",
+      [](Fixture& aShard) { aShard.Silence("w1"); },
+      false },
+    { "gone after its report",
+      [](Fixture& aShard) { OnDiscovery(aShard.mShard, {}, aShard.mNow); },
+      false },
+    { "taken over and not heard yet",
+      [](Fixture& aShard) {
+        aShard.Worker() = {};
+        aShard.Worker().mIsRecorded = true;
+        aShard.SetDraining(true);
+        aShard.Silence("w1");
+      },
+      true },
+    { "a task runs",
+      [](Fixture& aShard) {
+        aShard.Add(1);
+        aShard.Report("w1", { MakeRunning(1) }, {});
+      },
+      true },
+    { "silent while a task runs",
+      [](Fixture& aShard) {
+        aShard.Add(1);
+        aShard.Report("w1", { MakeRunning(1) }, {});
+        aShard.Silence("w1");
+      },
+      true },
+    { "a run of an unknown job",
+      [](Fixture& aShard) { aShard.Report("w1", { MakeRunning(1) }, {}); },
+      true },
+    { "an end that isn't recorded",
+      [](Fixture& aShard) {
+        aShard.Add(1);
+        aShard.Report("w1", {}, { MakeEnd(1, 1, RunEnd::kDone) });
+      },
+      true },
+    { "an end that is recorded",
+      [](Fixture& aShard) {
+        aShard.Add(1);
+        aShard.Report("w1", {}, { MakeEnd(1, 1, RunEnd::kDone) });
+        aShard.Worker().mAckIndex = 1;
+      },
+      false },
+    { "more ends than a report lists",
+      [](Fixture& aShard) {
+        std::vector<EndedRun> ends;
+        for (std::uint32_t i = 1; i <= 500; ++i) {
+          ends.push_back(MakeEnd(i, i, RunEnd::kStopped));
+        }
+        aShard.Report("w1", {}, ends);
+        aShard.Worker().mAckIndex = 500;
+      },
+      true },
+    { "a new incarnation that hasn't started anything",
+      [](Fixture& aShard) { aShard.Report("w1", {}, {}, kBorn + 1); },
+      false },
+    { "another incarnation answered",
+      [](Fixture& aShard) {
+        WorkerReport report;
+        report.mOutcome = OrderOutcome::kOtherIncarnation;
+        OnReport(aShard.mShard, "w1", report, aShard.mNow, aShard.mNow, 0);
+      },
+      true },
+  }));
+  CAPTURE(row.mName);
+  Fixture shard({ "w1" });
+  shard.SetDraining(true);
+  shard.AnswerLater();
+  row.mPlay(shard);
+  CHECK(MustBeRecorded(shard.Worker()) == row.mIsRecorded);
+}
+
+// Guards against a task that starts on a worker that the next owner doesn't
+// ask, because the order took effect after the worker left the worker set.
+TEST_CASE("a draining worker is recorded until starts there are too late",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    void (*mPlay)(Fixture&, const StartOrder&);
+    bool mIsRecorded;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "a start in flight",
+      [](Fixture& aShard, const StartOrder&) { aShard.Report("w1", {}, {}); },
+      true },
+    { "a start in flight past its deadline",
+      [](Fixture& aShard, const StartOrder&) { aShard.AnswerLater(); },
+      true },
+    { "an unanswered start before its deadline",
+      [](Fixture& aShard, const StartOrder& aStart) {
+        OnStartReply(aShard.mShard, "w1", aStart, {}, aShard.mNow);
+        aShard.mNow += Duration(1'500);
+        aShard.Report("w1", {}, {});
+      },
+      true },
+    { "an unanswered start past its deadline",
+      [](Fixture& aShard, const StartOrder& aStart) {
+        OnStartReply(aShard.mShard, "w1", aStart, {}, aShard.mNow);
+        aShard.mNow += Duration(1'501);
+        aShard.Report("w1", {}, {});
+      },
+      false },
+    { "a start in flight of a task that is done elsewhere",
+      [](Fixture& aShard, const StartOrder&) {
+        aShard.Report("w2", {}, { MakeEnd(1, 1, RunEnd::kDone) });
+        aShard.Report("w1", {}, {});
+      },
+      true },
+    { "the same past its deadline",
+      [](Fixture& aShard, const StartOrder&) {
+        aShard.Report("w2", {}, { MakeEnd(1, 1, RunEnd::kDone) });
+        aShard.AnswerLater();
+      },
+      false },
+    { "a start that may reach a new incarnation, whose clock is behind",
+      [](Fixture& aShard, const StartOrder& aStart) {
+        OnStartReply(aShard.mShard, "w1", aStart, {}, aShard.mNow);
+        aShard.AnswerLater();
+        WorkerReport report;
+        report.mOutcome = OrderOutcome::kDone;
+        report.mClock = 1;
+        report.mIncarnation = kBorn + 1;
+        OnReport(aShard.mShard, "w1", report, aShard.mNow, aShard.mNow, 0);
+      },
+      true },
+  }));
+  CAPTURE(row.mName);
+  Fixture shard({ "w1", "w2" });
+  shard.mShard.mWorkers.at("w2").mAvoidedUntil = TimePoint(60'000);
+  shard.Add(1);
+  const auto actions = shard.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  REQUIRE(actions.mStarts[0].mWorker == "w1");
+  shard.SetDraining(true);
+  row.mPlay(shard, actions.mStarts[0].mOrder);
+  CHECK(MustBeRecorded(shard.Worker()) == row.mIsRecorded);
+}
+
+// Guards against a worker that returns to the worker set after it was taken out
+// and has left, and against one that stays out although it is used again.
+TEST_CASE("a removed worker is recorded again only to be used", "[dispatch]")
+{
+  Fixture shard({ "w1" });
+  shard.SetDraining(true);
+  shard.Worker().mIsRecorded = false;
+  shard.Silence("w1");
+  CHECK_FALSE(MustBeRecorded(shard.Worker()));
+  shard.SetDraining(false);
+  CHECK(MustBeRecorded(shard.Worker()));
+  shard.AnswerLater();
+  shard.Add(1);
+  CHECK(shard.Plan().mStarts.empty());
+  shard.Worker().mIsRecorded = true;
+  CHECK(shard.Plan().mStarts.size() == 1);
+}
+
 TEST_CASE("old jobs wait for workers that haven't answered", "[dispatch]")
 {
   struct Row
