Dispatch: Keep a task blocked while its start is in flight and stopped

Cause: a start whose reply is outstanding wasn't treated as uncertain. Once it was stopped (its worker drains, its job is cancelled) or its worker reported a new incarnation, the next report without the run took it for lost, and the task waited again: it could be started elsewhere while the first order still took effect, since neither the stop nor the start had been answered.

Change: stopping a start in flight, and a new incarnation during one, mark it as uncertain, as a start without an answer is already. It is given up once the stop is answered, the start is refused, or a report from after its deadline doesn't list it.

Found while the ways were listed in which something may still start on a draining worker.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -39,8 +39,8 @@
 }
 
 /// Handles a restarted worker. The new incarnation runs nothing that ran
-/// before. A start that was not answered may still reach it, and is stopped
-/// there.
+/// before. A start that was not answered, or not yet, may still reach it, and
+/// is stopped there.
 void OnNewIncarnation(DispatchShard& aShard, DispatchWorker& aWorker)
 {
   const std::set<TaskId> tasks = aWorker.mTasks;
@@ -54,7 +54,8 @@
   aWorker.mRunsToStop.clear();
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
-    if (task.mIsStartUncertain) {
+    if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
+      task.mIsStartUncertain = true;
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = kNever;
     } else {
@@ -395,10 +396,14 @@
                aWorker,
                NameOf(aReply.mOutcome));
   if (aReply.mOutcome == OrderOutcome::kUnknown) {
-    task->mIsStartUncertain = task->mPhase == RunPhase::kStarting;
+    // A start that is being stopped stays as uncertain as it is: the stop may
+    // have been answered already.
+    task->mIsStartUncertain =
+      task->mIsStartUncertain || task->mPhase == RunPhase::kStarting;
     worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
     return;
   }
+  task->mIsStartUncertain = false;
   if (task->mPhase != RunPhase::kStarting) {
     return;
   }
@@ -512,6 +517,9 @@
                      worker.mEntry.mIsDraining,
                      (aNow - task.mStartOrderedAt).count());
       }
+      // The stop may overtake a start that has no answer yet.
+      task.mIsStartUncertain =
+        task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = aNow;
       aActions.mStops.push_back({ name, { key, task.mRun, aShard.mEpoch } });
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -535,6 +535,45 @@
   CHECK(next.mStops[0].mOrder.mRun == actions.mStarts[0].mOrder.mRun);
 }
 
+// Guards against two runs at once: the task of a start that is still on its way
+// was started elsewhere once its stop was ordered or its worker had restarted.
+TEST_CASE("a start without an answer yet blocks its task while it is stopped",
+          "[dispatch]")
+{
+  struct Row
+  {
+    bool mIsDraining;
+    std::int64_t mBorn;
+    bool mIsStopAnswered;
+    std::int64_t mAfterMs;
+    bool mIsWaiting;
+  };
+  const auto row = GENERATE(values<Row>({
+    { true, kBorn, false, 1'400, false },
+    { true, kBorn, false, 1'600, true },
+    { true, kBorn, true, 100, true },
+    { false, kBorn + 1, false, 100, false },
+    { false, kBorn + 1, true, 100, true },
+  }));
+  Fixture shard({ "w1" });
+  BatchRecord record = MakeRecord(1);
+  record.mSpec.mSteps[0].mIsLasting = true;
+  AddJob(shard.mShard, kJob, record, 20, shard.mNow, 0);
+  const auto start = shard.Plan().mStarts.at(0).mOrder;
+  shard.SetDraining(row.mIsDraining);
+  shard.Report("w1", {}, {}, row.mBorn);
+  const auto stop = shard.Plan().mStops.at(0).mOrder;
+  OrderReply done;
+  done.mOutcome = OrderOutcome::kDone;
+  if (row.mIsStopAnswered) {
+    OnStopReply(shard.mShard, "w1", stop, done, shard.mNow);
+  }
+  OnStartReply(shard.mShard, "w1", start, {}, shard.mNow);
+  shard.mNow += Duration(row.mAfterMs);
+  shard.Report("w1", {}, {}, row.mBorn);
+  CHECK((shard.Task().mPhase == RunPhase::kWaiting) == row.mIsWaiting);
+}
+
 TEST_CASE("nothing starts where it must not", "[dispatch]")
 {
   using Spoil = void (*)(DispatchShard&);
