--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -39,8 +39,8 @@
 }
 
 /// Handles a restarted worker. The new incarnation runs nothing that ran
-/// before. A start that was not answered may still reach it, and is stopped
-/// there.
+/// before. A start that was not answered, or not yet, may still reach it, and
+/// is stopped there.
 void OnNewIncarnation(DispatchShard& aShard, DispatchWorker& aWorker)
 {
   const std::set<TaskId> tasks = aWorker.mTasks;
@@ -50,10 +50,12 @@
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
   aWorker.mLeaseUntil = 0;
+  aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
-    if (task.mIsStartUncertain) {
+    if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
+      task.mIsStartUncertain = true;
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = kNever;
     } else {
@@ -176,6 +178,8 @@
     }
   }
   aWorker.mSeenIndex = seen;
+  aWorker.mIsReportedIdle =
+    aReport.mRunning.empty() && aReport.mEnded.size() < kMaxListedEnds;
   for (const auto& row : aReport.mRunning) {
     OnRunningTask(aShard, aWorker, row, aNow);
   }
@@ -242,6 +246,19 @@
          IsSuspendedTooLong(step, aTask, aNow);
 }
 
+/// True if nothing runs on the worker and no start that was ordered so far can
+/// begin there. The last report decides, not the list of tasks alone: a task
+/// may be taken off that list, because it is done elsewhere, while its start is
+/// on its way. A worker that has reported refuses earlier owners, and its ends
+/// are in the store. Silence afterwards changes nothing. A new incarnation's
+/// clock is behind the deadlines of starts that may still reach it.
+bool IsVacated(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsReportedIdle && aWorker.mTasks.empty() &&
+         aWorker.mClock > aWorker.mStartsUntil &&
+         aWorker.mAckIndex >= aWorker.mSeenIndex;
+}
+
 } // namespace
 
 void OnDiscovery(DispatchShard& aShard,
@@ -379,10 +396,14 @@
                aWorker,
                NameOf(aReply.mOutcome));
   if (aReply.mOutcome == OrderOutcome::kUnknown) {
-    task->mIsStartUncertain = task->mPhase == RunPhase::kStarting;
+    // A start that is being stopped stays as uncertain as it is: the stop may
+    // have been answered already.
+    task->mIsStartUncertain =
+      task->mIsStartUncertain || task->mPhase == RunPhase::kStarting;
     worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
     return;
   }
+  task->mIsStartUncertain = false;
   if (task->mPhase != RunPhase::kStarting) {
     return;
   }
@@ -425,6 +446,15 @@
          (aShard.mIsLeaseProved && aNow >= aShard.mBarrierUntil);
 }
 
+bool MustBeRecorded(const DispatchWorker& aWorker)
+{
+  if (aWorker.mIsRecorded) {
+    return !aWorker.mEntry.mIsDraining || !IsVacated(aWorker);
+  }
+  // Nothing starts on a worker that isn't recorded, so nothing runs there.
+  return aWorker.mIsListed && !aWorker.mEntry.mIsDraining;
+}
+
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow)
 {
   // Runs of earlier owners on these workers have ended; this remains true if
@@ -487,6 +517,9 @@
                      worker.mEntry.mIsDraining,
                      (aNow - task.mStartOrderedAt).count());
       }
+      // The stop may overtake a start that has no answer yet.
+      task.mIsStartUncertain =
+        task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = aNow;
       aActions.mStops.push_back({ name, { key, task.mRun, aShard.mEpoch } });
