Node: Cut writes of progress when they are written

Cause: a pass sized all its transactions when it began and then wrote them one after another. A job that ended while an earlier one was written needed two more entries (the deletes of its inbox keys) than were counted, so its transaction had more than the 32 that the store takes. The store rejected it, and the pass ended without acknowledging any task end.

Change: a pass notes which jobs are dirty and which ends are seen, and takes before each write as many of these jobs as fit in their present state. A job that has gone since is left out. Jobs that become dirty meanwhile belong to the next pass, so that the pass ends; acknowledgements still wait until every noted job is recorded. The store of the fleet test rejects a transaction of more than 32 entries, and a rejected write is a problem of the fleet. vcFleet takes the numbers of nodes, shards, workers and jobs at once.

Ruled out: reserving the entries of a final record for every job, which would halve the jobs in a write; filling the last write with jobs that became dirty since, which could keep a pass from ending.

--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -100,6 +100,13 @@
     int mSenders = 0;
   };
 
+  /// Transaction that records the progress of jobs.
+  struct ProgressWrite
+  {
+    KvTransaction mWrite;
+    std::vector<JobId> mJobs;
+  };
+
   /// Runs a coroutine of the shard. The runner stops if the coroutine fails.
   void Spawn(const char* aName, CoroutineFunction aMakeCoroutine);
   /// Loads the shard, with retries, and starts its coroutines.
@@ -137,12 +144,17 @@
   /// Records the progress that the store doesn't have, one write after another.
   /// @return false if a write failed
   asio::awaitable<bool> RecordProgress();
-  /// Records all dirty jobs, in several transactions if they don't fit into
-  /// one, and then acknowledges the task ends that they contain.
+  /// Records all jobs that are dirty when it begins, in several transactions if
+  /// they don't fit into one, and then acknowledges the task ends seen by then.
+  /// @return false if a write failed; then nothing is acknowledged
   asio::awaitable<bool> RecordDirtyJobs();
-  /// Records the progress of some jobs in one transaction.
+  /// Makes one transaction of the progress of the first jobs of `aJobs`, as
+  /// many as fit in their present state, and removes them from `aJobs`. They
+  /// no longer count as dirty.
+  ProgressWrite TakeProgress(std::deque<JobId>& aJobs);
+  /// Commits the progress of jobs, which are dirty again if the write fails.
   /// @return false if the write failed
-  asio::awaitable<bool> CommitProgress(std::vector<JobId> aJobs);
+  asio::awaitable<bool> CommitProgress(ProgressWrite aProgress);
   /// Records the worker set if it has changed, and allows starts on its
   /// workers.
   /// @return false if the write failed
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -35,7 +35,23 @@
   return kCondition + kPut + (IsFinal(aJob.mState) ? kInboxKeys : 0);
 }
 
-/// Task ends of one incarnation of a worker that a write contains: all up to
+/// Adds the entries that record the job's progress; see
+/// `TransactionEntriesFor`.
+void AddProgress(KvTransaction& aWrite,
+                 std::uint32_t aShard,
+                 const JobId& aId,
+                 const DispatchJob& aJob)
+{
+  const std::string key = ProgressKey(aShard, aId);
+  aWrite.mConditions.push_back({ key, aJob.mProgressRevision });
+  aWrite.mPuts.push_back(PersistentPut(key, Encode(ProgressOf(aJob))));
+  if (IsFinal(aJob.mState)) {
+    aWrite.mDeletes.push_back(InboxJobKey(aShard, aId));
+    aWrite.mDeletes.push_back(CancelKey(aShard, aId));
+  }
+}
+
+/// Task ends of one incarnation of a worker that a pass records: all up to
 /// `mIndex`.
 struct RecordedEnds
 {
@@ -43,6 +59,43 @@
   std::uint64_t mIndex = 0;
 };
 
+/// Task ends that are seen and not acknowledged yet, by worker.
+std::map<std::string, RecordedEnds> UnacknowledgedEnds(
+  const DispatchShard& aShard)
+{
+  std::map<std::string, RecordedEnds> ends;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    if (worker.mSeenIndex > worker.mAckIndex) {
+      ends[name] = { worker.mIncarnation, worker.mSeenIndex };
+    }
+  }
+  return ends;
+}
+
+/// Acknowledges task ends whose jobs have all been recorded.
+void AcknowledgeEnds(DispatchShard& aShard,
+                     const std::map<std::string, RecordedEnds>& aEnds)
+{
+  for (const auto& [name, ends] : aEnds) {
+    DispatchWorker* worker = FindWorker(aShard, name);
+    // A new incarnation of the worker numbers its task ends from the start.
+    if (worker != nullptr && worker->mIncarnation == ends.mIncarnation) {
+      worker->mAckIndex = std::max(worker->mAckIndex, ends.mIndex);
+    }
+  }
+}
+
+std::deque<JobId> DirtyJobs(const DispatchShard& aShard)
+{
+  std::deque<JobId> jobs;
+  for (const auto& [id, job] : aShard.mJobs) {
+    if (job.mIsDirty) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
 } // namespace
 
 asio::awaitable<void> ShardRunner::RecordPeriodically()
@@ -83,77 +136,63 @@
 
 asio::awaitable<bool> ShardRunner::RecordDirtyJobs()
 {
-  // The writes below contain the task ends up to these indices.
-  std::map<std::string, RecordedEnds> recordedEnds;
-  for (const auto& [name, worker] : this->mShard.mWorkers) {
-    if (worker.mSeenIndex > worker.mAckIndex) {
-      recordedEnds[name] = { worker.mIncarnation, worker.mSeenIndex };
-    }
-  }
-  std::vector<JobId> batch;
-  // Each transaction also has the condition on the owner's key.
-  std::size_t entries = 1;
-  std::vector<std::vector<JobId>> batches;
-  for (auto& [id, job] : this->mShard.mJobs) {
-    if (!job.mIsDirty) {
-      continue;
-    }
-    if (entries + TransactionEntriesFor(job) > kMaxKvTransactionEntries) {
-      batches.push_back(std::move(batch));
-      batch = {};
-      entries = 1;
-    }
-    batch.push_back(id);
-    entries += TransactionEntriesFor(job);
-  }
-  if (!batch.empty()) {
-    batches.push_back(std::move(batch));
-  }
-  bool isRecorded = true;
-  for (auto& jobs : batches) {
-    const bool isCommitted = co_await this->CommitProgress(std::move(jobs));
-    isRecorded = isRecorded && isCommitted;
-    if (!isRecorded || this->mIsStopped) {
+  // Jobs that become dirty during the pass are left to the next one, so that
+  // the pass ends. They hold later task ends than those acknowledged here.
+  const auto ends = UnacknowledgedEnds(this->mShard);
+  std::deque<JobId> jobs = DirtyJobs(this->mShard);
+  while (!jobs.empty()) {
+    ProgressWrite write = this->TakeProgress(jobs);
+    const bool isCommitted = co_await this->CommitProgress(std::move(write));
+    if (!isCommitted || this->mIsStopped) {
       co_return false;
     }
   }
-  for (const auto& [name, ends] : recordedEnds) {
-    DispatchWorker* worker = FindWorker(this->mShard, name);
-    // A new incarnation of the worker numbers its task ends from the start.
-    if (worker != nullptr && worker->mIncarnation == ends.mIncarnation) {
-      worker->mAckIndex = std::max(worker->mAckIndex, ends.mIndex);
-    }
-  }
+  AcknowledgeEnds(this->mShard, ends);
   co_return true;
 }
 
-asio::awaitable<bool> ShardRunner::CommitProgress(std::vector<JobId> aJobs)
+ShardRunner::ProgressWrite ShardRunner::TakeProgress(std::deque<JobId>& aJobs)
 {
-  KvTransaction write;
+  ProgressWrite progress;
+  KvTransaction& write = progress.mWrite;
   write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
-  for (const auto& id : aJobs) {
-    DispatchJob& job = this->mShard.mJobs.at(id);
-    job.mIsDirty = false;
-    const std::string key = ProgressKey(this->mShardNumber, id);
-    write.mConditions.push_back({ key, job.mProgressRevision });
-    write.mPuts.push_back(PersistentPut(key, Encode(ProgressOf(job))));
-    if (IsFinal(job.mState)) {
-      write.mDeletes.push_back(InboxJobKey(this->mShardNumber, id));
-      write.mDeletes.push_back(CancelKey(this->mShardNumber, id));
+  for (; !aJobs.empty(); aJobs.pop_front()) {
+    const JobId& id = aJobs.front();
+    DispatchJob* job = FindJob(this->mShard, id);
+    if (job == nullptr || !job->mIsDirty) {
+      continue;
+    }
+    // A job may have ended since the pass began, and then needs more entries.
+    if (EntriesOf(write) + TransactionEntriesFor(*job) >
+        kMaxKvTransactionEntries) {
+      break;
     }
+    job->mIsDirty = false;
+    AddProgress(write, this->mShardNumber, id, *job);
+    progress.mJobs.push_back(id);
   }
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
+  return progress;
+}
+
+asio::awaitable<bool> ShardRunner::CommitProgress(ProgressWrite aProgress)
+{
+  const std::vector<JobId>& jobs = aProgress.mJobs;
+  if (jobs.empty()) {
+    co_return true;
+  }
+  const KvReply reply =
+    co_await this->mNode.mStore.mCommit(std::move(aProgress.mWrite));
   UpdateStoreHealth(this->mNode, reply);
   if (reply.mStatus == KvStatus::kOk) {
-    this->OnProgressRecorded(aJobs, reply.mRevision);
+    this->OnProgressRecorded(jobs, reply.mRevision);
     co_return true;
   }
   spdlog::info("shard.record-failed shard={} epoch={} jobs={} outcome={}",
                this->mShardNumber,
                this->Epoch(),
-               aJobs.size(),
+               jobs.size(),
                NameOf(reply.mStatus));
-  for (const auto& id : aJobs) {
+  for (const auto& id : jobs) {
     DispatchJob* job = FindJob(this->mShard, id);
     if (job != nullptr) {
       job->mIsDirty = true;
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -190,8 +190,15 @@
   std::function<Answer(LeaseId)> mRevoke;
 };
 
-/// Maximum number of entries in one transaction: conditions, puts and deletes
-/// together.
+/// Maximum number of entries in one transaction; see `EntriesOf`. The store
+/// rejects a transaction with more.
 constexpr std::size_t kMaxKvTransactionEntries = 32;
 
+/// Number of entries of a transaction: conditions, puts and deletes together.
+inline std::size_t EntriesOf(const KvTransaction& aTransaction)
+{
+  return aTransaction.mConditions.size() + aTransaction.mPuts.size() +
+         aTransaction.mDeletes.size();
+}
+
 } // namespace verbenacroft
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -13,6 +13,9 @@
 
 constexpr Duration kStep{ 5 };
 constexpr Duration kJobInterval{ 250 };
+/// Part of the jobs that last until they are cancelled, in percent, while jobs
+/// come one at a time. They stay, so there are fewer of them among many jobs.
+constexpr int kLastingPercent = 10;
 constexpr Duration kQuietStart{ 5'000 };
 /// After a calm of this length every shard has an owner at work.
 constexpr Duration kOwnedWithin{ 4'000 };
@@ -90,6 +93,7 @@
   void SetUp();
   BatchSpec DrawJob(const JobId& aId);
   void SubmitJob();
+  void SubmitJobs();
   void OnAnswer(const JobId& aId,
                 const BatchSpec& aSpec,
                 int aStatus,
@@ -228,7 +232,8 @@
 BatchSpec Fleet::DrawJob(const JobId& aId)
 {
   BatchSpec spec;
-  const bool isLasting = this->Toss(10);
+  const bool isLasting = this->Toss(std::max(
+    1, kLastingPercent / static_cast<int>(this->mOptions.mJobsAtOnce)));
   const int steps = isLasting ? 1 : this->Draw(1, 2);
   for (int s = 0; s < steps; ++s) {
     StepSpec step;
@@ -285,6 +290,13 @@
     asio::detached);
 }
 
+void Fleet::SubmitJobs()
+{
+  for (std::uint32_t i = 0; i < this->mOptions.mJobsAtOnce; ++i) {
+    this->SubmitJob();
+  }
+}
+
 void Fleet::OnAnswer(const JobId& aId,
                      const BatchSpec& aSpec,
                      int aStatus,
@@ -563,6 +575,9 @@
   for (const auto& text : this->mWorkers.mProblems) {
     this->mResult.mProblems.push_back(text);
   }
+  for (const auto& text : this->mStore.mRejectedWrites) {
+    this->mResult.mProblems.push_back(text);
+  }
 }
 
 FleetResult Fleet::Play()
@@ -578,7 +593,7 @@
     this->Step();
     if (this->mNow >= nextJob && this->mNow < lastJob) {
       nextJob += kJobInterval;
-      this->SubmitJob();
+      this->SubmitJobs();
     }
     if (!isChecked && this->mNow >= owned) {
       isChecked = true;
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -29,6 +29,8 @@
   std::uint32_t mNodes = 4;
   std::uint32_t mShards = 3;
   std::uint32_t mWorkers = 6;
+  /// Jobs that are submitted together, every 250 ms.
+  std::uint32_t mJobsAtOnce = 1;
   /// Time in which faults begin.
   Duration mFaultTime{ 25'000 };
   /// Time after the last fault has ended.
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -3,6 +3,7 @@
 #include "vcFleet.h"
 
 #include <cxxopts.hpp>
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <atomic>
@@ -15,10 +16,23 @@
 
 constexpr std::size_t kShownProblems = 4;
 
-void Print(std::uint64_t aSeed, const FleetResult& aResult)
+/// The arguments that play the same again.
+std::string ArgumentsOf(const FleetOptions& aOptions)
 {
-  std::cout << "seed " << aSeed << " failed with " << aResult.mProblems.size()
-            << " problems; again: vcFleet --seeds " << aSeed << " --log\n";
+  return fmt::format(
+    "--seeds {} --nodes {} --shards {} --workers {} --jobs-at-once {}",
+    aOptions.mSeed,
+    aOptions.mNodes,
+    aOptions.mShards,
+    aOptions.mWorkers,
+    aOptions.mJobsAtOnce);
+}
+
+void Print(const FleetOptions& aOptions, const FleetResult& aResult)
+{
+  std::cout << "seed " << aOptions.mSeed << " failed with "
+            << aResult.mProblems.size() << " problems; again: vcFleet "
+            << ArgumentsOf(aOptions) << " --log\n";
   for (const auto& fault : aResult.mFaults) {
     std::cout << "    " << fault << "\n";
   }
@@ -28,20 +42,23 @@
   }
 }
 
-int PlaySeeds(std::uint64_t aFirst, std::uint64_t aLast, unsigned aThreads)
+int PlaySeeds(const FleetOptions& aOptions,
+              std::uint64_t aFirst,
+              std::uint64_t aLast,
+              unsigned aThreads)
 {
   std::atomic<std::uint64_t> next{ aFirst };
   std::atomic<std::uint64_t> failed{ 0 };
   std::mutex mutex;
   const auto work = [&] {
     for (auto seed = next++; seed <= aLast; seed = next++) {
-      FleetOptions options;
+      FleetOptions options = aOptions;
       options.mSeed = seed;
       const FleetResult result = PlayFleet(options);
       if (!result.mProblems.empty()) {
         ++failed;
         const std::lock_guard lock(mutex);
-        Print(seed, result);
+        Print(options, result);
       }
     }
   };
@@ -56,6 +73,21 @@
   return failed == 0 ? 0 : 1;
 }
 
+FleetOptions FleetOptionsOf(const cxxopts::ParseResult& aParsed)
+{
+  FleetOptions options;
+  const auto read = [&](const char* aName, std::uint32_t& aOut) {
+    if (aParsed.count(aName) > 0) {
+      aOut = std::max(1U, aParsed[aName].as<std::uint32_t>());
+    }
+  };
+  read("nodes", options.mNodes);
+  read("shards", options.mShards);
+  read("workers", options.mWorkers);
+  read("jobs-at-once", options.mJobsAtOnce);
+  return options;
+}
+
 } // namespace
 } // namespace verbenacroft
 
@@ -68,6 +100,14 @@
   add("threads",
       "seeds played at a time",
       cxxopts::value<unsigned>()->default_value("4"));
+  add("nodes", "nodes of the fleet", cxxopts::value<std::uint32_t>());
+  add("shards", "shards of the fleet", cxxopts::value<std::uint32_t>());
+  add("workers",
+      "workers, at least as many as shards",
+      cxxopts::value<std::uint32_t>());
+  add("jobs-at-once",
+      "jobs submitted together, every 250 ms",
+      cxxopts::value<std::uint32_t>());
   add("log", "print the nodes' logs");
   add("help", "print this help and exit");
   try {
@@ -83,7 +123,8 @@
     const std::uint64_t first = std::stoull(seeds);
     const std::uint64_t last =
       dots == std::string::npos ? first : std::stoull(seeds.substr(dots + 2));
-    return PlaySeeds(first, last, parsed["threads"].as<unsigned>());
+    return PlaySeeds(
+      FleetOptionsOf(parsed), first, last, parsed["threads"].as<unsigned>());
   } catch (const std::exception& error) {
     std::cerr << "vcFleet: " << error.what() << "\n";
     return 2;
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -1,5 +1,7 @@
 #include "vcFleetStore.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -120,15 +122,41 @@
   return share(aStore.mRandom) < aStore.mLostShare;
 }
 
+/// Why the store rejects a write, or nothing.
+std::optional<std::string> RejectionOf(const KvTransaction& aWrite)
+{
+  const std::size_t entries = EntriesOf(aWrite);
+  if (entries <= kMaxKvTransactionEntries) {
+    return std::nullopt;
+  }
+  return fmt::format("{} entries, over {}", entries, kMaxKvTransactionEntries);
+}
+
+void NoteRejectedWrite(MemoryStore& aStore,
+                       const std::string& aCaller,
+                       const std::string& aReason)
+{
+  aStore.mRejectedWrites.push_back(
+    fmt::format("{} ms: {} sent a write that the store rejects: {}",
+                SuspendAwareNow().count(),
+                aCaller,
+                aReason));
+}
+
 asio::awaitable<KvReply> Commit(MemoryStore& aStore,
                                 std::string aCaller,
                                 KvTransaction aWrite)
 {
   const TimePoint until = SuspendAwareNow() + kCallTimeout;
-  const auto refusal = co_await Admit(aStore, std::move(aCaller), kCallTimeout);
+  const auto refusal = co_await Admit(aStore, aCaller, kCallTimeout);
   if (refusal) {
     co_return *refusal;
   }
+  const auto rejection = RejectionOf(aWrite);
+  if (rejection) {
+    NoteRejectedWrite(aStore, aCaller, *rejection);
+    co_return Answer(aStore, KvStatus::kRefused);
+  }
   if (!IsLost(aStore)) {
     co_return CommitNow(aStore, aWrite);
   }
--- a/Tests/Fleet/vcFleetStore.h
+++ b/Tests/Fleet/vcFleetStore.h
@@ -2,7 +2,8 @@
 
 /// A key-value service in memory for the nodes of a test, with the faults
 /// that its callers have to bear: outages for all or for some callers,
-/// forgotten leases and history, lost, late and slow answers.
+/// forgotten leases and history, lost, late and slow answers. It rejects what
+/// the platform's store rejects.
 
 #include "vcNode.h"
 
@@ -58,6 +59,8 @@
   Duration mDelay{ 3 };
   /// So many answers that nobody foresaw come next.
   int mMalformedNext = 0;
+  /// Writes of nodes that were rejected, each with its time and the reason.
+  std::vector<std::string> mRejectedWrites;
 };
 
 /// Ends leases whose time has come and does the late writes that are due.
@@ -71,7 +74,8 @@
 
 void ForgetHistory(MemoryStore& aStore);
 
-/// Makes a write on behalf of somebody who is not a node of the fleet.
+/// Makes a write on behalf of somebody who is not a node of the fleet. It may
+/// have any number of entries.
 KvReply CommitNow(MemoryStore& aStore, const KvTransaction& aWrite);
 
 /// The calls as the node `aCaller` makes them.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -67,6 +67,12 @@
 add_test(NAME fleet_random_faults COMMAND vcFleet --seeds 1..250 --threads 6)
 set_tests_properties(fleet_random_faults PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
+# Guards against a write of progress with more entries than the store takes,
+# while many jobs of one shard end.
+add_test(NAME fleet_many_jobs_end_at_once
+  COMMAND vcFleet --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
+set_tests_properties(fleet_many_jobs_end_at_once PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
