Node: Hand many shards over in several transactions

Cause: a node that leaves put the hand-overs of all its shards, three entries each, into one transaction. From eleven shards on it had more than the 32 entries that the store takes and was rejected, so no next owner learned that this one had stopped, and each waited for the whole grace period.

Change: LeaveFleet begins another transaction when the next shard doesn't fit. The entries of a shard stay together.

Ruled out: one transaction for each shard, which costs up to ten times the calls while the process has little time left to stop.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -394,6 +394,36 @@
   }
 }
 
+/// Maximum number of entries that hand one shard over.
+constexpr std::size_t kHandOverEntries = 3;
+
+/// Adds the hand-over of one shard, after `ShardRunner::HandOver`.
+void AddHandOver(KvTransaction& aWrite,
+                 std::uint32_t aShard,
+                 const ShardRunner& aRunner)
+{
+  aWrite.mConditions.push_back({ OwnerKey(aShard), aRunner.Epoch() });
+  aWrite.mDeletes.push_back(OwnerKey(aShard));
+  // A runner that isn't loaded doesn't know the worker set yet.
+  if (aRunner.IsLoaded()) {
+    aWrite.mPuts.push_back(PersistentPut(
+      WorkerSetKey(aShard), Encode(aRunner.HandedOverWorkerSet())));
+  }
+}
+
+/// Commits the hand-over of some shards, if there are any.
+asio::awaitable<void> CommitHandOver(NodeContext& aNode, KvTransaction aWrite)
+{
+  const std::size_t shards = aWrite.mDeletes.size();
+  if (shards == 0) {
+    co_return;
+  }
+  const KvReply reply = co_await aNode.mStore.mCommit(std::move(aWrite));
+  UpdateStoreHealth(aNode, reply);
+  spdlog::info(
+    "shard.hand-over shards={} outcome={}", shards, NameOf(reply.mStatus));
+}
+
 } // namespace
 
 asio::awaitable<KvReply> ReadAllPages(NodeContext& aNode, std::string aPrefix)
@@ -571,24 +601,18 @@
 asio::awaitable<void> LeaveFleet(NodeContext& aNode)
 {
   const auto runners = aNode.mRunners;
-  KvTransaction handOver;
+  std::vector<KvTransaction> writes(1);
   for (const auto& [shard, runner] : runners) {
     co_await runner->HandOver();
-    handOver.mConditions.push_back({ OwnerKey(shard), runner->Epoch() });
-    handOver.mDeletes.push_back(OwnerKey(shard));
-    // A runner that isn't loaded doesn't know the worker set yet.
-    if (runner->IsLoaded()) {
-      handOver.mPuts.push_back(PersistentPut(
-        WorkerSetKey(shard), Encode(runner->HandedOverWorkerSet())));
+    if (EntriesOf(writes.back()) + kHandOverEntries >
+        kMaxKvTransactionEntries) {
+      writes.emplace_back();
     }
+    AddHandOver(writes.back(), shard, *runner);
   }
   aNode.mRunners.clear();
-  if (!handOver.mDeletes.empty()) {
-    const KvReply reply = co_await aNode.mStore.mCommit(std::move(handOver));
-    UpdateStoreHealth(aNode, reply);
-    spdlog::info("shard.hand-over shards={} outcome={}",
-                 runners.size(),
-                 NameOf(reply.mStatus));
+  for (auto& write : writes) {
+    co_await CommitHandOver(aNode, std::move(write));
   }
   const auto lease = aNode.mLease;
   if (lease) {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -73,6 +73,12 @@
   COMMAND vcFleet --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
 set_tests_properties(fleet_many_jobs_end_at_once PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
+# Guards against a hand-over with more entries than the store takes, when a node
+# leaves that owns many shards.
+add_test(NAME fleet_leaving_node_owns_many_shards
+  COMMAND vcFleet --seeds 1..20 --nodes 2 --shards 24 --workers 240 --threads 6)
+set_tests_properties(fleet_leaving_node_owns_many_shards PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
