--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -3,6 +3,7 @@
 #include "vcFleet.h"
 
 #include <cxxopts.hpp>
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -16,12 +17,24 @@
 
 constexpr std::size_t kShownProblems = 4;
 
+/// The arguments that play the same again.
+std::string ArgumentsOf(const FleetOptions& aOptions)
+{
+  return fmt::format("--seeds {} --play {} --nodes {} --shards {} --workers {} "
+                     "--jobs-at-once {}",
+                     aOptions.mSeed,
+                     NameOf(aOptions.mPlay),
+                     aOptions.mNodes,
+                     aOptions.mShards,
+                     aOptions.mWorkers,
+                     aOptions.mJobsAtOnce);
+}
+
 void Print(const FleetOptions& aOptions, const FleetResult& aResult)
 {
   std::cout << "seed " << aOptions.mSeed << " failed with "
-            << aResult.mProblems.size() << " problems; again: vcFleet --seeds "
-            << aOptions.mSeed << " --play " << NameOf(aOptions.mPlay)
-            << " --log\n";
+            << aResult.mProblems.size() << " problems; again: vcFleet "
+            << ArgumentsOf(aOptions) << " --log\n";
   for (const auto& fault : aResult.mFaults) {
     std::cout << "    " << fault << "\n";
   }
@@ -31,7 +44,7 @@
   }
 }
 
-int PlaySeeds(FleetPlay aPlay,
+int PlaySeeds(const FleetOptions& aOptions,
               std::uint64_t aFirst,
               std::uint64_t aLast,
               unsigned aThreads)
@@ -41,10 +54,7 @@
   std::mutex mutex;
   const auto work = [&] {
     for (auto seed = next++; seed <= aLast; seed = next++) {
-      FleetOptions options;
-      options.mPlay = aPlay;
-      // The owner that is paused has to be that of all tasks.
-      options.mShards = aPlay == FleetPlay::kRelease ? 1 : options.mShards;
+      FleetOptions options = aOptions;
       options.mSeed = seed;
       const FleetResult result = PlayFleet(options);
       if (!result.mProblems.empty()) {
@@ -84,6 +94,21 @@
   return { *play };
 }
 
+FleetOptions FleetOptionsOf(const cxxopts::ParseResult& aParsed)
+{
+  FleetOptions options;
+  const auto read = [&](const char* aName, std::uint32_t& aOut) {
+    if (aParsed.count(aName) > 0) {
+      aOut = std::max(1U, aParsed[aName].as<std::uint32_t>());
+    }
+  };
+  read("nodes", options.mNodes);
+  read("shards", options.mShards);
+  read("workers", options.mWorkers);
+  read("jobs-at-once", options.mJobsAtOnce);
+  return options;
+}
+
 } // namespace
 } // namespace verbenacroft
 
@@ -96,6 +121,14 @@
   add("threads",
       "seeds played at a time",
       cxxopts::value<unsigned>()->default_value("4"));
+  add("nodes", "nodes of the fleet", cxxopts::value<std::uint32_t>());
+  add("shards", "shards of the fleet", cxxopts::value<std::uint32_t>());
+  add("workers",
+      "workers, at least as many as shards",
+      cxxopts::value<std::uint32_t>());
+  add("jobs-at-once",
+      "jobs submitted together, every 250 ms",
+      cxxopts::value<std::uint32_t>());
   add("play",
       "one of the plays; all of them if it isn't given",
       cxxopts::value<std::string>());
@@ -117,7 +150,11 @@
     const auto threads = parsed["threads"].as<unsigned>();
     int status = 0;
     for (const auto play : PlaysOf(parsed)) {
-      status = std::max(status, PlaySeeds(play, first, last, threads));
+      FleetOptions options = FleetOptionsOf(parsed);
+      options.mPlay = play;
+      // The owner that is paused has to be that of all tasks.
+      options.mShards = play == FleetPlay::kRelease ? 1 : options.mShards;
+      status = std::max(status, PlaySeeds(options, first, last, threads));
     }
     return status;
   } catch (const std::exception& error) {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -76,6 +76,18 @@
 set_tests_properties(
   fleet_random_faults fleet_release fleet_release_amid_faults PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
+# Guards against a write of progress with more entries than the store takes,
+# while many jobs of one shard end.
+add_test(NAME fleet_many_jobs_end_at_once
+  COMMAND vcFleet --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
+set_tests_properties(fleet_many_jobs_end_at_once PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
+# Guards against a hand-over with more entries than the store takes, when a node
+# leaves that owns many shards.
+add_test(NAME fleet_leaving_node_owns_many_shards
+  COMMAND vcFleet --seeds 1..20 --nodes 2 --shards 24 --workers 240 --threads 6)
+set_tests_properties(fleet_leaving_node_owns_many_shards PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
