Node: Give no count of waiting jobs from an old view of the inbox

Cause: an owner counted the jobs that it had read so far and said so as a fact, however far its inbox lagged behind the store, or had been paused.

Change: InboxReads says as of when the inbox is known to be complete: the sending of the last call whose reply was applied. An owner whose inbox was complete over 1.75 s ago doesn't know the count; it says how old its view is, and the node that asks adds the time of all its questions and gives nothing older than 2 s, but 503 with Retry-After. The wait of the inbox watch is 0.5 s, not 2 s, so that two waits stay below the bound: 2 calls a second instead of 0.5 for a shard without events, none more with events.

Ruled out: counting the wait of a watch that returned empty as proof, since it may have been cut short; a revision learned from other calls, since it always is above that of the inbox while workers write.

--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -208,15 +208,22 @@
                                           std::string aQueue)
 {
   std::uint64_t waiting = 0;
+  // The owners are asked one after another, so the first answer grows old.
+  TimePoint completeAt = SuspendAwareNow();
   for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
+    const TimePoint askedAt = SuspendAwareNow();
     const PeerWaitingAnswer answer =
       co_await QueryOwnerForWaiting(aNode, shard);
-    if (!answer.mIsOwner) {
-      co_return NotAcceptedResponse(aQueue, "a shard's owner can't be reached");
+    if (!answer.mIsOwner || !answer.mAge) {
+      co_return NotAcceptedResponse(aQueue, "a shard's owner doesn't know");
     }
+    completeAt = std::min(completeAt, askedAt - *answer.mAge);
     const auto found = answer.mWaiting.find(aQueue);
     waiting += found == answer.mWaiting.end() ? 0 : found->second;
   }
+  if (SuspendAwareNow() - completeAt > kMaxCountAge) {
+    co_return NotAcceptedResponse(aQueue, "the count is too old");
+  }
   co_return JsonResponse(aNode.mCodec.mEncodeWaiting(waiting));
 }
 
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -126,10 +126,11 @@
   const TimePoint now = SuspendAwareNow();
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
-    aPage.Gauge("verbenacroft_shard_inbox_age_ms",
-                "Time since the inbox was last read.",
-                static_cast<double>((now - runner->Inbox().mReadAt).count()),
-                { { "shard", std::to_string(shard) } });
+    aPage.Gauge(
+      "verbenacroft_shard_inbox_age_ms",
+      "Time since the inbox was last known to be complete.",
+      static_cast<double>((now - runner->Inbox().mCompleteAt).count()),
+      { { "shard", std::to_string(shard) } });
   }
 }
 
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -15,6 +15,9 @@
 constexpr std::string_view kReadPath = "/peer/read";
 /// Timeout of a query of a shard's owner.
 constexpr Duration kQueryTimeout{ 250 };
+/// Maximum age of an owner's view of the inbox when it says how many jobs wait,
+/// so that the count isn't too old once it has arrived.
+constexpr Duration kMaxInboxAge = kMaxCountAge - kQueryTimeout;
 /// Timeout of a relayed store call. It is longer than the timeout of a read
 /// from the store, so that the relaying peer can report the outcome. A commit
 /// may take longer; its outcome then is unknown to this node.
@@ -55,10 +58,16 @@
 {
   PeerWaitingAnswer answer;
   const auto runner = FindLoadedRunner(aNode, aShard);
-  if (runner != nullptr) {
-    answer.mIsOwner = true;
-    answer.mWaiting = runner->Waiting();
+  if (runner == nullptr) {
+    return answer;
   }
+  const Duration age = SuspendAwareNow() - runner->Inbox().mCompleteAt;
+  if (age > kMaxInboxAge) {
+    return answer;
+  }
+  answer.mIsOwner = true;
+  answer.mAge = age;
+  answer.mWaiting = runner->Waiting();
   return answer;
 }
 
--- a/Source/Node/vcPeers.h
+++ b/Source/Node/vcPeers.h
@@ -19,14 +19,20 @@
 };
 BOOST_DESCRIBE_STRUCT(PeerJobAnswer, (), (mIsOwner, mIsKnown, mState))
 
+/// Maximum age of a number of waiting jobs, by the callers' contract.
+constexpr Duration kMaxCountAge{ 2'000 };
+
 /// Answer of a node about the waiting jobs of a shard.
 struct PeerWaitingAnswer
 {
+  /// The node owns the shard, and has read its inbox lately enough to know.
   bool mIsOwner = false;
+  /// Jobs that were accepted longer ago than this, in ms, are counted.
+  std::optional<Duration> mAge;
   /// Number of jobs without a started task, by queue.
   std::map<std::string, std::uint64_t> mWaiting;
 };
-BOOST_DESCRIBE_STRUCT(PeerWaitingAnswer, (), (mIsOwner, mWaiting))
+BOOST_DESCRIBE_STRUCT(PeerWaitingAnswer, (), (mIsOwner, mAge, mWaiting))
 
 /// Handles a request of another node.
 asio::awaitable<HttpResponse> HandlePeerRequest(NodeContext& aNode,
@@ -39,7 +45,8 @@
                                                 JobId aJob);
 
 /// Queries the owner of a shard for its waiting jobs. `mIsOwner` is false if
-/// the owner is unknown or doesn't answer in time.
+/// the owner is unknown, doesn't answer in time, or doesn't know because its
+/// view of the inbox is too old.
 asio::awaitable<PeerWaitingAnswer> QueryOwnerForWaiting(NodeContext& aNode,
                                                         std::uint32_t aShard);
 
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -42,12 +42,16 @@
 void OnInboxRead(InboxReads& aReads,
                  std::uint64_t aRevision,
                  std::size_t aEvents,
+                 TimePoint aSentAt,
                  TimePoint aNow)
 {
   if (aReads.mReadAt != kNever) {
     aReads.mMaxGap = std::max(aReads.mMaxGap, aNow - aReads.mReadAt);
   }
-  aReads.mRevision = std::max(aReads.mRevision, aRevision);
+  if (aRevision >= aReads.mRevision) {
+    aReads.mRevision = aRevision;
+    aReads.mCompleteAt = std::max(aReads.mCompleteAt, aSentAt);
+  }
   aReads.mReadAt = aNow;
   ++aReads.mReplies;
   aReads.mEvents += aEvents;
@@ -59,18 +63,21 @@
                    TimePoint aNow)
 {
   spdlog::info("shard.inbox shard={} revision={} store_revision={} "
-               "read_ms_ago={} replies={} events={} max_gap_ms={} "
-               "max_loop_delay_ms={} max_plan_ms={}",
+               "read_ms_ago={} complete_ms_ago={} replies={} events={} "
+               "max_gap_ms={} max_loop_delay_ms={} max_plan_ms={}",
                aShard,
                aReads.mRevision,
                aStoreRevision,
                (aNow - aReads.mReadAt).count(),
+               (aNow - aReads.mCompleteAt).count(),
                aReads.mReplies,
                aReads.mEvents,
                aReads.mMaxGap.count(),
                aReads.mMaxLoopDelay.count(),
                aReads.mMaxPlanTime.count());
-  aReads = { .mRevision = aReads.mRevision, .mReadAt = aReads.mReadAt };
+  aReads = { .mRevision = aReads.mRevision,
+             .mReadAt = aReads.mReadAt,
+             .mCompleteAt = aReads.mCompleteAt };
 }
 
 void LogShardLoad(const DispatchShard& aShard, std::uint32_t aNumber)
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -23,6 +23,8 @@
   std::uint64_t mRevision = 0;
   /// Time of the last reply that was applied.
   TimePoint mReadAt{ kNever };
+  /// Whatever the store had accepted before this time has been applied.
+  TimePoint mCompleteAt{ kNever };
   std::uint64_t mReplies = 0;
   std::uint64_t mEvents = 0;
   /// Longest time between two replies, in ms.
@@ -33,10 +35,16 @@
   Duration mMaxPlanTime{ 0 };
 };
 
-/// Adds a reply that contained all events up to `aRevision`.
+/// Adds a reply that contained all events up to `aRevision`. The store answered
+/// between the sending of the call and the arrival of the reply, so only the
+/// time of sending is certain. That holds for a watch that waited in vain, too:
+/// it may have been cut short. A reply of an earlier revision than the one
+/// before proves nothing.
+/// @param aSentAt when the call, or the first of several, was sent
 void OnInboxRead(InboxReads& aReads,
                  std::uint64_t aRevision,
                  std::size_t aEvents,
+                 TimePoint aSentAt,
                  TimePoint aNow);
 
 /// Logs the reads of the inbox and starts the counts and maxima again.
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -16,8 +16,15 @@
 
 /// Pause after a failed watch call.
 constexpr Duration kRetry{ 150 };
-/// Longest wait of one watch call for events.
-constexpr Duration kInboxWatchWait{ 2'000 };
+/// Longest wait of one watch call for events. Until the next call returns, the
+/// inbox is only known to be complete as of the sending of the call before it.
+/// Two waits therefore have to be shorter than the age at which nothing is
+/// answered or decided from the inbox any more, with time left for a slow
+/// store.
+constexpr Duration kInboxWatchWait{ 500 };
+/// Time for the reply of a watch call, in addition to the wait. Thousands of
+/// events may have come since the call before.
+constexpr Duration kInboxReplyTime{ 2'500 };
 /// Number of run numbers of a task that are reserved for each owner of the
 /// shard.
 constexpr std::uint32_t kRunsPerOwnership = 256;
@@ -77,6 +84,7 @@
   if (!hasWorkerSet) {
     co_return false;
   }
+  const TimePoint sentAt = SuspendAwareNow();
   const KvReply inbox =
     co_await ReadAllPages(this->mNode, InboxPrefix(this->mShardNumber));
   if (inbox.mStatus != KvStatus::kOk) {
@@ -103,8 +111,11 @@
       this->ApplyInbox(item);
     }
   }
-  OnInboxRead(
-    this->mInboxReads, inbox.mRevision, inbox.mItems.size(), SuspendAwareNow());
+  OnInboxRead(this->mInboxReads,
+              inbox.mRevision,
+              inbox.mItems.size(),
+              sentAt,
+              SuspendAwareNow());
   const auto self = this->shared_from_this();
   this->Spawn("inbox", [self, revision = inbox.mRevision] {
     return self->WatchInbox(revision);
@@ -183,14 +194,18 @@
 
 asio::awaitable<void> ShardRunner::WatchInbox(std::uint64_t aRevision)
 {
-  KvWatch watch{ InboxPrefix(this->mShardNumber), aRevision, kInboxWatchWait };
+  KvWatch watch{
+    InboxPrefix(this->mShardNumber), aRevision, kInboxWatchWait, kInboxReplyTime
+  };
   while (!this->mIsStopped) {
+    TimePoint sentAt = SuspendAwareNow();
     const KvReply reply = co_await this->mNode.mStore.mWatch(watch);
     UpdateStoreHealth(this->mNode, reply);
     if (this->mIsStopped) {
       co_return;
     }
     if (reply.mStatus == KvStatus::kCompacted) {
+      sentAt = SuspendAwareNow();
       const KvReply all = co_await ReadAllPages(this->mNode, watch.mPrefix);
       const bool isRead = all.mStatus == KvStatus::kOk;
       if (isRead && !this->CheckInboxOwner(all.mItems)) {
@@ -204,6 +219,7 @@
         OnInboxRead(this->mInboxReads,
                     all.mRevision,
                     all.mItems.size(),
+                    sentAt,
                     SuspendAwareNow());
       }
       spdlog::warn("shard.inbox-reread shard={} epoch={} outcome={} items={} "
@@ -222,8 +238,9 @@
       }
       watch.mAfterRevision = std::max(watch.mAfterRevision, reply.mRevision);
       OnInboxRead(this->mInboxReads,
-                  watch.mAfterRevision,
+                  reply.mRevision,
                   reply.mItems.size(),
+                  sentAt,
                   SuspendAwareNow());
     } else {
       co_await Sleep(kRetry);
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -172,6 +172,8 @@
   std::uint64_t mAfterRevision = 0;
   /// Longest time in milliseconds that the service waits for an event.
   Duration mWait{ 0 };
+  /// Longest time in milliseconds that the call may take in addition.
+  Duration mReplyTime{ 1'000 };
 };
 
 /// Functions of the service. A failed call is reported in the reply's status
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -1,5 +1,7 @@
 #include "vcFleet.h"
 
+#include "vcPeers.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -23,6 +25,13 @@
 constexpr std::int64_t kWorkerCpu = 100'000;
 constexpr const char* kHost = "desk.example";
 constexpr const char* kQueuePath = "/q/";
+/// Interval of the questions for the number of waiting jobs.
+constexpr Duration kCountInterval{ 250 };
+/// A number of waiting jobs may leave out jobs that were accepted later.
+constexpr Duration kCountedWithin{ 5'000 };
+/// Cancellations and evacuations take effect within this time.
+constexpr Duration kObeyedWithin{ 3'000 };
+constexpr const char* kEvacuateSouth = "op/evacuate/south";
 /// Callers wait 3 s.
 constexpr Duration kLongestAnswer{ 2'900 };
 
@@ -53,6 +62,7 @@
   {
     this->mStore.mRandom.seed(aOptions.mSeed + 1);
     this->mWorkers.mRandom.seed(aOptions.mSeed + 2);
+    this->mWatchRandom.seed(aOptions.mSeed + 3);
   }
 
   ~Fleet()
@@ -97,15 +107,36 @@
   void At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo);
   void ScheduleFaults();
   void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
+  int DrawForWatches(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast,
+                                              aMost)(this->mWatchRandom);
+  }
+  std::string DrawWatchedPrefix();
+  void ScheduleWatchFault();
+  /// Evacuates a data centre for some seconds.
+  void ScheduleEvacuation(TimePoint aAt);
+  /// Cancels a drawn job that was accepted.
+  void CancelJob();
+  asio::awaitable<void> SendCancellation(NodeContext& aNode, JobId aId);
   void ScheduleNodeFault(TimePoint aAt, TimePoint aEnd);
   void ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd);
   void Step();
+  /// Asks every node for the number of waiting jobs of each shard.
+  void AskForCounts();
+  asio::awaitable<void> CheckCount(NodeContext& aNode, std::uint32_t aShard);
+  /// A calm owner has to know the number, however few jobs come in.
+  void CheckCountIsNotDue(const NodeContext& aNode, std::uint32_t aShard);
+  /// Accepted jobs of a shard that have waited for too long to be left out.
+  std::size_t LongWaiting(std::uint32_t aShard) const;
   void CheckOwners();
   void CheckEnd();
   void Problem(std::string aText);
 
   FleetOptions mOptions;
   std::mt19937_64 mRandom;
+  /// Draws the faults of watches, apart from the other faults.
+  std::mt19937_64 mWatchRandom;
   TimePoint mNow = kStart;
   TimePoint mCalmAt = kStart;
   MemoryStore mStore;
@@ -113,7 +144,9 @@
   std::map<std::string, NodeLife> mLives;
   std::vector<Change> mChanges;
   std::vector<std::string> mJobs;
+  std::map<JobId, TimePoint> mAcceptedAt;
   std::set<std::string> mLasting;
+  std::set<JobId> mCancelled;
   /// Jobs that were refused as not run.
   std::set<std::string> mRefused;
   FleetResult mResult;
@@ -294,6 +327,7 @@
   constexpr int kNotRun = 503;
   if (aStatus == kAccepted) {
     this->mJobs.push_back(aId);
+    this->mAcceptedAt[aId] = this->mNow;
     this->mLasting.insert(aSpec.mSteps[0].mIsLasting ? aId : JobId());
   } else if (aStatus == kNotRun) {
     this->mRefused.insert(aId);
@@ -360,6 +394,85 @@
   }
 }
 
+std::string Fleet::DrawWatchedPrefix()
+{
+  const int shards = static_cast<int>(this->mOptions.mShards);
+  const int drawn = this->DrawForWatches(0, shards);
+  return drawn == shards ? kOperatorKeyPrefix
+                         : InboxPrefix(static_cast<std::uint32_t>(drawn));
+}
+
+void Fleet::ScheduleWatchFault()
+{
+  const std::string prefix = this->DrawWatchedPrefix();
+  const auto faultTime = static_cast<int>(this->mOptions.mFaultTime.count());
+  const TimePoint at =
+    kStart + kQuietStart + Duration(this->DrawForWatches(0, faultTime));
+  const Duration delay(this->DrawForWatches(1'000, 9'000));
+  const TimePoint end = at + Duration(this->DrawForWatches(2'000, 12'000));
+  this->mCalmAt = std::max(this->mCalmAt, end + delay + Duration(2'000));
+  this->At(at, "events of " + prefix + " late", [=, this] {
+    this->mStore.mWatchDelays[prefix] = delay;
+  });
+  this->At(end, "events of " + prefix + " on time", [=, this] {
+    this->mStore.mWatchDelays.erase(prefix);
+  });
+  if (this->mOptions.mHasOnlyWatchFaults) {
+    this->ScheduleEvacuation(at + Duration(this->DrawForWatches(0, 1'000)));
+  }
+}
+
+void Fleet::ScheduleEvacuation(TimePoint aAt)
+{
+  constexpr Duration kEvacuated{ 12'000 };
+  this->mCalmAt = std::max(this->mCalmAt, aAt + kEvacuated);
+  this->At(aAt, "south evacuated", [this] {
+    KvTransaction write;
+    write.mPuts.push_back({ kEvacuateSouth, "{}", 0 });
+    CommitNow(this->mStore, write);
+    this->mWorkers.mNoStartInFrom["south"] = this->mNow + kObeyedWithin;
+  });
+  this->At(aAt + kEvacuated, "evacuation over", [this] {
+    KvTransaction write;
+    write.mDeletes.push_back(kEvacuateSouth);
+    CommitNow(this->mStore, write);
+    this->mWorkers.mNoStartInFrom.erase("south");
+  });
+}
+
+void Fleet::CancelJob()
+{
+  if (this->mJobs.empty()) {
+    return;
+  }
+  // Jobs that came lately may still have starts before them.
+  constexpr int kLately = 12;
+  const int jobs = static_cast<int>(this->mJobs.size());
+  const int drawn = this->DrawForWatches(std::max(0, jobs - kLately), jobs - 1);
+  const JobId id = this->mJobs[static_cast<std::size_t>(drawn)];
+  const auto node = fmt::format(
+    "node-{}",
+    this->DrawForWatches(1, static_cast<int>(this->mOptions.mNodes)));
+  NodeLife& life = this->mLives.at(node);
+  asio::co_spawn(
+    *life.mIo, this->SendCancellation(*life.mNode, id), asio::detached);
+}
+
+asio::awaitable<void> Fleet::SendCancellation(NodeContext& aNode, JobId aId)
+{
+  HttpRequest request;
+  request.mMethod = "DELETE";
+  request.mTarget = kQueuePath + aId;
+  request.mHeaders = { { "Host", kHost } };
+  const HttpResponse response = co_await HandleCallerRequest(aNode, request);
+  constexpr int kAccepted = 200;
+  if (response.mStatus == kAccepted) {
+    this->mCancelled.insert(aId);
+    this->mWorkers.mNoStartOfJobFrom.try_emplace(aId,
+                                                 this->mNow + kObeyedWithin);
+  }
+}
+
 void Fleet::ScheduleNodeFault(TimePoint aAt, TimePoint aEnd)
 {
   const int kind = this->Draw(1, 4);
@@ -456,7 +569,7 @@
 
 void Fleet::ScheduleFaults()
 {
-  const int count = this->Draw(2, 8);
+  const int count = this->mOptions.mHasOnlyWatchFaults ? 0 : this->Draw(2, 8);
   const auto faultTime = static_cast<int>(this->mOptions.mFaultTime.count());
   for (int i = 0; i < count; ++i) {
     const TimePoint at =
@@ -473,6 +586,7 @@
       this->ScheduleWorkerFault(at, end);
     }
   }
+  this->ScheduleWatchFault();
   std::stable_sort(this->mChanges.begin(),
                    this->mChanges.end(),
                    [](const Change& aLeft, const Change& aRight) {
@@ -500,6 +614,66 @@
   }
 }
 
+std::size_t Fleet::LongWaiting(std::uint32_t aShard) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->mAcceptedAt.begin(), this->mAcceptedAt.end(), [&](const auto& aJob) {
+      return ShardOf(aJob.first, this->mOptions.mShards) == aShard &&
+             this->mNow - aJob.second > kCountedWithin &&
+             !this->mCancelled.contains(aJob.first) &&
+             !this->mWorkers.mBegun.contains(aJob.first);
+    }));
+}
+
+void Fleet::CheckCountIsNotDue(const NodeContext& aNode, std::uint32_t aShard)
+{
+  const auto runner = aNode.mRunners.find(aShard);
+  const bool isAtWork = runner != aNode.mRunners.end() &&
+                        runner->second->IsLoaded() &&
+                        !runner->second->IsStopped();
+  if (isAtWork && this->mNow > this->mCalmAt + kOwnedWithin) {
+    this->Problem(fmt::format("{} doesn't know how many jobs of shard {} wait",
+                              aNode.mSettings.mName,
+                              aShard));
+  }
+}
+
+asio::awaitable<void> Fleet::CheckCount(NodeContext& aNode,
+                                        std::uint32_t aShard)
+{
+  HttpRequest request;
+  request.mMethod = "GET";
+  request.mTarget = fmt::format("/peer/waiting/{}", aShard);
+  const HttpResponse response = co_await HandlePeerRequest(aNode, request);
+  const auto answer = TryDecode<PeerWaitingAnswer>(response.mBody);
+  const bool isFact = answer && answer->mIsOwner;
+  if (!isFact) {
+    this->CheckCountIsNotDue(aNode, aShard);
+    co_return;
+  }
+  const auto queue = answer->mWaiting.find(MakeTerms().mQueue);
+  const std::size_t counted =
+    queue == answer->mWaiting.end() ? 0 : queue->second;
+  const std::size_t waiting = this->LongWaiting(aShard);
+  if (2 * counted < waiting) {
+    this->Problem(fmt::format("{} says that {} jobs of shard {} wait; {} do",
+                              aNode.mSettings.mName,
+                              counted,
+                              aShard,
+                              waiting));
+  }
+}
+
+void Fleet::AskForCounts()
+{
+  for (auto& [name, life] : this->mLives) {
+    for (std::uint32_t shard = 0; shard < this->mOptions.mShards; ++shard) {
+      asio::co_spawn(
+        *life.mIo, this->CheckCount(*life.mNode, shard), asio::detached);
+    }
+  }
+}
+
 void Fleet::CheckOwners()
 {
   for (std::uint32_t shard = 0; shard < this->mOptions.mShards; ++shard) {
@@ -541,7 +715,7 @@
     }
   }
   for (const auto& id : this->mJobs) {
-    if (this->mLasting.contains(id)) {
+    if (this->mLasting.contains(id) || this->mCancelled.contains(id)) {
       continue;
     }
     const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
@@ -555,7 +729,8 @@
     }
   }
   for (const auto& [task, plan] : this->mWorkers.mPlans) {
-    const bool isOwed = plan.mIsLasting && this->mLasting.contains(task.mJob);
+    const bool isOwed = plan.mIsLasting && this->mLasting.contains(task.mJob) &&
+                        !this->mCancelled.contains(task.mJob);
     if (isOwed && this->mWorkers.mRunning[task].empty()) {
       this->Problem(Describe(task) + " doesn't run");
     }
@@ -573,12 +748,20 @@
   const TimePoint lastJob = this->mCalmAt;
   const TimePoint owned = this->mCalmAt + kOwnedWithin;
   TimePoint nextJob = kStart + kQuietStart;
+  TimePoint nextCount = nextJob;
   bool isChecked = false;
   while (this->mNow < end) {
     this->Step();
     if (this->mNow >= nextJob && this->mNow < lastJob) {
       nextJob += kJobInterval;
       this->SubmitJob();
+      if (this->mOptions.mHasOnlyWatchFaults) {
+        this->CancelJob();
+      }
+    }
+    if (this->mNow >= nextCount) {
+      nextCount += kCountInterval;
+      this->AskForCounts();
     }
     if (!isChecked && this->mNow >= owned) {
       isChecked = true;
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -31,6 +31,9 @@
   std::uint32_t mWorkers = 6;
   /// Time in which faults begin.
   Duration mFaultTime{ 25'000 };
+  /// The only faults are late events of watches. Every node then is in touch
+  /// all the time, and cancellations and evacuations have to take effect.
+  bool mHasOnlyWatchFaults = false;
   /// Time after the last fault has ended.
   Duration mCalmTime{ 22'000 };
 };
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -28,7 +28,10 @@
   }
 }
 
-int PlaySeeds(std::uint64_t aFirst, std::uint64_t aLast, unsigned aThreads)
+int PlaySeeds(std::uint64_t aFirst,
+              std::uint64_t aLast,
+              unsigned aThreads,
+              bool aHasOnlyWatchFaults)
 {
   std::atomic<std::uint64_t> next{ aFirst };
   std::atomic<std::uint64_t> failed{ 0 };
@@ -37,6 +40,7 @@
     for (auto seed = next++; seed <= aLast; seed = next++) {
       FleetOptions options;
       options.mSeed = seed;
+      options.mHasOnlyWatchFaults = aHasOnlyWatchFaults;
       const FleetResult result = PlayFleet(options);
       if (!result.mProblems.empty()) {
         ++failed;
@@ -68,6 +72,7 @@
   add("threads",
       "seeds played at a time",
       cxxopts::value<unsigned>()->default_value("4"));
+  add("watches", "no other faults than late events of watches");
   add("log", "print the nodes' logs");
   add("help", "print this help and exit");
   try {
@@ -83,7 +88,10 @@
     const std::uint64_t first = std::stoull(seeds);
     const std::uint64_t last =
       dots == std::string::npos ? first : std::stoull(seeds.substr(dots + 2));
-    return PlaySeeds(first, last, parsed["threads"].as<unsigned>());
+    return PlaySeeds(first,
+                     last,
+                     parsed["threads"].as<unsigned>(),
+                     parsed.count("watches") > 0);
   } catch (const std::exception& error) {
     std::cerr << "vcFleet: " << error.what() << "\n";
     return 2;
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -143,6 +143,12 @@
   co_return KvReply{};
 }
 
+Duration WatchDelay(const MemoryStore& aStore, const std::string& aPrefix)
+{
+  const auto found = aStore.mWatchDelays.find(aPrefix);
+  return found == aStore.mWatchDelays.end() ? Duration(0) : found->second;
+}
+
 asio::awaitable<KvReply> Watch(MemoryStore& aStore,
                                std::string aCaller,
                                KvWatch aWatch)
@@ -157,6 +163,8 @@
     const bool isDone = reply.mStatus != KvStatus::kOk ||
                         !reply.mItems.empty() || SuspendAwareNow() >= until;
     if (isDone) {
+      const bool isLate = !reply.mItems.empty();
+      co_await Sleep(isLate ? WatchDelay(aStore, aWatch.mPrefix) : Duration(0));
       co_return reply;
     }
     co_await Sleep(kWatchPoll);
--- a/Tests/Fleet/vcFleetStore.h
+++ b/Tests/Fleet/vcFleetStore.h
@@ -56,6 +56,9 @@
   /// Such a write is done seconds later, if its condition still holds.
   bool mIsLostLate = false;
   Duration mDelay{ 3 };
+  /// Time in ms by which the events of a watch are late, by the watch's prefix.
+  /// A watch without events isn't late.
+  std::map<std::string, Duration> mWatchDelays;
   /// So many answers that nobody foresaw come next.
   int mMalformedNext = 0;
 };
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -81,6 +81,7 @@
     aFleet.mRepeated.insert({ aOrder.mTask, run });
   }
   places.insert(aWorker.mName);
+  aFleet.mBegun.insert(aOrder.mTask.mJob);
   const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
   MemoryRun run;
   run.mRun = aOrder.mRun;
@@ -101,6 +102,30 @@
   return share(aFleet.mRandom) < aWorker.mLateShare;
 }
 
+/// True if `aFrom` has a time for `aKey` and it has come.
+bool IsForbidden(const std::map<std::string, TimePoint>& aFrom,
+                 const std::string& aKey)
+{
+  const auto found = aFrom.find(aKey);
+  return found != aFrom.end() && SuspendAwareNow() >= found->second;
+}
+
+void CheckStart(MemoryFleet& aFleet,
+                const MemoryWorker& aWorker,
+                const StartOrder& aOrder)
+{
+  const std::string text = fmt::format("{} ms: {} starts on {}",
+                                       SuspendAwareNow().count(),
+                                       Describe(aOrder.mTask),
+                                       aWorker.mName);
+  if (IsForbidden(aFleet.mNoStartOfJobFrom, aOrder.mTask.mJob)) {
+    aFleet.mProblems.push_back(text + " though its job is cancelled");
+  }
+  if (IsForbidden(aFleet.mNoStartInFrom, aWorker.mDataCentre)) {
+    aFleet.mProblems.push_back(text + " in an evacuation");
+  }
+}
+
 asio::awaitable<OrderReply> Start(MemoryFleet& aFleet,
                                   std::string aCaller,
                                   WorkerAddress aTo,
@@ -122,6 +147,9 @@
   const TimePoint now = SuspendAwareNow();
   OrderReply reply;
   reply.mOutcome = StartRun(aFleet, worker, aOrder, now);
+  if (reply.mOutcome == OrderOutcome::kDone) {
+    CheckStart(aFleet, worker, aOrder);
+  }
   reply.mClock = ClockOf(worker, now);
   co_return reply;
 }
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -71,6 +71,13 @@
   std::set<std::pair<TaskId, std::uint32_t>> mRepeated;
   /// Ends `done` that were acknowledged.
   std::set<std::pair<TaskId, std::uint32_t>> mAcknowledged;
+  /// Time from which no start of a job may be sent: its cancellation took
+  /// effect.
+  std::map<JobId, TimePoint> mNoStartOfJobFrom;
+  /// Time from which no start may be sent to a data centre's workers.
+  std::map<std::string, TimePoint> mNoStartInFrom;
+  /// Jobs of which a task has started.
+  std::set<JobId> mBegun;
   std::vector<std::string> mProblems;
 };
 
