Dispatch: Count a job as started once a worker has started it

Cause: Assign made a job running when its start was planned. A job whose only starts were refused, late or lost left the number of waiting jobs for good.

Change: a job is running from the moment a worker confirms a start, or lists a run or an end of a task of it. An order alone changes nothing, so nothing has to be taken back. A job whose start was carried out without an answer waits until the next report.

Ruled out: a second flag beside the state; queued and running are told apart nowhere else in the core.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -301,6 +301,7 @@
                aWorker.mEntry.mWorker,
                NameOf(aEnd.mRunEnd),
                (aNow - task->mStartOrderedAt).count());
+  MarkStarted(job);
   job.mIsDirty = job.mIsDirty || !job.mIsFinalStored;
   if (aEnd.mRunEnd == RunEnd::kDone && !isLongRunning) {
     aWorker.mFailedJobs.clear();
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -89,8 +89,12 @@
   worker.mTasks.insert(aKey);
   CountNeeds(worker, StepOf(job, aKey), 1);
   ++job.mActiveRuns;
-  if (job.mState == BatchState::kQueued) {
-    job.mState = BatchState::kRunning;
+}
+
+void MarkStarted(DispatchJob& aJob)
+{
+  if (aJob.mState == BatchState::kQueued) {
+    aJob.mState = BatchState::kRunning;
   }
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -330,6 +330,10 @@
             const std::string& aWorker,
             std::uint32_t aRun);
 
+/// Marks the job as running: a worker has started one of its tasks. An order
+/// alone doesn't count, since it may be refused or lost.
+void MarkStarted(DispatchJob& aJob);
+
 /// Removes the task's run from its worker, frees the capacity there and sets
 /// the task's phase.
 void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase);
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -87,6 +87,7 @@
     return;
   }
   DispatchJob& job = aShard.mJobs.at(key.mJob);
+  MarkStarted(job);
   const bool isAssignedHere = task->mWorker == aWorker.mEntry.mWorker;
   if (isAssignedHere && task->mRun == aRow.mRun) {
     if (task->mPhase == RunPhase::kStarting) {
@@ -367,6 +368,7 @@
     return;
   }
   if (aReply.mOutcome == OrderOutcome::kDone) {
+    MarkStarted(aShard.mJobs.at(key.mJob));
     if (task->mPhase == RunPhase::kStarting) {
       task->mPhase = RunPhase::kRunning;
       task->mConfirmedAt = aNow;
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -280,6 +280,60 @@
   CHECK(fixture.Plan().mStarts.size() == 1);
 }
 
+/// A worker that gets a start and doesn't run it must not make its job look
+/// started.
+TEST_CASE("a job waits until a worker has started one of its tasks",
+          "[dispatch]")
+{
+  struct Row
+  {
+    OrderOutcome mOutcome;
+    BatchState mState;
+  };
+  const auto row = GENERATE(
+    values<Row>({ { OrderOutcome::kDone, BatchState::kRunning },
+                  { OrderOutcome::kUnknown, BatchState::kQueued },
+                  { OrderOutcome::kOtherIncarnation, BatchState::kQueued },
+                  { OrderOutcome::kNoRoom, BatchState::kQueued },
+                  { OrderOutcome::kLate, BatchState::kQueued } }));
+  Fixture fixture({ "w1" });
+  fixture.Add(1);
+  CHECK(fixture.Job().mState == BatchState::kQueued);
+  const auto actions = fixture.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  CHECK(fixture.Job().mState == BatchState::kQueued);
+  const OrderReply reply{ row.mOutcome, 0 };
+  OnStartReply(
+    fixture.mShard, "w1", actions.mStarts[0].mOrder, reply, fixture.mNow);
+  CHECK(fixture.Job().mState == row.mState);
+}
+
+/// The answer to a start may be lost while its task runs or ends.
+TEST_CASE("a job has started once a worker lists a task of it", "[dispatch]")
+{
+  struct Row
+  {
+    bool mIsOrdered;
+    bool mIsEnded;
+  };
+  const auto row = GENERATE(values<Row>(
+    { { true, false }, { true, true }, { false, false }, { false, true } }));
+  Fixture fixture({ "w1" });
+  fixture.Add(2, 5);
+  if (row.mIsOrdered) {
+    const auto actions = fixture.Plan();
+    OnStartReply(
+      fixture.mShard, "w1", actions.mStarts[0].mOrder, {}, fixture.mNow);
+  }
+  CHECK(fixture.Job().mState == BatchState::kQueued);
+  if (row.mIsEnded) {
+    fixture.Report("w1", {}, { MakeEnd(1, 1, RunEnd::kFailed) });
+  } else {
+    fixture.Report("w1", { MakeRunning(1) }, {});
+  }
+  CHECK(fixture.Job().mState == BatchState::kRunning);
+}
+
 TEST_CASE("a silent worker keeps its tasks until its lease has ended",
           "[dispatch]")
 {
