--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -33,6 +33,9 @@
   kRelease,
   /// A release amid faults, in which some workers go on instead of leaving.
   kReleaseAmidFaults,
+  /// The only faults are late events of watches. Every node then is in touch
+  /// all the time, and cancellations and evacuations have to take effect.
+  kWatches,
 };
 
 template<>
@@ -42,6 +45,7 @@
     { FleetPlay::kFaults, "faults" },
     { FleetPlay::kRelease, "release" },
     { FleetPlay::kReleaseAmidFaults, "release-amid-faults" },
+    { FleetPlay::kWatches, "watches" },
   });
 };
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -22,7 +22,8 @@
   Tests/Unit/vcTestMain.cxx Tests/Unit/vcCodecTest.cxx
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
   Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
-  Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx)
+  Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
+  Tests/Unit/vcViewsTest.cxx)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
   vcBurn vcDispatch vcNode vcSitePlatform)
 add_test(NAME unit COMMAND vcUnitTests)
@@ -79,13 +80,14 @@
 # Guards against a write of progress with more entries than the store takes,
 # while many jobs of one shard end.
 add_test(NAME fleet_many_jobs_end_at_once
-  COMMAND vcFleet --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
+  COMMAND vcFleet --play faults --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
 set_tests_properties(fleet_many_jobs_end_at_once PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
 # Guards against a hand-over with more entries than the store takes, when a node
 # leaves that owns many shards.
 add_test(NAME fleet_leaving_node_owns_many_shards
-  COMMAND vcFleet --seeds 1..20 --nodes 2 --shards 24 --workers 240 --threads 6)
+  COMMAND vcFleet --play faults --seeds 1..20 --nodes 2 --shards 24
+    --workers 240 --threads 6)
 set_tests_properties(fleet_leaving_node_owns_many_shards PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
 
