Node: Take a rejected call for an answer of the store

Cause: the adapter translated 400 and 403 into kRefused, the status of a call that wasn't sent or found the store closed. A rejected call so counted as the store lost (`dependency.lost`), counted towards IsStoreDown, was made again by a peer, and was explained to the caller by a store that can't be reached.

Change: KvStatus::kRejected: the store has answered, the call certainly had no effect, and the same call is rejected again. UpdateStoreHealth and ReadWithRelay take it for an answer; CommitWithRelay doesn't relay it; a claim that was rejected isn't looked up; a job or a cancellation is answered with 503 "the store rejected the write" at once, without a time to retry, or with 504 if an earlier attempt to store the job has an unknown outcome. MonitorStore logs `store.rejected` as an error with the call, the key and the store's reason, and counts the outcome in the metrics. The store of the fleet test answers kRejected. A read that fails is explained by "can't be read", which is true of a rejected one as well.

Ruled out: 400 to the caller. The protocol knows no such answer; only 429 and 503 say that a job never runs.

--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -32,6 +32,16 @@
   return response;
 }
 
+/// Response to a write that certainly had no effect.
+/// @param aOutcome `kRefused` or `kRejected`
+HttpResponse TurnedDownResponse(std::string_view aSpreadKey, KvStatus aOutcome)
+{
+  // The same write would be rejected again, so no time to retry is given.
+  return aOutcome == KvStatus::kRejected
+           ? ErrorResponse(503, "the store rejected the write")
+           : NotAcceptedResponse(aSpreadKey, "the store can't be reached");
+}
+
 /// Response to a write whose outcome is unknown.
 HttpResponse OutcomeUnknownResponse()
 {
@@ -49,14 +59,14 @@
 };
 
 /// Stores a job unless it is stored already.
-/// @return `kOk`, `kRefused` if the job is certainly not stored, or `kUnknown`
+/// @return `kOk`, `kRefused` or `kRejected` if the job is certainly not stored,
+/// or `kUnknown`
 asio::awaitable<KvStatus> StoreJob(NodeContext& aNode,
                                    std::uint32_t aShard,
                                    JobId aJob,
                                    KvTransaction aWrite)
 {
   const TimePoint since = SuspendAwareNow();
-  KvStatus outcome = KvStatus::kRefused;
   for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
     const KvReply reply = co_await CommitWithRelay(aNode, aWrite);
     // A conflict means that the job is stored already; it isn't stored twice.
@@ -65,10 +75,10 @@
     if (isStored) {
       co_return KvStatus::kOk;
     }
-    if (reply.mStatus == KvStatus::kRefused) {
-      break;
+    if (IsTurnedDown(reply.mStatus)) {
+      // An earlier attempt, of unknown outcome, may still take effect.
+      co_return attempt == 0 ? reply.mStatus : KvStatus::kUnknown;
     }
-    outcome = KvStatus::kUnknown;
     const KvReply stored =
       co_await aNode.mStore.mRead(InboxJobKey(aShard, aJob));
     UpdateStoreHealth(aNode, stored);
@@ -79,7 +89,7 @@
       break;
     }
   }
-  co_return outcome;
+  co_return KvStatus::kUnknown;
 }
 
 /// Decodes and stores a job in the inbox of its shard.
@@ -104,7 +114,8 @@
     case KvStatus::kOk:
       co_return JsonResponse("{}");
     case KvStatus::kRefused:
-      co_return NotAcceptedResponse(id, "the store can't be reached");
+    case KvStatus::kRejected:
+      co_return TurnedDownResponse(id, outcome);
     default:
       co_return OutcomeUnknownResponse();
   }
@@ -163,7 +174,7 @@
   const StoredJob stored = co_await ReadJob(aNode, aJob);
   if (!stored.mIsRead) {
     co_return NotAcceptedResponse(
-      aJob, "neither the owner nor the store can be reached");
+      aJob, "neither the owner nor the store can be read");
   }
   if (!stored.mIsKnown) {
     co_return ErrorResponse(410, "no such job");
@@ -181,7 +192,7 @@
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
     const StoredJob stored = co_await ReadJob(aNode, aJob);
     if (!stored.mIsRead) {
-      co_return NotAcceptedResponse(aJob, "the store can't be reached");
+      co_return NotAcceptedResponse(aJob, "the store can't be read");
     }
     if (!stored.mIsKnown) {
       co_return ErrorResponse(410, "no such job");
@@ -196,8 +207,8 @@
     if (reply.mStatus == KvStatus::kOk) {
       co_return JsonResponse("{}");
     }
-    if (reply.mStatus == KvStatus::kRefused) {
-      co_return NotAcceptedResponse(aJob, "the store can't be reached");
+    if (IsTurnedDown(reply.mStatus)) {
+      co_return TurnedDownResponse(aJob, reply.mStatus);
     }
   }
   co_return OutcomeUnknownResponse();
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -295,7 +295,7 @@
                reply.mRevision);
   if (reply.mStatus == KvStatus::kOk) {
     aNode.mOwners[aShard] = { owner, reply.mRevision, aLease };
-  } else if (reply.mStatus != KvStatus::kRefused) {
+  } else if (!IsTurnedDown(reply.mStatus)) {
     // After a conflict or a lost reply, the record shows who owns the shard.
     co_await ReadOwner(aNode, aShard);
   }
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -82,9 +82,7 @@
 void UpdateStoreHealth(NodeContext& aNode, const KvReply& aReply)
 {
   const TimePoint now = SuspendAwareNow();
-  const bool isAnswer = aReply.mStatus != KvStatus::kRefused &&
-                        aReply.mStatus != KvStatus::kUnknown;
-  if (!isAnswer) {
+  if (!IsAnswered(aReply.mStatus)) {
     if (aNode.mStoreFailedAt == kNever) {
       aNode.mStoreFailedAt = now;
       spdlog::warn("dependency.lost name=store outcome={} last_reply_ms_ago={}",
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -260,9 +260,7 @@
     reply = co_await aNode.mStore.mRead(aKey);
     UpdateStoreHealth(aNode, reply);
   }
-  const bool isAnswer =
-    reply.mStatus != KvStatus::kRefused && reply.mStatus != KvStatus::kUnknown;
-  if (!isAnswer) {
+  if (!IsAnswered(reply.mStatus)) {
     reply = co_await Relay(aNode, kReadPath, std::move(aKey));
   }
   co_return reply;
--- a/Source/Node/vcPeers.h
+++ b/Source/Node/vcPeers.h
@@ -44,8 +44,9 @@
                                                         std::uint32_t aShard);
 
 /// Commits a transaction, directly or, if the store can't be reached or refuses
-/// the call, through a peer. `kRefused` means that the transaction was
-/// certainly not applied, also if it was relayed.
+/// the call, through a peer. `kRefused` and `kRejected` mean that the
+/// transaction was certainly not applied, also if it was relayed. A rejected
+/// one is not relayed, since the store would reject it again.
 asio::awaitable<KvReply> CommitWithRelay(NodeContext& aNode,
                                          KvTransaction aTransaction);
 
--- a/Source/Node/vcStoreMonitor.cxx
+++ b/Source/Node/vcStoreMonitor.cxx
@@ -28,10 +28,16 @@
              const KvReply& aReply,
              Duration aElapsed)
 {
-  const bool isAnswered = aReply.mStatus == KvStatus::kOk ||
-                          aReply.mStatus == KvStatus::kConflict ||
-                          aReply.mStatus == KvStatus::kNotFound;
-  if (isAnswered && aElapsed <= aCall.mWait + kSlowCall) {
+  if (aReply.mStatus == KvStatus::kRejected) {
+    spdlog::error("store.rejected call={} key={} error={}",
+                  NameOf(aCall.mCall),
+                  aCall.mKey,
+                  aReply.mReason);
+  }
+  const bool isUsable = aReply.mStatus == KvStatus::kOk ||
+                        aReply.mStatus == KvStatus::kConflict ||
+                        aReply.mStatus == KvStatus::kNotFound;
+  if (isUsable && aElapsed <= aCall.mWait + kSlowCall) {
     return;
   }
   spdlog::info("store.call call={} key={} after_revision={} outcome={} "
--- a/Source/Node/vcStoreMonitor.h
+++ b/Source/Node/vcStoreMonitor.h
@@ -50,8 +50,9 @@
 using StoreStats = std::array<KvCallStats, EnumTable<KvCall>::kRows.size()>;
 
 /// Wraps the functions of a store. Each call is counted and timed in `aStats`,
-/// and logged as `store.call` if it failed or was slow. `aStats` has to outlive
-/// the returned store.
+/// and logged as `store.call` if it failed or was slow. A rejected call is also
+/// logged as the error `store.rejected`. `aStats` has to outlive the returned
+/// store.
 KeyValueStore MonitorStore(KeyValueStore aStore, StoreStats& aStats);
 
 } // namespace verbenacroft
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -22,8 +22,12 @@
   kConflict,
   /// The key or the lease does not exist.
   kNotFound,
-  /// The call was rejected and certainly had no effect.
+  /// The call was not sent, or the service is too busy or closed to this
+  /// caller. It certainly had no effect; another node may succeed.
   kRefused,
+  /// The service answered that the call is invalid or not allowed. It certainly
+  /// had no effect, and the same call is rejected again, whoever makes it.
+  kRejected,
   /// The service no longer keeps the revisions that a watch asks for; the
   /// caller must read the current state again.
   kCompacted,
@@ -39,11 +43,26 @@
     { KvStatus::kConflict, "conflict" },
     { KvStatus::kNotFound, "not-found" },
     { KvStatus::kRefused, "refused" },
+    { KvStatus::kRejected, "rejected" },
     { KvStatus::kCompacted, "compacted" },
     { KvStatus::kUnknown, "unknown" },
   });
 };
 
+/// True if the service has answered, so that it is reached: the call was
+/// carried out, or the service says why it can't be.
+inline bool IsAnswered(KvStatus aStatus)
+{
+  return aStatus != KvStatus::kRefused && aStatus != KvStatus::kUnknown;
+}
+
+/// True if a write was turned down without a look at its conditions. It
+/// certainly had no effect.
+inline bool IsTurnedDown(KvStatus aStatus)
+{
+  return aStatus == KvStatus::kRefused || aStatus == KvStatus::kRejected;
+}
+
 /// Identifier of a lease that the store has granted. It is never 0, so that a
 /// record that must be removed when its writer fails cannot be written without
 /// a lease.
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -155,7 +155,7 @@
   const auto rejection = RejectionOf(aWrite);
   if (rejection) {
     NoteRejectedWrite(aStore, aCaller, *rejection);
-    co_return Answer(aStore, KvStatus::kRefused);
+    co_return Answer(aStore, KvStatus::kRejected);
   }
   if (!IsLost(aStore)) {
     co_return CommitNow(aStore, aWrite);
