Node: Start no task from an old view of cancellations and evacuations

Change: the operators' items and the system records, like the inbox, have a time as of which they are known to be complete (also on the metrics page, verbenacroft_view_age_ms). Nothing starts while the inbox or the operators' items were complete over 2.5 s ago, unless the store is down or was 2.5 s ago: then nobody can cancel or evacuate, and the watches need a moment to go on.

Ruled out: the same for the workers' entries.

Price: a store that takes over 0.75 s for each answer makes an idle shard look old at times, which delays starts.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -426,10 +426,12 @@
 asio::awaitable<void> ApplyWatchEvents(NodeContext& aNode,
                                        KvWatch aWatch,
                                        TimePoint aUntil,
-                                       ItemHandler aApply)
+                                       ItemHandler aApply,
+                                       TimePoint& aCompleteAt)
 {
   bool isCurrent = true;
   while (isCurrent && SuspendAwareNow() < aUntil) {
+    const TimePoint sentAt = SuspendAwareNow();
     const KvReply reply = co_await aNode.mStore.mWatch(aWatch);
     UpdateStoreHealth(aNode, reply);
     isCurrent = reply.mStatus != KvStatus::kCompacted;
@@ -437,6 +439,8 @@
       for (const auto& item : reply.mItems) {
         aApply(aNode, item);
       }
+      const bool isComplete = reply.mRevision >= aWatch.mAfterRevision;
+      aCompleteAt = isComplete ? sentAt : aCompleteAt;
       aWatch.mAfterRevision = std::max(aWatch.mAfterRevision, reply.mRevision);
     } else {
       co_await Sleep(kRetry);
@@ -511,6 +515,7 @@
 asio::awaitable<void> WatchSystemRecords(NodeContext& aNode)
 {
   while (true) {
+    const TimePoint sentAt = SuspendAwareNow();
     const KvReply all = co_await ReadAllPages(aNode, kSystemPrefix);
     if (all.mStatus != KvStatus::kOk) {
       co_await Sleep(kRetry);
@@ -525,9 +530,13 @@
     for (const auto& item : all.mItems) {
       ApplySystemItem(aNode, item);
     }
+    aNode.mSystemCompleteAt = sentAt;
     const KvWatch watch{ kSystemPrefix, all.mRevision, kSystemWatchWait };
-    co_await ApplyWatchEvents(
-      aNode, watch, SuspendAwareNow() + kFullReadInterval, ApplySystemItem);
+    co_await ApplyWatchEvents(aNode,
+                              watch,
+                              SuspendAwareNow() + kFullReadInterval,
+                              ApplySystemItem,
+                              aNode.mSystemCompleteAt);
   }
 }
 
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -64,9 +64,12 @@
 
 /// Passes the events of a watch to `aApply` until `aUntil`, or until the store
 /// has compacted the history that the watch needs.
+/// @param aCompleteAt set to the time at which the call was sent whose events
+/// were applied last
 asio::awaitable<void> ApplyWatchEvents(NodeContext& aNode,
                                        KvWatch aWatch,
                                        TimePoint aUntil,
-                                       ItemHandler aApply);
+                                       ItemHandler aApply,
+                                       TimePoint& aCompleteAt);
 
 } // namespace verbenacroft
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -135,12 +135,17 @@
 
   /// Empty until the first configuration or evacuation is read.
   std::optional<OperatorState> mOperators;
+  /// Whatever operators had written before this time has been applied.
+  TimePoint mOperatorsCompleteAt{ kNever };
   /// Live nodes by name, this one included.
   std::map<std::string, NodeRecord> mNodes;
   /// Owners by shard number.
   std::map<std::uint32_t, ShardOwner> mOwners;
   /// Number of shards; 0 until the layout is known.
   std::uint32_t mShards = 0;
+  /// Whatever was written to the system records (nodes, owners and the number
+  /// of shards) before this time has been applied.
+  TimePoint mSystemCompleteAt{ kNever };
   /// Runners of the shards that this node owns, by shard number.
   std::map<std::uint32_t, std::shared_ptr<ShardRunner>> mRunners;
 
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -124,6 +124,14 @@
                 static_cast<double>(aNode.mCounters.mTakeovers));
   CollectStoreCalls(aNode.mStoreStats, aPage);
   const TimePoint now = SuspendAwareNow();
+  const auto viewAge = [&](const char* aView, TimePoint aCompleteAt) {
+    aPage.Gauge("verbenacroft_view_age_ms",
+                "Time since a view of the store was last known to be complete.",
+                static_cast<double>((now - aCompleteAt).count()),
+                { { "view", aView } });
+  };
+  viewAge("operators", aNode.mOperatorsCompleteAt);
+  viewAge("system", aNode.mSystemCompleteAt);
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
     aPage.Gauge(
--- a/Source/Node/vcOperatorWatch.cxx
+++ b/Source/Node/vcOperatorWatch.cxx
@@ -12,8 +12,9 @@
 constexpr Duration kRetry{ 150 };
 /// Longest wait of one watch call. It is shorter than the time within which a
 /// configuration must take effect, so that one unanswered watch call doesn't
-/// use up that time.
-constexpr Duration kWatchWait{ 700 };
+/// use up that time. Two waits are well below the age at which nothing is
+/// answered or decided from the operators' items any more.
+constexpr Duration kWatchWait{ 500 };
 /// Interval of complete reads, in case a watch event was missed.
 constexpr Duration kFullReadInterval{ 5'000 };
 
@@ -78,6 +79,7 @@
 asio::awaitable<void> WatchOperatorItems(NodeContext& aNode)
 {
   while (true) {
+    const TimePoint sentAt = SuspendAwareNow();
     const KvReply all =
       co_await ReadAllPages(aNode, aNode.mCodec.mOperatorsPrefix);
     if (all.mStatus != KvStatus::kOk) {
@@ -95,11 +97,15 @@
     if (aNode.mOperators) {
       aNode.mOperators->mEvacuated = std::move(evacuated);
     }
+    aNode.mOperatorsCompleteAt = sentAt;
     const KvWatch watch{ aNode.mCodec.mOperatorsPrefix,
                          all.mRevision,
                          kWatchWait };
-    co_await ApplyWatchEvents(
-      aNode, watch, SuspendAwareNow() + kFullReadInterval, ApplyOperatorItem);
+    co_await ApplyWatchEvents(aNode,
+                              watch,
+                              SuspendAwareNow() + kFullReadInterval,
+                              ApplyOperatorItem,
+                              aNode.mOperatorsCompleteAt);
   }
 }
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -23,6 +23,9 @@
 /// The delay is at least this multiple of the duration of the last planning, so
 /// that enough time remains to process reports.
 constexpr int kMinPlanDelayFactor = 3;
+/// Maximum age of the inbox and of the operators' items when a task is started:
+/// cancellations and evacuations have to take effect within 3 s.
+constexpr Duration kMaxOrdersAge{ 2'500 };
 /// How long a worker may wait for the end of a task before it reports.
 constexpr Duration kReportWait{ 1'000 };
 /// Shorter wait for a report while a serving task on the worker is close to its
@@ -176,9 +179,22 @@
   return hasUnrecordedEnds ? kUnrecordedPause : kReportPause;
 }
 
+bool ShardRunner::KnowsRecentOrders(TimePoint aNow)
+{
+  // While the store is down nobody can cancel or evacuate. Afterwards the
+  // watches take some time to go on.
+  if (IsStoreDown(this->mNode, aNow)) {
+    this->mStoreDownAt = aNow;
+  }
+  const TimePoint completeAt =
+    std::min(this->mInboxReads.mCompleteAt, this->mNode.mOperatorsCompleteAt);
+  return aNow - std::max(completeAt, this->mStoreDownAt) <= kMaxOrdersAge;
+}
+
 void ShardRunner::CopyNodeStateToShard(TimePoint aNow)
 {
-  this->mShard.mMayStart = MayStartTasks(this->mNode, aNow);
+  this->mShard.mMayStart =
+    MayStartTasks(this->mNode, aNow) && this->KnowsRecentOrders(aNow);
   this->mShard.mIsLeaseProved =
     !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -169,6 +169,9 @@
   void StartSenders(const std::string& aWorker);
   /// Sends the queued orders of a worker until none is left.
   asio::awaitable<void> SendOrders(std::string aWorker);
+  /// True if the shard knows all cancellations and evacuations that were
+  /// acknowledged until lately, or couldn't because the store was down.
+  bool KnowsRecentOrders(TimePoint aNow);
   /// Copies the state of the lease and the evacuations from the node to the
   /// core.
   void CopyNodeStateToShard(TimePoint aNow);
@@ -185,6 +188,8 @@
   /// Workers whose leases are being renewed.
   std::set<std::string> mPolledWorkers;
   InboxReads mInboxReads;
+  /// When the store was last seen to be down.
+  TimePoint mStoreDownAt{ kNever };
   bool mIsStopped = false;
   bool mIsLoaded = false;
   bool mIsPlanningScheduled = false;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -66,6 +66,9 @@
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
 add_test(NAME fleet_random_faults COMMAND vcFleet --seeds 1..250 --threads 6)
+add_test(NAME fleet_late_watches
+  COMMAND vcFleet --watches --seeds 1..100 --threads 6)
+set_tests_properties(fleet_late_watches PROPERTIES TIMEOUT 600 PROCESSORS 6)
 set_tests_properties(fleet_random_faults PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
 
