Node: Don't deny a queue from an old configuration

Cause: a node whose view of the operators' items lags answered 404 for a queue that had been added meanwhile, however old its configuration was.

Change: 404 needs operators' items that were complete at most 2 s ago, the shortest time within which a configuration has to take effect; else the answer is 503 with Retry-After, as before the first configuration.

Ruled out for now: 503 for jobs and counts of a queue that may be gone. Nodes that the store turns away accept jobs through peers, and would refuse these.

--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -15,6 +15,10 @@
 /// No attempt begins later than this after the first one, so that the caller
 /// still receives the outcome.
 constexpr Duration kLastAttemptWithin{ 300 };
+/// A queue is only said not to exist if the operators' items are known to be
+/// complete as of at most this long ago: a configuration has to take effect
+/// within 2 s.
+constexpr Duration kMaxConfigAge{ 2'000 };
 /// Retries of refused callers are spread over this many seconds, so that
 /// callers that were refused at the same time don't retry at the same time.
 constexpr std::uint64_t kRetrySpreadSeconds = 2;
@@ -249,6 +253,16 @@
   co_return ErrorResponse(405, "GET, POST or DELETE");
 }
 
+/// Response to a request for a queue that the node doesn't know.
+HttpResponse UnknownQueueResponse(const NodeContext& aNode,
+                                  std::string_view aPath)
+{
+  const Duration age = SuspendAwareNow() - aNode.mOperatorsCompleteAt;
+  return age > kMaxConfigAge
+           ? NotAcceptedResponse(aPath, "the configuration may have changed")
+           : ErrorResponse(404, "no such queue");
+}
+
 /// Adds a response to the metrics.
 void CountResponse(NodeContext& aNode,
                    const std::string& aMethod,
@@ -279,7 +293,7 @@
     const QueueConfig* queue = FindQueue(
       aNode.mOperators->mConfig, FindHeader(aRequest.mHeaders, "Host"), path);
     if (queue == nullptr) {
-      response = ErrorResponse(404, "no such queue");
+      response = UnknownQueueResponse(aNode, path);
     } else {
       request.mBody = aRequest.mBody;
       request.mSubpath = path.substr(queue->mPathPrefix.size());
--- a/Tests/Unit/vcViewsTest.cxx
+++ b/Tests/Unit/vcViewsTest.cxx
@@ -137,4 +137,23 @@
   }
 }
 
+/// A queue that was added lately must not be said not to exist.
+TEST_CASE("a queue is only missing from a configuration that is current",
+          "[views]")
+{
+  struct Row
+  {
+    Duration mAge;
+    int mStatus;
+  };
+  const auto row = GENERATE(values<Row>({ { Duration(0), 404 },
+                                          { Duration(1'500), 404 },
+                                          { Duration(2'500), 503 } }));
+  Asker asker("");
+  asker.mNode.mOperatorsCompleteAt = SuspendAwareNow() - row.mAge;
+  const HttpResponse response = asker.Ask("/other/");
+  CHECK(response.mStatus == row.mStatus);
+  CHECK(HasRetryAfter(response) == (row.mStatus == 503));
+}
+
 } // namespace verbenacroft
