--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -65,31 +65,27 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
-add_test(NAME fleet_random_faults
-  COMMAND vcFleet --play faults --seeds 1..250 --threads 6)
+# Each test plays other faults, or another fleet, on the same seeds.
+function(verbenacroft_fleet name)
+  add_test(NAME fleet_${name} COMMAND vcFleet ${ARGN} --threads 6)
+  set_tests_properties(fleet_${name} PROPERTIES TIMEOUT 600 PROCESSORS 6)
+endfunction()
+verbenacroft_fleet(random_faults --play faults --seeds 1..250)
 # Guards against a takeover that waits for workers that a release has replaced.
-add_test(NAME fleet_release
-  COMMAND vcFleet --play release --seeds 1..60 --threads 6)
+verbenacroft_fleet(release --play release --seeds 1..60)
 # Guards against two runs of a task when draining workers leave, go on or
 # restart amid faults.
-add_test(NAME fleet_release_amid_faults
-  COMMAND vcFleet --play release-amid-faults --seeds 1..120 --threads 6)
-set_tests_properties(
-  fleet_random_faults fleet_release fleet_release_amid_faults PROPERTIES
-  TIMEOUT 600 PROCESSORS 6)
+verbenacroft_fleet(release_amid_faults --play release-amid-faults --seeds 1..120)
+# Guards against answers and starts from a view of the store that lags.
+verbenacroft_fleet(late_watches --play watches --seeds 1..100)
 # Guards against a write of progress with more entries than the store takes,
 # while many jobs of one shard end.
-add_test(NAME fleet_many_jobs_end_at_once
-  COMMAND vcFleet --play faults --seeds 1..20 --shards 1 --jobs-at-once 20 --threads 6)
-set_tests_properties(fleet_many_jobs_end_at_once PROPERTIES
-  TIMEOUT 600 PROCESSORS 6)
+verbenacroft_fleet(many_jobs_end_at_once
+  --play faults --seeds 1..20 --shards 1 --jobs-at-once 20)
 # Guards against a hand-over with more entries than the store takes, when a node
 # leaves that owns many shards.
-add_test(NAME fleet_leaving_node_owns_many_shards
-  COMMAND vcFleet --play faults --seeds 1..20 --nodes 2 --shards 24
-    --workers 240 --threads 6)
-set_tests_properties(fleet_leaving_node_owns_many_shards PROPERTIES
-  TIMEOUT 600 PROCESSORS 6)
+verbenacroft_fleet(leaving_node_owns_many_shards
+  --play faults --seeds 1..20 --nodes 2 --shards 24 --workers 240)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
