Node: Move the claims of shards into a file of their own

The claims, their ranks, the number of shards and the runners of the shards that are owned move to vcShardClaims; the lease, the tables and the leaving of a node stay. ApplyOwner becomes public, since both use it. Only moves code.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -55,9 +55,9 @@
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
-    vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx vcShardLog.cxx
-    vcShardStoreWriter.cxx vcShardRunner.cxx vcShardStoreReader.cxx
-    vcStoreMonitor.cxx
+    vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx
+    vcShardLog.cxx vcShardStoreWriter.cxx vcShardRunner.cxx
+    vcShardStoreReader.cxx vcStoreMonitor.cxx
   LINK vcDispatch vcStore vcShell)
 
 # The adapter to the users' platform. No other folder uses the platform's field
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Membership of a node in the fleet: its lease, the tables of nodes and of
-/// shard owners, and claims of shards that have no owner.
+/// Membership of a node in the fleet: its lease, and the tables of nodes and of
+/// shard owners.
 
 #include "vcNodeContext.h"
 
@@ -15,35 +15,8 @@
 /// with the store. Never returns.
 asio::awaitable<void> WatchSystemRecords(NodeContext& aNode);
 
-/// Claims shards without an owner and runs the shards that the node owns, until
-/// the node stops. Before that, determines the number of shards if no node has
-/// done so yet.
-asio::awaitable<void> ClaimShards(NodeContext& aNode);
-
-/// Growth of the number of workers while the fleet starts up.
-struct FleetSizeTracker
-{
-  /// Highest count so far.
-  std::uint32_t mWorkers = 0;
-  /// Time of the first count.
-  TimePoint mFirstCountAt = kNever;
-  /// Time of the last count that was higher than all before it.
-  TimePoint mLastGrowthAt = kNever;
-};
-
-/// Adds a count of workers.
-/// @return true once the size of the fleet is stable, or has been observed for
-/// so long that the number of shards is determined anyway
-bool IsFleetSizeStable(FleetSizeTracker& aTracker,
-                       std::uint32_t aWorkers,
-                       TimePoint aNow);
-
-/// Position of `aNode`, from 0, in the order in which nodes may claim `aShard`.
-/// Nodes with more processors come first; a hash of node and shard decides
-/// between equal ones.
-std::uint32_t ClaimRank(const std::map<std::string, NodeRecord>& aNodes,
-                        const std::string& aNode,
-                        std::uint32_t aShard);
+/// Updates the table of owners. An item older than the known owner is ignored.
+void ApplyOwner(NodeContext& aNode, const KvItem& aItem);
 
 /// True while the node may start tasks: its lease is valid, so that no other
 /// node can own its shards; or the store is down and the owner grace period
--- a/Source/Node/vcNode.h
+++ b/Source/Node/vcNode.h
@@ -8,4 +8,5 @@
 #include "vcNodeProgram.h"
 #include "vcNodeSettings.h"
 #include "vcOperatorWatch.h"
+#include "vcShardClaims.h"
 #include "vcShardRunner.h"
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -8,6 +8,7 @@
 #include "vcPeers.h"
 #include "vcProgram.h"
 #include "vcServerSupport.h"
+#include "vcShardClaims.h"
 #include "vcShardRunner.h"
 
 #include <boost/asio/signal_set.hpp>
