Node: Let nodes that are small for the fleet wait before they claim

Nodes rank themselves for a claim by the processors in the node records, which stand under leases. Once the store has forgotten all leases every table is empty and each node is the first, so a small node that gets its lease before the others claims shards that it can't carry.

The most processors of any node that has joined now stand in a record without a lease, vc/sys/node-size. The first in rank raises it on the condition of its revision. A node with fewer processors claims only once it has held its lease, with the store answering, for as long as the others need to get theirs back: a call that was sent before and has to fail, a renewal and two pauses, 2.3 s with a lease of 1.5 s. Its rank counts from then on, so the shard is owned if no larger node comes. Nodes of the largest size, and small ones whose lease is older than that, claim as before, so the first claim stays as fast and the loss of the only large node costs nothing more. Without the record, as in a fleet of an earlier release, no node waits.

Ruled out: a field in the layout's record, since earlier releases refuse a record with a key that they don't know and would never learn the number of shards (a test holds it to its one key); a wait at every claim of a smaller node; handing a shard over to a larger node, since a takeover costs starts; and lowering the record, which only lengthens a claim under a new lease.

The store forgets all leases in an outage at whose end a small node starts, and 4 s later every shard has to be owned, by a node that isn't small; then it forgets them again while all large nodes are killed, and 4 s later every shard has to be owned. The bound is the wait of 2.3 s, 0.2 s a rank, 0.06 s a shard and the calls. Without the option the draws and the judges are as before.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -19,6 +19,8 @@
 constexpr Duration kLeaseMargin{ 100 };
 /// Pause after a failed store call.
 constexpr Duration kRetry{ 150 };
+/// Time after which a store call counts as failed, except for a watch.
+constexpr Duration kMaxStoreCall{ 1'500 };
 /// Longest wait of one watch call for events.
 constexpr Duration kSystemWatchWait{ 3'000 };
 /// Interval of complete reads of the records, in case a watch event was missed.
@@ -51,6 +53,18 @@
   }
 }
 
+/// Updates the size of the fleet's nodes. An older item is ignored. A record
+/// that can't be decoded counts as empty, so that it is replaced.
+void ApplyNodeSize(NodeContext& aNode, const KvItem& aItem)
+{
+  if (aItem.mRevision < aNode.mNodeSizeRevision) {
+    return;
+  }
+  const auto record = TryDecode<NodeSizeRecord>(aItem.mValue);
+  aNode.mNodeSize = record.value_or(NodeSizeRecord{});
+  aNode.mNodeSizeRevision = aItem.mIsRemoved ? 0 : aItem.mRevision;
+}
+
 void ApplySystemItem(NodeContext& aNode, const KvItem& aItem)
 {
   const std::string_view key = aItem.mKey;
@@ -63,6 +77,8 @@
     if (layout && layout->mShards > 0) {
       aNode.mShards = layout->mShards;
     }
+  } else if (key == kNodeSizeKey) {
+    ApplyNodeSize(aNode, aItem);
   }
 }
 
@@ -227,6 +243,13 @@
          aNow < aNode.mLeaseValidUntil + gracePeriod;
 }
 
+Duration LeaseRecoveryTime(Duration aLeaseTtl)
+{
+  // A call that was sent before the store returned may have to fail first, the
+  // next renewal shows that the lease is lost, and a pause follows each.
+  return kMaxStoreCall + aLeaseTtl / kRenewalsPerLease + 2 * kRetry;
+}
+
 asio::awaitable<void> KeepLease(NodeContext& aNode)
 {
   const Duration interval = LeaseTtlOf(aNode.mSettings) / kRenewalsPerLease;
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -11,6 +11,11 @@
 /// lost, obtains a new one.
 asio::awaitable<void> KeepLease(NodeContext& aNode);
 
+/// Time in which every node that reaches the store has a lease again after the
+/// store has forgotten all leases.
+/// @param aLeaseTtl time to live of a node's lease
+Duration LeaseRecoveryTime(Duration aLeaseTtl);
+
 /// Keeps the tables of nodes and owners and the number of shards up to date
 /// with the store. Never returns.
 asio::awaitable<void> WatchSystemRecords(NodeContext& aNode);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -64,6 +64,16 @@
 };
 BOOST_DESCRIBE_STRUCT(LayoutRecord, (), (mShards))
 
+/// Size of the fleet's nodes, held without a lease, so that it outlasts the
+/// records of the nodes. Not part of `LayoutRecord`, since a program that
+/// doesn't know a key of a record can't decode the record.
+struct NodeSizeRecord
+{
+  /// Most processors of any node that has joined the fleet; never lowered.
+  double mMostProcessors = 0;
+};
+BOOST_DESCRIBE_STRUCT(NodeSizeRecord, (), (mMostProcessors))
+
 /// A shard's owner according to the store.
 struct ShardOwner
 {
@@ -141,6 +151,10 @@
   std::map<std::uint32_t, ShardOwner> mOwners;
   /// Number of shards; 0 until the layout is known.
   std::uint32_t mShards = 0;
+  /// Empty until the record is read, or while there is none.
+  NodeSizeRecord mNodeSize;
+  /// Revision of that record; 0 if there is none.
+  std::uint64_t mNodeSizeRevision = 0;
   /// Runners of the shards that this node owns, by shard number.
   std::map<std::uint32_t, std::shared_ptr<ShardRunner>> mRunners;
 
@@ -205,6 +219,8 @@
 /// Keys of this product in the store.
 constexpr const char* kSystemPrefix = "vc/sys/";
 constexpr const char* kLayoutKey = "vc/sys/layout";
+/// Key of the `NodeSizeRecord`.
+constexpr const char* kNodeSizeKey = "vc/sys/node-size";
 constexpr const char* kNodePrefix = "vc/sys/node/";
 constexpr const char* kOwnerPrefix = "vc/sys/own/";
 /// Key of the shard's `ShardOwnerRecord`.
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -25,6 +25,63 @@
 constexpr Duration kMaxFleetStartup{ 4'500 };
 /// Interval of the counts of workers until the number of shards is known.
 constexpr Duration kCountInterval{ 500 };
+/// Interval of the attempts to write the size of the fleet's nodes.
+constexpr Duration kNodeSizeInterval{ 500 };
+
+/// What a node remembers from one check for ownerless shards to the next.
+struct ClaimState
+{
+  /// First time at which each shard was seen without an owner.
+  std::map<std::uint32_t, TimePoint> mOwnerlessSince;
+  /// Lease that was valid at the last check.
+  std::optional<LeaseId> mLease;
+  /// Time since which the node has held it and the store has answered.
+  TimePoint mLeaseHeldSince{ 0 };
+  /// Time of the last attempt to write the size of the fleet's nodes.
+  TimePoint mNodeSizeWrittenAt{ 0 };
+};
+
+void UpdateLeaseHeldSince(const NodeContext& aNode,
+                          ClaimState& aState,
+                          TimePoint aNow)
+{
+  const bool isHeld = aNode.mLease && aNode.mLease == aState.mLease &&
+                      !aNode.mIsLeaseInDoubt && !IsStoreDown(aNode, aNow);
+  if (!isHeld) {
+    aState.mLease = aNode.mLease;
+    aState.mLeaseHeldSince = aNow;
+  }
+}
+
+/// True if the node has more processors than the fleet's record says, and no
+/// other node of the table has to write that first.
+bool MustWriteNodeSize(const NodeContext& aNode)
+{
+  const bool isLarger =
+    aNode.mSettings.mProcessors > aNode.mNodeSize.mMostProcessors;
+  return isLarger && ClaimRank(aNode.mNodes, aNode.mSettings.mName, 0) == 0;
+}
+
+/// Writes this node's processors into the record of the fleet's node size,
+/// unless the record was changed meanwhile.
+asio::awaitable<void> WriteNodeSize(NodeContext& aNode)
+{
+  const NodeSizeRecord record{ aNode.mSettings.mProcessors };
+  KvTransaction write;
+  write.mConditions.push_back({ kNodeSizeKey, aNode.mNodeSizeRevision });
+  write.mPuts.push_back(PersistentPut(kNodeSizeKey, Encode(record)));
+  const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
+  UpdateStoreHealth(aNode, reply);
+  spdlog::info("node-size.raised processors={} outcome={}",
+               record.mMostProcessors,
+               NameOf(reply.mStatus));
+  const bool isNewest =
+    reply.mStatus == KvStatus::kOk && reply.mRevision > aNode.mNodeSizeRevision;
+  if (isNewest) {
+    aNode.mNodeSize = record;
+    aNode.mNodeSizeRevision = reply.mRevision;
+  }
+}
 
 /// Reads the owner of a shard from the store into the table of owners.
 asio::awaitable<void> ReadOwner(NodeContext& aNode, std::uint32_t aShard)
@@ -204,31 +261,41 @@
   });
 }
 
-/// Claims the shards that have no owner, after the delay of this node's rank.
-/// A record without a lease counts as no owner and is removed first.
-/// @param aOwnerlessSince first time at which each shard was seen without an
-/// owner
-asio::awaitable<void> ClaimOwnerless(
-  NodeContext& aNode,
-  std::map<std::uint32_t, TimePoint>& aOwnerlessSince,
-  TimePoint aNow)
+/// Standing of this node for the claim of a shard without an owner.
+ClaimStanding StandingOf(const NodeContext& aNode,
+                         const ClaimState& aState,
+                         std::uint32_t aShard)
+{
+  ClaimStanding standing;
+  standing.mRank = ClaimRank(aNode.mNodes, aNode.mSettings.mName, aShard);
+  standing.mOwnedShards = aNode.mRunners.size();
+  standing.mIsSmall =
+    aNode.mSettings.mProcessors < aNode.mNodeSize.mMostProcessors;
+  standing.mOwnerlessSince = aState.mOwnerlessSince.at(aShard);
+  standing.mLeaseHeldSince = aState.mLeaseHeldSince;
+  return standing;
+}
+
+/// Claims the shards that have no owner, once this node's turn has come. A
+/// record without a lease counts as no owner and is removed first.
+asio::awaitable<void> ClaimOwnerless(NodeContext& aNode,
+                                     ClaimState& aState,
+                                     TimePoint aNow)
 {
+  const Duration leaseTtl = LeaseTtlOf(aNode.mSettings);
   for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
     const auto owner = aNode.mOwners.find(shard);
     const bool isStale =
       owner != aNode.mOwners.end() && !owner->second.mLease.has_value();
     if (owner != aNode.mOwners.end() && !isStale) {
-      aOwnerlessSince.erase(shard);
+      aState.mOwnerlessSince.erase(shard);
       continue;
     }
-    const TimePoint since =
-      aOwnerlessSince.try_emplace(shard, aNow).first->second;
-    const auto rank = ClaimRank(aNode.mNodes, aNode.mSettings.mName, shard);
-    const auto owned = static_cast<std::int64_t>(aNode.mRunners.size());
-    if (aNow - since < kRankDelay * rank + kOwnedShardDelay * owned) {
+    aState.mOwnerlessSince.try_emplace(shard, aNow);
+    if (aNow < EarliestClaim(StandingOf(aNode, aState, shard), leaseTtl)) {
       continue;
     }
-    aOwnerlessSince.erase(shard);
+    aState.mOwnerlessSince.erase(shard);
     if (isStale) {
       co_await RemoveOwner(aNode, shard, owner->second);
     }
@@ -262,6 +329,17 @@
   return rank;
 }
 
+TimePoint EarliestClaim(const ClaimStanding& aStanding, Duration aLeaseTtl)
+{
+  const TimePoint tableCompleteAt =
+    aStanding.mLeaseHeldSince + LeaseRecoveryTime(aLeaseTtl);
+  const TimePoint turnsFrom =
+    aStanding.mIsSmall ? std::max(aStanding.mOwnerlessSince, tableCompleteAt)
+                       : aStanding.mOwnerlessSince;
+  const auto owned = static_cast<std::int64_t>(aStanding.mOwnedShards);
+  return turnsFrom + kRankDelay * aStanding.mRank + kOwnedShardDelay * owned;
+}
+
 bool IsFleetSizeStable(FleetSizeTracker& aTracker,
                        std::uint32_t aWorkers,
                        TimePoint aNow)
@@ -282,7 +360,7 @@
   TimePoint lastTick = SuspendAwareNow();
   TimePoint countedAt = lastTick;
   FleetSizeTracker fleet;
-  std::map<std::uint32_t, TimePoint> ownerlessSince;
+  ClaimState state;
   // Longer gaps between checks mean that the process was stalled, and that its
   // lease may have expired.
   constexpr Duration kMaxTickGap{ 700 };
@@ -296,6 +374,7 @@
     // Set again after store calls, so that a slow store isn't taken for a
     // stall.
     lastTick = now;
+    UpdateLeaseHeldSince(aNode, state, now);
     if (!aNode.mLease || aNode.mIsLeaseInDoubt) {
       continue;
     }
@@ -308,8 +387,13 @@
       continue;
     }
     co_await ReconcileRunners(aNode);
-    co_await ClaimOwnerless(aNode, ownerlessSince, now);
+    co_await ClaimOwnerless(aNode, state, now);
     co_await ReconcileRunners(aNode);
+    if (now - state.mNodeSizeWrittenAt >= kNodeSizeInterval &&
+        MustWriteNodeSize(aNode)) {
+      state.mNodeSizeWrittenAt = now;
+      co_await WriteNodeSize(aNode);
+    }
     lastTick = SuspendAwareNow();
   }
 }
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -14,7 +14,9 @@
 constexpr Duration kStep{ 5 };
 constexpr Duration kJobInterval{ 250 };
 constexpr Duration kQuietStart{ 5'000 };
-/// After a calm of this length every shard has an owner at work.
+/// After a calm of this length every shard has an owner at work. A node that is
+/// small for the fleet and has a new lease waits 2.3 s before it claims, then
+/// 0.2 s for each node before it and 0.06 s for each shard that it owns.
 constexpr Duration kOwnedWithin{ 4'000 };
 constexpr TimePoint kStart{ 1'000'000 };
 constexpr const char* kWorkersPrefix = "servers/";
@@ -25,6 +27,12 @@
 constexpr const char* kQueuePath = "/q/";
 /// Callers wait 3 s.
 constexpr Duration kLongestAnswer{ 2'900 };
+/// Processors of a node that isn't small.
+constexpr double kLargeNode = 1;
+/// From the start of one fault with small nodes to that of the next.
+constexpr Duration kSmallNodeFault{ 9'000 };
+/// Calm after these faults, in which lost tasks are started again.
+constexpr Duration kCalmAfterSmallNodes{ 22'000 };
 
 QueueTerms MakeTerms()
 {
@@ -53,6 +61,7 @@
   {
     this->mStore.mRandom.seed(aOptions.mSeed + 1);
     this->mWorkers.mRandom.seed(aOptions.mSeed + 2);
+    this->mSizeRandom.seed(aOptions.mSeed + 3);
   }
 
   ~Fleet()
@@ -70,6 +79,12 @@
   {
     return std::uniform_int_distribution<int>(aLeast, aMost)(this->mRandom);
   }
+  /// Draws for what only a fleet with small nodes has, so that the draws of the
+  /// others stay as they are.
+  int DrawSize(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(this->mSizeRandom);
+  }
   bool Toss(int aPercent) { return this->Draw(1, 100) <= aPercent; }
   std::string DrawNode()
   {
@@ -84,6 +99,11 @@
   /// The node that owns a drawn shard, or any.
   std::string DrawOwner();
 
+  void DrawSizes();
+  bool IsSmall(const std::string& aNode) const;
+  /// Nodes that are small, or those that aren't.
+  std::vector<std::string> NodesOfSize(bool aIsSmall) const;
+
   static void EndLife(NodeLife& aLife);
   void StartNode(const std::string& aName);
   void StopNode(const std::string& aName);
@@ -99,15 +119,22 @@
   void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
   void ScheduleNodeFault(TimePoint aAt, TimePoint aEnd);
   void ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd);
+  void ScheduleForgottenLeases(TimePoint aAt);
+  void ScheduleLossOfLargeNodes(TimePoint aAt);
   void Step();
   void CheckOwners();
+  void CheckLargeOwners();
   void CheckEnd();
   void Problem(std::string aText);
 
   FleetOptions mOptions;
   std::mt19937_64 mRandom;
+  std::mt19937_64 mSizeRandom;
+  /// Processors by node.
+  std::map<std::string, double> mSizes;
   TimePoint mNow = kStart;
   TimePoint mCalmAt = kStart;
+  TimePoint mEnd = kStart;
   MemoryStore mStore;
   MemoryFleet mWorkers;
   std::map<std::string, NodeLife> mLives;
@@ -125,6 +152,34 @@
     fmt::format("{} ms: {}", (this->mNow - kStart).count(), aText));
 }
 
+void Fleet::DrawSizes()
+{
+  const auto nodes = static_cast<int>(this->mOptions.mNodes);
+  const int small =
+    this->mOptions.mHasSmallNodes ? this->DrawSize(1, nodes - 1) : 0;
+  for (int i = 1; i <= nodes; ++i) {
+    const double size =
+      i <= small ? this->DrawSize(10, 90) / 100.0 : kLargeNode;
+    this->mSizes[fmt::format("node-{}", i)] = size;
+  }
+}
+
+bool Fleet::IsSmall(const std::string& aNode) const
+{
+  return this->mSizes.at(aNode) < kLargeNode;
+}
+
+std::vector<std::string> Fleet::NodesOfSize(bool aIsSmall) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, size] : this->mSizes) {
+    if (this->IsSmall(name) == aIsSmall) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 void Fleet::EndLife(NodeLife& aLife)
 {
   if (aLife.mNode) {
@@ -143,6 +198,7 @@
   settings.mDataCentre = "north";
   settings.mInternalIp = "127.0.0.1";
   settings.mInternalPorts = { 1, 2 };
+  settings.mProcessors = this->mSizes.at(aName);
   settings.mWorkersPerShard = this->mOptions.mWorkers / this->mOptions.mShards;
   NodeLife life;
   life.mIo = std::make_unique<asio::io_context>(1);
@@ -208,6 +264,7 @@
 void Fleet::SetUp()
 {
   UseManualTime(this->mNow);
+  this->DrawSizes();
   KvTransaction write;
   write.mPuts.push_back({ kConfig, "{}", 0 });
   for (std::uint32_t i = 1; i <= this->mOptions.mWorkers; ++i) {
@@ -473,6 +530,13 @@
       this->ScheduleWorkerFault(at, end);
     }
   }
+  this->mEnd = this->mCalmAt + this->mOptions.mCalmTime;
+  if (this->mOptions.mHasSmallNodes) {
+    const TimePoint from = this->mCalmAt + kOwnedWithin + Duration(1'000);
+    this->ScheduleForgottenLeases(from);
+    this->ScheduleLossOfLargeNodes(from + kSmallNodeFault);
+    this->mEnd = from + 2 * kSmallNodeFault + kCalmAfterSmallNodes;
+  }
   std::stable_sort(this->mChanges.begin(),
                    this->mChanges.end(),
                    [](const Change& aLeft, const Change& aRight) {
@@ -480,6 +544,47 @@
                    });
 }
 
+void Fleet::ScheduleForgottenLeases(TimePoint aAt)
+{
+  const bool isSilent = this->DrawSize(0, 1) == 1;
+  const TimePoint back = aAt + Duration(this->DrawSize(500, 3'000));
+  const TimePoint start = back + Duration(this->DrawSize(-50, 150));
+  const auto small = this->NodesOfSize(true);
+  const auto last = static_cast<int>(small.size()) - 1;
+  const std::string& name =
+    small[static_cast<std::size_t>(this->DrawSize(0, last))];
+  this->At(aAt, "leases forgotten in an outage", [=, this] {
+    this->mStore.mMood = isSilent ? StoreMood::kSilent : StoreMood::kRefusing;
+    this->StopNode(name);
+    ForgetLeases(this->mStore);
+  });
+  this->At(
+    back, "store back", [this] { this->mStore.mMood = StoreMood::kServing; });
+  this->At(start, "small node starts", [=, this] { this->StartNode(name); });
+  this->At(back + kOwnedWithin, "owners are judged", [this] {
+    this->CheckOwners();
+    this->CheckLargeOwners();
+  });
+}
+
+void Fleet::ScheduleLossOfLargeNodes(TimePoint aAt)
+{
+  const auto large = this->NodesOfSize(false);
+  this->At(aAt, "large nodes killed, leases forgotten", [=, this] {
+    for (const auto& name : large) {
+      this->StopNode(name);
+    }
+    ForgetLeases(this->mStore);
+  });
+  const TimePoint owned = aAt + kOwnedWithin;
+  this->At(owned, "owners are judged", [this] { this->CheckOwners(); });
+  this->At(aAt + kSmallNodeFault, "large nodes back", [=, this] {
+    for (const auto& name : large) {
+      this->StartNode(name);
+    }
+  });
+}
+
 void Fleet::Step()
 {
   this->mNow += kStep;
@@ -528,6 +633,20 @@
   }
 }
 
+void Fleet::CheckLargeOwners()
+{
+  for (std::uint32_t shard = 0; shard < this->mOptions.mShards; ++shard) {
+    const auto key = this->mStore.mItems.find(OwnerKey(shard));
+    const auto record = key == this->mStore.mItems.end()
+                          ? std::nullopt
+                          : TryDecode<ShardOwnerRecord>(key->second.mValue);
+    if (record && this->IsSmall(record->mNode)) {
+      this->Problem(fmt::format(
+        "shard {} is owned by {}, which is small", shard, record->mNode));
+    }
+  }
+}
+
 void Fleet::CheckEnd()
 {
   for (const auto& end : this->mWorkers.mRepeated) {
@@ -569,12 +688,11 @@
 {
   this->SetUp();
   this->ScheduleFaults();
-  const TimePoint end = this->mCalmAt + this->mOptions.mCalmTime;
   const TimePoint lastJob = this->mCalmAt;
   const TimePoint owned = this->mCalmAt + kOwnedWithin;
   TimePoint nextJob = kStart + kQuietStart;
   bool isChecked = false;
-  while (this->mNow < end) {
+  while (this->mNow < this->mEnd) {
     this->Step();
     if (this->mNow >= nextJob && this->mNow < lastJob) {
       nextJob += kJobInterval;
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -33,6 +33,9 @@
   Duration mFaultTime{ 25'000 };
   /// Time after the last fault has ended.
   Duration mCalmTime{ 22'000 };
+  /// The seed also draws nodes with few processors. In the calm the store then
+  /// forgets all leases, once with the large nodes alive and once without them.
+  bool mHasSmallNodes = false;
 };
 
 struct FleetResult
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -15,10 +15,12 @@
 
 constexpr std::size_t kShownProblems = 4;
 
-void Print(std::uint64_t aSeed, const FleetResult& aResult)
+void Print(const FleetOptions& aOptions, const FleetResult& aResult)
 {
-  std::cout << "seed " << aSeed << " failed with " << aResult.mProblems.size()
-            << " problems; again: vcFleet --seeds " << aSeed << " --log\n";
+  std::cout << "seed " << aOptions.mSeed << " failed with "
+            << aResult.mProblems.size() << " problems; again: vcFleet --seeds "
+            << aOptions.mSeed
+            << (aOptions.mHasSmallNodes ? " --small-nodes" : "") << " --log\n";
   for (const auto& fault : aResult.mFaults) {
     std::cout << "    " << fault << "\n";
   }
@@ -28,20 +30,23 @@
   }
 }
 
-int PlaySeeds(std::uint64_t aFirst, std::uint64_t aLast, unsigned aThreads)
+int PlaySeeds(const FleetOptions& aOptions,
+              std::uint64_t aFirst,
+              std::uint64_t aLast,
+              unsigned aThreads)
 {
   std::atomic<std::uint64_t> next{ aFirst };
   std::atomic<std::uint64_t> failed{ 0 };
   std::mutex mutex;
   const auto work = [&] {
     for (auto seed = next++; seed <= aLast; seed = next++) {
-      FleetOptions options;
+      FleetOptions options = aOptions;
       options.mSeed = seed;
       const FleetResult result = PlayFleet(options);
       if (!result.mProblems.empty()) {
         ++failed;
         const std::lock_guard lock(mutex);
-        Print(seed, result);
+        Print(options, result);
       }
     }
   };
@@ -68,6 +73,7 @@
   add("threads",
       "seeds played at a time",
       cxxopts::value<unsigned>()->default_value("4"));
+  add("small-nodes", "with nodes of few processors among the others");
   add("log", "print the nodes' logs");
   add("help", "print this help and exit");
   try {
@@ -83,7 +89,9 @@
     const std::uint64_t first = std::stoull(seeds);
     const std::uint64_t last =
       dots == std::string::npos ? first : std::stoull(seeds.substr(dots + 2));
-    return PlaySeeds(first, last, parsed["threads"].as<unsigned>());
+    FleetOptions fleet;
+    fleet.mHasSmallNodes = parsed.count("small-nodes") > 0;
+    return PlaySeeds(fleet, first, last, parsed["threads"].as<unsigned>());
   } catch (const std::exception& error) {
     std::cerr << "vcFleet: " << error.what() << "\n";
     return 2;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -67,6 +67,10 @@
 add_test(NAME fleet_random_faults COMMAND vcFleet --seeds 1..250 --threads 6)
 set_tests_properties(fleet_random_faults PROPERTIES
   TIMEOUT 600 PROCESSORS 6)
+add_test(NAME fleet_small_nodes
+  COMMAND vcFleet --seeds 1..100 --small-nodes --threads 6)
+set_tests_properties(fleet_small_nodes PROPERTIES
+  TIMEOUT 600 PROCESSORS 6)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
--- a/Tests/Unit/vcMembershipTest.cxx
+++ b/Tests/Unit/vcMembershipTest.cxx
@@ -25,6 +25,68 @@
   CHECK(ranks.size() == nodes.size());
 }
 
+// Guards against a small node that owns a shard because the store forgot the
+// larger nodes' records.
+TEST_CASE("a small node claims once larger nodes had time for a lease",
+          "[node]")
+{
+  constexpr Duration kTtl{ 1'500 };
+  const TimePoint held{ 100'000 };
+  const TimePoint complete = held + LeaseRecoveryTime(kTtl);
+  struct Row
+  {
+    ClaimStanding mStanding;
+    TimePoint mEarliest;
+  };
+  const TimePoint before = held - Duration(5'000);
+  const TimePoint after = complete + Duration(5'000);
+  const auto row = GENERATE_COPY(values<Row>({
+    // The rank and the shards owned count, whenever the lease was granted.
+    { { 0, 0, false, held, held }, held },
+    { { 0, 0, false, before, held }, before },
+    { { 2, 0, false, held, held }, held + Duration(400) },
+    { { 2, 3, false, after, held }, after + Duration(580) },
+    // A small node waits, even if the shard had no owner for long.
+    { { 0, 0, true, held, held }, complete },
+    { { 0, 0, true, before, held }, complete },
+    // Its rank counts from then on, by a table that is complete.
+    { { 2, 1, true, held, held }, complete + Duration(460) },
+    // With a lease held for long it claims as the others do.
+    { { 0, 0, true, after, held }, after },
+    { { 1, 2, true, after, held }, after + Duration(320) },
+  }));
+  CHECK(EarliestClaim(row.mStanding, kTtl) == row.mEarliest);
+}
+
+// Guards against a wait that ends before the larger nodes are back.
+TEST_CASE("a small node's wait outlasts the calls for a new lease", "[node]")
+{
+  const auto ttl = GENERATE(
+    values<Duration>({ Duration(1'500), Duration(3'000), Duration(10'000) }));
+  // A commit that is never answered, or the pause before the next renewal.
+  const Duration longest = std::max(Duration(1'500), ttl / 3);
+  const Duration pauses(300);
+  CHECK(LeaseRecoveryTime(ttl) > longest + pauses);
+}
+
+// Guards against a key that programs of an earlier release can't decode.
+TEST_CASE("the record of the layout has one key", "[node]")
+{
+  LayoutRecord layout;
+  layout.mShards = 3;
+  CHECK(Encode(layout) == R"({"shards":3})");
+  CHECK(TryDecode<LayoutRecord>(R"({"shards":3})")->mShards == 3);
+  CHECK_FALSE(TryDecode<LayoutRecord>(R"({"shards":3,"other":1})"));
+}
+
+TEST_CASE("the record of the nodes' size keeps fractions", "[node]")
+{
+  const auto size = GENERATE(0.12, 0.5, 1.0, 16.0);
+  const auto read = TryDecode<NodeSizeRecord>(Encode(NodeSizeRecord{ size }));
+  REQUIRE(read);
+  CHECK(read->mMostProcessors == size);
+}
+
 TEST_CASE("only an owner that can't act any more shortens the barrier",
           "[node]")
 {
