--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -36,6 +36,9 @@
   /// The only faults are late events of watches. Every node then is in touch
   /// all the time, and cancellations and evacuations have to take effect.
   kWatches,
+  /// The seed also draws nodes with few processors. After the faults the store
+  /// forgets all leases, once with the large nodes alive and once without them.
+  kSmallNodes,
 };
 
 template<>
@@ -46,6 +49,7 @@
     { FleetPlay::kRelease, "release" },
     { FleetPlay::kReleaseAmidFaults, "release-amid-faults" },
     { FleetPlay::kWatches, "watches" },
+    { FleetPlay::kSmallNodes, "small-nodes" },
   });
 };
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -86,6 +86,9 @@
 # leaves that owns many shards.
 verbenacroft_fleet(leaving_node_owns_many_shards
   --play faults --seeds 1..20 --nodes 2 --shards 24 --workers 240)
+# Guards against an owner that is too small for its shard, after the store has
+# forgotten all leases.
+verbenacroft_fleet(small_nodes --play small-nodes --seeds 1..100)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
