--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -7,6 +7,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchPlacement.h"
+#include "vcDispatchReports.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
 #include "vcDispatchThrottling.h"
--- /dev/null
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -0,0 +1,229 @@
+#include "vcDispatchReports.h"
+
+#include "vcDispatchJobs.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+/// Maximum number of ends in a report. A worker that lists this many may have
+/// more that it doesn't list.
+constexpr std::size_t kMaxListedEnds = 500;
+
+using RunKey = std::pair<TaskId, std::uint32_t>;
+
+/// Adds a run to those that have to be stopped, unless it is one already.
+void RequestStop(DispatchWorker& aWorker,
+                 const TaskId& aTask,
+                 std::uint32_t aRun)
+{
+  aWorker.mRunsToStop.try_emplace(RunKey{ aTask, aRun }, kNever);
+}
+
+/// Handles a restarted worker. The new incarnation runs nothing that ran
+/// before. A start that was not answered, or not yet, may still reach it, and
+/// is stopped there.
+void OnNewIncarnation(DispatchShard& aShard, DispatchWorker& aWorker)
+{
+  const std::set<TaskId> tasks = aWorker.mTasks;
+  spdlog::info("worker.new-incarnation worker={} lost={}",
+               aWorker.mEntry.mWorker,
+               tasks.size());
+  aWorker.mSeenIndex = 0;
+  aWorker.mAckIndex = 0;
+  aWorker.mLeaseUntil = 0;
+  aWorker.mIsReportedIdle = false;
+  aWorker.mRunsToStop.clear();
+  for (const auto& key : tasks) {
+    DispatchTask& task = *FindTask(aShard, key);
+    if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
+      task.mIsStartUncertain = true;
+      task.mPhase = RunPhase::kStopping;
+      task.mStopSentAt = kNever;
+    } else {
+      OnRunLost(aShard, key);
+    }
+  }
+}
+
+void UpdateProgress(DispatchTask& aTask,
+                    const RunningTask& aRow,
+                    TimePoint aNow)
+{
+  const bool isChanged = aRow.mProgressPercent != aTask.mProgressPercent;
+  if (isChanged || aTask.mProgressAt == kNever) {
+    aTask.mProgressAt = aNow;
+  }
+  aTask.mProgressPercent = aRow.mProgressPercent;
+}
+
+/// Applies one running task of a report: confirms the expected run, adopts a
+/// run of a waiting task, or requests the stop of any other run.
+void OnRunningTask(DispatchShard& aShard,
+                   DispatchWorker& aWorker,
+                   const RunningTask& aRow,
+                   TimePoint aNow)
+{
+  const TaskId key = aRow.mTask;
+  DispatchTask* task = FindTask(aShard, key);
+  if (task == nullptr) {
+    RequestStop(aWorker, aRow.mTask, aRow.mRun);
+    return;
+  }
+  DispatchJob& job = aShard.mJobs.at(key.mJob);
+  const bool isAssignedHere = task->mWorker == aWorker.mEntry.mWorker;
+  if (isAssignedHere && task->mRun == aRow.mRun) {
+    if (task->mPhase == RunPhase::kStarting) {
+      task->mPhase = RunPhase::kRunning;
+      task->mConfirmedAt = aNow;
+    }
+    task->mIsStartUncertain = false;
+    if (!aRow.mCheckpoint.empty()) {
+      task->mCheckpoint = aRow.mCheckpoint;
+    }
+    UpdateProgress(*task, aRow, aNow);
+    return;
+  }
+  const bool isAdoptable = task->mPhase == RunPhase::kWaiting &&
+                           !IsFinal(job.mState) && aRow.mRun > task->mEndedRun;
+  if (!isAdoptable) {
+    RequestStop(aWorker, aRow.mTask, aRow.mRun);
+    return;
+  }
+  Assign(aShard, key, aWorker.mEntry.mWorker, aRow.mRun);
+  task->mPhase = RunPhase::kRunning;
+  task->mStartOrderedAt = aNow;
+  task->mConfirmedAt = aNow;
+  task->mOrderedThrottlePercent = kUnknownThrottlePercent;
+  UpdateProgress(*task, aRow, aNow);
+  if (!aRow.mCheckpoint.empty()) {
+    task->mCheckpoint = aRow.mCheckpoint;
+  }
+  spdlog::info("task.adopt task={} run={} worker={}",
+               Describe(aRow.mTask),
+               aRow.mRun,
+               aWorker.mEntry.mWorker);
+}
+
+/// Marks runs as lost that are assigned to the worker but missing in its
+/// report. A run counts only if it was confirmed before the renewal was sent,
+/// or if it was uncertain and its start would now be refused as late.
+void OnMissingTasks(DispatchShard& aShard,
+                    DispatchWorker& aWorker,
+                    const WorkerReport& aReport,
+                    const std::set<TaskId>& aListed,
+                    TimePoint aSentAt)
+{
+  const bool isComplete = aReport.mEnded.size() < kMaxListedEnds;
+  if (!isComplete) {
+    return;
+  }
+  const std::set<TaskId> tasks = aWorker.mTasks;
+  for (const auto& key : tasks) {
+    if (aListed.contains(key)) {
+      continue;
+    }
+    const DispatchTask& task = *FindTask(aShard, key);
+    const bool isStartExpired =
+      task.mIsStartUncertain && aReport.mClock > task.mNotAfter;
+    const bool isLost = !task.mIsStartUncertain &&
+                        task.mPhase != RunPhase::kStarting &&
+                        task.mConfirmedAt < aSentAt;
+    if (isStartExpired || isLost) {
+      spdlog::info("task.lost task={} run={} worker={} never_started={}",
+                   Describe(key),
+                   task.mRun,
+                   aWorker.mEntry.mWorker,
+                   isStartExpired);
+      OnRunLost(aShard, key);
+    }
+  }
+}
+
+void ApplyReport(DispatchShard& aShard,
+                 DispatchWorker& aWorker,
+                 const WorkerReport& aReport,
+                 TimePoint aSentAt,
+                 TimePoint aNow,
+                 std::int64_t aNowMs)
+{
+  std::set<TaskId> listed;
+  for (const auto& row : aReport.mRunning) {
+    listed.insert(row.mTask);
+  }
+  std::uint64_t seen = aWorker.mSeenIndex;
+  for (const auto& end : aReport.mEnded) {
+    listed.insert(end.mTask);
+    if (end.mIndex > aWorker.mSeenIndex) {
+      OnRunEnd(aShard, aWorker, end, aNow, aNowMs);
+      seen = std::max(seen, end.mIndex);
+    }
+  }
+  aWorker.mSeenIndex = seen;
+  aWorker.mIsReportedIdle =
+    aReport.mRunning.empty() && aReport.mEnded.size() < kMaxListedEnds;
+  for (const auto& row : aReport.mRunning) {
+    OnRunningTask(aShard, aWorker, row, aNow);
+  }
+  OnMissingTasks(aShard, aWorker, aReport, listed, aSentAt);
+}
+
+} // namespace
+
+void OnReport(DispatchShard& aShard,
+              const std::string& aWorker,
+              const WorkerReport& aReport,
+              TimePoint aSentAt,
+              TimePoint aNow,
+              std::int64_t aNowMs)
+{
+  DispatchWorker* worker = FindWorker(aShard, aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  if (aReport.mOutcome == OrderOutcome::kStaleEpoch) {
+    aShard.mIsFenced = true;
+    return;
+  }
+  if (aReport.mOutcome == OrderOutcome::kOtherIncarnation) {
+    OnNewIncarnation(aShard, *worker);
+    aShard.mUnansweredWorkers.erase(aWorker);
+    worker->mIsUnresponsive = true;
+    return;
+  }
+  if (aReport.mOutcome != OrderOutcome::kDone) {
+    if (!worker->mIsUnresponsive) {
+      spdlog::info(
+        "worker.unresponsive worker={} outcome={} last_report_ms_ago={}",
+        aWorker,
+        NameOf(aReport.mOutcome),
+        (aNow - worker->mLastReportAt).count());
+    }
+    worker->mIsUnresponsive = true;
+    return;
+  }
+  const bool isNewIncarnation =
+    worker->mIncarnation != 0 && aReport.mIncarnation != worker->mIncarnation;
+  if (isNewIncarnation) {
+    OnNewIncarnation(aShard, *worker);
+  }
+  if (worker->mIsUnresponsive) {
+    spdlog::info("worker.responsive worker={} incarnation={}",
+                 aWorker,
+                 aReport.mIncarnation);
+  }
+  worker->mIsUnresponsive = false;
+  worker->mHasAnswered = true;
+  worker->mIncarnation = aReport.mIncarnation;
+  worker->mClock = aReport.mClock;
+  worker->mClockReadAt = aNow;
+  worker->mLastReportAt = aNow;
+  aShard.mUnansweredWorkers.erase(aWorker);
+  ApplyReport(aShard, *worker, aReport, aSentAt, aNow, aNowMs);
+}
+
+} // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Workers of a shard: handles discovery, the workers' reports and replies,
-/// unresponsive workers, lease renewal and orders to stop.
+/// Workers of a shard: handles discovery, the workers' replies, unresponsive
+/// workers, lease renewal and orders to stop.
 
 #include "vcDispatchState.h"
 
@@ -22,16 +22,6 @@
                        Duration aWait,
                        TimePoint aNow);
 
-/// Handles the outcome of a renewal: a worker's report or a missing answer.
-/// @param aSentAt when the renewal was sent
-/// @param aNowMs current time in ms since 1970
-void OnReport(DispatchShard& aShard,
-              const std::string& aWorker,
-              const WorkerReport& aReport,
-              TimePoint aSentAt,
-              TimePoint aNow,
-              std::int64_t aNowMs);
-
 /// Handles the outcome of a start order. If it was refused or not answered, the
 /// worker is avoided for a short time. A refused task waits again; a start that
 /// was not answered stays uncertain until reports show whether the task runs.
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,7 +51,8 @@
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
-    vcDispatchSharing.cxx vcDispatchState.cxx vcDispatchWorkers.cxx
+    vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
+    vcDispatchWorkers.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
