--- a/Tests/Unit/vcStoreOutcomeTest.cxx
+++ b/Tests/Unit/vcStoreOutcomeTest.cxx
@@ -89,6 +89,16 @@
 
 } // namespace
 
+// Guards against a watch that is requested again without end, because its
+// events no longer fit into one reply.
+TEST_CASE("a reply that is too large leads to a read by pages", "[node]")
+{
+  HttpResult result;
+  result.mWasSent = true;
+  result.mError = MakeError(HttpErrc::kTooLarge);
+  CHECK(DecodeStoreReply(result).mStatus == KvStatus::kCompacted);
+}
+
 TEST_CASE("answers of the store are told apart", "[site][store]")
 {
   struct Row
