Dispatch: Say why ready tasks wait

Cause: the logs can't tell why accepted work waits beside free workers. No line says how many tasks are ready and wait, for how long, and why.

CostOf returns why a worker doesn't fit instead of nothing. A task and a step keep the time from which they wait. The result is in shard.waiting lines and two gauges. A gang that fits task by task and steps that weren't examined have reasons of their own. The test of the service and the label comes first, so that no-worker says that allowed workers exist and none is usable.

The cost of the summary wasn't measured.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -11,5 +11,6 @@
 #include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
 #include "vcDispatchThrottling.h"
+#include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -63,6 +63,37 @@
   }
 }
 
+/// Sets the time at which the steps became ready that depend on the task's
+/// step, if that one is done.
+void MarkReady(DispatchJob& aJob, const TaskId& aKey, TimePoint aNow)
+{
+  Occurrence& occurrence = aJob.mOccurrences[aKey.mOccurrence];
+  const DispatchStep& done = occurrence.mSteps[aKey.mStep];
+  if (done.mDone < done.mTasks.size()) {
+    return;
+  }
+  const auto& specs = aJob.mRecord.mSpec.mSteps;
+  for (std::size_t i = 0; i < specs.size(); ++i) {
+    const auto& after = specs[i].mAfter;
+    if (std::find(after.begin(), after.end(), aKey.mStep) != after.end()) {
+      occurrence.mSteps[i].mReadyAt = aNow;
+    }
+  }
+}
+
+/// Sets the time at which each step became ready, as far as it is known when
+/// the job is added.
+void SetReadyTimes(DispatchJob& aJob, TimePoint aNow)
+{
+  const auto& specs = aJob.mRecord.mSpec.mSteps;
+  for (auto& occurrence : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < specs.size(); ++i) {
+      occurrence.mSteps[i].mReadyAt =
+        specs[i].mAfter.empty() ? aJob.mAcceptedAt : aNow;
+    }
+  }
+}
+
 void EndJob(DispatchJob& aJob,
             BatchState aState,
             TimePoint aNow,
@@ -92,6 +123,7 @@
   Release(aShard, aKey, RunPhase::kDone);
   task.mCheckpoint.clear();
   CountTaskDone(job, aKey);
+  MarkReady(job, aKey, aNow);
   const bool isComplete = job.mOccurrencesDone == job.mOccurrences.size();
   if (isComplete && !IsFinal(job.mState)) {
     EndJob(job, BatchState::kCompleted, aNow, aNowMs);
@@ -204,6 +236,7 @@
   const std::int64_t age = std::clamp<std::int64_t>(
     aNowMs - job.mRecord.mAcceptedAtMs, 0, aShard.mBounds.mStatus.count());
   job.mAcceptedAt = aNow - Duration(age);
+  SetReadyTimes(job, aNow);
   const QueueTerms& terms = job.mRecord.mTerms;
   const double objective = terms.mStretch * CriticalPathMs(aShard, job) +
                            static_cast<double>(terms.mTargetMs);
@@ -273,11 +306,11 @@
   }
 }
 
-void OnRunLost(DispatchShard& aShard, const TaskId& aKey)
+void OnRunLost(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow)
 {
   DispatchTask* task = FindTask(aShard, aKey);
   if (task != nullptr && !task->mWorker.empty()) {
-    Release(aShard, aKey, RunPhase::kWaiting);
+    ReleaseToWait(aShard, aKey, aNow);
   }
 }
 
@@ -324,7 +357,7 @@
     task->mCheckpoint = aEnd.mCheckpoint;
   }
   if (isCurrent) {
-    Release(aShard, key, RunPhase::kWaiting);
+    ReleaseToWait(aShard, key, aNow);
   }
 }
 
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -42,7 +42,7 @@
 
 /// Handles a run that is known to be lost without having completed. The task
 /// waits for a new start.
-void OnRunLost(DispatchShard& aShard, const TaskId& aKey);
+void OnRunLost(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow);
 
 /// Progress of a job in the form that is written to the store. If the job has
 /// ended, only its state and end time are set.
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <variant>
 
 namespace verbenacroft {
 
@@ -42,12 +43,13 @@
                                                aRight.mFirstTask);
 }
 
-/// Appends the steps of a job that are ready and have waiting tasks.
-void CollectSteps(const DispatchShard& aShard,
-                  const DispatchJob& aJob,
-                  TimePoint aNow,
-                  std::int64_t aNowMs,
-                  std::vector<Candidate>& aOut)
+/// Calls `aVisit` with the first task of each step of a job that is ready and
+/// has waiting tasks.
+template<class Visit>
+void VisitReadySteps(const DispatchShard& aShard,
+                     const DispatchJob& aJob,
+                     std::int64_t aNowMs,
+                     Visit aVisit)
 {
   const BatchSpec& spec = aJob.mRecord.mSpec;
   for (std::uint32_t o = 0; o < aJob.mOccurrences.size(); ++o) {
@@ -65,18 +67,33 @@
       if (!hasWaiting || !IsStepReady(aJob, occurrence, s)) {
         continue;
       }
-      Candidate candidate;
-      candidate.mFirstTask = { aJob.mId, o, s, 0 };
-      candidate.mPriority = aJob.mRecord.mTerms.mPriority;
-      candidate.mObjectiveAt =
-        dueAt > 0 ? aNow + Duration(dueAt - aNowMs) : aJob.mObjectiveAt;
-      candidate.mIsLate = !spec.mSteps[s].mIsLasting && dueAt == 0 &&
-                          candidate.mObjectiveAt < aNow;
-      aOut.push_back(candidate);
+      aVisit(TaskId{ aJob.mId, o, s, 0 });
     }
   }
 }
 
+/// Appends the steps of a job that are ready and have waiting tasks.
+void CollectSteps(const DispatchShard& aShard,
+                  const DispatchJob& aJob,
+                  TimePoint aNow,
+                  std::int64_t aNowMs,
+                  std::vector<Candidate>& aOut)
+{
+  VisitReadySteps(aShard, aJob, aNowMs, [&](TaskId aFirstTask) {
+    const std::int64_t dueAt =
+      DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
+    const bool isLasting = StepOf(aJob, aFirstTask).mIsLasting;
+    Candidate candidate;
+    candidate.mFirstTask = std::move(aFirstTask);
+    candidate.mPriority = aJob.mRecord.mTerms.mPriority;
+    candidate.mObjectiveAt =
+      dueAt > 0 ? aNow + Duration(dueAt - aNowMs) : aJob.mObjectiveAt;
+    candidate.mIsLate =
+      !isLasting && dueAt == 0 && candidate.mObjectiveAt < aNow;
+    aOut.push_back(std::move(candidate));
+  });
+}
+
 bool HasLabel(const WorkerEntry& aEntry, const std::string& aLabel)
 {
   return std::find(aEntry.mLabels.begin(), aEntry.mLabels.end(), aLabel) !=
@@ -97,7 +114,7 @@
   std::map<std::string, std::uint32_t> mOnWorker;
 };
 
-StepNeeds NeedsOf(DispatchShard& aShard, const TaskId& aKey)
+StepNeeds NeedsOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   StepNeeds needs{ StepOf(job, aKey),
@@ -146,15 +163,17 @@
   return step.mMaxPerWorker == 0 || tasksThere < step.mMaxPerWorker;
 }
 
-/// Cost of placing a task of the step on the worker; empty if it doesn't fit.
-std::optional<double> CostOf(const DispatchShard& aShard,
-                             const StepNeeds& aNeeds,
-                             const DispatchWorker& aWorker,
-                             TimePoint aNow)
+/// Cost of placing a task of the step on the worker, or why it doesn't fit.
+using PlacementCost = std::variant<double, WaitReason>;
+
+PlacementCost CostOf(const DispatchShard& aShard,
+                     const StepNeeds& aNeeds,
+                     const DispatchWorker& aWorker,
+                     TimePoint aNow)
 {
   const Resources after = aWorker.mUsed + aNeeds.mCounted;
   if (!Fits(after, aWorker.mEntry.mCapacity)) {
-    return std::nullopt;
+    return WaitReason::kNoCapacity;
   }
   const StepSpec& step = aNeeds.mStep;
   const auto capacity = static_cast<double>(
@@ -175,14 +194,16 @@
   if (step.mIsFilling) {
     const auto needed = aNeeds.mBestEffort.mCpu;
     const auto freeCpu = static_cast<double>(FreeBestEffortCpu(aWorker));
-    if (freeCpu < needed * kMinFreeCpuFraction ||
-        aNow < aWorker.mNoBestEffortUntil) {
-      return std::nullopt;
+    if (freeCpu < needed * kMinFreeCpuFraction) {
+      return WaitReason::kBestEffortCpu;
+    }
+    if (aNow < aWorker.mNoBestEffortUntil) {
+      return WaitReason::kBestEffortPaused;
     }
     const BestEffortEffect effect =
       BestEffortEffectOf(aShard, aWorker, aNeeds.mBestEffort, aNow);
     if (effect.mIsOverLimit) {
-      return std::nullopt;
+      return WaitReason::kBestEffortDisturbs;
     }
     // Prefers workers that this task disturbs less than an average best-effort
     // task would. Workers where no task disturbs the serving tasks are then
@@ -204,6 +225,26 @@
   return cost + std::max(0.0, used + bestEffort - 1) * 3 + used;
 }
 
+/// Why a task of the step isn't started on the worker.
+WaitReason RefusalOf(const DispatchShard& aShard,
+                     const StepNeeds& aNeeds,
+                     const DispatchWorker& aWorker,
+                     TimePoint aNow)
+{
+  if (!IsAllowed(aNeeds, aWorker)) {
+    return WaitReason::kNotAllowed;
+  }
+  if (!IsUsable(aShard, aWorker, aNow)) {
+    return WaitReason::kNoWorker;
+  }
+  const auto placed = CostOf(aShard, aNeeds, aWorker, aNow);
+  const auto* refusal = std::get_if<WaitReason>(&placed);
+  if (refusal != nullptr) {
+    return *refusal;
+  }
+  return aNeeds.mStep.mIsGang ? WaitReason::kGang : WaitReason::kPassedOver;
+}
+
 /// A worker and the cost of placing a task of the step there.
 struct RankedWorker
 {
@@ -267,11 +308,12 @@
     if (!IsAllowed(this->mNeeds, aWorker)) {
       return false;
     }
-    const auto cost = CostOf(this->mShard, this->mNeeds, aWorker, this->mNow);
-    if (cost) {
+    const auto placed = CostOf(this->mShard, this->mNeeds, aWorker, this->mNow);
+    const auto* cost = std::get_if<double>(&placed);
+    if (cost != nullptr) {
       this->mHeap.push_back({ *cost, &aWorker });
     }
-    return cost.has_value();
+    return cost != nullptr;
   }
 
   DispatchWorker* Pop()
@@ -479,6 +521,29 @@
 
 } // namespace
 
+std::vector<TaskId> ReadySteps(const DispatchShard& aShard,
+                               const DispatchJob& aJob,
+                               std::int64_t aNowMs)
+{
+  std::vector<TaskId> steps;
+  VisitReadySteps(aShard, aJob, aNowMs, [&](TaskId aFirstTask) {
+    steps.push_back(std::move(aFirstTask));
+  });
+  return steps;
+}
+
+WaitReason WhyNotPlaced(const DispatchShard& aShard,
+                        const TaskId& aKey,
+                        TimePoint aNow)
+{
+  const StepNeeds needs = NeedsOf(aShard, aKey);
+  WaitReason nearest = WaitReason::kNotAllowed;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    nearest = std::max(nearest, RefusalOf(aShard, needs, worker, aNow));
+  }
+  return nearest;
+}
+
 void PlanStarts(DispatchShard& aShard,
                 TimePoint aNow,
                 std::int64_t aNowMs,
--- a/Source/Dispatch/vcDispatchPlacement.h
+++ b/Source/Dispatch/vcDispatchPlacement.h
@@ -3,6 +3,7 @@
 /// Placement: selects the tasks to start next and the workers to run them.
 
 #include "vcDispatchState.h"
+#include "vcDispatchWaiting.h"
 
 namespace verbenacroft {
 
@@ -17,4 +18,16 @@
                 std::int64_t aNowMs,
                 DispatchActions& aActions);
 
+/// First tasks of the steps of a job that are ready and have waiting tasks.
+/// @param aNowMs current time in ms since 1970, for occurrences that are due
+std::vector<TaskId> ReadySteps(const DispatchShard& aShard,
+                               const DispatchJob& aJob,
+                               std::int64_t aNowMs);
+
+/// Why the task, which must exist and wait, isn't started on any worker. Of the
+/// reasons of all workers it is the last in the order of `WaitReason`.
+WaitReason WhyNotPlaced(const DispatchShard& aShard,
+                        const TaskId& aKey,
+                        TimePoint aNow);
+
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -27,7 +27,9 @@
 /// Handles a restarted worker. The new incarnation runs nothing that ran
 /// before. A start that was not answered, or not yet, may still reach it, and
 /// is stopped there.
-void OnNewIncarnation(DispatchShard& aShard, DispatchWorker& aWorker)
+void OnNewIncarnation(DispatchShard& aShard,
+                      DispatchWorker& aWorker,
+                      TimePoint aNow)
 {
   const std::set<TaskId> tasks = aWorker.mTasks;
   spdlog::info("worker.new-incarnation worker={} lost={}",
@@ -45,7 +47,7 @@
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = kNever;
     } else {
-      OnRunLost(aShard, key);
+      OnRunLost(aShard, key, aNow);
     }
   }
 }
@@ -117,7 +119,8 @@
                     DispatchWorker& aWorker,
                     const WorkerReport& aReport,
                     const std::set<TaskId>& aListed,
-                    TimePoint aSentAt)
+                    TimePoint aSentAt,
+                    TimePoint aNow)
 {
   const bool isComplete = aReport.mEnded.size() < kMaxListedEnds;
   if (!isComplete) {
@@ -140,7 +143,7 @@
                    task.mRun,
                    aWorker.mEntry.mWorker,
                    isStartExpired);
-      OnRunLost(aShard, key);
+      OnRunLost(aShard, key, aNow);
     }
   }
 }
@@ -170,7 +173,7 @@
   for (const auto& row : aReport.mRunning) {
     OnRunningTask(aShard, aWorker, row, aNow);
   }
-  OnMissingTasks(aShard, aWorker, aReport, listed, aSentAt);
+  OnMissingTasks(aShard, aWorker, aReport, listed, aSentAt, aNow);
 }
 
 } // namespace
@@ -191,7 +194,7 @@
     return;
   }
   if (aReport.mOutcome == OrderOutcome::kOtherIncarnation) {
-    OnNewIncarnation(aShard, *worker);
+    OnNewIncarnation(aShard, *worker, aNow);
     aShard.mUnansweredWorkers.erase(aWorker);
     worker->mIsUnresponsive = true;
     return;
@@ -210,7 +213,7 @@
   const bool isNewIncarnation =
     worker->mIncarnation != 0 && aReport.mIncarnation != worker->mIncarnation;
   if (isNewIncarnation) {
-    OnNewIncarnation(aShard, *worker);
+    OnNewIncarnation(aShard, *worker, aNow);
   }
   if (worker->mIsUnresponsive) {
     spdlog::info("worker.responsive worker={} incarnation={}",
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -112,4 +112,10 @@
   task.mPhase = aPhase;
 }
 
+void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow)
+{
+  Release(aShard, aKey, RunPhase::kWaiting);
+  FindTask(aShard, aKey)->mWaitingSince = aNow;
+}
+
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -69,6 +69,10 @@
   std::string mAvoidedWorker;
   /// Reading of the worker's clock, in ms, after which it refuses the start.
   std::int64_t mNotAfter = 0;
+  /// When the task last began to wait after a run of this ownership; `kNever`
+  /// if no run has ended here. It is ready to start only from
+  /// `DispatchStep::mReadyAt` on.
+  TimePoint mWaitingSince{ kNever };
   /// When the start was ordered or the run was adopted.
   TimePoint mStartOrderedAt{ kNever };
   /// When the worker first confirmed the run.
@@ -93,6 +97,10 @@
 {
   std::vector<DispatchTask> mTasks;
   std::uint32_t mDone = 0;
+  /// When the last step that this one depends on was done. Without such a step,
+  /// when the job was accepted. When the job was added here, if neither is
+  /// known.
+  TimePoint mReadyAt{ kNever };
 };
 
 /// One execution of all steps of a job; a scheduled job has several.
@@ -344,4 +352,7 @@
 /// the task's phase.
 void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase);
 
+/// Releases a task that waits for a new start from `aNow` on.
+void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow);
+
 } // namespace verbenacroft
--- /dev/null
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -0,0 +1,127 @@
+#include "vcDispatchWaiting.h"
+
+#include "vcDispatchJobs.h"
+#include "vcDispatchPlacement.h"
+#include "vcDispatchWorkers.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A ready step and its waiting tasks.
+struct WaitingStep
+{
+  /// The task that has waited longest.
+  TaskId mOldest;
+  TimePoint mSince{ 0 };
+  std::uint64_t mTasks = 0;
+};
+
+WaitingStep MakeWaitingStep(const DispatchJob& aJob,
+                            const TaskId& aFirstTask,
+                            TimePoint aNow,
+                            std::int64_t aNowMs)
+{
+  const DispatchStep& step =
+    aJob.mOccurrences[aFirstTask.mOccurrence].mSteps[aFirstTask.mStep];
+  TimePoint readyAt = step.mReadyAt;
+  const std::int64_t dueAt =
+    DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
+  if (dueAt > 0) {
+    readyAt = std::max(readyAt, aNow + Duration(dueAt - aNowMs));
+  }
+  WaitingStep waiting;
+  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+    const DispatchTask& task = step.mTasks[i];
+    if (task.mPhase != RunPhase::kWaiting) {
+      continue;
+    }
+    const TimePoint since = std::max(readyAt, task.mWaitingSince);
+    if (waiting.mTasks == 0 || since < waiting.mSince) {
+      waiting.mOldest = aFirstTask;
+      waiting.mOldest.mIndex = i;
+      waiting.mSince = since;
+    }
+    ++waiting.mTasks;
+  }
+  return waiting;
+}
+
+/// The reason that holds for all tasks of a job, whatever they need.
+std::optional<WaitReason> ReasonOfJob(const DispatchShard& aShard,
+                                      const DispatchJob& aJob,
+                                      TimePoint aNow)
+{
+  if (!aShard.mMayStart || aShard.mIsFenced) {
+    return WaitReason::kStartsForbidden;
+  }
+  const bool isSafe =
+    IsBarrierClear(aShard, aNow) || aJob.mCreatedAt > aShard.mEpoch;
+  return isSafe ? std::nullopt : std::optional(WaitReason::kBarrier);
+}
+
+void Count(WaitingSummary& aSummary,
+           WaitReason aReason,
+           const DispatchShard& aShard,
+           const WaitingStep& aStep,
+           TimePoint aNow)
+{
+  WaitingTasks& row = aSummary[aReason];
+  const Duration wait = std::max(aNow - aStep.mSince, Duration(0));
+  if (row.mTasks == 0 || wait > row.mLongestWait) {
+    row.mLongestWait = wait;
+    row.mExample = aStep.mOldest;
+    row.mNeeds =
+      StepOf(aShard.mJobs.at(aStep.mOldest.mJob), aStep.mOldest).mNeeds;
+  }
+  row.mTasks += aStep.mTasks;
+}
+
+bool HasWaitedLonger(const WaitingStep& aLeft, const WaitingStep& aRight)
+{
+  return std::tie(aLeft.mSince, aLeft.mOldest) <
+         std::tie(aRight.mSince, aRight.mOldest);
+}
+
+} // namespace
+
+WaitingSummary SummarizeWaiting(const DispatchShard& aShard,
+                                TimePoint aNow,
+                                std::int64_t aNowMs,
+                                std::size_t aMaxExamined)
+{
+  WaitingSummary summary;
+  std::vector<WaitingStep> steps;
+  for (const auto& [id, job] : aShard.mJobs) {
+    if (IsFinal(job.mState)) {
+      continue;
+    }
+    const auto reason = ReasonOfJob(aShard, job, aNow);
+    for (const auto& firstTask : ReadySteps(aShard, job, aNowMs)) {
+      const WaitingStep step = MakeWaitingStep(job, firstTask, aNow, aNowMs);
+      if (reason) {
+        Count(summary, *reason, aShard, step, aNow);
+      } else {
+        steps.push_back(step);
+      }
+    }
+  }
+  const std::size_t examined = std::min(aMaxExamined, steps.size());
+  std::partial_sort(steps.begin(),
+                    steps.begin() + static_cast<std::ptrdiff_t>(examined),
+                    steps.end(),
+                    HasWaitedLonger);
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    const WaitReason reason = i < examined
+                                ? WhyNotPlaced(aShard, steps[i].mOldest, aNow)
+                                : WaitReason::kNotExamined;
+    Count(summary, reason, aShard, steps[i], aNow);
+  }
+  return summary;
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -0,0 +1,88 @@
+#pragma once
+
+/// Waiting work: a summary of the tasks of a shard that are ready and wait for
+/// a start, by the reason why they wait. It has no effect on placement.
+
+#include "vcDispatchState.h"
+#include "vcErrorTable.h"
+
+#include <cstddef>
+
+namespace verbenacroft {
+
+/// Why a task that is ready isn't started. The reasons from `kNotAllowed` to
+/// `kPassedOver` are in the order of the tests of one worker: a task's reason
+/// is the last one over all workers, that of the worker that comes nearest.
+enum class WaitReason
+{
+  /// The owner may start nothing, or is fenced.
+  kStartsForbidden,
+  /// The job was accepted before the epoch, and the barrier isn't clear.
+  kBarrier,
+  /// Not determined, because other tasks have waited for longer.
+  kNotExamined,
+  /// No worker has the service and the label, or the step has its maximum of
+  /// tasks on each worker that has.
+  kNotAllowed,
+  /// Every such worker is unlisted, not recorded, silent, draining, avoided or
+  /// in an evacuated data centre.
+  kNoWorker,
+  kNoCapacity,
+  /// Too little processor time is left for a best-effort task.
+  kBestEffortCpu,
+  /// Best-effort tasks are paused on the worker.
+  kBestEffortPaused,
+  /// A best-effort task would raise the predicted load of a serving image over
+  /// its limit.
+  kBestEffortDisturbs,
+  /// A worker has room for one task, but the tasks of a gang start together.
+  kGang,
+  /// A worker has room, but the last round of starts didn't start the task.
+  kPassedOver,
+};
+
+template<>
+struct EnumTable<WaitReason>
+{
+  static constexpr auto kRows = std::to_array<NameRow<WaitReason>>({
+    { WaitReason::kStartsForbidden, "starts-forbidden" },
+    { WaitReason::kBarrier, "barrier" },
+    { WaitReason::kNotExamined, "not-examined" },
+    { WaitReason::kNotAllowed, "not-allowed" },
+    { WaitReason::kNoWorker, "no-worker" },
+    { WaitReason::kNoCapacity, "no-capacity" },
+    { WaitReason::kBestEffortCpu, "best-effort-cpu" },
+    { WaitReason::kBestEffortPaused, "best-effort-paused" },
+    { WaitReason::kBestEffortDisturbs, "best-effort-disturbs" },
+    { WaitReason::kGang, "gang" },
+    { WaitReason::kPassedOver, "passed-over" },
+  });
+};
+
+/// Tasks that wait for the same reason.
+struct WaitingTasks
+{
+  std::uint64_t mTasks = 0;
+  /// Longest wait of these tasks, in ms.
+  Duration mLongestWait{ 0 };
+  /// The task that has waited longest, and its needs.
+  TaskId mExample;
+  Resources mNeeds;
+};
+
+/// Only reasons for which a task waits are contained.
+using WaitingSummary = std::map<WaitReason, WaitingTasks>;
+
+/// Maximum number of steps whose workers are examined for one summary, because
+/// each is compared with all workers of the shard.
+constexpr std::size_t kMaxExaminedSteps = 64;
+
+/// Counts the tasks that are ready and wait. The steps that have waited longest
+/// are examined first.
+/// @param aNowMs current time in ms since 1970, for occurrences that are due
+WaitingSummary SummarizeWaiting(const DispatchShard& aShard,
+                                TimePoint aNow,
+                                std::int64_t aNowMs,
+                                std::size_t aMaxExamined = kMaxExaminedSteps);
+
+} // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -196,7 +196,7 @@
     return;
   }
   worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
-  Release(aShard, key, RunPhase::kWaiting);
+  ReleaseToWait(aShard, key, aNow);
 }
 
 void OnStopReply(DispatchShard& aShard,
@@ -261,7 +261,7 @@
                    (aNow - worker.mLastReportAt).count());
       const std::set<TaskId> tasks = worker.mTasks;
       for (const auto& key : tasks) {
-        OnRunLost(aShard, key);
+        OnRunLost(aShard, key, aNow);
       }
     }
     // Runs that an earlier owner started may still exist on a worker that has
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -52,7 +52,7 @@
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
     vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchWorkers.cxx
+    vcDispatchWaiting.cxx vcDispatchWorkers.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -74,6 +74,29 @@
   gauge("verbenacroft_shard_epoch", "Epoch of this owner.", aState.mEpoch);
 }
 
+/// Adds the metrics of a shard's waiting work. A reason for which nothing waits
+/// is 0, so that its series doesn't keep an old value.
+void CollectWaiting(MetricsPage& aPage,
+                    std::uint32_t aShard,
+                    const WaitingSummary& aWaiting)
+{
+  for (const auto& reason : EnumTable<WaitReason>::kRows) {
+    const MetricLabels labels{ { "shard", std::to_string(aShard) },
+                               { "reason", std::string(reason.mName) } };
+    const auto found = aWaiting.find(reason.mValue);
+    const WaitingTasks row =
+      found == aWaiting.end() ? WaitingTasks{} : found->second;
+    aPage.Gauge("verbenacroft_shard_waiting_tasks",
+                "Tasks that are ready and wait.",
+                static_cast<double>(row.mTasks),
+                labels);
+    aPage.Gauge("verbenacroft_shard_oldest_wait_ms",
+                "Longest wait of a task that is ready.",
+                static_cast<double>(row.mLongestWait.count()),
+                labels);
+  }
+}
+
 /// Adds the metrics of the calls to the store.
 void CollectStoreCalls(const StoreStats& aStats, MetricsPage& aPage)
 {
@@ -135,6 +158,7 @@
   viewAge("system", aNode.mSystemCompleteAt);
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
+    CollectWaiting(aPage, shard, runner->WaitingTasksByReason());
     aPage.Gauge(
       "verbenacroft_shard_inbox_age_ms",
       "Time since the inbox was last known to be complete.",
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -139,4 +139,19 @@
   }
 }
 
+void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber)
+{
+  for (const auto& [reason, row] : aWaiting) {
+    spdlog::info("shard.waiting shard={} reason={} tasks={} oldest_ms={} "
+                 "example={} need_mcpu={} need_mb={}",
+                 aNumber,
+                 NameOf(reason),
+                 row.mTasks,
+                 row.mLongestWait.count(),
+                 Describe(row.mExample),
+                 row.mNeeds.mMilliCpu,
+                 row.mNeeds.mMemoryMb);
+  }
+}
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Log lines about the workers and the load of a shard.
+/// Log lines about the workers, the load and the waiting work of a shard.
 
 #include "vcDispatch.h"
 
@@ -58,4 +58,8 @@
 /// @param aNumber number of the shard
 void LogShardLoad(const DispatchShard& aShard, std::uint32_t aNumber);
 
+/// Logs the shard's waiting tasks, one line for each reason.
+/// @param aNumber number of the shard
+void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber);
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -209,6 +209,9 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
+      this->mWaiting =
+        SummarizeWaiting(this->mShard, loadLoggedAt, WallClockMs());
+      LogWaiting(this->mWaiting, this->mShardNumber);
       LogInboxReads(this->mInboxReads,
                     this->mShardNumber,
                     this->mNode.mLatestRevision,
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -80,6 +80,8 @@
   std::uint64_t Epoch() const { return this->mShard.mEpoch; }
   /// How far the inbox has been read.
   const InboxReads& Inbox() const { return this->mInboxReads; }
+  /// The tasks that were ready and waited at the last line about the load.
+  const WaitingSummary& WaitingTasksByReason() const { return this->mWaiting; }
   /// State of the dispatch core.
   const DispatchShard& State() const { return this->mShard; }
 
@@ -208,6 +210,7 @@
   /// Workers whose leases are being renewed.
   std::set<std::string> mPolledWorkers;
   InboxReads mInboxReads;
+  WaitingSummary mWaiting;
   /// When the store was last seen to be down.
   TimePoint mStoreDownAt{ kNever };
   bool mIsStopped = false;
