Node: Log when starts are forbidden and when a barrier is clear

Cause: an owner that may start nothing, and a takeover that waits for workers, could be told only from what is missing in the logs.

Change: shard.starts-forbidden and shard.starts-allowed at each change, with the cause and the ages that decided it; shard.barrier and shard.barrier-clear, which is seen at the next tick, within 100 ms. MayStartTasks becomes WhyStartsForbidden, with the same conditions.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -262,19 +262,28 @@
   }
 }
 
-bool MayStartTasks(const NodeContext& aNode, TimePoint aNow)
+std::optional<StartsForbiddenCause> WhyStartsForbidden(const NodeContext& aNode,
+                                                       TimePoint aNow)
 {
-  if (aNode.mIsLeaseInDoubt || !aNode.mLease || aNode.mIsStopping) {
-    return false;
+  if (aNode.mIsStopping) {
+    return StartsForbiddenCause::kStopping;
+  }
+  if (!aNode.mLease) {
+    return StartsForbiddenCause::kNoLease;
+  }
+  if (aNode.mIsLeaseInDoubt) {
+    return StartsForbiddenCause::kLeaseInDoubt;
   }
   if (aNow < aNode.mLeaseValidUntil) {
-    return true;
+    return std::nullopt;
   }
   const DispatchBounds bounds = DispatchBoundsOf(aNode.mSettings);
   const Duration gracePeriod =
     bounds.mOwnerGracePeriod - LeaseTtlOf(aNode.mSettings);
-  return IsStoreDown(aNode, aNow) &&
-         aNow < aNode.mLeaseValidUntil + gracePeriod;
+  const bool isInGracePeriod =
+    IsStoreDown(aNode, aNow) && aNow < aNode.mLeaseValidUntil + gracePeriod;
+  return isInGracePeriod ? std::nullopt
+                         : std::optional(StartsForbiddenCause::kLeaseExpired);
 }
 
 Duration LeaseRecoveryTime(Duration aLeaseTtl)
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -3,6 +3,7 @@
 /// Membership of a node in the fleet: its lease, and the tables of nodes and of
 /// shard owners.
 
+#include "vcErrorTable.h"
 #include "vcNodeContext.h"
 
 namespace verbenacroft {
@@ -23,11 +24,41 @@
 /// Updates the table of owners. An item older than the known owner is ignored.
 void ApplyOwner(NodeContext& aNode, const KvItem& aItem);
 
-/// True while the node may start tasks: its lease is valid, so that no other
-/// node can own its shards; or the store is down and the owner grace period
-/// hasn't ended, so that no other node starts the tasks that this one may
-/// start.
-bool MayStartTasks(const NodeContext& aNode, TimePoint aNow);
+/// Why the owner of a shard may start no task.
+enum class StartsForbiddenCause
+{
+  kNoLease,
+  /// The process was stalled, and the lease hasn't been renewed since.
+  kLeaseInDoubt,
+  kStopping,
+  /// The lease has expired, and so has the owner grace period if the store is
+  /// down.
+  kLeaseExpired,
+  /// The view of the shard's inbox is too old.
+  kOldInbox,
+  /// The view of the operators' items is too old.
+  kOldOperators,
+};
+
+template<>
+struct EnumTable<StartsForbiddenCause>
+{
+  static constexpr auto kRows = std::to_array<NameRow<StartsForbiddenCause>>({
+    { StartsForbiddenCause::kNoLease, "no-lease" },
+    { StartsForbiddenCause::kLeaseInDoubt, "lease-in-doubt" },
+    { StartsForbiddenCause::kStopping, "stopping" },
+    { StartsForbiddenCause::kLeaseExpired, "lease-expired" },
+    { StartsForbiddenCause::kOldInbox, "old-inbox" },
+    { StartsForbiddenCause::kOldOperators, "old-operators" },
+  });
+};
+
+/// Returns nothing while the node may start tasks: its lease is valid, so that
+/// no other node can own its shards; or the store is down and the owner grace
+/// period hasn't ended, so that no other node starts the tasks that this one
+/// may start. Otherwise the cause; the views are not checked.
+std::optional<StartsForbiddenCause> WhyStartsForbidden(const NodeContext& aNode,
+                                                       TimePoint aNow);
 
 /// Hands over the node's shards and revokes its lease.
 asio::awaitable<void> LeaveFleet(NodeContext& aNode);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -1,7 +1,5 @@
 #include "vcShardRunner.h"
 
-#include "vcMembership.h"
-
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
 
@@ -126,6 +124,7 @@
                this->mShard.mEndedJobs.size(),
                this->mWorkerSet.mWorkers.size(),
                (SuspendAwareNow() - startedAt).count());
+  this->LogBarrierStart(SuspendAwareNow());
   const auto self = this->shared_from_this();
   this->Spawn("discovery", [self] { return self->PollDiscovery(); });
   this->Spawn("tick", [self] { return self->Tick(); });
@@ -191,10 +190,80 @@
   return aNow - std::max(completeAt, this->mStoreDownAt) <= kMaxOrdersAge;
 }
 
+std::optional<StartsForbiddenCause> ShardRunner::WhyShardMayNotStart(
+  TimePoint aNow)
+{
+  const auto cause = WhyStartsForbidden(this->mNode, aNow);
+  if (cause || this->KnowsRecentOrders(aNow)) {
+    return cause;
+  }
+  const bool isInboxOlder =
+    this->mInboxReads.mCompleteAt <= this->mNode.mOperatorsCompleteAt;
+  return isInboxOlder ? StartsForbiddenCause::kOldInbox
+                      : StartsForbiddenCause::kOldOperators;
+}
+
+void ShardRunner::LogStartsForbidden(std::optional<StartsForbiddenCause> aCause,
+                                     TimePoint aNow)
+{
+  if (aCause == this->mForbiddenCause) {
+    return;
+  }
+  if (!this->mForbiddenCause) {
+    this->mForbiddenAt = aNow;
+  }
+  const std::string change =
+    aCause ? fmt::format("shard.starts-forbidden shard={} epoch={} cause={}",
+                         this->mShardNumber,
+                         this->Epoch(),
+                         NameOf(*aCause))
+           : fmt::format("shard.starts-allowed shard={} epoch={} after_ms={}",
+                         this->mShardNumber,
+                         this->Epoch(),
+                         (aNow - this->mForbiddenAt).count());
+  spdlog::info("{} lease_valid_ms={} inbox_age_ms={} operators_age_ms={} "
+               "store_down={}",
+               change,
+               (this->mNode.mLeaseValidUntil - aNow).count(),
+               (aNow - this->mInboxReads.mCompleteAt).count(),
+               (aNow - this->mNode.mOperatorsCompleteAt).count(),
+               IsStoreDown(this->mNode, aNow));
+  this->mForbiddenCause = aCause;
+}
+
+void ShardRunner::LogBarrierStart(TimePoint aNow)
+{
+  if (IsBarrierClear(this->mShard, aNow)) {
+    return;
+  }
+  this->mBarrierStartedAt = aNow;
+  spdlog::info("shard.barrier shard={} epoch={} unanswered={} ends_in_ms={}",
+               this->mShardNumber,
+               this->Epoch(),
+               this->mShard.mUnansweredWorkers.size(),
+               (this->mShard.mBarrierUntil - aNow).count());
+}
+
+void ShardRunner::LogBarrierEnd(TimePoint aNow)
+{
+  if (this->mBarrierStartedAt == kNever ||
+      !IsBarrierClear(this->mShard, aNow)) {
+    return;
+  }
+  spdlog::info(
+    "shard.barrier-clear shard={} epoch={} unanswered={} after_ms={}",
+    this->mShardNumber,
+    this->Epoch(),
+    this->mShard.mUnansweredWorkers.size(),
+    (aNow - this->mBarrierStartedAt).count());
+  this->mBarrierStartedAt = kNever;
+}
+
 void ShardRunner::CopyNodeStateToShard(TimePoint aNow)
 {
-  this->mShard.mMayStart =
-    MayStartTasks(this->mNode, aNow) && this->KnowsRecentOrders(aNow);
+  const auto cause = this->WhyShardMayNotStart(aNow);
+  this->LogStartsForbidden(cause, aNow);
+  this->mShard.mMayStart = !cause.has_value();
   this->mShard.mIsLeaseProved =
     !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
@@ -224,6 +293,7 @@
       break;
     }
     this->CopyNodeStateToShard(SuspendAwareNow());
+    this->LogBarrierEnd(SuspendAwareNow());
     ReapWorkers(this->mShard, SuspendAwareNow());
     DispatchActions actions;
     PlanStops(this->mShard, SuspendAwareNow(), actions);
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -4,6 +4,7 @@
 /// to the workers, records its state in the store, and passes the replies of
 /// both back to the core.
 
+#include "vcMembership.h"
 #include "vcNodeContext.h"
 #include "vcShardLog.h"
 
@@ -194,6 +195,17 @@
   /// Copies the state of the lease and the evacuations from the node to the
   /// core.
   void CopyNodeStateToShard(TimePoint aNow);
+  /// Why the shard may start nothing at present; nothing if it may.
+  std::optional<StartsForbiddenCause> WhyShardMayNotStart(TimePoint aNow);
+  /// Logs that starts become forbidden or allowed, or are forbidden for another
+  /// cause than before.
+  void LogStartsForbidden(std::optional<StartsForbiddenCause> aCause,
+                          TimePoint aNow);
+  /// Logs the start of the barrier of a takeover, if there is one.
+  void LogBarrierStart(TimePoint aNow);
+  /// Logs once that the barrier has become clear. Has to be called before the
+  /// core forgets the workers that haven't answered.
+  void LogBarrierEnd(TimePoint aNow);
 
   NodeContext& mNode;
   /// Number of the shard.
@@ -211,6 +223,12 @@
   std::set<std::string> mPolledWorkers;
   InboxReads mInboxReads;
   WaitingSummary mWaiting;
+  /// Why starts are forbidden; nothing while they are allowed.
+  std::optional<StartsForbiddenCause> mForbiddenCause;
+  /// When starts became forbidden.
+  TimePoint mForbiddenAt{ kNever };
+  /// When the barrier began; `kNever` if there is none or its end was logged.
+  TimePoint mBarrierStartedAt{ kNever };
   /// When the store was last seen to be down.
   TimePoint mStoreDownAt{ kNever };
   bool mIsStopped = false;
--- a/Tests/Unit/vcMembershipTest.cxx
+++ b/Tests/Unit/vcMembershipTest.cxx
@@ -1,5 +1,5 @@
-/// Which node claims a shard, and what it may take for certain of the owner
-/// before it.
+/// Which node claims a shard, what it may take for certain of the owner before
+/// it, and when it may start tasks.
 
 #include "vcNode.h"
 
@@ -7,6 +7,54 @@
 
 namespace verbenacroft {
 
+TEST_CASE("a node that may not start tasks names the cause", "[node]")
+{
+  static constexpr TimePoint kNow{ 100'000 };
+  using Cause = StartsForbiddenCause;
+  struct Row
+  {
+    const char* mName;
+    std::optional<Cause> mCause;
+    void (*mPrepare)(NodeContext&);
+  };
+  using N = NodeContext;
+  const auto row = GENERATE(values<Row>({
+    { "valid", std::nullopt, [](N&) {} },
+    { "stopping",
+      Cause::kStopping,
+      [](N& aNode) { aNode.mIsStopping = true; } },
+    { "no lease", Cause::kNoLease, [](N& aNode) { aNode.mLease.reset(); } },
+    { "stalled",
+      Cause::kLeaseInDoubt,
+      [](N& aNode) { aNode.mIsLeaseInDoubt = true; } },
+    { "expired while the store answers",
+      Cause::kLeaseExpired,
+      [](N& aNode) { aNode.mLeaseValidUntil = kNow; } },
+    { "expired while the store is down",
+      std::nullopt,
+      [](N& aNode) {
+        aNode.mLeaseValidUntil = kNow;
+        aNode.mStoreFailedAt = kNow - Duration(10'000);
+      } },
+    { "grace period over",
+      Cause::kLeaseExpired,
+      [](N& aNode) {
+        aNode.mLeaseValidUntil =
+          kNow - DispatchBoundsOf(aNode.mSettings).mOwnerGracePeriod;
+        aNode.mStoreFailedAt = kNow - Duration(10'000);
+      } },
+  }));
+  INFO(row.mName);
+  asio::io_context io;
+  NodeContext node(io, {});
+  node.mLease = LeaseId::Of(1);
+  node.mIsLeaseInDoubt = false;
+  node.mLeaseValidUntil = kNow + Duration(1);
+  node.mLastStoreReplyAt = kNow;
+  row.mPrepare(node);
+  CHECK(WhyStartsForbidden(node, kNow) == row.mCause);
+}
+
 TEST_CASE("nodes with more processors claim every shard first", "[node]")
 {
   const std::map<std::string, NodeRecord> nodes{
