Tests: Split the fleet of vcFleet by duty

The class moves to vcFleetState.h; its functions move to files by duty: vcFleet.cxx (nodes, clock), vcFleetJobs.cxx (callers), vcFleetFaults.cxx, vcFleetReleases.cxx and vcFleetJudges.cxx. No function changes: the sorted lines before and after differ in includes, namespaces, comments and `inline` only.

Which timers fire in a step seems to depend on real time; not looked into.

--- /dev/null
+++ b/Tests/Fleet/vcFleetState.h
@@ -0,0 +1,196 @@
+#pragma once
+
+/// The fleet of one play with its nodes, jobs, faults and judges. Only the
+/// sources of the fleet itself include this.
+
+#include "vcFleet.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <fmt/format.h>
+
+namespace verbenacroft {
+
+/// Time before the first job and the first fault.
+inline constexpr Duration kQuietStart{ 5'000 };
+/// After a calm of this length every shard has an owner at work. A node that is
+/// small for the fleet and has a new lease waits 2.3 s before it claims, then
+/// 0.2 s for each node before it and 0.06 s for each shard that it owns.
+inline constexpr Duration kOwnedWithin{ 4'000 };
+/// Time of the clock at which a play begins.
+inline constexpr TimePoint kStart{ 1'000'000 };
+/// Prefix of the keys of workers' entries.
+inline constexpr const char* kWorkersPrefix = "servers/";
+/// Prefix of the keys of operators' items.
+inline constexpr const char* kOperatorKeyPrefix = "op/";
+/// Suffix of the entry of a draining worker.
+inline constexpr const char* kDraining = " draining";
+/// Longer than the longest task that ends, so that a worker that leaves runs
+/// nothing.
+inline constexpr Duration kDrainTime{ 4'000 };
+/// Host and path of the only queue.
+inline constexpr const char* kHost = "desk.example";
+inline constexpr const char* kQueuePath = "/q/";
+/// Cancellations and evacuations take effect within this time.
+inline constexpr Duration kObeyedWithin{ 3'000 };
+/// From the start of one fault with small nodes to that of the next.
+inline constexpr Duration kSmallNodeFault{ 9'000 };
+
+/// Terms of the only queue.
+QueueTerms MakeTerms();
+
+/// A moment at which something is changed.
+struct Change
+{
+  TimePoint mAt{ 0 };
+  std::string mWhat;
+  std::function<void()> mDo;
+};
+
+/// One play. Each source of the fleet defines the functions of one duty.
+class Fleet
+{
+public:
+  explicit Fleet(const FleetOptions& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+  {
+    this->mStore.mRandom.seed(aOptions.mSeed + 1);
+    this->mWorkers.mRandom.seed(aOptions.mSeed + 2);
+    this->mWatchRandom.seed(aOptions.mSeed + 3);
+    this->mSizeRandom.seed(aOptions.mSeed + 4);
+  }
+
+  ~Fleet()
+  {
+    for (auto& [name, life] : this->mLives) {
+      EndLife(life);
+    }
+    UseManualTime(std::nullopt);
+  }
+
+  FleetResult Play();
+
+private:
+  int Draw(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(this->mRandom);
+  }
+  /// Draws for what only a fleet with small nodes has, so that the draws of the
+  /// others stay as they are.
+  int DrawSize(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast, aMost)(this->mSizeRandom);
+  }
+  bool Toss(int aPercent) { return this->Draw(1, 100) <= aPercent; }
+  int DrawForWatches(int aLeast, int aMost)
+  {
+    return std::uniform_int_distribution<int>(aLeast,
+                                              aMost)(this->mWatchRandom);
+  }
+  std::string DrawNode()
+  {
+    return fmt::format("node-{}",
+                       this->Draw(1, static_cast<int>(this->mOptions.mNodes)));
+  }
+  std::string DrawWorker()
+  {
+    return fmt::format(
+      "w{}", this->Draw(1, static_cast<int>(this->mOptions.mWorkers)));
+  }
+  /// The node that owns a drawn shard, or any.
+  std::string DrawOwner();
+
+  // The fleet and its clock.
+  void DrawSizes();
+  bool IsSmall(const std::string& aNode) const;
+  /// Nodes that are small, or those that aren't.
+  std::vector<std::string> NodesOfSize(bool aIsSmall) const;
+  bool HasSmallNodes() const
+  {
+    return this->mOptions.mPlay == FleetPlay::kSmallNodes;
+  }
+  static void EndLife(NodeLife& aLife);
+  void StartNode(const std::string& aName);
+  void StopNode(const std::string& aName);
+  void SetUp();
+  void At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo);
+  void Schedule();
+  void SortChanges();
+  void Step();
+
+  // Callers.
+  BatchSpec DrawJob(const JobId& aId);
+  void SubmitJob();
+  void SubmitJobs();
+  void OnAnswer(const JobId& aId,
+                const BatchSpec& aSpec,
+                int aStatus,
+                Duration aTook);
+  /// Cancels a drawn job that was accepted.
+  void CancelJob();
+  asio::awaitable<void> SendCancellation(NodeContext& aNode, JobId aId);
+
+  // Faults.
+  void ScheduleFaults();
+  void ScheduleStoreFault(TimePoint aAt, TimePoint aEnd);
+  std::string DrawWatchedPrefix();
+  void ScheduleWatchFault();
+  /// Evacuates a data centre for some seconds.
+  void ScheduleEvacuation(TimePoint aAt);
+  void ScheduleNodeFault(TimePoint aAt, TimePoint aEnd);
+  void ScheduleWorkerFault(TimePoint aAt, TimePoint aEnd);
+  void ScheduleForgottenLeases(TimePoint aAt);
+  void ScheduleLossOfLargeNodes(TimePoint aAt);
+
+  // Releases.
+  void AddWorker(const std::string& aName);
+  void SetEntry(const std::string& aName, const std::string& aSuffix);
+  void RemoveWorker(const std::string& aName);
+  void ScheduleDrain(const std::string& aName, TimePoint aAt);
+  /// @return when the last worker that is replaced has left
+  TimePoint ScheduleRelease(TimePoint aAt);
+  void ScheduleFreeze(TimePoint aAt);
+  void CrashLastingWorker();
+
+  // Judges.
+  /// Asks every node for the number of waiting jobs of each shard.
+  void AskForCounts();
+  asio::awaitable<void> CheckCount(NodeContext& aNode, std::uint32_t aShard);
+  /// A calm owner has to know the number, however few jobs come in.
+  void CheckCountIsNotDue(const NodeContext& aNode, std::uint32_t aShard);
+  /// Accepted jobs of a shard that have waited for too long to be left out.
+  std::size_t LongWaiting(std::uint32_t aShard) const;
+  void CheckOwners();
+  void CheckLargeOwners();
+  void CheckLasting(const std::set<JobId>& aJobs);
+  void CheckEnd();
+  void Problem(std::string aText);
+
+  FleetOptions mOptions;
+  std::mt19937_64 mRandom;
+  /// Draws the faults of watches, apart from the other faults.
+  std::mt19937_64 mWatchRandom;
+  std::mt19937_64 mSizeRandom;
+  /// Processors by node.
+  std::map<std::string, double> mSizes;
+  TimePoint mNow = kStart;
+  TimePoint mCalmAt = kStart;
+  TimePoint mEnd = kStart;
+  /// The calm is interrupted between these times, in which the store is away
+  /// and forgets leases.
+  TimePoint mLeaseFaultsAt = TimePoint::max();
+  TimePoint mLeaseFaultsEnd = TimePoint::max();
+  MemoryStore mStore;
+  MemoryFleet mWorkers;
+  std::map<std::string, NodeLife> mLives;
+  std::vector<Change> mChanges;
+  std::vector<std::string> mJobs;
+  std::map<JobId, TimePoint> mAcceptedAt;
+  std::set<std::string> mLasting;
+  std::set<JobId> mCancelled;
+  /// Jobs that were refused as not run.
+  std::set<std::string> mRefused;
+  FleetResult mResult;
+};
+
+} // namespace verbenacroft
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -63,6 +63,8 @@
 # Nodes of one fleet against a store and workers in memory.
 add_executable(vcFleet
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
+  Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
+  Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetJudges.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
 # Each test plays other faults, or another fleet, on the same seeds.
