Tests: Play owners that lose the shard one after another

No play had lost workers and several takeovers close together.

The play successive-takeovers: 1 to 3 of 6 workers are gone for good, their entries 3.3 s later; 2.5 to 8 s after they are gone the first of three owners loses the shard, the next ones 1 to 10 s apart (longer where another owner can't be there yet). An owner is killed, paused, turned away with its lease revoked or leaves, or the store is down and forgets all leases. Each disturbance ends after 2.5 to 4 s. The judge looks 10 s after the last end: 3 s of calm and 7 s, as the rule says. Then every accepted long-running task has to run, and no job accepted more than 5 s before may still wait. One shard, 4 jobs at once, and a tenth of them lasts; other plays draw as before. Node faults share three functions now.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -1,5 +1,7 @@
 #include "vcFleetState.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -130,6 +132,34 @@
   }
 }
 
+void Fleet::PauseNode(const std::string& aName)
+{
+  const auto found = this->mLives.find(aName);
+  if (found != this->mLives.end()) {
+    found->second.mIsPaused = true;
+  }
+}
+
+void Fleet::ContinueNode(const std::string& aName)
+{
+  const auto found = this->mLives.find(aName);
+  if (found != this->mLives.end()) {
+    found->second.mIsPaused = false;
+    found->second.mGoesOnAt = this->mNow;
+  }
+}
+
+void Fleet::RetireNode(const std::string& aName)
+{
+  const auto found = this->mLives.find(aName);
+  if (found == this->mLives.end()) {
+    return;
+  }
+  found->second.mNode->mIsStopping = true;
+  asio::co_spawn(
+    *found->second.mIo, LeaveFleet(*found->second.mNode), asio::detached);
+}
+
 std::string Fleet::DrawOwner()
 {
   const auto shard = static_cast<std::uint32_t>(
@@ -141,6 +171,17 @@
   return record ? record->mNode : this->DrawNode();
 }
 
+std::set<std::string> Fleet::DrawWorkers(int aMost)
+{
+  const auto workers = static_cast<int>(this->mOptions.mWorkers);
+  const int count = this->Draw(1, std::max(1, std::min(aMost, workers - 1)));
+  std::set<std::string> names;
+  while (std::ssize(names) < count) {
+    names.insert(this->DrawWorker());
+  }
+  return names;
+}
+
 void Fleet::SetUp()
 {
   UseManualTime(this->mNow);
@@ -167,6 +208,8 @@
   if (this->mOptions.mPlay == FleetPlay::kRelease) {
     const TimePoint left = this->ScheduleRelease(releaseAt);
     this->ScheduleFreeze(left + Duration(this->Draw(100, 1'500)));
+  } else if (this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers) {
+    this->ScheduleTakeovers();
   } else {
     this->ScheduleFaults();
   }
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -39,6 +39,9 @@
   /// The seed also draws nodes with few processors. After the faults the store
   /// forgets all leases, once with the large nodes alive and once without them.
   kSmallNodes,
+  /// Some workers are gone for good, then three owners lose the shard one after
+  /// another. Lost long-running tasks run again soon after calm has returned.
+  kSuccessiveTakeovers,
 };
 
 template<>
@@ -50,6 +53,7 @@
     { FleetPlay::kReleaseAmidFaults, "release-amid-faults" },
     { FleetPlay::kWatches, "watches" },
     { FleetPlay::kSmallNodes, "small-nodes" },
+    { FleetPlay::kSuccessiveTakeovers, "successive-takeovers" },
   });
 };
 
--- a/Tests/Fleet/vcFleetFaults.cxx
+++ b/Tests/Fleet/vcFleetFaults.cxx
@@ -154,28 +154,13 @@
   } else if (kind == 2) {
     this->At(aAt, "node paused", [=, this] {
       choose();
-      const auto found = this->mLives.find(*name);
-      if (found != this->mLives.end()) {
-        found->second.mIsPaused = true;
-      }
-    });
-    this->At(aEnd, "node goes on", [=, this] {
-      const auto found = this->mLives.find(*name);
-      if (found != this->mLives.end()) {
-        found->second.mIsPaused = false;
-        found->second.mGoesOnAt = this->mNow;
-      }
+      this->PauseNode(*name);
     });
+    this->At(aEnd, "node goes on", [=, this] { this->ContinueNode(*name); });
   } else if (kind == 3) {
     this->At(aAt, "node leaves", [=, this] {
       choose();
-      const auto found = this->mLives.find(*name);
-      if (found == this->mLives.end()) {
-        return;
-      }
-      found->second.mNode->mIsStopping = true;
-      asio::co_spawn(
-        *found->second.mIo, LeaveFleet(*found->second.mNode), asio::detached);
+      this->RetireNode(*name);
     });
     this->At(aAt + Duration(3'000), "node back", restart);
   } else {
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -23,8 +23,10 @@
 BatchSpec Fleet::DrawJob(const JobId& aId)
 {
   BatchSpec spec;
-  const bool isLasting = this->Toss(std::max(
-    1, kLastingPercent / static_cast<int>(this->mOptions.mJobsAtOnce)));
+  const int atOnce = this->HasManyLastingJobs()
+                       ? 1
+                       : static_cast<int>(this->mOptions.mJobsAtOnce);
+  const bool isLasting = this->Toss(std::max(1, kLastingPercent / atOnce));
   const int steps = isLasting ? 1 : this->Draw(1, 2);
   for (int s = 0; s < steps; ++s) {
     StepSpec step;
--- a/Tests/Fleet/vcFleetJudges.cxx
+++ b/Tests/Fleet/vcFleetJudges.cxx
@@ -142,6 +142,17 @@
   }
 }
 
+void Fleet::CheckBegun()
+{
+  for (std::uint32_t shard = 0; shard < this->mOptions.mShards; ++shard) {
+    const std::size_t waiting = this->LongWaiting(shard);
+    if (waiting > 0) {
+      this->Problem(
+        fmt::format("{} jobs of shard {} are held back", waiting, shard));
+    }
+  }
+}
+
 void Fleet::CheckEnd()
 {
   for (const auto& end : this->mWorkers.mRepeated) {
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -109,6 +109,21 @@
   return options;
 }
 
+/// Sets what a play prescribes.
+void AdaptToPlay(FleetOptions& aOptions)
+{
+  // Enough work that every worker runs some of it.
+  constexpr std::uint32_t kManyJobs = 4;
+  const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers;
+  // The owner that loses its shard has to be that of all tasks.
+  if (hasManyJobs || aOptions.mPlay == FleetPlay::kRelease) {
+    aOptions.mShards = 1;
+  }
+  if (hasManyJobs) {
+    aOptions.mJobsAtOnce = std::max(aOptions.mJobsAtOnce, kManyJobs);
+  }
+}
+
 } // namespace
 } // namespace verbenacroft
 
@@ -152,8 +167,7 @@
     for (const auto play : PlaysOf(parsed)) {
       FleetOptions options = FleetOptionsOf(parsed);
       options.mPlay = play;
-      // The owner that is paused has to be that of all tasks.
-      options.mShards = play == FleetPlay::kRelease ? 1 : options.mShards;
+      AdaptToPlay(options);
       status = std::max(status, PlaySeeds(options, first, last, threads));
     }
     return status;
--- a/Tests/Fleet/vcFleetReleases.cxx
+++ b/Tests/Fleet/vcFleetReleases.cxx
@@ -37,15 +37,25 @@
   CommitNow(this->mStore, write);
 }
 
-void Fleet::RemoveWorker(const std::string& aName)
+void Fleet::LoseWorker(const std::string& aName)
 {
   Restart(this->mWorkers, aName, this->mNow);
   this->mWorkers.mWorkers.at(aName).mCutFrom.insert("*");
+}
+
+void Fleet::RemoveEntry(const std::string& aName)
+{
   KvTransaction write;
   write.mDeletes.push_back(kWorkersPrefix + aName);
   CommitNow(this->mStore, write);
 }
 
+void Fleet::RemoveWorker(const std::string& aName)
+{
+  this->LoseWorker(aName);
+  this->RemoveEntry(aName);
+}
+
 void Fleet::ScheduleDrain(const std::string& aName, TimePoint aAt)
 {
   this->At(
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -46,6 +46,30 @@
   std::function<void()> mDo;
 };
 
+/// How an owner loses its shard.
+enum class OwnerLoss
+{
+  kKilled,
+  kPaused,
+  /// The store turns the owner away and has revoked its lease.
+  kTurnedAway,
+  /// The store is down and forgets all leases.
+  kStoreDown,
+  kLeaves,
+};
+
+template<>
+struct EnumTable<OwnerLoss>
+{
+  static constexpr auto kRows = std::to_array<NameRow<OwnerLoss>>({
+    { OwnerLoss::kKilled, "owner killed" },
+    { OwnerLoss::kPaused, "owner paused" },
+    { OwnerLoss::kTurnedAway, "owner turned away, its lease revoked" },
+    { OwnerLoss::kStoreDown, "store down, leases forgotten" },
+    { OwnerLoss::kLeaves, "owner leaves" },
+  });
+};
+
 /// One play. Each source of the fleet defines the functions of one duty.
 class Fleet
 {
@@ -99,6 +123,13 @@
   }
   /// The node that owns a drawn shard, or any.
   std::string DrawOwner();
+  /// Some of the workers that the fleet begins with, but not all.
+  std::set<std::string> DrawWorkers(int aMost);
+  /// True if much of the work lasts, so that most workers run some of it.
+  bool HasManyLastingJobs() const
+  {
+    return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers;
+  }
 
   // The fleet and its clock.
   void DrawSizes();
@@ -112,6 +143,10 @@
   static void EndLife(NodeLife& aLife);
   void StartNode(const std::string& aName);
   void StopNode(const std::string& aName);
+  void PauseNode(const std::string& aName);
+  void ContinueNode(const std::string& aName);
+  /// The node hands its shards over and stops.
+  void RetireNode(const std::string& aName);
   void SetUp();
   void At(TimePoint aWhen, std::string aWhat, std::function<void()> aDo);
   void Schedule();
@@ -145,6 +180,9 @@
   // Releases.
   void AddWorker(const std::string& aName);
   void SetEntry(const std::string& aName, const std::string& aSuffix);
+  /// The worker loses what it runs, and nobody reaches it any more.
+  void LoseWorker(const std::string& aName);
+  void RemoveEntry(const std::string& aName);
   void RemoveWorker(const std::string& aName);
   void ScheduleDrain(const std::string& aName, TimePoint aAt);
   /// @return when the last worker that is replaced has left
@@ -152,6 +190,16 @@
   void ScheduleFreeze(TimePoint aAt);
   void CrashLastingWorker();
 
+  // Takeovers.
+  void ScheduleTakeovers();
+  void ScheduleGoneWorkers(TimePoint aAt);
+  OwnerLoss DrawOwnerLoss();
+  void ScheduleOwnerLoss(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd);
+  void LoseOwner(OwnerLoss aLoss, const std::string& aOwner, StoreMood aMood);
+  void EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner);
+  /// Lets the long-running tasks be judged, some time after `mCalmAt`.
+  void ScheduleCheckOfCalm();
+
   // Judges.
   /// Asks every node for the number of waiting jobs of each shard.
   void AskForCounts();
@@ -163,6 +211,8 @@
   void CheckOwners();
   void CheckLargeOwners();
   void CheckLasting(const std::set<JobId>& aJobs);
+  /// No accepted job is held back.
+  void CheckBegun();
   void CheckEnd();
   void Problem(std::string aText);
 
--- /dev/null
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -0,0 +1,149 @@
+/// The play of successive takeovers: workers that are gone for good, and owners
+/// that lose the shard before the one ahead of them has settled.
+
+#include "vcFleetState.h"
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr int kOwnerLosses = 3;
+/// Another node owns the shard after this time: the lease of a node that says
+/// nothing ends after 1.5 s, and a node that has lost its lease needs a new
+/// one.
+constexpr Duration kTakenOver{ 2'500 };
+/// The same if the owner's lease is revoked at once.
+constexpr Duration kTakenOverAtOnce{ 1'000 };
+/// A worker's entry in the store outlives the worker by this time.
+constexpr Duration kEntryOutlives{ 3'300 };
+/// Calm has returned when nothing has been disturbed for this time.
+constexpr Duration kCalmReturns{ 3'000 };
+/// Long-running tasks that lost their worker run again this soon after that.
+constexpr Duration kRunAgainInCalm{ 7'000 };
+
+/// When a next owner can be at work.
+TimePoint TakenOverAt(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+    case OwnerLoss::kPaused:
+      return aAt + kTakenOver;
+    case OwnerLoss::kTurnedAway:
+    case OwnerLoss::kLeaves:
+      return aAt + kTakenOverAtOnce;
+    case OwnerLoss::kStoreDown:
+      return aEnd + kTakenOver;
+  }
+  return aEnd;
+}
+
+} // namespace
+
+void Fleet::ScheduleTakeovers()
+{
+  const TimePoint goneAt =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  this->ScheduleGoneWorkers(goneAt);
+  const bool isLongBefore = this->Toss(50);
+  TimePoint at = goneAt + Duration(isLongBefore ? this->Draw(5'000, 8'000)
+                                                : this->Draw(2'500, 5'000));
+  for (int i = 0; i < kOwnerLosses; ++i) {
+    const OwnerLoss loss = this->DrawOwnerLoss();
+    // Longer than the lease, so that the shard is lost, and short, so that calm
+    // returns while the next owner still waits for lost workers.
+    const TimePoint end = at + Duration(this->Draw(2'500, 4'000));
+    this->ScheduleOwnerLoss(loss, at, end);
+    this->mCalmAt = std::max(this->mCalmAt, end);
+    const Duration distance(this->Draw(1'000, 10'000));
+    at = std::max(at + distance, TakenOverAt(loss, at, end));
+  }
+  this->ScheduleCheckOfCalm();
+}
+
+void Fleet::ScheduleGoneWorkers(TimePoint aAt)
+{
+  constexpr int kMostGone = 3;
+  for (const auto& name : this->DrawWorkers(kMostGone)) {
+    this->At(aAt, name + " is gone", [=, this] { this->LoseWorker(name); });
+    this->At(aAt + kEntryOutlives, name + " has no entry", [=, this] {
+      this->RemoveEntry(name);
+    });
+  }
+}
+
+OwnerLoss Fleet::DrawOwnerLoss()
+{
+  const auto& rows = EnumTable<OwnerLoss>::kRows;
+  const int drawn = this->Draw(0, static_cast<int>(rows.size()) - 1);
+  return rows[static_cast<std::size_t>(drawn)].mValue;
+}
+
+void Fleet::ScheduleOwnerLoss(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
+{
+  const StoreMood mood =
+    this->Toss(50) ? StoreMood::kSilent : StoreMood::kRefusing;
+  const auto owner = std::make_shared<std::string>();
+  const std::string what(NameOf(aLoss));
+  this->At(aAt, what, [=, this] {
+    *owner = this->DrawOwner();
+    this->LoseOwner(aLoss, *owner, mood);
+  });
+  this->At(
+    aEnd, "over: " + what, [=, this] { this->EndOwnerLoss(aLoss, *owner); });
+}
+
+void Fleet::LoseOwner(OwnerLoss aLoss,
+                      const std::string& aOwner,
+                      StoreMood aMood)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+      this->StopNode(aOwner);
+      break;
+    case OwnerLoss::kPaused:
+      this->PauseNode(aOwner);
+      break;
+    case OwnerLoss::kTurnedAway:
+      this->mStore.mMoodFor[aOwner] = aMood;
+      ForgetLeaseOf(this->mStore, kNodePrefix + aOwner);
+      break;
+    case OwnerLoss::kStoreDown:
+      this->mStore.mMood = aMood;
+      ForgetLeases(this->mStore);
+      break;
+    case OwnerLoss::kLeaves:
+      this->RetireNode(aOwner);
+      break;
+  }
+}
+
+void Fleet::EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+    case OwnerLoss::kLeaves:
+      this->StartNode(aOwner);
+      break;
+    case OwnerLoss::kPaused:
+      this->ContinueNode(aOwner);
+      break;
+    case OwnerLoss::kTurnedAway:
+      this->mStore.mMoodFor.erase(aOwner);
+      break;
+    case OwnerLoss::kStoreDown:
+      this->mStore.mMood = StoreMood::kServing;
+      break;
+  }
+}
+
+void Fleet::ScheduleCheckOfCalm()
+{
+  this->At(this->mCalmAt + kCalmReturns + kRunAgainInCalm,
+           "long-running tasks run again",
+           [this] {
+             this->CheckLasting(this->mLasting);
+             this->CheckBegun();
+           });
+}
+
+} // namespace verbenacroft
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -64,7 +64,8 @@
 add_executable(vcFleet
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
-  Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetJudges.cxx
+  Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
+  Tests/Fleet/vcFleetJudges.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
 # Each test plays other faults, or another fleet, on the same seeds.
@@ -98,6 +99,9 @@
 # Guards against an owner that is too small for its shard, after the store has
 # forgotten all leases.
 verbenacroft_fleet(small_nodes --play small-nodes --seeds 1..100)
+# Guards against a wait for lost workers that begins anew with each takeover.
+verbenacroft_fleet(successive_takeovers
+  --play successive-takeovers --seeds 1..100)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
