Tests: Play an owner that is cut off with some workers for long

No play cut an owner off together with workers for longer than the 13.1 s after which the next owner starts its tasks.

The play long-partition: for 20 to 30 s the owner and 1 to 5 of 6 workers reach only each other, and the other nodes reach only the store and the other workers. The judge of tasks that run twice looks all the time; 10 s after the cut every accepted long-running task has to run, and at the end all jobs be completed. The problems with two runs at once are printed first now, as only four are shown.

Some ends also count as "started after its end": the lease of a worker that is renewed for ever never lapses, so its ends stay proof.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -210,6 +210,8 @@
     this->ScheduleFreeze(left + Duration(this->Draw(100, 1'500)));
   } else if (this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers) {
     this->ScheduleTakeovers();
+  } else if (this->mOptions.mPlay == FleetPlay::kLongPartition) {
+    this->SchedulePartition();
   } else {
     this->ScheduleFaults();
   }
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -42,6 +42,9 @@
   /// Some workers are gone for good, then three owners lose the shard one after
   /// another. Lost long-running tasks run again soon after calm has returned.
   kSuccessiveTakeovers,
+  /// The owner reaches only some of the workers for a long time, and neither
+  /// the store nor the other nodes. These reach only the other workers.
+  kLongPartition,
 };
 
 template<>
@@ -54,6 +57,7 @@
     { FleetPlay::kWatches, "watches" },
     { FleetPlay::kSmallNodes, "small-nodes" },
     { FleetPlay::kSuccessiveTakeovers, "successive-takeovers" },
+    { FleetPlay::kLongPartition, "long-partition" },
   });
 };
 
--- a/Tests/Fleet/vcFleetJudges.cxx
+++ b/Tests/Fleet/vcFleetJudges.cxx
@@ -155,6 +155,10 @@
 
 void Fleet::CheckEnd()
 {
+  // Two runs of a task at once are the gravest, so they are shown first.
+  for (const auto& text : this->mWorkers.mProblems) {
+    this->mResult.mProblems.push_back(text);
+  }
   for (const auto& end : this->mWorkers.mRepeated) {
     if (this->mWorkers.mAcknowledged.contains(end)) {
       this->Problem(Describe(end.first) + " was started after its end");
@@ -180,9 +184,6 @@
     }
   }
   this->CheckLasting(this->mLasting);
-  for (const auto& text : this->mWorkers.mProblems) {
-    this->mResult.mProblems.push_back(text);
-  }
   for (const auto& text : this->mStore.mRejectedWrites) {
     this->mResult.mProblems.push_back(text);
   }
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -114,7 +114,8 @@
 {
   // Enough work that every worker runs some of it.
   constexpr std::uint32_t kManyJobs = 4;
-  const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers;
+  const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
+                           aOptions.mPlay == FleetPlay::kLongPartition;
   // The owner that loses its shard has to be that of all tasks.
   if (hasManyJobs || aOptions.mPlay == FleetPlay::kRelease) {
     aOptions.mShards = 1;
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -128,7 +128,8 @@
   /// True if much of the work lasts, so that most workers run some of it.
   bool HasManyLastingJobs() const
   {
-    return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers;
+    return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
+           this->mOptions.mPlay == FleetPlay::kLongPartition;
   }
 
   // The fleet and its clock.
@@ -190,13 +191,18 @@
   void ScheduleFreeze(TimePoint aAt);
   void CrashLastingWorker();
 
-  // Takeovers.
+  // Takeovers and partitions.
   void ScheduleTakeovers();
   void ScheduleGoneWorkers(TimePoint aAt);
   OwnerLoss DrawOwnerLoss();
   void ScheduleOwnerLoss(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd);
   void LoseOwner(OwnerLoss aLoss, const std::string& aOwner, StoreMood aMood);
   void EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner);
+  void SchedulePartition();
+  /// From now on the node reaches only these workers, and only it does.
+  void CutOff(const std::string& aNode, const std::set<std::string>& aWorkers);
+  /// Ends that.
+  void Rejoin(const std::string& aNode);
   /// Lets the long-running tasks be judged, some time after `mCalmAt`.
   void ScheduleCheckOfCalm();
 
--- a/Tests/Fleet/vcFleetTakeovers.cxx
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -1,5 +1,5 @@
-/// The play of successive takeovers: workers that are gone for good, and owners
-/// that lose the shard before the one ahead of them has settled.
+/// The plays of successive takeovers, in which workers are gone for good and
+/// owners lose the shard before they have settled, and of a long partition.
 
 #include "vcFleetState.h"
 
@@ -136,6 +136,49 @@
   }
 }
 
+void Fleet::SchedulePartition()
+{
+  const TimePoint at =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  const TimePoint end = at + Duration(this->Draw(20'000, 30'000));
+  const auto workers =
+    this->DrawWorkers(static_cast<int>(this->mOptions.mWorkers));
+  const auto owner = std::make_shared<std::string>();
+  this->At(at, "owner and some workers cut off", [=, this] {
+    *owner = this->DrawOwner();
+    this->CutOff(*owner, workers);
+  });
+  this->At(end, "partition over", [=, this] { this->Rejoin(*owner); });
+  this->mCalmAt = end;
+  this->ScheduleCheckOfCalm();
+}
+
+void Fleet::CutOff(const std::string& aNode,
+                   const std::set<std::string>& aWorkers)
+{
+  // Nodes of a test never reach each other.
+  this->mStore.mMoodFor[aNode] = StoreMood::kSilent;
+  for (auto& [name, worker] : this->mWorkers.mWorkers) {
+    if (!aWorkers.contains(name)) {
+      worker.mCutFrom.insert(aNode);
+      continue;
+    }
+    for (const auto& [node, size] : this->mSizes) {
+      if (node != aNode) {
+        worker.mCutFrom.insert(node);
+      }
+    }
+  }
+}
+
+void Fleet::Rejoin(const std::string& aNode)
+{
+  this->mStore.mMoodFor.erase(aNode);
+  for (auto& [name, worker] : this->mWorkers.mWorkers) {
+    worker.mCutFrom.clear();
+  }
+}
+
 void Fleet::ScheduleCheckOfCalm()
 {
   this->At(this->mCalmAt + kCalmReturns + kRunAgainInCalm,
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -102,6 +102,9 @@
 # Guards against a wait for lost workers that begins anew with each takeover.
 verbenacroft_fleet(successive_takeovers
   --play successive-takeovers --seeds 1..100)
+# Guards against two runs of a task when an owner without a lease goes on
+# renewing the workers that only it reaches.
+verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
