--- /dev/null
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -0,0 +1,192 @@
+/// The plays of successive takeovers, in which workers are gone for good and
+/// owners lose the shard before they have settled, and of a long partition.
+
+#include "vcFleetState.h"
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr int kOwnerLosses = 3;
+/// Another node owns the shard after this time: the lease of a node that says
+/// nothing ends after 1.5 s, and a node that has lost its lease needs a new
+/// one.
+constexpr Duration kTakenOver{ 2'500 };
+/// The same if the owner's lease is revoked at once.
+constexpr Duration kTakenOverAtOnce{ 1'000 };
+/// A worker's entry in the store outlives the worker by this time.
+constexpr Duration kEntryOutlives{ 3'300 };
+/// Calm has returned when nothing has been disturbed for this time.
+constexpr Duration kCalmReturns{ 3'000 };
+/// Long-running tasks that lost their worker run again this soon after that.
+constexpr Duration kRunAgainInCalm{ 7'000 };
+
+/// When a next owner can be at work.
+TimePoint TakenOverAt(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+    case OwnerLoss::kPaused:
+      return aAt + kTakenOver;
+    case OwnerLoss::kTurnedAway:
+    case OwnerLoss::kLeaves:
+      return aAt + kTakenOverAtOnce;
+    case OwnerLoss::kStoreDown:
+      return aEnd + kTakenOver;
+  }
+  return aEnd;
+}
+
+} // namespace
+
+void Fleet::ScheduleTakeovers()
+{
+  const TimePoint goneAt =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  this->ScheduleGoneWorkers(goneAt);
+  const bool isLongBefore = this->Toss(50);
+  TimePoint at = goneAt + Duration(isLongBefore ? this->Draw(5'000, 8'000)
+                                                : this->Draw(2'500, 5'000));
+  for (int i = 0; i < kOwnerLosses; ++i) {
+    const OwnerLoss loss = this->DrawOwnerLoss();
+    // Longer than the lease, so that the shard is lost, and short, so that calm
+    // returns while the next owner still waits for lost workers.
+    const TimePoint end = at + Duration(this->Draw(2'500, 4'000));
+    this->ScheduleOwnerLoss(loss, at, end);
+    this->mCalmAt = std::max(this->mCalmAt, end);
+    const Duration distance(this->Draw(1'000, 10'000));
+    at = std::max(at + distance, TakenOverAt(loss, at, end));
+  }
+  this->ScheduleCheckOfCalm();
+}
+
+void Fleet::ScheduleGoneWorkers(TimePoint aAt)
+{
+  constexpr int kMostGone = 3;
+  for (const auto& name : this->DrawWorkers(kMostGone)) {
+    this->At(aAt, name + " is gone", [=, this] { this->LoseWorker(name); });
+    this->At(aAt + kEntryOutlives, name + " has no entry", [=, this] {
+      this->RemoveEntry(name);
+    });
+  }
+}
+
+OwnerLoss Fleet::DrawOwnerLoss()
+{
+  const auto& rows = EnumTable<OwnerLoss>::kRows;
+  const int drawn = this->Draw(0, static_cast<int>(rows.size()) - 1);
+  return rows[static_cast<std::size_t>(drawn)].mValue;
+}
+
+void Fleet::ScheduleOwnerLoss(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
+{
+  const StoreMood mood =
+    this->Toss(50) ? StoreMood::kSilent : StoreMood::kRefusing;
+  const auto owner = std::make_shared<std::string>();
+  const std::string what(NameOf(aLoss));
+  this->At(aAt, what, [=, this] {
+    *owner = this->DrawOwner();
+    this->LoseOwner(aLoss, *owner, mood);
+  });
+  this->At(
+    aEnd, "over: " + what, [=, this] { this->EndOwnerLoss(aLoss, *owner); });
+}
+
+void Fleet::LoseOwner(OwnerLoss aLoss,
+                      const std::string& aOwner,
+                      StoreMood aMood)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+      this->StopNode(aOwner);
+      break;
+    case OwnerLoss::kPaused:
+      this->PauseNode(aOwner);
+      break;
+    case OwnerLoss::kTurnedAway:
+      this->mStore.mMoodFor[aOwner] = aMood;
+      ForgetLeaseOf(this->mStore, kNodePrefix + aOwner);
+      break;
+    case OwnerLoss::kStoreDown:
+      this->mStore.mMood = aMood;
+      ForgetLeases(this->mStore);
+      break;
+    case OwnerLoss::kLeaves:
+      this->RetireNode(aOwner);
+      break;
+  }
+}
+
+void Fleet::EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner)
+{
+  switch (aLoss) {
+    case OwnerLoss::kKilled:
+    case OwnerLoss::kLeaves:
+      this->StartNode(aOwner);
+      break;
+    case OwnerLoss::kPaused:
+      this->ContinueNode(aOwner);
+      break;
+    case OwnerLoss::kTurnedAway:
+      this->mStore.mMoodFor.erase(aOwner);
+      break;
+    case OwnerLoss::kStoreDown:
+      this->mStore.mMood = StoreMood::kServing;
+      break;
+  }
+}
+
+void Fleet::SchedulePartition()
+{
+  const TimePoint at =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  const TimePoint end = at + Duration(this->Draw(20'000, 30'000));
+  const auto workers =
+    this->DrawWorkers(static_cast<int>(this->mOptions.mWorkers));
+  const auto owner = std::make_shared<std::string>();
+  this->At(at, "owner and some workers cut off", [=, this] {
+    *owner = this->DrawOwner();
+    this->CutOff(*owner, workers);
+  });
+  this->At(end, "partition over", [=, this] { this->Rejoin(*owner); });
+  this->mCalmAt = end;
+  this->ScheduleCheckOfCalm();
+}
+
+void Fleet::CutOff(const std::string& aNode,
+                   const std::set<std::string>& aWorkers)
+{
+  // Nodes of a test never reach each other.
+  this->mStore.mMoodFor[aNode] = StoreMood::kSilent;
+  for (auto& [name, worker] : this->mWorkers.mWorkers) {
+    if (!aWorkers.contains(name)) {
+      worker.mCutFrom.insert(aNode);
+      continue;
+    }
+    for (const auto& [node, size] : this->mSizes) {
+      if (node != aNode) {
+        worker.mCutFrom.insert(node);
+      }
+    }
+  }
+}
+
+void Fleet::Rejoin(const std::string& aNode)
+{
+  this->mStore.mMoodFor.erase(aNode);
+  for (auto& [name, worker] : this->mWorkers.mWorkers) {
+    worker.mCutFrom.clear();
+  }
+}
+
+void Fleet::ScheduleCheckOfCalm()
+{
+  this->At(this->mCalmAt + kCalmReturns + kRunAgainInCalm,
+           "long-running tasks run again",
+           [this] {
+             this->CheckLasting(this->mLasting);
+             this->CheckBegun();
+           });
+}
+
+} // namespace verbenacroft
