--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -13,4 +13,5 @@
 #include "vcDispatchThrottling.h"
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
+#include "vcDispatchWorkerSet.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -2,7 +2,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchSharing.h"
-#include "vcDispatchWorkers.h"
+#include "vcDispatchWorkerSet.h"
 
 #include <spdlog/spdlog.h>
 
@@ -552,10 +552,10 @@
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return;
   }
-  const bool isClear = IsBarrierClear(aShard, aNow);
+  const std::uint64_t heldUpTo = LastHeldRevision(aShard, aNow);
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : aShard.mJobs) {
-    const bool isSafe = isClear || job.mCreatedAt > aShard.mEpoch;
+    const bool isSafe = job.mCreatedAt > heldUpTo;
     if (isSafe && !IsFinal(job.mState)) {
       CollectSteps(aShard, job, aNow, aNowMs, candidates);
     }
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -148,6 +148,15 @@
   }
 }
 
+void SetUnresponsive(DispatchWorker& aWorker, TimePoint aNow)
+{
+  const bool isFirst = !aWorker.mIsUnresponsive && aWorker.mHasAnswered;
+  if (isFirst) {
+    aWorker.mSilentSince = aNow;
+  }
+  aWorker.mIsUnresponsive = true;
+}
+
 void ApplyReport(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const WorkerReport& aReport,
@@ -196,7 +205,7 @@
   if (aReport.mOutcome == OrderOutcome::kOtherIncarnation) {
     OnNewIncarnation(aShard, *worker, aNow);
     aShard.mUnansweredWorkers.erase(aWorker);
-    worker->mIsUnresponsive = true;
+    SetUnresponsive(*worker, aNow);
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
@@ -207,7 +216,7 @@
         NameOf(aReport.mOutcome),
         (aNow - worker->mLastReportAt).count());
     }
-    worker->mIsUnresponsive = true;
+    SetUnresponsive(*worker, aNow);
     return;
   }
   const bool isNewIncarnation =
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -182,9 +182,17 @@
   Endpoint mEndpoint;
   /// Discovery lists the worker at present.
   bool mIsListed = false;
-  /// The worker set in the store contains this worker, so that the next owner
-  /// knows where tasks may run. Cleared before a write that removes the worker.
+  /// The worker set in the store contains this worker as active, so that the
+  /// next owner knows where tasks may run. Cleared before a write that removes
+  /// the worker or makes it inactive. Without it nothing is started and no
+  /// lease is renewed.
   bool mIsRecorded = false;
+  /// The worker set in the store contains this worker as inactive, or may
+  /// contain it so if the reply to the last write was lost.
+  bool mIsInactive = false;
+  /// While it is inactive: no job that was accepted after this revision of the
+  /// store was started here.
+  std::uint64_t mNoJobsAfter = 0;
   /// The worker has answered a renewal with this owner's epoch.
   bool mHasAnswered = false;
   /// Start of the worker's incarnation, in ms since 1970; 0 if not known yet.
@@ -206,6 +214,9 @@
   TimePoint mLastReportAt{ kNever };
   /// The last renewal did not succeed.
   bool mIsUnresponsive = false;
+  /// When the first renewal since the last report failed, or, if the worker has
+  /// never answered, when it became known. Only valid while it is silent.
+  TimePoint mSilentSince{ kNever };
   /// Run ends up to this `EndedRun::mIndex` have been applied to the shard's
   /// state.
   std::uint64_t mSeenIndex = 0;
@@ -261,6 +272,16 @@
   TimePoint mMeanAddedLoadAt{ kNever };
 };
 
+/// A worker that an earlier owner used and that has not answered this one. It
+/// may run tasks that an earlier owner started and that this one doesn't know.
+struct UnansweredWorker
+{
+  /// All those runs have ended by this time.
+  TimePoint mRunsEndAt{ kNever };
+  /// They belong to jobs that were accepted up to this revision of the store.
+  std::uint64_t mNoJobsAfter = 0;
+};
+
 /// State of a shard as its owner keeps it.
 struct DispatchShard
 {
@@ -278,13 +299,9 @@
   std::map<std::string, DispatchWorker> mWorkers;
   /// Data centres where nothing is started.
   std::set<std::string> mEvacuated;
-  /// Workers that an earlier owner used and that have not answered this one.
-  std::set<std::string> mUnansweredWorkers;
-  /// Until this time, workers that have not answered may run tasks that an
-  /// earlier owner started and that this owner does not know of. As long as
-  /// `IsBarrierClear` returns false, only jobs accepted after this owner's
-  /// epoch are started.
-  TimePoint mBarrierUntil{ kNever };
+  /// Workers that an earlier owner used and that have not answered this one, by
+  /// name. Jobs that may run there aren't started; see `LastHeldRevision`.
+  std::map<std::string, UnansweredWorker> mUnansweredWorkers;
   /// By queue.
   std::map<std::string, RunTimes> mRunTimes;
   /// Load that best-effort images add to serving images, which the model treats
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -2,7 +2,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchPlacement.h"
-#include "vcDispatchWorkers.h"
+#include "vcDispatchWorkerSet.h"
 
 #include <algorithm>
 #include <optional>
@@ -59,8 +59,7 @@
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return WaitReason::kStartsForbidden;
   }
-  const bool isSafe =
-    IsBarrierClear(aShard, aNow) || aJob.mCreatedAt > aShard.mEpoch;
+  const bool isSafe = aJob.mCreatedAt > LastHeldRevision(aShard, aNow);
   return isSafe ? std::nullopt : std::optional(WaitReason::kBarrier);
 }
 
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -17,7 +17,8 @@
 {
   /// The owner may start nothing, or is fenced.
   kStartsForbidden,
-  /// The job was accepted before the epoch, and the barrier isn't clear.
+  /// The job may run on a worker that an earlier owner used and that hasn't
+  /// answered; see `LastHeldRevision`.
   kBarrier,
   /// Not determined, because other tasks have waited for longer.
   kNotExamined,
--- /dev/null
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -0,0 +1,194 @@
+#include "vcDispatchWorkerSet.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A worker that has answered no renewal for this long is recorded as inactive.
+/// Some renewals fit into it, so that one lost reply doesn't count.
+constexpr Duration kInactiveAfter{ 1'000 };
+
+/// Longest duration on this process's clock of `aTime` on a worker's clock.
+Duration Stretched(Duration aTime)
+{
+  return Duration(static_cast<std::int64_t>(
+    std::ceil(static_cast<double>(aTime.count()) / kMinClockRate)));
+}
+
+/// Latest time on this process's clock at which the worker's clock shows
+/// `aClock`. Its clock has been read.
+TimePoint LatestTimeOf(const DispatchWorker& aWorker, std::int64_t aClock)
+{
+  const Duration left(std::max<std::int64_t>(aClock - aWorker.mClock, 0));
+  return aWorker.mClockReadAt + Stretched(left);
+}
+
+bool IsSilent(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
+}
+
+/// True if nothing runs on the worker and no start that was ordered so far can
+/// begin there. The last report decides, not the list of tasks alone: a task
+/// may be taken off that list, because it is done elsewhere, while its start is
+/// on its way. A worker that has reported refuses earlier owners, and its ends
+/// are in the store. Silence afterwards changes nothing. A new incarnation's
+/// clock is behind the deadlines of starts that may still reach it.
+bool IsVacated(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsReportedIdle && aWorker.mTasks.empty() &&
+         aWorker.mClock > aWorker.mStartsUntil &&
+         aWorker.mAckIndex >= aWorker.mSeenIndex;
+}
+
+/// True if the worker is silent and everything that ran there has ended. While
+/// this owner's lease isn't proved, another owner may renew the worker.
+bool IsAbandoned(const DispatchShard& aShard,
+                 const DispatchWorker& aWorker,
+                 TimePoint aNow)
+{
+  return IsSilent(aWorker) && aWorker.mTasks.empty() && aShard.mIsLeaseProved &&
+         aNow > RunsEndAt(aShard, aWorker, aNow);
+}
+
+bool IsOver(const DispatchShard& aShard,
+            const UnansweredWorker& aWorker,
+            TimePoint aNow)
+{
+  return aShard.mIsLeaseProved && aNow >= aWorker.mRunsEndAt;
+}
+
+} // namespace
+
+Duration LongestLease(const DispatchBounds& aBounds)
+{
+  return Stretched(aBounds.mMaxLease);
+}
+
+bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
+{
+  return aWorker.mClock == 0 ||
+         aNow > LatestTimeOf(aWorker, aWorker.mLeaseUntil);
+}
+
+TimePoint RunsEndAt(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow)
+{
+  const auto unanswered =
+    aShard.mUnansweredWorkers.find(aWorker.mEntry.mWorker);
+  if (unanswered != aShard.mUnansweredWorkers.end()) {
+    return unanswered->second.mRunsEndAt;
+  }
+  if (aWorker.mClock == 0) {
+    return kNever;
+  }
+  const std::int64_t until =
+    std::max(aWorker.mLeaseUntil, aWorker.mStartsUntil);
+  return std::min(LatestTimeOf(aWorker, until),
+                  aNow + LongestLease(aShard.mBounds));
+}
+
+bool MustBeRecorded(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow)
+{
+  const bool isInRecord = aWorker.mIsRecorded || aWorker.mIsInactive;
+  if (!isInRecord) {
+    // Nothing starts on a worker that isn't recorded, so nothing runs there.
+    return aWorker.mIsListed && !aWorker.mEntry.mIsDraining &&
+           !MustBeInactive(aWorker, aNow);
+  }
+  const bool isVacated = aWorker.mEntry.mIsDraining && IsVacated(aWorker);
+  return !isVacated && !IsAbandoned(aShard, aWorker, aNow);
+}
+
+bool MustBeInactive(const DispatchWorker& aWorker, TimePoint aNow)
+{
+  return IsSilent(aWorker) &&
+         (aWorker.mIsInactive || aNow - aWorker.mSilentSince >= kInactiveAfter);
+}
+
+void Deactivate(const DispatchShard& aShard,
+                DispatchWorker& aWorker,
+                std::uint64_t aLatestRevision)
+{
+  aWorker.mIsRecorded = false;
+  if (aWorker.mIsInactive) {
+    return;
+  }
+  const auto unanswered =
+    aShard.mUnansweredWorkers.find(aWorker.mEntry.mWorker);
+  const bool isAnswered = unanswered == aShard.mUnansweredWorkers.end();
+  aWorker.mIsInactive = true;
+  aWorker.mNoJobsAfter =
+    isAnswered ? aLatestRevision : unanswered->second.mNoJobsAfter;
+}
+
+void AddActiveWorker(DispatchShard& aShard,
+                     const std::string& aName,
+                     bool aHasEarlierStopped,
+                     TimePoint aNow)
+{
+  const DispatchBounds& bounds = aShard.mBounds;
+  const Duration gracePeriod =
+    aHasEarlierStopped ? Duration(0) : bounds.mOwnerGracePeriod;
+  aShard.mUnansweredWorkers[aName] = {
+    aNow + gracePeriod + LongestLease(bounds), aShard.mEpoch
+  };
+  aShard.mWorkers[aName].mIsRecorded = true;
+}
+
+void AddInactiveWorker(DispatchShard& aShard,
+                       const std::string& aName,
+                       Duration aRunsEndIn,
+                       std::uint64_t aNoJobsAfter,
+                       TimePoint aNow)
+{
+  aShard.mUnansweredWorkers[aName] = { aNow + aRunsEndIn, aNoJobsAfter };
+  DispatchWorker& worker = aShard.mWorkers[aName];
+  worker.mIsInactive = true;
+  worker.mNoJobsAfter = aNoJobsAfter;
+}
+
+void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow)
+{
+  std::erase_if(aShard.mUnansweredWorkers, [&](const auto& aRow) {
+    return IsOver(aShard, aRow.second, aNow);
+  });
+}
+
+std::uint64_t LastHeldRevision(const DispatchShard& aShard, TimePoint aNow)
+{
+  std::uint64_t revision = 0;
+  for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
+    if (!IsOver(aShard, worker, aNow)) {
+      revision = std::max(revision, worker.mNoJobsAfter);
+    }
+  }
+  return revision;
+}
+
+TimePoint BarrierEndsAt(const DispatchShard& aShard)
+{
+  TimePoint endsAt = kNever;
+  for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
+    endsAt = std::max(endsAt, worker.mRunsEndAt);
+  }
+  return endsAt;
+}
+
+bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow)
+{
+  return std::all_of(
+    aShard.mUnansweredWorkers.begin(),
+    aShard.mUnansweredWorkers.end(),
+    [&](const auto& aRow) { return IsOver(aShard, aRow.second, aNow); });
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/// The worker set of a shard as the store records it for the next owner: which
+/// workers the next owner has to ask before it starts tasks that may run there
+/// already, and until when tasks may run on those that don't answer.
+///
+/// A recorded worker is active or inactive. The owner starts tasks and renews
+/// leases on active workers only. A worker that has been silent for a while is
+/// recorded as inactive, together with the time by which all runs there have
+/// ended. That bound also holds for later owners, since each of them has to
+/// record the worker as active before it uses it again. A takeover therefore
+/// doesn't make the wait for a lost worker begin anew.
+
+#include "vcDispatchState.h"
+
+namespace verbenacroft {
+
+/// True if the worker set in the store has to contain the worker: because tasks
+/// may be started there, or because the next owner has to ask it what runs
+/// there. A worker isn't contained any more once nothing can run there: it is
+/// draining and has nothing left, or it is silent and its lease has ended.
+bool MustBeRecorded(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow);
+
+/// True if a recorded worker has to be recorded as inactive: it has been silent
+/// for a while, or it was inactive and hasn't answered since.
+bool MustBeInactive(const DispatchWorker& aWorker, TimePoint aNow);
+
+/// Stops the use of a worker that is about to be recorded as inactive.
+/// @param aLatestRevision no job that was accepted after this revision of the
+/// store is known here
+void Deactivate(const DispatchShard& aShard,
+                DispatchWorker& aWorker,
+                std::uint64_t aLatestRevision);
+
+/// Time by which all runs on the worker have ended, unless its lease is renewed
+/// or a task is started there. Not after `aNow` plus the longest lease.
+TimePoint RunsEndAt(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow);
+
+/// True if the worker's lease has certainly ended on its own clock.
+bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow);
+
+/// Longest time for which a worker's lease may last on this process's clock.
+Duration LongestLease(const DispatchBounds& aBounds);
+
+/// Adds a worker of the recorded worker set that was active when this owner
+/// claimed the shard.
+/// @param aHasEarlierStopped no earlier owner can act any more
+void AddActiveWorker(DispatchShard& aShard,
+                     const std::string& aName,
+                     bool aHasEarlierStopped,
+                     TimePoint aNow);
+
+/// Adds a worker that was recorded as inactive.
+/// @param aRunsEndIn time from `aNow` by which all runs there have ended
+/// @param aNoJobsAfter earlier owners started no job there that was accepted
+/// after this revision of the store
+void AddInactiveWorker(DispatchShard& aShard,
+                       const std::string& aName,
+                       Duration aRunsEndIn,
+                       std::uint64_t aNoJobsAfter,
+                       TimePoint aNow);
+
+/// Forgets the unanswered workers on which all runs of earlier owners have
+/// ended.
+void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow);
+
+/// Highest revision of the store at which a job can have been accepted that
+/// runs on an unanswered worker; 0 if there is none. Jobs accepted after it may
+/// be started.
+std::uint64_t LastHeldRevision(const DispatchShard& aShard, TimePoint aNow);
+
+/// Latest time by which all runs on unanswered workers have ended; `kNever` if
+/// every worker has answered.
+TimePoint BarrierEndsAt(const DispatchShard& aShard);
+
+/// True once no run started by an earlier owner can be unknown to this one:
+/// every worker that an earlier owner used has answered, or the time for which
+/// its runs may last has passed while this owner's lease is valid.
+bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow);
+
+} // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchWorkers.h"
 
 #include "vcDispatchJobs.h"
+#include "vcDispatchWorkerSet.h"
 
 #include <spdlog/spdlog.h>
 
@@ -25,18 +26,6 @@
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
 
-bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
-{
-  if (aWorker.mClock == 0) {
-    return true;
-  }
-  const auto elapsed =
-    static_cast<double>((aNow - aWorker.mClockReadAt).count());
-  const auto minClock =
-    aWorker.mClock + static_cast<std::int64_t>(elapsed * kMinClockRate);
-  return minClock > aWorker.mLeaseUntil;
-}
-
 /// True if discovery lists the worker as draining and it may leave within the
 /// stop timeout plus the margin.
 bool IsAboutToLeave(const DispatchShard& aShard, const DispatchWorker& aWorker)
@@ -85,19 +74,6 @@
          IsSuspendedTooLong(step, aTask, aNow);
 }
 
-/// True if nothing runs on the worker and no start that was ordered so far can
-/// begin there. The last report decides, not the list of tasks alone: a task
-/// may be taken off that list, because it is done elsewhere, while its start is
-/// on its way. A worker that has reported refuses earlier owners, and its ends
-/// are in the store. Silence afterwards changes nothing. A new incarnation's
-/// clock is behind the deadlines of starts that may still reach it.
-bool IsVacated(const DispatchWorker& aWorker)
-{
-  return aWorker.mIsReportedIdle && aWorker.mTasks.empty() &&
-         aWorker.mClock > aWorker.mStartsUntil &&
-         aWorker.mAckIndex >= aWorker.mSeenIndex;
-}
-
 } // namespace
 
 void OnDiscovery(DispatchShard& aShard,
@@ -116,6 +92,7 @@
     DispatchWorker& worker = at->second;
     if (isNew) {
       worker.mLastReportAt = aNow;
+      worker.mSilentSince = aNow;
       spdlog::info("worker.found worker={} data_centre={} address={}",
                    entry.mWorker,
                    entry.mDataCentre,
@@ -145,10 +122,16 @@
   // An unresponsive worker is only asked for a report. A renewal that it
   // received but did not answer would extend its lease, and its tasks could
   // never be declared lost.
-  if (clock > 0 && !aWorker.mIsUnresponsive) {
+  if (clock == 0 || aWorker.mIsUnresponsive) {
+    return order;
+  }
+  // An inactive worker is asked again soon, since it is used once it is
+  // recorded as active.
+  order.mWait = aWorker.mIsInactive ? Duration(0) : aWait;
+  // The next owner counts on the end of the runs on workers that aren't active.
+  if (aWorker.mIsRecorded) {
     order.mLeaseUntil = clock + aShard.mBounds.mMaxLease.count();
     aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, order.mLeaseUntil);
-    order.mWait = aWait;
   }
   return order;
 }
@@ -228,28 +211,11 @@
   }
 }
 
-bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow)
-{
-  return aShard.mUnansweredWorkers.empty() ||
-         (aShard.mIsLeaseProved && aNow >= aShard.mBarrierUntil);
-}
-
-bool MustBeRecorded(const DispatchWorker& aWorker)
-{
-  if (aWorker.mIsRecorded) {
-    return !aWorker.mEntry.mIsDraining || !IsVacated(aWorker);
-  }
-  // Nothing starts on a worker that isn't recorded, so nothing runs there.
-  return aWorker.mIsListed && !aWorker.mEntry.mIsDraining;
-}
-
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow)
 {
-  // Runs of earlier owners on these workers have ended; this remains true if
-  // this owner's lease becomes uncertain later.
-  if (IsBarrierClear(aShard, aNow)) {
-    aShard.mUnansweredWorkers.clear();
-  }
+  // Those runs have ended for good, also if this owner's lease becomes
+  // uncertain later.
+  ForgetEndedRuns(aShard, aNow);
   for (auto at = aShard.mWorkers.begin(); at != aShard.mWorkers.end();) {
     DispatchWorker& worker = at->second;
     const bool isLeaseOver = aShard.mIsLeaseProved && worker.mIsUnresponsive &&
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -43,12 +43,6 @@
 /// expired, and removes workers that are no longer listed and run nothing.
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow);
 
-/// True if the worker set in the store has to contain the worker: because tasks
-/// may be started there, or because the next owner has to ask it what runs
-/// there. A worker that is draining and has nothing left isn't contained, so
-/// that the next owner doesn't wait for it after it has left.
-bool MustBeRecorded(const DispatchWorker& aWorker);
-
 /// Orders the runs to stop that must not continue: those of ended jobs, those
 /// that are no longer needed, stalled tasks, best-effort tasks that were
 /// suspended for too long, and tasks on draining workers that have to move.
@@ -57,9 +51,4 @@
                TimePoint aNow,
                DispatchActions& aActions);
 
-/// True once no run started by an earlier owner can be unknown to this one:
-/// every worker that an earlier owner used has answered, or the time for which
-/// its runs may last has passed while this owner's lease is valid.
-bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow);
-
 } // namespace verbenacroft
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -52,13 +52,14 @@
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
     vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchWaiting.cxx vcDispatchWorkers.cxx
+    vcDispatchWaiting.cxx vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
-  SOURCES vcCallerRequests.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx
-    vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx
+  SOURCES vcCallerRequests.cxx vcFormerOwner.cxx vcMembership.cxx
+    vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx
     vcShardLog.cxx vcShardStoreWriter.cxx vcShardRunner.cxx
-    vcShardStoreReader.cxx vcStoreMonitor.cxx
+    vcShardStoreReader.cxx vcShardWorkerSet.cxx vcStoreMonitor.cxx
+    vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
 
 # The adapter to the users' platform. No other folder uses the platform's field
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -148,21 +148,7 @@
 }
 
 /// Maximum number of entries that hand one shard over.
-constexpr std::size_t kHandOverEntries = 3;
-
-/// Adds the hand-over of one shard, after `ShardRunner::HandOver`.
-void AddHandOver(KvTransaction& aWrite,
-                 std::uint32_t aShard,
-                 const ShardRunner& aRunner)
-{
-  aWrite.mConditions.push_back({ OwnerKey(aShard), aRunner.Epoch() });
-  aWrite.mDeletes.push_back(OwnerKey(aShard));
-  // A runner that isn't loaded doesn't know the worker set yet.
-  if (aRunner.IsLoaded()) {
-    aWrite.mPuts.push_back(PersistentPut(
-      WorkerSetKey(aShard), Encode(aRunner.HandedOverWorkerSet())));
-  }
-}
+constexpr std::size_t kHandOverEntries = 4;
 
 /// Commits the hand-over of some shards, if there are any.
 asio::awaitable<void> CommitHandOver(NodeContext& aNode, KvTransaction aWrite)
@@ -346,7 +332,7 @@
         kMaxKvTransactionEntries) {
       writes.emplace_back();
     }
-    AddHandOver(writes.back(), shard, *runner);
+    runner->AddHandOver(writes.back());
   }
   aNode.mRunners.clear();
   for (auto& write : writes) {
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -128,6 +128,11 @@
   return fmt::format("vc/crew/{:04}", aShard);
 }
 
+std::string InactiveWorkersKey(std::uint32_t aShard)
+{
+  return fmt::format("vc/inactive/{:04}", aShard);
+}
+
 std::string InboxPrefix(std::uint32_t aShard)
 {
   return fmt::format("vc/in/{:04}/", aShard);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -86,6 +86,26 @@
   std::optional<LeaseId> mLease;
 };
 
+/// The owner that this node replaced when it claimed a shard.
+struct FormerOwner
+{
+  /// Name of the node; empty if it had handed the shard over.
+  std::string mNode;
+  /// Generation of its worker set.
+  std::uint32_t mGeneration = 0;
+  /// Everything that owners before it had started was accounted for.
+  bool mIsSettled = false;
+};
+
+/// What this node knew of a shard's workers when it stopped to run the shard.
+struct StoppedShard
+{
+  /// Generation of the shard's worker set.
+  std::uint32_t mGeneration = 0;
+  /// Time by which all runs on a worker have ended, by worker.
+  std::map<std::string, TimePoint> mRunsEndAt;
+};
+
 /// Key prefixes and document formats of one platform: what operators, workers
 /// and callers write, and the replies to callers. The decoders return nothing
 /// and append to the faults if a document is malformed.
@@ -163,6 +183,10 @@
   /// Runners of the shards that this node owns, by shard number.
   std::map<std::uint32_t, std::shared_ptr<ShardRunner>> mRunners;
 
+  /// Owners that this node has replaced, by shard number.
+  std::map<std::uint32_t, FormerOwner> mFormerOwners;
+  /// Shards that this node has run before, by shard number.
+  std::map<std::uint32_t, StoppedShard> mStoppedShards;
   /// Last epoch in which this node owned each shard, by shard number.
   std::map<std::uint32_t, std::uint64_t> mLastEpochs;
 
@@ -232,6 +256,8 @@
 std::string OwnerKey(std::uint32_t aShard);
 /// Key of the shard's `WorkerSetRecord`.
 std::string WorkerSetKey(std::uint32_t aShard);
+/// Key of the shard's `InactiveWorkersRecord`.
+std::string InactiveWorkersKey(std::uint32_t aShard);
 /// Prefix of the shard's inbox: jobs and cancellations, written by any node.
 std::string InboxPrefix(std::uint32_t aShard);
 /// Key of a job in the inbox of its shard.
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -1,5 +1,6 @@
 #include "vcPeers.h"
 
+#include "vcFormerOwner.h"
 #include "vcServerSupport.h"
 #include "vcShardRunner.h"
 
@@ -192,6 +193,13 @@
     co_return JsonResponse(
       Encode(LocalWaitingAnswer(aNode, static_cast<std::uint32_t>(shard))));
   }
+  if (path.starts_with(kFormerOwnerPath)) {
+    const auto shard =
+      std::strtoul(path.c_str() + kFormerOwnerPath.size(), nullptr, 10);
+    const auto epoch = std::strtoull(body.c_str(), nullptr, 10);
+    co_return JsonResponse(
+      Encode(AnswerNewOwner(aNode, static_cast<std::uint32_t>(shard), epoch)));
+  }
   const bool isRelay = path == kCommitPath || path == kReadPath;
   if (isRelay && IsStoreDown(aNode, SuspendAwareNow())) {
     co_return JsonResponse(Encode(RefusedReply()));
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -1,5 +1,6 @@
 #include "vcShardClaims.h"
 
+#include "vcFormerOwner.h"
 #include "vcMembership.h"
 #include "vcShardRunner.h"
 
@@ -160,36 +161,80 @@
                NameOf(reply.mStatus));
 }
 
+/// Records of a shard that a claim replaces.
+struct ClaimedRecords
+{
+  WorkerSetRecord mWorkerSet;
+  std::uint64_t mRevision = 0;
+  StoredInactiveWorkers mInactive;
+};
+
+/// Reads the records that the claim of a shard replaces.
+/// @return nothing if the store could not be read
+asio::awaitable<std::optional<ClaimedRecords>> ReadClaimedRecords(
+  NodeContext& aNode,
+  std::uint32_t aShard)
+{
+  const KvReply read = co_await aNode.mStore.mRead(WorkerSetKey(aShard));
+  UpdateStoreHealth(aNode, read);
+  const bool isRead =
+    read.mStatus == KvStatus::kOk || read.mStatus == KvStatus::kNotFound;
+  if (!isRead) {
+    co_return std::nullopt;
+  }
+  const auto inactive = co_await ReadInactiveWorkers(aNode, aShard);
+  if (!inactive) {
+    co_return std::nullopt;
+  }
+  ClaimedRecords records;
+  records.mInactive = *inactive;
+  if (!read.mItems.empty()) {
+    records.mRevision = read.mItems[0].mRevision;
+    auto workerSet = TryDecode<WorkerSetRecord>(read.mItems[0].mValue);
+    if (workerSet) {
+      records.mWorkerSet = std::move(*workerSet);
+    } else {
+      spdlog::error("shard.worker-set-unreadable shard={}", aShard);
+    }
+  }
+  co_return records;
+}
+
+/// The write that claims a shard.
+KvTransaction MakeClaim(const NodeContext& aNode,
+                        std::uint32_t aShard,
+                        LeaseId aLease,
+                        const ShardOwnerRecord& aOwner,
+                        const ClaimedRecords& aRecords)
+{
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(aShard), 0 });
+  write.mConditions.push_back({ WorkerSetKey(aShard), aRecords.mRevision });
+  write.mConditions.push_back(
+    { InactiveWorkersKey(aShard), aRecords.mInactive.mRevision });
+  write.mPuts.push_back(LeasedPut(OwnerKey(aShard), Encode(aOwner), aLease));
+  write.mPuts.push_back(PersistentPut(InboxOwnerKey(aShard), Encode(aOwner)));
+  AddWorkerSet(
+    write,
+    aShard,
+    NextWorkerSet(aRecords.mWorkerSet, aNode.mSettings.mName),
+    NextInactiveWorkers(aRecords.mInactive.mRecord, aRecords.mWorkerSet));
+  return write;
+}
+
 /// Claims a shard under `aLease`, the lease that the node held when it decided
 /// to claim. Does nothing if the node has lost that lease meanwhile.
 asio::awaitable<void> Claim(NodeContext& aNode,
                             std::uint32_t aShard,
                             LeaseId aLease)
 {
-  const KvReply workerSetRead =
-    co_await aNode.mStore.mRead(WorkerSetKey(aShard));
-  UpdateStoreHealth(aNode, workerSetRead);
-  const bool isRead = workerSetRead.mStatus == KvStatus::kOk ||
-                      workerSetRead.mStatus == KvStatus::kNotFound;
-  if (!isRead || aNode.mLease != aLease || aNode.mIsStopping) {
+  const auto records = co_await ReadClaimedRecords(aNode, aShard);
+  if (!records || aNode.mLease != aLease || aNode.mIsStopping) {
     co_return;
   }
-  WorkerSetRecord workerSet;
-  std::uint64_t workerSetRevision = 0;
-  if (!workerSetRead.mItems.empty()) {
-    workerSetRevision = workerSetRead.mItems[0].mRevision;
-    workerSet = TryDecode<WorkerSetRecord>(workerSetRead.mItems[0].mValue)
-                  .value_or(workerSet);
-  }
-  workerSet = NextWorkerSet(workerSet, aNode.mSettings.mName);
   ShardOwnerRecord owner{ aNode.mSettings.mName,
                           PeerAddressOf(aNode.mSettings) };
-  KvTransaction write;
-  write.mConditions.push_back({ OwnerKey(aShard), 0 });
-  write.mConditions.push_back({ WorkerSetKey(aShard), workerSetRevision });
-  write.mPuts.push_back(LeasedPut(OwnerKey(aShard), Encode(owner), aLease));
-  write.mPuts.push_back(PersistentPut(WorkerSetKey(aShard), Encode(workerSet)));
-  write.mPuts.push_back(PersistentPut(InboxOwnerKey(aShard), Encode(owner)));
+  KvTransaction write = MakeClaim(aNode, aShard, aLease, owner, *records);
   const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
   UpdateStoreHealth(aNode, reply);
   spdlog::info("shard.claim shard={} lease={} outcome={} revision={}",
@@ -199,6 +244,7 @@
                reply.mRevision);
   if (reply.mStatus == KvStatus::kOk) {
     aNode.mOwners[aShard] = { owner, reply.mRevision, aLease };
+    aNode.mFormerOwners[aShard] = FormerOwnerOf(records->mWorkerSet);
   } else if (!IsTurnedDown(reply.mStatus)) {
     // After a conflict or a lost reply, the record shows who owns the shard.
     co_await ReadOwner(aNode, aShard);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -1,5 +1,7 @@
 #include "vcShardRunner.h"
 
+#include "vcFormerOwner.h"
+
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
 
@@ -38,6 +40,8 @@
 constexpr Duration kUnrecordedPause{ 80 };
 /// Pause after a renewal that failed.
 constexpr Duration kFailedRenewalPause{ 200 };
+/// Pause while a worker that has answered again is still recorded as inactive.
+constexpr Duration kReactivationPause{ 100 };
 /// Maximum number of concurrent orders to one worker.
 constexpr int kSendersPerWorker = 2;
 
@@ -83,12 +87,20 @@
 
 void ShardRunner::Stop()
 {
-  if (!this->mIsStopped) {
-    spdlog::info(
-      "shard.stop shard={} epoch={}", this->mShardNumber, this->Epoch());
+  if (this->mIsStopped) {
+    return;
   }
+  spdlog::info(
+    "shard.stop shard={} epoch={}", this->mShardNumber, this->Epoch());
   this->mIsStopped = true;
   this->mRecordTimer.cancel();
+  if (this->mIsLoaded) {
+    RememberStoppedShard(this->mNode,
+                         this->mShardNumber,
+                         this->mStored.mWorkerSet.mGeneration,
+                         this->mShard,
+                         SuspendAwareNow());
+  }
 }
 
 asio::awaitable<void> ShardRunner::HandOver()
@@ -122,13 +134,15 @@
                this->Epoch(),
                this->mShard.mJobs.size(),
                this->mShard.mEndedJobs.size(),
-               this->mWorkerSet.mWorkers.size(),
+               this->mStored.mWorkerSet.mWorkers.size(),
                (SuspendAwareNow() - startedAt).count());
   this->LogBarrierStart(SuspendAwareNow());
   const auto self = this->shared_from_this();
   this->Spawn("discovery", [self] { return self->PollDiscovery(); });
   this->Spawn("tick", [self] { return self->Tick(); });
   this->Spawn("record", [self] { return self->RecordPeriodically(); });
+  this->Spawn("worker-set", [self] { return self->RecordSilentWorkers(); });
+  this->Spawn("former-owner", [self] { return self->LearnFromFormerOwner(); });
 }
 
 asio::awaitable<void> ShardRunner::PollWorker(std::string aWorker)
@@ -161,6 +175,7 @@
       this->EnqueueOrders(actions);
       this->SchedulePlanning();
     }
+    co_await this->ReactivateIfNeeded(aWorker);
     co_await Sleep(this->PauseBeforeNextRenewal(aWorker, isGood));
   }
   this->mPolledWorkers.erase(aWorker);
@@ -173,11 +188,24 @@
     return kFailedRenewalPause;
   }
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
+  if (worker != nullptr && worker->mIsInactive) {
+    return kReactivationPause;
+  }
   const bool hasUnrecordedEnds =
     worker != nullptr && worker->mAckIndex < worker->mSeenIndex;
   return hasUnrecordedEnds ? kUnrecordedPause : kReportPause;
 }
 
+asio::awaitable<void> ShardRunner::ReactivateIfNeeded(std::string aWorker)
+{
+  const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
+  const bool isNeeded =
+    worker != nullptr && worker->mIsInactive && !worker->mIsUnresponsive;
+  if (isNeeded && !this->mIsStopped) {
+    co_await this->RecordWorkerSet();
+  }
+}
+
 bool ShardRunner::KnowsRecentOrders(TimePoint aNow)
 {
   // While the store is down nobody can cancel or evacuate. Afterwards the
@@ -237,11 +265,13 @@
     return;
   }
   this->mBarrierStartedAt = aNow;
-  spdlog::info("shard.barrier shard={} epoch={} unanswered={} ends_in_ms={}",
+  spdlog::info("shard.barrier shard={} epoch={} unanswered={} ends_in_ms={} "
+               "held_up_to={}",
                this->mShardNumber,
                this->Epoch(),
                this->mShard.mUnansweredWorkers.size(),
-               (this->mShard.mBarrierUntil - aNow).count());
+               (BarrierEndsAt(this->mShard) - aNow).count(),
+               LastHeldRevision(this->mShard, aNow));
 }
 
 void ShardRunner::LogBarrierEnd(TimePoint aNow)
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -7,50 +7,24 @@
 #include "vcMembership.h"
 #include "vcNodeContext.h"
 #include "vcShardLog.h"
+#include "vcWorkerSetRecords.h"
 
 #include <deque>
 
 namespace verbenacroft {
 
-/// A worker that a shard uses, as recorded for the next owner.
-struct WorkerSetMember
+/// A shard's worker set as last recorded, and the revisions of its records.
+struct StoredWorkerSet
 {
-  /// Name of the worker.
-  std::string mWorker;
-  /// Address of the worker, as `host:port`.
-  std::string mAddress;
-
-  bool operator==(const WorkerSetMember&) const = default;
-};
-BOOST_DESCRIBE_STRUCT(WorkerSetMember, (), (mWorker, mAddress))
-
-/// Record of a shard's worker set. The next owner learns from it which workers
-/// may still run tasks of earlier owners.
-struct WorkerSetRecord
-{
-  /// Number of claims of the shard so far. Each owner derives its own range of
-  /// run numbers from it, so that runs of different owners never have the same
-  /// number.
-  std::uint32_t mGeneration = 0;
-  std::vector<WorkerSetMember> mWorkers;
-  /// Node that may send orders to the workers; empty once it has handed over
-  /// the shard.
-  std::string mOwner;
-  /// Everything that earlier owners started is accounted for.
-  bool mIsSettled = false;
-  /// The previous owner had certainly stopped acting when this owner claimed
-  /// the shard.
-  bool mHasEarlierStopped = false;
+  WorkerSetRecord mWorkerSet;
+  std::uint64_t mRevision = 0;
+  InactiveWorkersRecord mInactive;
+  /// Revision of the record of inactive workers; 0 if there is none.
+  std::uint64_t mInactiveRevision = 0;
+  /// A later write failed. It may have been carried out, so the store need not
+  /// contain these records.
+  bool mIsInDoubt = false;
 };
-BOOST_DESCRIBE_STRUCT(
-  WorkerSetRecord,
-  (),
-  (mGeneration, mWorkers, mOwner, mIsSettled, mHasEarlierStopped))
-
-/// The record that `aNode` writes when it claims a shard.
-/// @param aEarlier record of the previous owner
-WorkerSetRecord NextWorkerSet(const WorkerSetRecord& aEarlier,
-                              const std::string& aNode);
 
 /// Runs one epoch of a shard on the owning node. It is not restarted after it
 /// has stopped.
@@ -70,8 +44,9 @@
   /// stops the coroutines.
   asio::awaitable<void> HandOver();
 
-  /// The worker set to record for the next owner, after `HandOver`.
-  WorkerSetRecord HandedOverWorkerSet() const;
+  /// Adds the hand-over of the shard to a write, after `HandOver`: the removal
+  /// of the owner's record, and the worker set for the next owner.
+  void AddHandOver(KvTransaction& aWrite) const;
 
   /// The runner has stopped and takes no further action.
   bool IsStopped() const { return this->mIsStopped; }
@@ -119,10 +94,12 @@
   /// Reads the worker set, the inbox and the progress from the store.
   /// @return false if a read failed or the shard has another owner
   asio::awaitable<bool> Load();
-  /// Reads the worker set and sets the time until which earlier owners and
-  /// their runs may still be active.
+  /// Reads the worker set and adds its workers.
   /// @return false if the worker set could not be read
   asio::awaitable<bool> LoadWorkerSet();
+  /// Adds the workers of the recorded worker set and the times until which runs
+  /// of earlier owners may last there.
+  void AddStoredWorkers(TimePoint aNow);
   /// Stops the runner if the items contain a claim later than its own.
   /// @return false if they do
   bool CheckInboxOwner(const std::vector<KvItem>& aItems);
@@ -139,6 +116,9 @@
   /// Renews the lease of a worker and evaluates its reports, for as long as the
   /// shard uses the worker.
   asio::awaitable<void> PollWorker(std::string aWorker);
+  /// Records a worker as active at once if it is inactive and has answered,
+  /// since its lease isn't renewed before.
+  asio::awaitable<void> ReactivateIfNeeded(std::string aWorker);
   /// Time from a report to the next renewal.
   Duration PauseBeforeNextRenewal(const std::string& aWorker, bool aIsGood);
   /// Removes lost workers, stops tasks and plans at a fixed interval. Stops the
@@ -160,14 +140,25 @@
   /// Commits the progress of jobs, which are dirty again if the write fails.
   /// @return false if the write failed
   asio::awaitable<bool> CommitProgress(ProgressWrite aProgress);
-  /// Records the worker set if it has changed, and allows starts on its
-  /// workers.
-  /// @return false if the write failed
+  /// Records the worker set if it has changed, and allows starts on its active
+  /// workers. Only one such write runs at a time.
+  /// @return false if the write failed or another one is running
   asio::awaitable<bool> RecordWorkerSet();
-  /// Returns the worker set that has to be recorded, and forbids starts on all
-  /// other workers.
-  WorkerSetRecord ChooseWorkerSet();
-  /// Allows starts on the workers in the recorded worker set.
+  /// Records workers as inactive soon after they have fallen silent.
+  asio::awaitable<void> RecordSilentWorkers();
+  /// Asks the former owner how long unanswered workers may run its tasks, until
+  /// it has answered or nothing depends on it any more.
+  asio::awaitable<void> LearnFromFormerOwner();
+  /// The write of `RecordWorkerSet`.
+  asio::awaitable<bool> WriteWorkerSet();
+  /// Chooses the worker set that has to be recorded, and forbids starts on all
+  /// workers that aren't active in it.
+  void ChooseWorkerSet(WorkerSetRecord& aWorkerSet,
+                       InactiveWorkersRecord& aInactive);
+  /// Stops the use of a silent worker.
+  /// @return what has to be recorded of it
+  InactiveWorker MakeInactive(DispatchWorker& aWorker, TimePoint aNow);
+  /// Allows starts on the active workers in the recorded worker set.
   void MarkRecordedWorkers();
   /// Removes ended jobs from memory and, after their retention time, from the
   /// store.
@@ -211,12 +202,9 @@
   /// Number of the shard.
   std::uint32_t mShardNumber;
   DispatchShard mShard;
-  /// The worker set as last recorded.
-  WorkerSetRecord mWorkerSet;
-  std::uint64_t mWorkerSetRevision = 0;
-  /// A later write of the worker set failed. It may have been carried out, so
-  /// the store need not contain `mWorkerSet`.
-  bool mIsWorkerSetInDoubt = false;
+  StoredWorkerSet mStored;
+  /// A write of the worker set is running.
+  bool mIsRecordingWorkerSet = false;
   /// Orders to send, by worker.
   std::map<std::string, OrderQueue> mOrderQueues;
   /// Workers whose leases are being renewed.
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -1,5 +1,5 @@
-/// Reads of a shard's owner from the store: the records of the previous owner,
-/// the inbox, and the workers' entries.
+/// Reads of a shard's owner from the store: the jobs and their progress, the
+/// inbox, and the workers' entries.
 
 #include "vcShardRunner.h"
 
@@ -25,54 +25,11 @@
 /// Time for the reply of a watch call, in addition to the wait. Thousands of
 /// events may have come since the call before.
 constexpr Duration kInboxReplyTime{ 2'500 };
-/// Number of run numbers of a task that are reserved for each owner of the
-/// shard.
-constexpr std::uint32_t kRunsPerOwnership = 256;
 /// Interval of reads of the workers' entries.
 constexpr Duration kDiscoveryInterval{ 700 };
 
 } // namespace
 
-asio::awaitable<bool> ShardRunner::LoadWorkerSet()
-{
-  const KvReply read =
-    co_await this->mNode.mStore.mRead(WorkerSetKey(this->mShardNumber));
-  UpdateStoreHealth(this->mNode, read);
-  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
-    co_return false;
-  }
-  const auto workerSet = TryDecode<WorkerSetRecord>(read.mItems[0].mValue);
-  if (!workerSet) {
-    spdlog::error("shard.worker-set-unreadable shard={}", this->mShardNumber);
-    co_return false;
-  }
-  this->mWorkerSet = *workerSet;
-  this->mWorkerSetRevision = read.mItems[0].mRevision;
-  this->mShard.mRunBase = (workerSet->mGeneration - 1) * kRunsPerOwnership;
-  const TimePoint now = SuspendAwareNow();
-  const DispatchBounds& bounds = this->mShard.mBounds;
-  // A worker whose clock is slow keeps its lease for longer on this clock.
-  const auto maxWorkerLease = Duration(static_cast<std::int64_t>(
-    static_cast<double>(bounds.mMaxLease.count()) / kMinClockRate));
-  const Duration gracePeriod =
-    workerSet->mHasEarlierStopped ? Duration(0) : bounds.mOwnerGracePeriod;
-  this->mShard.mBarrierUntil = now + gracePeriod + maxWorkerLease;
-  for (const auto& member : workerSet->mWorkers) {
-    const auto endpoint = ParseEndpoint(member.mAddress);
-    if (!endpoint) {
-      continue;
-    }
-    DispatchWorker& worker = this->mShard.mWorkers[member.mWorker];
-    worker.mEntry.mWorker = member.mWorker;
-    worker.mEntry.mAddress = member.mAddress;
-    worker.mEndpoint = *endpoint;
-    worker.mIsRecorded = true;
-    worker.mLastReportAt = now;
-    this->mShard.mUnansweredWorkers.insert(member.mWorker);
-  }
-  co_return true;
-}
-
 asio::awaitable<bool> ShardRunner::Load()
 {
   this->mShard.mJobs.clear();
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -1,5 +1,5 @@
-/// Writes of a shard's owner to the store: the progress of jobs, the worker
-/// set, and the removal of the records of old jobs.
+/// Writes of a shard's owner to the store: the progress of jobs, and the
+/// removal of the records of old jobs.
 
 #include "vcShardRunner.h"
 
@@ -249,74 +249,6 @@
   }
 }
 
-WorkerSetRecord ShardRunner::ChooseWorkerSet()
-{
-  WorkerSetRecord workerSet = this->mWorkerSet;
-  workerSet.mWorkers.clear();
-  workerSet.mIsSettled = IsBarrierClear(this->mShard, SuspendAwareNow());
-  for (auto& [name, worker] : this->mShard.mWorkers) {
-    if (MustBeRecorded(worker)) {
-      workerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
-      continue;
-    }
-    if (worker.mIsRecorded) {
-      spdlog::info(
-        "worker.vacated worker={} shard={}", name, this->mShardNumber);
-    }
-    // The write that removes the worker may be carried out although its reply
-    // is lost. Only a later write that succeeds allows starts there again.
-    worker.mIsRecorded = false;
-  }
-  return workerSet;
-}
-
-asio::awaitable<bool> ShardRunner::RecordWorkerSet()
-{
-  WorkerSetRecord workerSet = this->ChooseWorkerSet();
-  const bool isCurrent = !this->mIsWorkerSetInDoubt &&
-                         workerSet.mIsSettled == this->mWorkerSet.mIsSettled &&
-                         workerSet.mWorkers == this->mWorkerSet.mWorkers;
-  if (isCurrent) {
-    this->MarkRecordedWorkers();
-    co_return true;
-  }
-  KvTransaction write;
-  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
-  write.mConditions.push_back(
-    { WorkerSetKey(this->mShardNumber), this->mWorkerSetRevision });
-  write.mPuts.push_back(
-    PersistentPut(WorkerSetKey(this->mShardNumber), Encode(workerSet)));
-  this->mIsWorkerSetInDoubt = true;
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(this->mNode, reply);
-  if (reply.mStatus == KvStatus::kConflict) {
-    for (const auto& item : reply.mItems) {
-      if (item.mKey == WorkerSetKey(this->mShardNumber)) {
-        this->mWorkerSetRevision = item.mRevision;
-      }
-    }
-    this->OnProgressConflict(reply);
-  }
-  if (reply.mStatus != KvStatus::kOk) {
-    co_return false;
-  }
-  this->mIsWorkerSetInDoubt = false;
-  this->mWorkerSet = std::move(workerSet);
-  this->mWorkerSetRevision = reply.mRevision;
-  this->MarkRecordedWorkers();
-  co_return true;
-}
-
-void ShardRunner::MarkRecordedWorkers()
-{
-  for (const auto& member : this->mWorkerSet.mWorkers) {
-    DispatchWorker* worker = FindWorker(this->mShard, member.mWorker);
-    if (worker != nullptr) {
-      worker->mIsRecorded = true;
-    }
-  }
-}
-
 asio::awaitable<void> ShardRunner::RemoveOldJobs()
 {
   const TimePoint now = SuspendAwareNow();
@@ -353,24 +285,4 @@
   }
 }
 
-WorkerSetRecord ShardRunner::HandedOverWorkerSet() const
-{
-  WorkerSetRecord workerSet = this->mWorkerSet;
-  workerSet.mOwner.clear();
-  return workerSet;
-}
-
-WorkerSetRecord NextWorkerSet(const WorkerSetRecord& aEarlier,
-                              const std::string& aNode)
-{
-  WorkerSetRecord workerSet = aEarlier;
-  ++workerSet.mGeneration;
-  // An earlier process of the same node can no longer act.
-  const bool hasStopped = aEarlier.mOwner.empty() || aEarlier.mOwner == aNode;
-  workerSet.mHasEarlierStopped = aEarlier.mIsSettled && hasStopped;
-  workerSet.mOwner = aNode;
-  workerSet.mIsSettled = false;
-  return workerSet;
-}
-
 } // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -0,0 +1,305 @@
+/// The worker set of a shard in the store: read by a new owner, written by the
+/// owner while workers come, fall silent and go.
+
+#include "vcFormerOwner.h"
+#include "vcShardRunner.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+/// Number of run numbers of a task that are reserved for each owner of the
+/// shard.
+constexpr std::uint32_t kRunsPerOwnership = 256;
+/// The record of inactive workers is written again once it says of a worker
+/// that its runs end later than they do by more than this.
+constexpr Duration kMaxRunsEndExcess{ 1'000 };
+/// Interval of the checks for workers that have to be recorded as inactive.
+constexpr Duration kSilenceCheckInterval{ 250 };
+/// Interval of the attempts to reach the former owner.
+constexpr Duration kAskInterval{ 300 };
+
+/// True if the two records name the same workers, and the recorded times are
+/// not much later than the present ones.
+bool IsUpToDate(const InactiveWorkersRecord& aRecorded,
+                const InactiveWorkersRecord& aPresent)
+{
+  return std::equal(
+    aRecorded.mWorkers.begin(),
+    aRecorded.mWorkers.end(),
+    aPresent.mWorkers.begin(),
+    aPresent.mWorkers.end(),
+    [](const InactiveWorker& aLeft, const InactiveWorker& aRight) {
+      return aLeft.mWorker == aRight.mWorker &&
+             Duration(aLeft.mRunsEndInMs - aRight.mRunsEndInMs) <=
+               kMaxRunsEndExcess;
+    });
+}
+
+/// Takes the current revisions of the records from a failed write.
+void TakeRevisions(const KvReply& aReply,
+                   std::uint32_t aShard,
+                   StoredWorkerSet& aStored)
+{
+  for (const auto& item : aReply.mItems) {
+    if (item.mKey == WorkerSetKey(aShard)) {
+      aStored.mRevision = item.mRevision;
+    } else if (item.mKey == InactiveWorkersKey(aShard)) {
+      aStored.mInactiveRevision = item.mRevision;
+    }
+  }
+}
+
+} // namespace
+
+asio::awaitable<bool> ShardRunner::LoadWorkerSet()
+{
+  const KvReply read =
+    co_await this->mNode.mStore.mRead(WorkerSetKey(this->mShardNumber));
+  UpdateStoreHealth(this->mNode, read);
+  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
+    co_return false;
+  }
+  const auto workerSet = TryDecode<WorkerSetRecord>(read.mItems[0].mValue);
+  if (!workerSet) {
+    spdlog::error("shard.worker-set-unreadable shard={}", this->mShardNumber);
+    co_return false;
+  }
+  const auto inactive =
+    co_await ReadInactiveWorkers(this->mNode, this->mShardNumber);
+  if (!inactive) {
+    co_return false;
+  }
+  this->mStored = {
+    *workerSet, read.mItems[0].mRevision, inactive->mRecord, inactive->mRevision
+  };
+  this->mShard.mRunBase = (workerSet->mGeneration - 1) * kRunsPerOwnership;
+  this->AddStoredWorkers(SuspendAwareNow());
+  co_return true;
+}
+
+void ShardRunner::AddStoredWorkers(TimePoint aNow)
+{
+  const WorkerSetRecord& workerSet = this->mStored.mWorkerSet;
+  const auto inactive = InactiveMembers(this->mStored.mInactive, workerSet);
+  for (const auto& member : workerSet.mWorkers) {
+    const auto endpoint = ParseEndpoint(member.mAddress);
+    if (!endpoint) {
+      spdlog::error("shard.worker-address-unreadable shard={} worker={}",
+                    this->mShardNumber,
+                    member.mWorker);
+      continue;
+    }
+    DispatchWorker& worker = this->mShard.mWorkers[member.mWorker];
+    worker.mEntry.mWorker = member.mWorker;
+    worker.mEntry.mAddress = member.mAddress;
+    worker.mEndpoint = *endpoint;
+    worker.mLastReportAt = aNow;
+    worker.mSilentSince = aNow;
+    const auto row = inactive.find(member.mWorker);
+    if (row == inactive.end()) {
+      AddActiveWorker(
+        this->mShard, member.mWorker, workerSet.mHasEarlierStopped, aNow);
+    } else {
+      AddInactiveWorker(this->mShard,
+                        member.mWorker,
+                        Duration(row->second.mRunsEndInMs),
+                        row->second.mNoJobsAfter,
+                        aNow);
+    }
+  }
+}
+
+InactiveWorker ShardRunner::MakeInactive(DispatchWorker& aWorker,
+                                         TimePoint aNow)
+{
+  const std::string& name = aWorker.mEntry.mWorker;
+  const TimePoint endAt = RunsEndAt(this->mShard, aWorker, aNow);
+  const auto endIn = std::max<std::int64_t>((endAt - aNow).count(), 0);
+  if (!aWorker.mIsInactive) {
+    spdlog::info("worker.inactive worker={} shard={} runs_end_in_ms={} "
+                 "last_report_ms_ago={}",
+                 name,
+                 this->mShardNumber,
+                 endIn,
+                 (aNow - aWorker.mLastReportAt).count());
+  }
+  Deactivate(this->mShard, aWorker, this->mNode.mLatestRevision);
+  return { name, endIn, aWorker.mNoJobsAfter };
+}
+
+void ShardRunner::ChooseWorkerSet(WorkerSetRecord& aWorkerSet,
+                                  InactiveWorkersRecord& aInactive)
+{
+  const TimePoint now = SuspendAwareNow();
+  aWorkerSet = this->mStored.mWorkerSet;
+  aWorkerSet.mWorkers.clear();
+  aWorkerSet.mIsSettled = IsBarrierClear(this->mShard, now);
+  aInactive.mGeneration = aWorkerSet.mGeneration;
+  for (auto& [name, worker] : this->mShard.mWorkers) {
+    if (MustBeRecorded(this->mShard, worker, now)) {
+      aWorkerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
+      if (MustBeInactive(worker, now)) {
+        aInactive.mWorkers.push_back(this->MakeInactive(worker, now));
+      }
+      continue;
+    }
+    if (worker.mIsRecorded || worker.mIsInactive) {
+      spdlog::info("worker.vacated worker={} shard={} unresponsive={}",
+                   name,
+                   this->mShardNumber,
+                   worker.mIsUnresponsive);
+    }
+    // The write that removes the worker may be carried out although its reply
+    // is lost. Only a later write that succeeds allows starts there again.
+    worker.mIsRecorded = false;
+    worker.mIsInactive = false;
+  }
+}
+
+asio::awaitable<bool> ShardRunner::RecordWorkerSet()
+{
+  if (this->mIsRecordingWorkerSet) {
+    co_return false;
+  }
+  this->mIsRecordingWorkerSet = true;
+  const bool isRecorded = co_await this->WriteWorkerSet();
+  this->mIsRecordingWorkerSet = false;
+  co_return isRecorded;
+}
+
+asio::awaitable<void> ShardRunner::RecordSilentWorkers()
+{
+  while (!this->mIsStopped) {
+    co_await Sleep(kSilenceCheckInterval);
+    const TimePoint now = SuspendAwareNow();
+    const auto& workers = this->mShard.mWorkers;
+    const bool isNeeded =
+      std::any_of(workers.begin(), workers.end(), [&](const auto& aWorker) {
+        return aWorker.second.mIsRecorded &&
+               MustBeInactive(aWorker.second, now);
+      });
+    if (isNeeded && !this->mIsStopped) {
+      co_await this->RecordWorkerSet();
+    }
+  }
+}
+
+asio::awaitable<void> ShardRunner::LearnFromFormerOwner()
+{
+  while (!this->mIsStopped &&
+         !IsBarrierClear(this->mShard, SuspendAwareNow())) {
+    const auto former = this->mNode.mFormerOwners.find(this->mShardNumber);
+    const bool isKnown = former != this->mNode.mFormerOwners.end() &&
+                         !former->second.mNode.empty();
+    if (!isKnown) {
+      co_return;
+    }
+    const FormerOwner owner = former->second;
+    const auto answer =
+      co_await AskFormerOwner(this->mNode, this->mShardNumber, this->Epoch());
+    if (answer) {
+      const TimePoint now = SuspendAwareNow();
+      ApplyFormerOwnerAnswer(this->mShard,
+                             owner,
+                             *answer,
+                             this->mStored.mWorkerSet.mGeneration,
+                             now);
+      spdlog::info("shard.former-owner shard={} epoch={} node={} generation={} "
+                   "workers={} held_up_to={}",
+                   this->mShardNumber,
+                   this->Epoch(),
+                   answer->mNode,
+                   answer->mGeneration,
+                   answer->mWorkers.size(),
+                   LastHeldRevision(this->mShard, now));
+      co_return;
+    }
+    co_await Sleep(kAskInterval);
+  }
+}
+
+asio::awaitable<bool> ShardRunner::WriteWorkerSet()
+{
+  WorkerSetRecord workerSet;
+  InactiveWorkersRecord inactive;
+  this->ChooseWorkerSet(workerSet, inactive);
+  const WorkerSetRecord& stored = this->mStored.mWorkerSet;
+  const bool isCurrent = !this->mStored.mIsInDoubt &&
+                         workerSet.mIsSettled == stored.mIsSettled &&
+                         workerSet.mWorkers == stored.mWorkers &&
+                         IsUpToDate(this->mStored.mInactive, inactive);
+  if (isCurrent) {
+    this->MarkRecordedWorkers();
+    co_return true;
+  }
+  KvTransaction write;
+  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
+  write.mConditions.push_back(
+    { WorkerSetKey(this->mShardNumber), this->mStored.mRevision });
+  write.mConditions.push_back({ InactiveWorkersKey(this->mShardNumber),
+                                this->mStored.mInactiveRevision });
+  AddWorkerSet(write, this->mShardNumber, workerSet, inactive);
+  this->mStored.mIsInDoubt = true;
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
+  UpdateStoreHealth(this->mNode, reply);
+  if (reply.mStatus == KvStatus::kConflict) {
+    TakeRevisions(reply, this->mShardNumber, this->mStored);
+    this->OnProgressConflict(reply);
+  }
+  if (reply.mStatus != KvStatus::kOk) {
+    spdlog::info("shard.worker-set-not-recorded shard={} outcome={}",
+                 this->mShardNumber,
+                 NameOf(reply.mStatus));
+    co_return false;
+  }
+  this->mStored = {
+    std::move(workerSet), reply.mRevision, std::move(inactive), reply.mRevision
+  };
+  this->MarkRecordedWorkers();
+  co_return true;
+}
+
+void ShardRunner::MarkRecordedWorkers()
+{
+  const auto inactive =
+    InactiveMembers(this->mStored.mInactive, this->mStored.mWorkerSet);
+  for (const auto& member : this->mStored.mWorkerSet.mWorkers) {
+    DispatchWorker* worker = FindWorker(this->mShard, member.mWorker);
+    if (worker != nullptr && !inactive.contains(member.mWorker)) {
+      worker->mIsRecorded = true;
+      worker->mIsInactive = false;
+    }
+  }
+}
+
+void ShardRunner::AddHandOver(KvTransaction& aWrite) const
+{
+  aWrite.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
+  aWrite.mDeletes.push_back(OwnerKey(this->mShardNumber));
+  // A runner that isn't loaded doesn't know the worker set yet.
+  if (!this->mIsLoaded) {
+    return;
+  }
+  const TimePoint now = SuspendAwareNow();
+  WorkerSetRecord workerSet = this->mStored.mWorkerSet;
+  workerSet.mOwner.clear();
+  InactiveWorkersRecord inactive;
+  inactive.mGeneration = workerSet.mGeneration;
+  for (const auto& [name, worker] : this->mShard.mWorkers) {
+    if (worker.mIsInactive) {
+      const Duration endIn = RunsEndAt(this->mShard, worker, now) - now;
+      inactive.mWorkers.push_back({ name,
+                                    std::max<std::int64_t>(endIn.count(), 0),
+                                    worker.mNoJobsAfter });
+    }
+  }
+  AddWorkerSet(aWrite, this->mShardNumber, workerSet, inactive);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Source/Node/vcWorkerSetRecords.cxx
@@ -0,0 +1,79 @@
+#include "vcWorkerSetRecords.h"
+
+#include <spdlog/spdlog.h>
+
+namespace verbenacroft {
+
+WorkerSetRecord NextWorkerSet(const WorkerSetRecord& aEarlier,
+                              const std::string& aNode)
+{
+  WorkerSetRecord workerSet = aEarlier;
+  ++workerSet.mGeneration;
+  // An earlier process of the same node can no longer act.
+  const bool hasStopped = aEarlier.mOwner.empty() || aEarlier.mOwner == aNode;
+  workerSet.mHasEarlierStopped = aEarlier.mIsSettled && hasStopped;
+  workerSet.mOwner = aNode;
+  workerSet.mIsSettled = false;
+  return workerSet;
+}
+
+InactiveWorkersRecord NextInactiveWorkers(
+  const InactiveWorkersRecord& aRecorded,
+  const WorkerSetRecord& aEarlier)
+{
+  InactiveWorkersRecord next;
+  next.mGeneration = aEarlier.mGeneration + 1;
+  if (aRecorded.mGeneration == aEarlier.mGeneration) {
+    next.mWorkers = aRecorded.mWorkers;
+  }
+  return next;
+}
+
+std::map<std::string, InactiveWorker> InactiveMembers(
+  const InactiveWorkersRecord& aRecorded,
+  const WorkerSetRecord& aWorkerSet)
+{
+  std::map<std::string, InactiveWorker> members;
+  if (aRecorded.mGeneration == aWorkerSet.mGeneration) {
+    for (const auto& worker : aRecorded.mWorkers) {
+      members[worker.mWorker] = worker;
+    }
+  }
+  return members;
+}
+
+void AddWorkerSet(KvTransaction& aWrite,
+                  std::uint32_t aShard,
+                  const WorkerSetRecord& aWorkerSet,
+                  const InactiveWorkersRecord& aInactive)
+{
+  aWrite.mPuts.push_back(
+    PersistentPut(WorkerSetKey(aShard), Encode(aWorkerSet)));
+  aWrite.mPuts.push_back(
+    PersistentPut(InactiveWorkersKey(aShard), Encode(aInactive)));
+}
+
+asio::awaitable<std::optional<StoredInactiveWorkers>> ReadInactiveWorkers(
+  NodeContext& aNode,
+  std::uint32_t aShard)
+{
+  const KvReply read = co_await aNode.mStore.mRead(InactiveWorkersKey(aShard));
+  UpdateStoreHealth(aNode, read);
+  if (read.mStatus == KvStatus::kNotFound) {
+    co_return StoredInactiveWorkers{};
+  }
+  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
+    co_return std::nullopt;
+  }
+  StoredInactiveWorkers stored;
+  stored.mRevision = read.mItems[0].mRevision;
+  auto record = TryDecode<InactiveWorkersRecord>(read.mItems[0].mValue);
+  if (record) {
+    stored.mRecord = std::move(*record);
+  } else {
+    spdlog::error("shard.inactive-workers-unreadable shard={}", aShard);
+  }
+  co_return stored;
+}
+
+} // namespace verbenacroft
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -213,8 +213,7 @@
 {
   Fixture fixture({});
   fixture.mShard.mWorkers["w1"].mEntry.mWorker = "w1";
-  fixture.mShard.mUnansweredWorkers = { "w1" };
-  fixture.mShard.mBarrierUntil = TimePoint(9'000);
+  fixture.mShard.mUnansweredWorkers["w1"] = { TimePoint(9'000), 10 };
   ReapWorkers(fixture.mShard, TimePoint(1'000));
   CHECK(fixture.mShard.mWorkers.contains("w1"));
   ReapWorkers(fixture.mShard, TimePoint(9'001));
@@ -246,7 +245,7 @@
     { "taken over and not heard yet",
       [](Fixture& aShard) {
         aShard.Worker() = {};
-        aShard.Worker().mIsRecorded = true;
+        AddActiveWorker(aShard.mShard, "w1", false, aShard.mNow);
         aShard.SetDraining(true);
         aShard.Silence("w1");
       },
@@ -306,7 +305,8 @@
   shard.SetDraining(true);
   shard.AnswerLater();
   row.mPlay(shard);
-  CHECK(MustBeRecorded(shard.Worker()) == row.mIsRecorded);
+  CHECK(MustBeRecorded(shard.mShard, shard.Worker(), shard.mNow) ==
+        row.mIsRecorded);
 }
 
 // Guards against a task that starts on a worker that the next owner doesn't
@@ -374,7 +374,8 @@
   REQUIRE(actions.mStarts[0].mWorker == "w1");
   shard.SetDraining(true);
   row.mPlay(shard, actions.mStarts[0].mOrder);
-  CHECK(MustBeRecorded(shard.Worker()) == row.mIsRecorded);
+  CHECK(MustBeRecorded(shard.mShard, shard.Worker(), shard.mNow) ==
+        row.mIsRecorded);
 }
 
 // Guards against a worker that returns to the worker set after it was taken out
@@ -385,9 +386,9 @@
   shard.SetDraining(true);
   shard.Worker().mIsRecorded = false;
   shard.Silence("w1");
-  CHECK_FALSE(MustBeRecorded(shard.Worker()));
+  CHECK_FALSE(MustBeRecorded(shard.mShard, shard.Worker(), shard.mNow));
   shard.SetDraining(false);
-  CHECK(MustBeRecorded(shard.Worker()));
+  CHECK(MustBeRecorded(shard.mShard, shard.Worker(), shard.mNow));
   shard.AnswerLater();
   shard.Add(1);
   CHECK(shard.Plan().mStarts.empty());
@@ -410,8 +411,7 @@
                                           { 5, 9'001, false, 0 } }));
   Fixture fixture({ "w1" });
   fixture.mShard.mIsLeaseProved = row.mIsLeaseProved;
-  fixture.mShard.mUnansweredWorkers = { "w2" };
-  fixture.mShard.mBarrierUntil = TimePoint(9'000);
+  fixture.mShard.mUnansweredWorkers["w2"] = { TimePoint(9'000), 10 };
   fixture.mNow = TimePoint(row.mNowMs);
   fixture.Answer();
   fixture.Add(1, row.mCreatedAt);
--- a/Tests/Unit/vcWaitingTest.cxx
+++ b/Tests/Unit/vcWaitingTest.cxx
@@ -135,14 +135,14 @@
       WaitReason::kBarrier,
       [](F& aShard) {
         aShard.mCreatedAt = kEpoch - 1;
-        aShard.mShard.mUnansweredWorkers = { "w2" };
-        aShard.mShard.mBarrierUntil = kNow + Duration(1);
+        aShard.mShard.mUnansweredWorkers["w2"] = { kNow + Duration(1),
+                                                   aShard.mShard.mEpoch };
       } },
     { "later than the epoch",
       WaitReason::kPassedOver,
       [](F& aShard) {
-        aShard.mShard.mUnansweredWorkers = { "w2" };
-        aShard.mShard.mBarrierUntil = kNow + Duration(1);
+        aShard.mShard.mUnansweredWorkers["w2"] = { kNow + Duration(1),
+                                                   aShard.mShard.mEpoch };
       } },
     { "no workers",
       WaitReason::kNotAllowed,
--- /dev/null
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -0,0 +1,296 @@
+/// The worker set that the next owner of a shard reads: which workers it asks,
+/// how long it waits for those that don't answer, and which jobs it holds back
+/// meanwhile.
+
+#include "vcFormerOwner.h"
+#include "vcNode.h"
+#include "vcWorkerSetRecords.h"
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr std::int64_t kClock = 100'000;
+constexpr std::uint64_t kEpoch = 50;
+
+/// A shard with one worker that has answered and whose lease was renewed, as of
+/// time 0.
+struct OneWorker
+{
+  OneWorker()
+  {
+    this->mShard.mEpoch = kEpoch;
+    WorkerEntry entry;
+    entry.mWorker = "w1";
+    entry.mAddress = "127.0.0.1:9000";
+    OnDiscovery(this->mShard, { entry }, this->mNow);
+    this->Worker().mIsRecorded = true;
+    this->Answer();
+    this->Renew();
+  }
+
+  void Answer()
+  {
+    WorkerReport report;
+    report.mOutcome = OrderOutcome::kDone;
+    report.mClock = kClock + this->mNow.count();
+    report.mIncarnation = 1;
+    OnReport(this->mShard, "w1", report, this->mNow, this->mNow, 0);
+  }
+
+  void Silence()
+  {
+    OnReport(this->mShard, "w1", WorkerReport{}, this->mNow, this->mNow, 0);
+  }
+
+  RenewOrder Renew()
+  {
+    return MakeRenewal(
+      this->mShard, this->Worker(), Duration(1'000), this->mNow);
+  }
+
+  bool IsRecorded()
+  {
+    return MustBeRecorded(this->mShard, this->Worker(), this->mNow);
+  }
+
+  bool IsInactive() { return MustBeInactive(this->Worker(), this->mNow); }
+
+  DispatchWorker& Worker() { return this->mShard.mWorkers.at("w1"); }
+
+  TimePoint mNow{ 0 };
+  DispatchShard mShard;
+};
+
+} // namespace
+
+// Guards against a takeover that waits for a worker that was lost long before.
+TEST_CASE("a silent worker leaves the worker set once its lease has ended",
+          "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    Duration mSilentFor;
+    bool mIsLeaseProved;
+    bool mIsInactive;
+    bool mIsRecorded;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "missed one report", Duration(500), true, false, true },
+    { "silent", Duration(3'000), true, true, true },
+    { "silent for the lease at a fast clock",
+      Duration(6'050),
+      true,
+      true,
+      true },
+    { "silent for longer", Duration(6'200), true, true, false },
+    { "the same, and another owner may renew it",
+      Duration(6'200),
+      false,
+      true,
+      true },
+  }));
+  CAPTURE(row.mName);
+  OneWorker shard;
+  shard.Silence();
+  shard.mNow += row.mSilentFor;
+  shard.mShard.mIsLeaseProved = row.mIsLeaseProved;
+  CHECK(shard.IsInactive() == row.mIsInactive);
+  CHECK(shard.IsRecorded() == row.mIsRecorded);
+}
+
+// Guards against a run that outlasts the time that was recorded for the next
+// owner, so that its task runs twice.
+TEST_CASE("an inactive worker isn't renewed or used until it is active again",
+          "[worker-set]")
+{
+  OneWorker shard;
+  CHECK(shard.Renew().mLeaseUntil > 0);
+  shard.Silence();
+  shard.mNow += Duration(3'000);
+  const TimePoint endAt = RunsEndAt(shard.mShard, shard.Worker(), shard.mNow);
+  Deactivate(shard.mShard, shard.Worker(), 70);
+  shard.Answer();
+  CHECK(shard.Renew().mLeaseUntil == 0);
+  CHECK(RunsEndAt(shard.mShard, shard.Worker(), shard.mNow) <= endAt);
+  CHECK_FALSE(shard.IsInactive());
+  CHECK(shard.IsRecorded());
+  shard.Worker().mIsRecorded = true;
+  shard.Worker().mIsInactive = false;
+  CHECK(shard.Renew().mLeaseUntil > 0);
+}
+
+// Guards against a wait that begins anew with every owner.
+TEST_CASE("an owner waits only for what may still run", "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    void (*mAdd)(DispatchShard&);
+    TimePoint mClearAt;
+    std::uint64_t mHeldUpTo;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "no worker", [](DispatchShard&) {}, TimePoint(0), 0 },
+    { "an active worker",
+      [](DispatchShard& aShard) {
+        AddActiveWorker(aShard, "w1", false, TimePoint(0));
+      },
+      TimePoint(13'123),
+      kEpoch },
+    { "an active worker, and nobody else may act",
+      [](DispatchShard& aShard) {
+        AddActiveWorker(aShard, "w1", true, TimePoint(0));
+      },
+      TimePoint(6'123),
+      kEpoch },
+    { "an inactive worker",
+      [](DispatchShard& aShard) {
+        AddInactiveWorker(aShard, "w1", Duration(4'000), 30, TimePoint(0));
+      },
+      TimePoint(4'000),
+      30 },
+    { "two inactive workers",
+      [](DispatchShard& aShard) {
+        AddInactiveWorker(aShard, "w1", Duration(4'000), 30, TimePoint(0));
+        AddInactiveWorker(aShard, "w2", Duration(1'000), 40, TimePoint(0));
+      },
+      TimePoint(4'000),
+      40 },
+  }));
+  CAPTURE(row.mName);
+  DispatchShard shard;
+  shard.mEpoch = kEpoch;
+  row.mAdd(shard);
+  CHECK(LastHeldRevision(shard, TimePoint(0)) == row.mHeldUpTo);
+  CHECK(IsBarrierClear(shard, row.mClearAt));
+  CHECK(LastHeldRevision(shard, row.mClearAt) == 0);
+  CHECK(IsBarrierClear(shard, row.mClearAt - Duration(1)) ==
+        shard.mUnansweredWorkers.empty());
+  shard.mIsLeaseProved = false;
+  CHECK(IsBarrierClear(shard, row.mClearAt) ==
+        shard.mUnansweredWorkers.empty());
+}
+
+// Guards against a bound that is taken over from an owner that wasn't bound.
+TEST_CASE("inactive workers are those of the claim before", "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::uint32_t mRecordedGeneration;
+    std::size_t mTakenOver;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "recorded by the owner before", 4, 1 },
+    { "recorded before an owner that doesn't know the record", 3, 0 },
+    { "there was no record", 0, 0 },
+  }));
+  CAPTURE(row.mName);
+  WorkerSetRecord earlier;
+  earlier.mGeneration = 4;
+  InactiveWorkersRecord recorded;
+  recorded.mGeneration = row.mRecordedGeneration;
+  recorded.mWorkers = { { "w1", 4'000, 30 } };
+  const auto next = NextInactiveWorkers(recorded, earlier);
+  const auto claimed = NextWorkerSet(earlier, "node-1");
+  CHECK(next.mGeneration == claimed.mGeneration);
+  CHECK(InactiveMembers(next, claimed).size() == row.mTakenOver);
+}
+
+// Guards against a takeover that waits for longer the more owners there were.
+TEST_CASE("the wait for a lost worker shrinks from owner to owner",
+          "[worker-set]")
+{
+  Duration endIn(0);
+  for (int owner = 0; owner < 4; ++owner) {
+    DispatchShard shard;
+    shard.mEpoch = kEpoch;
+    if (owner == 0) {
+      AddActiveWorker(shard, "w1", false, TimePoint(0));
+    } else {
+      AddInactiveWorker(shard, "w1", endIn, kEpoch, TimePoint(0));
+    }
+    DispatchWorker& worker = shard.mWorkers.at("w1");
+    worker.mEntry.mWorker = "w1";
+    worker.mSilentSince = TimePoint(0);
+    const TimePoint replacedAt(3'000);
+    CHECK(MustBeRecorded(shard, worker, replacedAt));
+    CHECK(MustBeInactive(worker, replacedAt));
+    endIn = RunsEndAt(shard, worker, replacedAt) - replacedAt;
+  }
+  CHECK(endIn == Duration(13'123 - 4 * 3'000));
+}
+
+// Guards against a new owner that assumes the longest leases although the owner
+// before it knows how long they last.
+TEST_CASE("the former owner's answer shortens the wait", "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    FormerOwner mFormer;
+    std::uint32_t mAnswerGeneration;
+    std::uint32_t mGeneration;
+    TimePoint mClearAt;
+  };
+  const TimePoint kWhole(13'123);
+  const TimePoint kLease(1'000 + 6'123);
+  const TimePoint kKnown(1'000 + 2'000);
+  const auto row = GENERATE_COPY(values<Row>({
+    { "it ran the shard before", { "node-2", 4, true }, 4, 5, kKnown },
+    { "the same, and it hadn't accounted for owners before it",
+      { "node-2", 4, false },
+      4,
+      5,
+      kKnown },
+    { "its process was restarted", { "node-2", 4, true }, 0, 5, kLease },
+    { "the same, and owners before it may act",
+      { "node-2", 4, false },
+      0,
+      5,
+      kWhole },
+    { "it ran the shard earlier only", { "node-2", 4, false }, 3, 5, kWhole },
+    { "it was asked about an earlier claim",
+      { "node-2", 3, true },
+      3,
+      5,
+      kWhole },
+  }));
+  CAPTURE(row.mName);
+  DispatchShard shard;
+  shard.mEpoch = kEpoch;
+  AddActiveWorker(shard, "w1", false, TimePoint(0));
+  const FormerOwnerAnswer answer{ "node-2",
+                                  row.mAnswerGeneration,
+                                  { { "w1", 2'000 }, { "w2", 0 } } };
+  ApplyFormerOwnerAnswer(
+    shard, row.mFormer, answer, row.mGeneration, TimePoint(1'000));
+  CHECK(BarrierEndsAt(shard) == row.mClearAt);
+}
+
+// Guards against an owner that goes on after it was told of its successor, and
+// against an answer that leaves out a lease.
+TEST_CASE("an owner that stops remembers how long its leases last",
+          "[worker-set]")
+{
+  UseManualTime(TimePoint(1'000));
+  asio::io_context io(1);
+  NodeContext node(io, {});
+  node.mSettings.mName = "node-2";
+  CHECK(AnswerNewOwner(node, 0, kEpoch).mGeneration == 0);
+  OneWorker shard;
+  RememberStoppedShard(node, 0, 4, shard.mShard, TimePoint(0));
+  const FormerOwnerAnswer answer = AnswerNewOwner(node, 0, kEpoch);
+  CHECK(answer.mNode == "node-2");
+  CHECK(answer.mGeneration == 4);
+  REQUIRE(answer.mWorkers.size() == 1);
+  CHECK(answer.mWorkers[0].mWorker == "w1");
+  CHECK(answer.mWorkers[0].mEndInMs == 6'123 - 1'000);
+  UseManualTime(std::nullopt);
+}
+
+} // namespace verbenacroft
