Node: Renew no worker's lease after the owner grace period

What callers would see: a task runs twice at once.

Cause: a permission used after it has run out. The next owner waits for the grace period of the owner before it plus the longest lease of a worker, and then starts tasks elsewhere. But an owner that is cut off from the store renewed its workers' leases for ever: MakeRenewal didn't look at its own lease. Cut off together with some workers, which nobody else reaches, it kept its tasks at work beside those of the next owner.

--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -317,6 +317,9 @@
   bool mIsFenced = false;
   /// Starts are allowed; cleared while ownership is uncertain.
   bool mMayStart = true;
+  /// Leases of the workers are renewed; cleared once another owner may count on
+  /// their end.
+  bool mMayRenew = true;
   /// The owner's lease is known to be valid. While it is not, another owner may
   /// be renewing the workers that do not answer this one.
   bool mIsLeaseProved = true;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -129,7 +129,7 @@
   // recorded as active.
   order.mWait = aWorker.mIsInactive ? Duration(0) : aWait;
   // The next owner counts on the end of the runs on workers that aren't active.
-  if (aWorker.mIsRecorded) {
+  if (aWorker.mIsRecorded && aShard.mMayRenew) {
     order.mLeaseUntil = clock + aShard.mBounds.mMaxLease.count();
     aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, order.mLeaseUntil);
   }
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -248,6 +248,14 @@
   }
 }
 
+bool MayRenewLeases(const NodeContext& aNode, TimePoint aNow)
+{
+  const DispatchBounds bounds = DispatchBoundsOf(aNode.mSettings);
+  const Duration gracePeriod =
+    bounds.mOwnerGracePeriod - LeaseTtlOf(aNode.mSettings);
+  return aNow < aNode.mLeaseValidUntil + gracePeriod;
+}
+
 std::optional<StartsForbiddenCause> WhyStartsForbidden(const NodeContext& aNode,
                                                        TimePoint aNow)
 {
@@ -263,11 +271,8 @@
   if (aNow < aNode.mLeaseValidUntil) {
     return std::nullopt;
   }
-  const DispatchBounds bounds = DispatchBoundsOf(aNode.mSettings);
-  const Duration gracePeriod =
-    bounds.mOwnerGracePeriod - LeaseTtlOf(aNode.mSettings);
   const bool isInGracePeriod =
-    IsStoreDown(aNode, aNow) && aNow < aNode.mLeaseValidUntil + gracePeriod;
+    IsStoreDown(aNode, aNow) && MayRenewLeases(aNode, aNow);
   return isInGracePeriod ? std::nullopt
                          : std::optional(StartsForbiddenCause::kLeaseExpired);
 }
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -24,6 +24,11 @@
 /// Updates the table of owners. An item older than the known owner is ignored.
 void ApplyOwner(NodeContext& aNode, const KvItem& aItem);
 
+/// True until the owner grace period of the node's lease has ended. The next
+/// owner of a shard counts on it that this node renews no worker's lease later,
+/// also if it is cut off and doesn't learn of the other.
+bool MayRenewLeases(const NodeContext& aNode, TimePoint aNow);
+
 /// Why the owner of a shard may start no task.
 enum class StartsForbiddenCause
 {
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -294,6 +294,7 @@
   const auto cause = this->WhyShardMayNotStart(aNow);
   this->LogStartsForbidden(cause, aNow);
   this->mShard.mMayStart = !cause.has_value();
+  this->mShard.mMayRenew = MayRenewLeases(this->mNode, aNow);
   this->mShard.mIsLeaseProved =
     !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -123,6 +123,18 @@
   CHECK(shard.Renew().mLeaseUntil > 0);
 }
 
+// Guards against an owner that renews workers when the next owner already
+// counts their leases as ended.
+TEST_CASE("an owner whose grace period has ended renews no worker",
+          "[worker-set]")
+{
+  OneWorker shard;
+  shard.mShard.mMayRenew = false;
+  const RenewOrder order = shard.Renew();
+  CHECK(order.mLeaseUntil == 0);
+  CHECK(order.mWait == Duration(1'000));
+}
+
 // Guards against a wait that begins anew with every owner.
 TEST_CASE("an owner waits only for what may still run", "[worker-set]")
 {
