Dispatch: Give up a start that wasn't sent by its deadline

Orders to a worker are sent two at a time. Where it answers renewals and leaves starts unanswered, each call takes 0.8 s, and the tasks of the queued starts stay in kStarting until theirs is sent: the worker's size bounds that, not the start's 1.5 s. After it a task was tried on the same worker again, which runs nothing and so is the cheapest.

A sender now gives up a start that is past its deadline, drops one whose task no longer waits for it, and the next start of a task prefers another worker. A sender may thus end without a call, so StartSenders starts each missing one once; else it would never return.

Before: a task whose start wasn't answered was tried on "w1" again.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -153,6 +153,15 @@
   return order;
 }
 
+bool IsStartPending(DispatchShard& aShard,
+                    const std::string& aWorker,
+                    const StartOrder& aOrder)
+{
+  const DispatchTask* task = FindTask(aShard, aOrder.mTask);
+  return task != nullptr && task->mPhase == RunPhase::kStarting &&
+         task->mWorker == aWorker && task->mRun == aOrder.mRun;
+}
+
 void OnStartReply(DispatchShard& aShard,
                   const std::string& aWorker,
                   const StartOrder& aOrder,
@@ -183,6 +192,9 @@
                aOrder.mRun,
                aWorker,
                NameOf(aReply.mOutcome));
+  // A worker that carries out no start keeps its free capacity, and would be
+  // chosen again.
+  task->mAvoidedWorker = aWorker;
   if (aReply.mOutcome == OrderOutcome::kUnknown) {
     // A start that is being stopped stays as uncertain as it is: the stop may
     // have been answered already.
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -31,6 +31,12 @@
                   const OrderReply& aReply,
                   TimePoint aNow);
 
+/// True if the task still waits for the outcome of this start. Otherwise the
+/// start was given up or stopped, and is of no use if it hasn't been sent yet.
+bool IsStartPending(DispatchShard& aShard,
+                    const std::string& aWorker,
+                    const StartOrder& aOrder);
+
 /// Handles the outcome of a stop order. The end of the run itself comes with a
 /// report.
 void OnStopReply(DispatchShard& aShard,
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -299,7 +299,8 @@
     queue.mStarts.size() + queue.mStops.size() + queue.mThrottleOrders.size();
   const int wanted =
     static_cast<int>(std::min<std::size_t>(waiting, kSendersPerWorker));
-  while (queue.mSenders < wanted) {
+  // A sender that has nothing to send ends at once, and isn't replaced.
+  for (int missing = wanted - queue.mSenders; missing > 0; --missing) {
     ++queue.mSenders;
     this->Spawn("orders", [self = this->shared_from_this(), aWorker] {
       return self->SendOrders(aWorker);
@@ -330,6 +331,16 @@
       OnStopReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
     } else if (!queue.mStarts.empty()) {
       const StartOrder order = PopFront(queue.mStarts);
+      if (!IsStartPending(this->mShard, aWorker, order)) {
+        continue;
+      }
+      const TimePoint now = SuspendAwareNow();
+      if (EstimateClock(*worker, now) > order.mNotAfter) {
+        const OrderReply notSent{ OrderOutcome::kNotSent, 0 };
+        OnStartReply(this->mShard, aWorker, order, notSent, now);
+        this->SchedulePlanning();
+        continue;
+      }
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStart(address, order);
       OnStartReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -22,8 +22,11 @@
   Tests/Unit/vcTestMain.cxx Tests/Unit/vcCodecTest.cxx
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
   Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
+  Tests/Unit/vcDispatchWaitTest.cxx
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
-  Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcViewsTest.cxx)
+  Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStoreOutcomeTest.cxx
+  Tests/Unit/vcViewsTest.cxx Tests/Fleet/vcFleetStore.cxx)
+target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
   vcBurn vcDispatch vcNode vcSitePlatform)
 add_test(NAME unit COMMAND vcUnitTests)
--- /dev/null
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -0,0 +1,169 @@
+/// Bounds on the waits of accepted work: what ready tasks wait for, and that
+/// the wait ends while there is room.
+
+#include "vcDispatch.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr std::int64_t kWorkerClock = 100'000;
+constexpr std::int64_t kAllPercent = 100;
+constexpr const char* kLabel = "rack-1";
+
+JobId IdOf(int aNumber)
+{
+  return fmt::format("{:016x}", aNumber);
+}
+
+TaskId TaskOf(int aJob, std::uint32_t aIndex = 0)
+{
+  return { IdOf(aJob), 0, 0, aIndex };
+}
+
+BatchRecord MakeRecord()
+{
+  BatchRecord record;
+  record.mTerms.mQueue = "queue";
+  record.mTerms.mService = "pool";
+  record.mTerms.mMaxAttempts = 5;
+  StepSpec step;
+  step.mNeeds.mMilliCpu = 1'000;
+  step.mEstimateMs = 1'000;
+  record.mSpec.mSteps.push_back(step);
+  return record;
+}
+
+RunningTask RunningOf(const TaskId& aTask,
+                      std::uint32_t aRun,
+                      std::int64_t aPercent = 0)
+{
+  RunningTask row;
+  row.mTask = aTask;
+  row.mRun = aRun;
+  row.mProgressPercent = aPercent;
+  return row;
+}
+
+/// A shard of workers `w1`, `w2` and so on, of which only `w1` has `kLabel`.
+/// All have answered at time 0.
+struct WaitFixture
+{
+  explicit WaitFixture(int aWorkers)
+  {
+    this->mShard.mEpoch = 10;
+    std::vector<WorkerEntry> entries;
+    for (int i = 1; i <= aWorkers; ++i) {
+      WorkerEntry entry;
+      entry.mWorker = fmt::format("w{}", i);
+      entry.mService = "pool";
+      entry.mAddress = "127.0.0.1:9000";
+      entry.mDataCentre = "north";
+      entry.mCapacity.mMilliCpu = 10'000;
+      if (i == 1) {
+        entry.mLabels = { kLabel };
+      }
+      entries.push_back(entry);
+    }
+    OnDiscovery(this->mShard, entries, this->mNow);
+    for (auto& [name, worker] : this->mShard.mWorkers) {
+      worker.mIsRecorded = true;
+      this->Report(name, {});
+    }
+  }
+
+  void Report(const std::string& aWorker,
+              std::vector<RunningTask> aRunning,
+              std::vector<EndedRun> aEnded = {})
+  {
+    WorkerReport report;
+    report.mOutcome = OrderOutcome::kDone;
+    report.mClock = kWorkerClock + this->mNow.count();
+    report.mIncarnation = 1;
+    report.mRunning = std::move(aRunning);
+    report.mEnded = std::move(aEnded);
+    OnReport(this->mShard,
+             aWorker,
+             report,
+             this->mNow,
+             this->mNow,
+             this->mNow.count());
+  }
+
+  void Add(int aJob, BatchRecord aRecord)
+  {
+    AddJob(this->mShard,
+           IdOf(aJob),
+           std::move(aRecord),
+           20,
+           this->mNow,
+           this->mNow.count());
+  }
+
+  DispatchActions Plan()
+  {
+    DispatchActions actions;
+    PlanStops(this->mShard, this->mNow, actions);
+    PlanStarts(this->mShard, this->mNow, this->mNow.count(), actions);
+    return actions;
+  }
+
+  /// The task's run on its worker is confirmed at a progress, and fails 10 ms
+  /// later.
+  void FailAt(const TaskId& aTask, std::int64_t aPercent)
+  {
+    const DispatchTask& task = this->Task(aTask);
+    const std::string worker = task.mWorker;
+    const std::uint32_t run = task.mRun;
+    this->Report(worker, { RunningOf(aTask, run, aPercent) });
+    this->mNow += Duration(10);
+    EndedRun end;
+    end.mIndex = this->mShard.mWorkers.at(worker).mSeenIndex + 1;
+    end.mTask = aTask;
+    end.mRun = run;
+    end.mRunEnd = RunEnd::kFailed;
+    this->Report(worker, {}, { end });
+  }
+
+  DispatchTask& Task(const TaskId& aTask)
+  {
+    return *FindTask(this->mShard, aTask);
+  }
+
+  TimePoint mNow{ 0 };
+  DispatchShard mShard;
+};
+
+} // namespace
+
+// Guards against a start that is tried again and again on the worker that
+// answers no start, which stays the one with the most free capacity.
+TEST_CASE("a task whose start had no effect is tried on another worker",
+          "[waits]")
+{
+  const auto outcome = GENERATE(OrderOutcome::kUnknown, OrderOutcome::kNotSent);
+  WaitFixture shard(2);
+  shard.Add(1, MakeRecord());
+  const auto starts = shard.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  const std::string first = starts[0].mWorker;
+  OnStartReply(shard.mShard,
+               first,
+               starts[0].mOrder,
+               OrderReply{ outcome, 0 },
+               shard.mNow);
+  shard.mNow += Duration(1'600);
+  shard.Report("w1", {});
+  shard.Report("w2", {});
+  const auto next = shard.Plan().mStarts;
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mWorker != first);
+}
+
+} // namespace verbenacroft
--- /dev/null
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -0,0 +1,164 @@
+/// The owner of a shard against a store in memory: what it reads, renews and
+/// removes, and how long each of these waits for another.
+
+#include "vcFleetStore.h"
+
+#include "vcMembership.h"
+#include "vcShardRunner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr const char* kWorkersPrefix = "servers/";
+constexpr TimePoint kBegin{ 1'000'000 };
+constexpr Duration kStep{ 5 };
+
+/// A node on a clock of the test's own, with a shard to run.
+struct RunnerFixture
+{
+  RunnerFixture()
+  {
+    UseManualTime(this->mNow);
+    this->mNode.mSettings.mName = "node";
+    this->mNode.mShards = 1;
+    this->mNode.mOperators.emplace();
+    this->mNode.mCodec.mDiscoveryPrefix = kWorkersPrefix;
+    this->mNode.mStore = MakeMemoryStore(this->mStore, "node");
+    this->mNode.mWorkers.mRenew = [this](const WorkerAddress& aTo, RenewOrder) {
+      return this->Renew(aTo.mWorker);
+    };
+  }
+  ~RunnerFixture() { UseManualTime(std::nullopt); }
+  RunnerFixture(const RunnerFixture&) = delete;
+  RunnerFixture& operator=(const RunnerFixture&) = delete;
+
+  void Put(const std::string& aKey, std::string aValue)
+  {
+    KvTransaction write;
+    write.mPuts.push_back(PersistentPut(aKey, std::move(aValue)));
+    CommitNow(this->mStore, write);
+  }
+
+  /// Claims the shard for the node and runs it.
+  void Start(const std::vector<WorkerSetMember>& aWorkers)
+  {
+    WorkerSetRecord workerSet;
+    workerSet.mGeneration = 1;
+    workerSet.mWorkers = aWorkers;
+    this->Put(WorkerSetKey(0), Encode(workerSet));
+    this->Put(OwnerKey(0), "{}");
+    this->mRunner =
+      std::make_shared<ShardRunner>(this->mNode, 0, this->mStore.mRevision);
+    this->mRunner->Start();
+  }
+
+  void Run(Duration aTime)
+  {
+    const TimePoint until = this->mNow + aTime;
+    while (this->mNow < until) {
+      this->mNow += kStep;
+      UseManualTime(this->mNow);
+      this->mIo.restart();
+      this->mIo.poll();
+    }
+  }
+
+  asio::awaitable<WorkerReport> Renew(std::string aWorker)
+  {
+    if (this->mFirstRenewalAt == kNever) {
+      this->mFirstRenewalAt = this->mNow;
+    }
+    co_await Sleep(Duration(100));
+    WorkerReport report;
+    report.mOutcome = OrderOutcome::kDone;
+    report.mClock = this->mNow.count();
+    report.mIncarnation = 1;
+    if (this->mStarted != nullptr && aWorker == "w2") {
+      for (const auto& task : *this->mStarted) {
+        RunningTask row;
+        row.mTask = task;
+        row.mRun = this->mRunner->State()
+                     .mJobs.at(task.mJob)
+                     .mOccurrences[0]
+                     .mSteps[0]
+                     .mTasks[task.mIndex]
+                     .mRun;
+        report.mRunning.push_back(row);
+      }
+    }
+    co_return report;
+  }
+
+  TimePoint mNow = kBegin;
+  MemoryStore mStore;
+  asio::io_context mIo{ 1 };
+  NodeContext mNode{ mIo, {} };
+  std::shared_ptr<ShardRunner> mRunner;
+  TimePoint mFirstRenewalAt{ kNever };
+  /// Tasks that run on `w2`, or null.
+  const std::set<TaskId>* mStarted = nullptr;
+};
+
+} // namespace
+
+// Guards against tasks that wait for as long as their starts are queued behind
+// calls that get no answer, though the worker would refuse them by now.
+TEST_CASE("a start that wasn't sent by its deadline is given up", "[runner]")
+{
+  constexpr std::uint32_t kTasks = 20;
+  RunnerFixture fixture;
+  fixture.mNode.mLease = LeaseId::Of(1);
+  fixture.mNode.mIsLeaseInDoubt = false;
+  fixture.mNode.mLeaseValidUntil = kBegin + Duration(60'000);
+  fixture.mNode.mOperatorsCompleteAt = kBegin + Duration(60'000);
+  fixture.mNode.mCodec.mDecodeWorker =
+    [](std::string_view aKey, std::string_view, Faults&) {
+      WorkerEntry entry;
+      entry.mWorker =
+        std::string(aKey).substr(std::string(kWorkersPrefix).size());
+      entry.mService = "pool";
+      entry.mAddress = "127.0.0.1:9000";
+      entry.mDataCentre = "north";
+      entry.mCapacity.mMilliCpu = 40'000;
+      return std::optional(entry);
+    };
+  int late = 0;
+  std::set<TaskId> started;
+  fixture.mNode.mWorkers.mStart =
+    [&](WorkerAddress aTo, StartOrder aOrder) -> asio::awaitable<OrderReply> {
+    late += fixture.mNow.count() > aOrder.mNotAfter ? 1 : 0;
+    if (aTo.mWorker == "w1") {
+      co_await Sleep(Duration(800));
+      co_return OrderReply{};
+    }
+    started.insert(aOrder.mTask);
+    co_return OrderReply{ OrderOutcome::kDone, 0 };
+  };
+  fixture.mStarted = &started;
+  fixture.Put(std::string(kWorkersPrefix) + "w1", "{}");
+  fixture.Put(std::string(kWorkersPrefix) + "w2", "{}");
+  fixture.Start({ { "w1", "127.0.0.1:9000" }, { "w2", "127.0.0.1:9000" } });
+  fixture.Run(Duration(1'000));
+  BatchRecord record;
+  record.mTerms.mService = "pool";
+  record.mSpec.mSteps.emplace_back();
+  record.mSpec.mSteps[0].mCount = kTasks;
+  record.mSpec.mSteps[0].mNeeds.mMilliCpu = 1'000;
+  record.mSpec.mSteps[0].mIsLasting = true;
+  fixture.Put(InboxJobKey(0, "00000000000000a1"), Encode(record));
+  fixture.Run(Duration(4'000));
+  CHECK(late == 0);
+  CHECK(started.size() == kTasks);
+}
+
+} // namespace verbenacroft
