Dispatch: Move adopted tasks that stand still

An adopted task's throttle was unknown, which is corrected only for best-effort tasks. IsStalled wants a throttle above 0, so an ordinary task that stood still was never moved after a takeover: its job neither ended nor was tried elsewhere. Only best-effort tasks are ever throttled, so only theirs is unknown.

Before: no stop for the adopted task after 2.1 s without progress (0 == 1); one for the same task if this owner had started it.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -99,7 +99,9 @@
   task->mPhase = RunPhase::kRunning;
   task->mStartOrderedAt = aNow;
   task->mConfirmedAt = aNow;
-  task->mOrderedThrottlePercent = kUnknownThrottlePercent;
+  if (StepOf(job, key).mIsFilling) {
+    task->mOrderedThrottlePercent = kUnknownThrottlePercent;
+  }
   UpdateProgress(*task, aRow, aNow);
   if (!aRow.mCheckpoint.empty()) {
     task->mCheckpoint = aRow.mCheckpoint;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -31,8 +31,8 @@
 /// time is scaled by it before a lease is taken to have expired.
 constexpr double kMinClockRate = 0.98;
 
-/// Throttle percent of an adopted task that an earlier owner may have
-/// throttled.
+/// Throttle percent of an adopted best-effort task, which an earlier owner may
+/// have throttled.
 constexpr std::int64_t kUnknownThrottlePercent = -1;
 
 /// Phase of a task's current run.
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -166,4 +166,21 @@
   CHECK(next[0].mWorker != first);
 }
 
+// Guards against a task that stands still and is never moved, because the
+// owner that watches it has adopted it.
+TEST_CASE("a task that stands still is moved, whoever started it", "[waits]")
+{
+  const bool isAdopted = GENERATE(false, true);
+  WaitFixture shard(1);
+  shard.Add(1, MakeRecord());
+  if (!isAdopted) {
+    REQUIRE(shard.Plan().mStarts.size() == 1);
+  }
+  const RunningTask row = RunningOf(TaskOf(1), 1, 10);
+  shard.Report("w1", { row });
+  shard.mNow += Duration(2'100);
+  shard.Report("w1", { row });
+  CHECK(shard.Plan().mStops.size() == 1);
+}
+
 } // namespace verbenacroft
