Dispatch: Take a task's length into account before it counts as stalled

Workers report progress in whole percents. A task of more than 200 s, or a throttled one of more than 40 s at 20%, changes its percent less often than every 2 s. It was stopped as stalled and begun anew, for ever if it writes no checkpoints. It now has the time of 3% of its expected length at its throttle, and 2 s at least.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -18,6 +18,9 @@
 /// A task is stalled if its progress has not changed for this long, unless it
 /// is long-running or suspended.
 constexpr Duration kStallTimeout{ 2'000 };
+/// The same as a part of the progress, since workers report it in whole
+/// percents: a task isn't stalled before it should have got on by this much.
+constexpr double kStallPercent = 3;
 /// A best-effort task that was suspended for this long is moved to another
 /// worker.
 constexpr Duration kMaxSuspension{ 1'000 };
@@ -46,13 +49,41 @@
            aShard.mBounds.mStopTimeout + kLeaveMargin;
 }
 
-bool IsStalled(const StepSpec& aStep, const DispatchTask& aTask, TimePoint aNow)
+/// Expected run time of one task of the step, in ms, at full speed. The time
+/// that was learned for the queue may be that of shorter steps.
+double LongestExpectedRunMs(const DispatchShard& aShard,
+                            const DispatchJob& aJob,
+                            const StepSpec& aStep)
+{
+  return std::max(ExpectedRunMs(aShard, aJob, aStep),
+                  static_cast<double>(aStep.mEstimateMs));
+}
+
+/// Time in which the progress of a task that isn't suspended has to change.
+Duration StallTimeout(const DispatchShard& aShard,
+                      const DispatchJob& aJob,
+                      const StepSpec& aStep,
+                      const DispatchTask& aTask)
+{
+  const double percentMs = LongestExpectedRunMs(aShard, aJob, aStep) /
+                           static_cast<double>(aTask.mOrderedThrottlePercent);
+  return std::max(
+    kStallTimeout,
+    Duration(static_cast<std::int64_t>(kStallPercent * percentMs)));
+}
+
+bool IsStalled(const DispatchShard& aShard,
+               const DispatchJob& aJob,
+               const StepSpec& aStep,
+               const DispatchTask& aTask,
+               TimePoint aNow)
 {
   const bool isRunning = aTask.mPhase == RunPhase::kRunning &&
                          aTask.mOrderedThrottlePercent > 0 &&
                          aTask.mProgressAt != kNever;
   const TimePoint since = std::max(aTask.mProgressAt, aTask.mThrottledAt);
-  return !aStep.mIsLasting && isRunning && aNow - since > kStallTimeout;
+  return !aStep.mIsLasting && isRunning &&
+         aNow - since > StallTimeout(aShard, aJob, aStep, aTask);
 }
 
 /// True if a best-effort task has been suspended for too long and a move loses
@@ -81,7 +112,7 @@
   const StepSpec& step = StepOf(aJob, aKey);
   const bool mustMove = aWorker.mEntry.mIsDraining &&
                         (step.mIsLasting || IsAboutToLeave(aShard, aWorker));
-  return mustMove || IsStalled(step, aTask, aNow) ||
+  return mustMove || IsStalled(aShard, aJob, step, aTask, aNow) ||
          IsSuspendedTooLong(step, aTask, aNow);
 }
 
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -183,4 +183,37 @@
   CHECK(shard.Plan().mStops.size() == 1);
 }
 
+// Guards against a long task that is stopped as stalled before its progress
+// can have changed by a percent, and so begins anew for ever.
+TEST_CASE("a task is stalled only if a percent takes too long for its length",
+          "[waits]")
+{
+  struct Row
+  {
+    std::int64_t mEstimateMs;
+    std::int64_t mThrottlePercent;
+    Duration mUnchanged;
+    std::size_t mStops;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 1'000, 100, Duration(1'900), 0 },
+    { 1'000, 100, Duration(2'100), 1 },
+    // A percent takes 4 s.
+    { 400'000, 100, Duration(5'000), 0 },
+    { 400'000, 100, Duration(13'000), 1 },
+    // A percent takes 2 s at a fifth of full speed.
+    { 40'000, 20, Duration(3'000), 0 },
+    { 40'000, 20, Duration(7'000), 1 },
+  }));
+  WaitFixture shard(1);
+  BatchRecord record = MakeRecord();
+  record.mSpec.mSteps[0].mEstimateMs = row.mEstimateMs;
+  shard.Add(1, record);
+  REQUIRE(shard.Plan().mStarts.size() == 1);
+  shard.Report("w1", { RunningOf(TaskOf(1), 1, 10) });
+  shard.Task(TaskOf(1)).mOrderedThrottlePercent = row.mThrottlePercent;
+  shard.mNow += row.mUnchanged;
+  CHECK(shard.Plan().mStops.size() == row.mStops);
+}
+
 } // namespace verbenacroft
