Dispatch: Bound the suspension of a task that would lose its progress

A suspended best-effort task without checkpoints was moved after 1 s only below 25% of progress. Above that nothing ended the suspension while the serving tasks beside it needed the worker, with other workers free. It now waits for as long as it would take to do its progress again, so that waiting and moving cost the same at worst.

Before: no stop of a task of 10 s at 50% after 5.1 s (0 == 1).

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -22,7 +22,7 @@
 /// percents: a task isn't stalled before it should have got on by this much.
 constexpr double kStallPercent = 3;
 /// A best-effort task that was suspended for this long is moved to another
-/// worker.
+/// worker, if that loses little of its progress.
 constexpr Duration kMaxSuspension{ 1'000 };
 /// Runs are stopped this long, plus the stop timeout, before their worker may
 /// leave.
@@ -86,17 +86,34 @@
          aNow - since > StallTimeout(aShard, aJob, aStep, aTask);
 }
 
-/// True if a best-effort task has been suspended for too long and a move loses
-/// little of its progress.
-bool IsSuspendedTooLong(const StepSpec& aStep,
-                        const DispatchTask& aTask,
-                        TimePoint aNow)
+/// Longest time for which a best-effort task is suspended. A task that would
+/// lose much of its progress by a move waits until it could have caught up.
+Duration MaxSuspension(const DispatchShard& aShard,
+                       const DispatchJob& aJob,
+                       const StepSpec& aStep,
+                       const DispatchTask& aTask)
 {
   constexpr std::int64_t kMaxLostProgressPercent = 25;
+  constexpr double kWholePercent = 100;
   const bool isCheapToMove =
     aStep.mIsCheckpointing || aTask.mProgressPercent < kMaxLostProgressPercent;
+  if (isCheapToMove) {
+    return kMaxSuspension;
+  }
+  const double lostMs = LongestExpectedRunMs(aShard, aJob, aStep) *
+                        static_cast<double>(aTask.mProgressPercent) /
+                        kWholePercent;
+  return std::max(kMaxSuspension, Duration(static_cast<std::int64_t>(lostMs)));
+}
+
+bool IsSuspendedTooLong(const DispatchShard& aShard,
+                        const DispatchJob& aJob,
+                        const StepSpec& aStep,
+                        const DispatchTask& aTask,
+                        TimePoint aNow)
+{
   return aStep.mIsFilling && aTask.mOrderedThrottlePercent == 0 &&
-         isCheapToMove && aNow - aTask.mThrottledAt > kMaxSuspension;
+         aNow - aTask.mThrottledAt > MaxSuspension(aShard, aJob, aStep, aTask);
 }
 
 bool MustStop(const DispatchShard& aShard,
@@ -113,7 +130,7 @@
   const bool mustMove = aWorker.mEntry.mIsDraining &&
                         (step.mIsLasting || IsAboutToLeave(aShard, aWorker));
   return mustMove || IsStalled(aShard, aJob, step, aTask, aNow) ||
-         IsSuspendedTooLong(step, aTask, aNow);
+         IsSuspendedTooLong(aShard, aJob, step, aTask, aNow);
 }
 
 /// True if nothing runs on the worker and no start that was ordered so far can
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -216,4 +216,40 @@
   CHECK(shard.Plan().mStops.size() == row.mStops);
 }
 
+// Guards against a suspended task that keeps its progress and its worker for
+// as long as the serving tasks there need it, while other workers are free.
+TEST_CASE("a suspended task is moved once that costs less than it has waited",
+          "[waits]")
+{
+  struct Row
+  {
+    std::int64_t mProgressPercent;
+    bool mIsCheckpointing;
+    Duration mSuspended;
+    std::size_t mStops;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 10, false, Duration(900), 0 },
+    { 10, false, Duration(1'100), 1 },
+    { 50, true, Duration(1'100), 1 },
+    // Half of 10 s would be lost.
+    { 50, false, Duration(4'900), 0 },
+    { 50, false, Duration(5'100), 1 },
+  }));
+  WaitFixture shard(1);
+  BatchRecord record = MakeRecord();
+  StepSpec& step = record.mSpec.mSteps[0];
+  step.mIsFilling = true;
+  step.mIsCheckpointing = row.mIsCheckpointing;
+  step.mEstimateMs = 10'000;
+  shard.Add(1, record);
+  REQUIRE(shard.Plan().mStarts.size() == 1);
+  shard.Report("w1", { RunningOf(TaskOf(1), 1, row.mProgressPercent) });
+  DispatchTask& task = shard.Task(TaskOf(1));
+  task.mOrderedThrottlePercent = 0;
+  task.mThrottledAt = shard.mNow;
+  shard.mNow += row.mSuspended;
+  CHECK(shard.Plan().mStops.size() == row.mStops);
+}
+
 } // namespace verbenacroft
