Dispatch: Keep only the last failure of a long-running task

The numbers of all failed runs are part of a job's record. Attempts of long-running tasks aren't limited, so the record of a task that fails over and over grew until the store would reject it, and every write that contains it. Nothing needs more than the last.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -139,6 +139,25 @@
                kBadWorkerAvoidTime.count());
 }
 
+/// Records a failed run of a task. Of a long-running step, whose attempts
+/// aren't limited, only the last failure is kept, so that the record doesn't
+/// grow.
+/// @return false if the failure isn't new
+bool RecordFailedRun(const StepSpec& aStep,
+                     DispatchTask& aTask,
+                     std::uint32_t aRun)
+{
+  if (!aStep.mIsLasting) {
+    return aTask.mFailedRuns.insert(aRun).second;
+  }
+  const bool isNew =
+    aTask.mFailedRuns.empty() || aRun > *aTask.mFailedRuns.rbegin();
+  if (isNew) {
+    aTask.mFailedRuns = { aRun };
+  }
+  return isNew;
+}
+
 void OnFailedRun(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
@@ -148,14 +167,14 @@
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   DispatchTask& task = *FindTask(aShard, aKey);
-  const bool isNew = task.mFailedRuns.insert(aRun).second;
-  if (!isNew) {
+  const StepSpec& step = StepOf(job, aKey);
+  if (!RecordFailedRun(step, task, aRun)) {
     return;
   }
   CountWorkerFailure(aWorker, aKey.mJob, aNow);
   task.mAvoidedWorker = aWorker.mEntry.mWorker;
   const bool hasNoAttemptsLeft =
-    !StepOf(job, aKey).mIsLasting &&
+    !step.mIsLasting &&
     task.mFailedRuns.size() >= job.mRecord.mTerms.mMaxAttempts;
   if (hasNoAttemptsLeft && !IsFinal(job.mState)) {
     EndJob(job, BatchState::kFailed, aNow, aNowMs);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -58,8 +58,9 @@
   std::uint32_t mHighestRun = 0;
   /// Highest run whose end has been processed.
   std::uint32_t mEndedRun = 0;
-  /// Runs that failed. Workers report in any order, so a count and the highest
-  /// run could not distinguish a new failure from a known one.
+  /// Runs that failed; of a long-running step only the last. Workers report in
+  /// any order, so a count and the highest run could not distinguish a new
+  /// failure from a known one.
   std::set<std::uint32_t> mFailedRuns;
   std::string mCheckpoint;
   /// Worker of the current run; empty while waiting or done.
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -40,6 +40,13 @@
   return record;
 }
 
+BatchRecord MakeLongRunning()
+{
+  BatchRecord record = MakeRecord();
+  record.mSpec.mSteps[0].mIsLasting = true;
+  return record;
+}
+
 RunningTask RunningOf(const TaskId& aTask,
                       std::uint32_t aRun,
                       std::int64_t aPercent = 0)
@@ -252,4 +259,26 @@
   CHECK(shard.Plan().mStops.size() == row.mStops);
 }
 
+// Guards against a record that grows with every failure until the store
+// rejects it, and with it the progress of all other jobs of the shard.
+TEST_CASE("the record of a long-running task doesn't grow with its failures",
+          "[waits]")
+{
+  constexpr std::uint32_t kFailures = 300;
+  constexpr std::size_t kMaxBytes = 200;
+  WaitFixture shard(2);
+  shard.Add(1, MakeLongRunning());
+  for (std::uint32_t i = 0; i < kFailures; ++i) {
+    REQUIRE(shard.Plan().mStarts.size() == 1);
+    shard.FailAt(TaskOf(1), kAllPercent);
+    shard.mNow += Duration(10);
+    shard.Report("w1", {});
+    shard.Report("w2", {});
+  }
+  const BatchProgress progress = ProgressOf(shard.mShard.mJobs.at(IdOf(1)));
+  REQUIRE(progress.mTasks.size() == 1);
+  CHECK(progress.mTasks[0].mRun == kFailures);
+  CHECK(Encode(progress).size() < kMaxBytes);
+}
+
 } // namespace verbenacroft
