Dispatch: Don't blame a worker when a task at work fails

A worker was avoided for 3 s once tasks of two jobs had failed there, and only an end `done` cleared the count. Long-running tasks never end so and may fail at any time: where nothing else runs, each failure after the second kept a sound worker from all work for 3 s. A run that was at work no longer counts, and one that gets to work clears the count.

Before: the second failure of a task at work kept its worker from being used (0 == 1).

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -171,7 +171,14 @@
   if (!RecordFailedRun(step, task, aRun)) {
     return;
   }
-  CountWorkerFailure(aWorker, aKey.mJob, aNow);
+  const bool isCurrent =
+    task.mWorker == aWorker.mEntry.mWorker && task.mRun == aRun;
+  // Long-running tasks may fail at any time, also on a sound worker.
+  const bool wasAtWork =
+    step.mIsLasting && isCurrent && task.mProgressPercent >= kAtWorkPercent;
+  if (!wasAtWork) {
+    CountWorkerFailure(aWorker, aKey.mJob, aNow);
+  }
   task.mAvoidedWorker = aWorker.mEntry.mWorker;
   const bool hasNoAttemptsLeft =
     !step.mIsLasting &&
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -86,6 +86,13 @@
     if (!aRow.mCheckpoint.empty()) {
       task->mCheckpoint = aRow.mCheckpoint;
     }
+    // Long-running tasks never end as done, so this is their success.
+    const bool hasBegunWork = StepOf(job, key).mIsLasting &&
+                              task->mProgressPercent < kAtWorkPercent &&
+                              aRow.mProgressPercent >= kAtWorkPercent;
+    if (hasBegunWork) {
+      aWorker.mFailedJobs.clear();
+    }
     UpdateProgress(*task, aRow, aNow);
     return;
   }
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -35,6 +35,9 @@
 /// have throttled.
 constexpr std::int64_t kUnknownThrottlePercent = -1;
 
+/// Progress of a long-running task that is at work.
+constexpr std::int64_t kAtWorkPercent = 100;
+
 /// Phase of a task's current run.
 enum class RunPhase
 {
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -259,6 +259,36 @@
   CHECK(shard.Plan().mStops.size() == row.mStops);
 }
 
+// Guards against a quarantine of sound workers on which only long-running
+// tasks run: these may fail at any time and never end as done.
+TEST_CASE("a long-running task that was at work doesn't fail by its worker",
+          "[waits]")
+{
+  struct Row
+  {
+    std::int64_t mPercent;
+    std::size_t mStarts;
+  };
+  const auto row = GENERATE(values<Row>({ { 0, 0 }, { kAllPercent, 1 } }));
+  WaitFixture shard(4);
+  BatchRecord record = MakeLongRunning();
+  record.mSpec.mSteps[0].mRequiredLabel = kLabel;
+  for (const int job : { 1, 2 }) {
+    shard.Add(job, record);
+    REQUIRE(shard.Plan().mStarts.size() == 1);
+  }
+  shard.FailAt(TaskOf(1), row.mPercent);
+  shard.Plan();
+  shard.FailAt(TaskOf(2), row.mPercent);
+  CHECK(shard.Task(TaskOf(2)).mPhase == RunPhase::kWaiting);
+  const auto starts = shard.Plan().mStarts;
+  const auto restarted =
+    std::count_if(starts.begin(), starts.end(), [](const auto& aStart) {
+      return aStart.mOrder.mTask.mJob == IdOf(2);
+    });
+  CHECK(static_cast<std::size_t>(restarted) == row.mStarts);
+}
+
 // Guards against a record that grows with every failure until the store
 // rejects it, and with it the progress of all other jobs of the shard.
 TEST_CASE("the record of a long-running task doesn't grow with its failures",
