Dispatch: End the quarantine once it covers most workers of a service

Two jobs whose tasks fail wherever they run put every worker that they touch into quarantine for 3 s. If they touch all of a service within 3 s, nothing of other jobs starts beside free workers until one comes out of it, and long-running tasks that fail go on for ever. With more than half of a service's workers in quarantine the failures are taken to be the jobs', and all workers are used. One bad worker, or up to half of them, is kept from work as before.

Before: with 3 of 4 workers in quarantine one was used, with all of them none.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -12,11 +12,11 @@
 constexpr double kLearningRate = 0.05;
 /// Number of runs after which the learned mean replaces the callers' estimates.
 constexpr std::uint32_t kMinLearnedRuns = 10;
-/// A worker is avoided when tasks of this many different jobs fail there in a
-/// row.
+/// A worker is put into quarantine when tasks of this many different jobs fail
+/// there in a row.
 constexpr std::size_t kBadWorkerFailures = 2;
-/// How long such a worker is avoided.
-constexpr Duration kBadWorkerAvoidTime{ 3'000 };
+/// How long such a worker is in quarantine.
+constexpr Duration kQuarantineTime{ 3'000 };
 
 Occurrence MakeOccurrence(const DispatchShard& aShard, const BatchSpec& aSpec)
 {
@@ -121,9 +121,9 @@
   times.mMeanMs += rate * (elapsed - times.mMeanMs);
 }
 
-/// Avoids a worker for a while when tasks of several jobs fail there in a row.
-/// Failures of a single job do not count against a worker, because the job may
-/// fail everywhere.
+/// Puts a worker into quarantine when tasks of several jobs fail there in a
+/// row. Failures of a single job do not count against a worker, because the job
+/// may fail everywhere.
 void CountWorkerFailure(DispatchWorker& aWorker,
                         const JobId& aJob,
                         TimePoint aNow)
@@ -132,11 +132,11 @@
   if (aWorker.mFailedJobs.size() < kBadWorkerFailures) {
     return;
   }
-  aWorker.mAvoidedUntil = aNow + kBadWorkerAvoidTime;
-  spdlog::info("worker.avoid worker={} failures={} avoid_ms={}",
+  aWorker.mQuarantinedUntil = aNow + kQuarantineTime;
+  spdlog::info("worker.quarantine worker={} failures={} for_ms={}",
                aWorker.mEntry.mWorker,
                aWorker.mFailedJobs.size(),
-               kBadWorkerAvoidTime.count());
+               kQuarantineTime.count());
 }
 
 /// Records a failed run of a task. Of a long-running step, whose attempts
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -20,6 +20,9 @@
 /// A best-effort task is started only where at least this fraction of the
 /// processors that it needs is free.
 constexpr double kMinFreeCpuFraction = 0.9;
+/// If more than this fraction of a service's workers is in quarantine, the
+/// failures are taken to be the jobs' fault, and all workers are used.
+constexpr double kMaxQuarantinedFraction = 0.5;
 
 /// A step with tasks that wait for a start.
 struct Candidate
@@ -339,13 +342,29 @@
   FailedPlacements mFailedPlacements;
 };
 
+bool AreMost(std::size_t aQuarantined, std::size_t aOthers)
+{
+  const auto all = static_cast<double>(aQuarantined + aOthers);
+  return static_cast<double>(aQuarantined) > kMaxQuarantinedFraction * all;
+}
+
 Round MakeRound(DispatchShard& aShard, TimePoint aNow)
 {
   Round round;
   round.mNow = aNow;
+  std::map<std::string, std::vector<DispatchWorker*>> quarantined;
   for (auto& [name, worker] : aShard.mWorkers) {
-    if (IsUsable(aShard, worker, aNow)) {
-      round.mUsable[worker.mEntry.mService].push_back(&worker);
+    if (!IsUsable(aShard, worker, aNow)) {
+      continue;
+    }
+    const bool isQuarantined = aNow < worker.mQuarantinedUntil;
+    auto& workers = isQuarantined ? quarantined : round.mUsable;
+    workers[worker.mEntry.mService].push_back(&worker);
+  }
+  for (const auto& [service, workers] : quarantined) {
+    auto& usable = round.mUsable[service];
+    if (AreMost(workers.size(), usable.size())) {
+      usable.insert(usable.end(), workers.begin(), workers.end());
     }
   }
   return round;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -222,6 +222,9 @@
   std::map<std::string, ServingLatency> mServingLatencies;
   /// No task is started here before this time.
   TimePoint mAvoidedUntil{ kNever };
+  /// Tasks of several jobs failed here in a row. No task is started here before
+  /// this time, unless most workers of the service are in quarantine.
+  TimePoint mQuarantinedUntil{ kNever };
   /// No best-effort task is started here before this time.
   TimePoint mNoBestEffortUntil{ kNever };
   /// Jobs whose tasks failed here since the last success, to distinguish a
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -289,6 +289,53 @@
   CHECK(static_cast<std::size_t>(restarted) == row.mStarts);
 }
 
+// Guards against failing jobs that put every worker of a service into
+// quarantine, so that nothing else starts beside free workers.
+TEST_CASE("failures on most workers of a service aren't the workers' fault",
+          "[waits]")
+{
+  struct Row
+  {
+    int mFailing;
+    std::size_t mUsed;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 0, 4 },
+    { 1, 3 },
+    { 2, 2 },
+    { 3, 4 },
+    { 4, 4 },
+  }));
+  constexpr int kWorkers = 4;
+  WaitFixture shard(kWorkers);
+  BatchRecord failing = MakeLongRunning();
+  failing.mSpec.mSteps[0].mCount = kWorkers;
+  failing.mSpec.mSteps[0].mMaxPerWorker = 1;
+  for (const int job : { 1, 2 }) {
+    shard.Add(job, failing);
+  }
+  REQUIRE(shard.Plan().mStarts.size() == 2 * kWorkers);
+  for (const int job : { 1, 2 }) {
+    for (std::uint32_t i = 0; i < kWorkers; ++i) {
+      const std::string worker = shard.Task(TaskOf(job, i)).mWorker;
+      if (worker <= fmt::format("w{}", row.mFailing)) {
+        shard.FailAt(TaskOf(job, i), 0);
+      }
+    }
+  }
+  BatchRecord sound = MakeRecord();
+  sound.mTerms.mPriority = -1;
+  sound.mSpec.mSteps[0].mCount = kWorkers;
+  sound.mSpec.mSteps[0].mMaxPerWorker = 1;
+  shard.Add(3, sound);
+  const auto starts = shard.Plan().mStarts;
+  const auto used =
+    std::count_if(starts.begin(), starts.end(), [](const auto& aStart) {
+      return aStart.mOrder.mTask.mJob == IdOf(3);
+    });
+  CHECK(static_cast<std::size_t>(used) == row.mUsed);
+}
+
 // Guards against a record that grows with every failure until the store
 // rejects it, and with it the progress of all other jobs of the shard.
 TEST_CASE("the record of a long-running task doesn't grow with its failures",
