Node: Read a page again instead of all pages before it

ReadAllPages gave up with the first failed call. A takeover of a shard with many jobs reads many pages: with 30% of the answers lost, 8 pages succeed together in one attempt of 17. A page after the first is now tried three times. The first isn't, since its failure undoes nothing and callers need the time of its sending.

Before: with each third call lost, 8 pages weren't read (unknown, 0 items).

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -26,6 +26,10 @@
 /// Interval of complete reads of the records, in case a watch event was missed.
 constexpr Duration kFullReadInterval{ 10'000 };
 
+/// Attempts to read a page. The first page is read once, since its failure
+/// undoes nothing.
+constexpr int kPageAttempts = 3;
+
 /// Number of the shard in the key of an owner's record.
 std::optional<std::uint32_t> ShardFromOwnerKey(std::string_view aKey)
 {
@@ -147,6 +151,26 @@
   }
 }
 
+/// Reads one page, again if a call fails.
+asio::awaitable<KvReply> ReadPage(NodeContext& aNode, KvRange aRange)
+{
+  const int attempts = aRange.mAfterKey.empty() ? 1 : kPageAttempts;
+  KvReply page;
+  for (int attempt = 1; attempt <= attempts; ++attempt) {
+    page = co_await aNode.mStore.mRange(aRange);
+    UpdateStoreHealth(aNode, page);
+    const bool isDecided =
+      page.mStatus == KvStatus::kOk || page.mStatus == KvStatus::kRejected;
+    if (isDecided) {
+      break;
+    }
+    if (attempt < attempts) {
+      co_await Sleep(kRetry);
+    }
+  }
+  co_return page;
+}
+
 /// Maximum number of entries that hand one shard over.
 constexpr std::size_t kHandOverEntries = 3;
 
@@ -217,8 +241,7 @@
   bool isFirst = true;
   bool hasMore = true;
   while (hasMore) {
-    KvReply page = co_await aNode.mStore.mRange(range);
-    UpdateStoreHealth(aNode, page);
+    KvReply page = co_await ReadPage(aNode, range);
     if (page.mStatus != KvStatus::kOk) {
       co_return page;
     }
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -32,7 +32,9 @@
 /// Hands over the node's shards and revokes its lease.
 asio::awaitable<void> LeaveFleet(NodeContext& aNode);
 
-/// Reads all pages of the items below `aPrefix`.
+/// Reads all pages of the items below `aPrefix`. A later page that can't be
+/// read is tried again a few times, so that the pages before it aren't read in
+/// vain.
 /// @return all items with the revision of the first page, or the reply of the
 /// first page that could not be read
 asio::awaitable<KvReply> ReadAllPages(NodeContext& aNode, std::string aPrefix);
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -161,4 +161,40 @@
   CHECK(started.size() == kTasks);
 }
 
+// Guards against a read of many pages that begins anew whenever one call gets
+// no answer, so that a takeover never ends while some of them are lost.
+TEST_CASE("a page that can't be read doesn't undo the pages before it",
+          "[runner]")
+{
+  constexpr int kPages = 8;
+  RunnerFixture fixture;
+  int calls = 0;
+  fixture.mNode.mStore.mRange =
+    [&](const KvRange& aRange) -> asio::awaitable<KvReply> {
+    ++calls;
+    KvReply reply;
+    const bool isLost = calls % 3 == 0;
+    if (!isLost) {
+      const int page = aRange.mAfterKey.empty() ? 0 : aRange.mAfterKey[0] - 'a';
+      reply.mStatus = KvStatus::kOk;
+      reply.mRevision = 7;
+      KvItem item;
+      item.mKey = std::string(1, static_cast<char>('b' + page));
+      reply.mItems.push_back(item);
+      reply.mHasMore = page + 1 < kPages;
+    }
+    co_return reply;
+  };
+  KvReply all;
+  asio::co_spawn(
+    fixture.mIo,
+    [&]() -> asio::awaitable<void> {
+      all = co_await ReadAllPages(fixture.mNode, "prefix/");
+    },
+    asio::detached);
+  fixture.Run(Duration(3'000));
+  CHECK(all.mStatus == KvStatus::kOk);
+  CHECK(all.mItems.size() == kPages);
+}
+
 } // namespace verbenacroft
