Node: Remove the records of old jobs as fast as jobs end

Eight records were removed every 5 s. A shard that ends more than 1.6 jobs per second kept ever more, and each takeover has to read them all before it starts or renews anything. A pass now removes up to 496.

--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -169,6 +169,9 @@
   /// Removes ended jobs from memory and, after their retention time, from the
   /// store.
   asio::awaitable<void> RemoveOldJobs();
+  /// Removes the records of some old jobs from the store, in one transaction.
+  /// @return true if it succeeded and there may be more
+  asio::awaitable<bool> RemoveOldRecords();
   /// Handles a successful write of the progress of jobs.
   void OnProgressRecorded(const std::vector<JobId>& aJobs,
                           std::uint64_t aRevision);
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -20,8 +20,13 @@
 constexpr Duration kUrgentRecordInterval{ 25 };
 /// Interval of writes otherwise. Task ends within it are recorded together.
 constexpr Duration kRecordInterval{ 200 };
-/// Maximum number of jobs whose records are removed in one transaction.
-constexpr std::size_t kMaxJobsRemoved = 8;
+/// Maximum number of jobs whose records are removed in one transaction, which
+/// has one condition.
+constexpr std::size_t kMaxJobsRemoved = kMaxKvTransactionEntries - 1;
+/// Maximum number of such transactions in a row, which delay the writes of
+/// progress. Together they remove about 100 jobs per second, more than a shard
+/// ends.
+constexpr int kMaxRemovals = 16;
 /// Interval of the removal of old jobs, and the time for which an ended job
 /// stays in memory.
 constexpr Duration kRemoveInterval{ 5'000 };
@@ -320,7 +325,6 @@
 asio::awaitable<void> ShardRunner::RemoveOldJobs()
 {
   const TimePoint now = SuspendAwareNow();
-  const std::int64_t nowMs = WallClockMs();
   for (auto at = this->mShard.mJobs.begin(); at != this->mShard.mJobs.end();) {
     const DispatchJob& job = at->second;
     const bool isRemovable = job.mIsFinalStored && !job.mIsDirty &&
@@ -328,6 +332,15 @@
                              now - job.mEndedAt > kRemoveInterval;
     at = isRemovable ? this->mShard.mJobs.erase(at) : std::next(at);
   }
+  bool hasMore = true;
+  for (int i = 0; i < kMaxRemovals && hasMore && !this->mIsStopped; ++i) {
+    hasMore = co_await this->RemoveOldRecords();
+  }
+}
+
+asio::awaitable<bool> ShardRunner::RemoveOldRecords()
+{
+  const std::int64_t nowMs = WallClockMs();
   KvTransaction write;
   write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
   std::vector<JobId> removed;
@@ -341,16 +354,17 @@
     }
   }
   if (removed.empty()) {
-    co_return;
+    co_return false;
   }
   const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
   UpdateStoreHealth(this->mNode, reply);
   if (reply.mStatus != KvStatus::kOk) {
-    co_return;
+    co_return false;
   }
   for (const auto& id : removed) {
     this->mShard.mEndedJobs.erase(id);
   }
+  co_return removed.size() == kMaxJobsRemoved;
 }
 
 WorkerSetRecord ShardRunner::HandedOverWorkerSet() const
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -197,4 +197,27 @@
   CHECK(all.mItems.size() == kPages);
 }
 
+// Guards against records that are removed more slowly than jobs end, so that
+// each takeover reads more of them than the last.
+TEST_CASE("records of old jobs are removed faster than jobs end", "[runner]")
+{
+  constexpr int kOldJobs = 300;
+  constexpr std::size_t kMinRemovedPerSecond = 20;
+  constexpr std::size_t kSeconds = 12;
+  RunnerFixture fixture;
+  BatchProgress ended;
+  ended.mState = BatchState::kCompleted;
+  ended.mEndedAtMs = WallClockMs() - 1'000'000;
+  for (int i = 0; i < kOldJobs; ++i) {
+    fixture.Put(ProgressKey(0, fmt::format("{:016x}", i)), Encode(ended));
+  }
+  const std::size_t before = fixture.mStore.mItems.size();
+  fixture.Start({});
+  fixture.Run(Duration(kSeconds * 1'000));
+  // Minus the records of the worker set, the owner and what the runner adds.
+  const std::size_t removed =
+    before - std::min(before, fixture.mStore.mItems.size());
+  CHECK(removed >= kMinRemovedPerSecond * kSeconds);
+}
+
 } // namespace verbenacroft
