Dispatch: Throttle nothing on a worker of unknown capacity

A worker from the earlier owner's record has no capacity until discovery lists it. If the list couldn't be read at once, its first report suspended all best-effort tasks beside serving ones, and 1 s later they were moved. The knowledge is missing, not the room.

Before: the best-effort task was throttled below 100%.

--- a/Source/Dispatch/vcDispatchThrottling.cxx
+++ b/Source/Dispatch/vcDispatchThrottling.cxx
@@ -247,7 +247,10 @@
                    DispatchActions& aActions)
 {
   DispatchWorker* worker = FindWorker(aShard, aWorker);
-  if (worker == nullptr) {
+  // A worker of an earlier owner may report before discovery has listed it.
+  const bool isCapacityKnown =
+    worker != nullptr && worker->mEntry.mCapacity.mMilliCpu > 0;
+  if (!isCapacityKnown) {
     return;
   }
   LearnFromReport(aShard, *worker, aRunning, aNow);
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -336,6 +336,38 @@
   CHECK(static_cast<std::size_t>(used) == row.mUsed);
 }
 
+// Guards against best-effort tasks that a new owner suspends, and then moves,
+// because it doesn't know their worker's capacity yet.
+TEST_CASE("nothing is throttled on a worker of unknown capacity", "[waits]")
+{
+  const bool isListed = GENERATE(false, true);
+  WaitFixture shard(isListed ? 1 : 0);
+  DispatchWorker& worker = shard.mShard.mWorkers["w1"];
+  worker.mEntry.mWorker = "w1";
+  BatchRecord serving = MakeLongRunning();
+  serving.mSpec.mSteps[0].mImage = "serving";
+  serving.mSpec.mSteps[0].mTargetMs = 100;
+  shard.Add(1, serving);
+  BatchRecord bestEffort = MakeRecord();
+  bestEffort.mSpec.mSteps[0].mImage = "best-effort";
+  bestEffort.mSpec.mSteps[0].mIsFilling = true;
+  shard.Add(2, bestEffort);
+  std::vector<RunningTask> running{ RunningOf(TaskOf(1), 1, kAllPercent),
+                                    RunningOf(TaskOf(2), 1, 10) };
+  running[0].mMeasured = 20;
+  running[1].mMeasured = 500;
+  shard.Report("w1", running);
+  shard.mNow += Duration(1'300);
+  shard.Report("w1", running);
+  DispatchActions actions;
+  PlanThrottles(shard.mShard, "w1", running, shard.mNow, actions);
+  const bool isThrottled = std::any_of(
+    actions.mThrottleOrders.begin(),
+    actions.mThrottleOrders.end(),
+    [](const auto& aRow) { return aRow.mOrder.mPercent < kAllPercent; });
+  CHECK(!isThrottled);
+}
+
 // Guards against a record that grows with every failure until the store
 // rejects it, and with it the progress of all other jobs of the shard.
 TEST_CASE("the record of a long-running task doesn't grow with its failures",
