Node: Renew known workers before discovery is read

After a takeover the workers of the recorded set were first asked after one read of the platform's list and one write of the worker set, 1.5 s each if the store doesn't answer. Meanwhile the leases of the earlier owner's runs go on, and the barrier waits for answers. Jobs and progress are loaded by then, so nothing is missing to ask.

--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -133,6 +133,8 @@
   /// Reads the entries of the shard's workers periodically, and starts to poll
   /// new workers.
   asio::awaitable<void> PollDiscovery();
+  /// Starts to poll the workers that aren't polled yet.
+  void PollNewWorkers();
   /// Renews the lease of a worker and evaluates its reports, for as long as the
   /// shard uses the worker.
   asio::awaitable<void> PollWorker(std::string aWorker);
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -254,8 +254,21 @@
   }
 }
 
+void ShardRunner::PollNewWorkers()
+{
+  for (const auto& [name, worker] : this->mShard.mWorkers) {
+    if (this->mPolledWorkers.insert(name).second) {
+      this->Spawn("worker", [self = this->shared_from_this(), name = name] {
+        return self->PollWorker(name);
+      });
+    }
+  }
+}
+
 asio::awaitable<void> ShardRunner::PollDiscovery()
 {
+  // The leases of an earlier owner's runs go on meanwhile.
+  this->PollNewWorkers();
   while (!this->mIsStopped) {
     const std::string& prefix = this->mNode.mCodec.mDiscoveryPrefix;
     const KvReply listed = co_await ReadAllPages(this->mNode, prefix);
@@ -283,13 +296,7 @@
       co_await this->RecordWorkerSet();
       this->SchedulePlanning();
     }
-    for (const auto& [name, worker] : this->mShard.mWorkers) {
-      if (this->mPolledWorkers.insert(name).second) {
-        this->Spawn("worker", [self = this->shared_from_this(), name = name] {
-          return self->PollWorker(name);
-        });
-      }
-    }
+    this->PollNewWorkers();
     co_await Sleep(kDiscoveryInterval);
   }
 }
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -197,6 +197,26 @@
   CHECK(all.mItems.size() == kPages);
 }
 
+// Guards against workers that aren't renewed after a takeover for as long as
+// the list of the platform's workers can't be read.
+TEST_CASE("known workers are renewed before the list of workers is read",
+          "[runner]")
+{
+  RunnerFixture fixture;
+  fixture.mNode.mStore.mRange = [range = fixture.mNode.mStore.mRange](
+                                  KvRange aRange) -> asio::awaitable<KvReply> {
+    if (aRange.mPrefix != kWorkersPrefix) {
+      co_return co_await range(std::move(aRange));
+    }
+    co_await Sleep(Duration(1'500));
+    co_return KvReply{};
+  };
+  fixture.Start({ { "w1", "127.0.0.1:9000" } });
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.mFirstRenewalAt != kNever);
+  CHECK(fixture.mFirstRenewalAt - kBegin < Duration(500));
+}
+
 // Guards against records that are removed more slowly than jobs end, so that
 // each takeover reads more of them than the last.
 TEST_CASE("records of old jobs are removed faster than jobs end", "[runner]")
