Node: Don't let one rejected record hold back all others

Progress of many jobs is written in one transaction. A record that the store rejects, for instance for its size, made the write fail each time, and with it all writes after it: no job of the shard was shown as ended any more. Jobs of a rejected write are now written one by one, and the pass goes on. Ends are still acknowledged only after a pass without a rejection.

Before: the other job's record was never written.

--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -150,6 +150,7 @@
   asio::awaitable<bool> RecordProgress();
   /// Records all jobs that are dirty when it begins, in several transactions if
   /// they don't fit into one, and then acknowledges the task ends seen by then.
+  /// A rejected transaction doesn't keep it from the others.
   /// @return false if a write failed; then nothing is acknowledged
   asio::awaitable<bool> RecordDirtyJobs();
   /// Makes one transaction of the progress of the first jobs of `aJobs`, as
@@ -157,8 +158,8 @@
   /// no longer count as dirty.
   ProgressWrite TakeProgress(std::deque<JobId>& aJobs);
   /// Commits the progress of jobs, which are dirty again if the write fails.
-  /// @return false if the write failed
-  asio::awaitable<bool> CommitProgress(ProgressWrite aProgress);
+  /// @return outcome of the write
+  asio::awaitable<KvStatus> CommitProgress(ProgressWrite aProgress);
   /// Records the worker set if it has changed, and allows starts on its
   /// workers.
   /// @return false if the write failed
@@ -220,6 +221,9 @@
   bool mIsPlanningScheduled = false;
   /// A write of jobs' progress is running.
   bool mIsRecording = false;
+  /// Jobs in the last rejected write. Each of them is written alone until that
+  /// succeeds, so that one that the store rejects doesn't hold back others.
+  std::set<JobId> mJobsWrittenAlone;
   /// Duration of the last planning.
   Duration mPlanTime{ 0 };
   /// Delay of the next write of progress; cancelled to write at once.
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -145,15 +145,21 @@
   // the pass ends. They hold later task ends than those acknowledged here.
   const auto ends = UnacknowledgedEnds(this->mShard);
   std::deque<JobId> jobs = DirtyJobs(this->mShard);
+  bool isComplete = true;
   while (!jobs.empty()) {
     ProgressWrite write = this->TakeProgress(jobs);
-    const bool isCommitted = co_await this->CommitProgress(std::move(write));
-    if (!isCommitted || this->mIsStopped) {
+    const KvStatus outcome = co_await this->CommitProgress(std::move(write));
+    const bool mayGoOn =
+      outcome == KvStatus::kOk || outcome == KvStatus::kRejected;
+    if (!mayGoOn || this->mIsStopped) {
       co_return false;
     }
+    isComplete = isComplete && outcome == KvStatus::kOk;
   }
-  AcknowledgeEnds(this->mShard, ends);
-  co_return true;
+  if (isComplete) {
+    AcknowledgeEnds(this->mShard, ends);
+  }
+  co_return isComplete;
 }
 
 ShardRunner::ProgressWrite ShardRunner::TakeProgress(std::deque<JobId>& aJobs)
@@ -167,6 +173,10 @@
     if (job == nullptr || !job->mIsDirty) {
       continue;
     }
+    const bool isAlone = this->mJobsWrittenAlone.contains(id);
+    if (isAlone && !progress.mJobs.empty()) {
+      break;
+    }
     // A job may have ended since the pass began, and then needs more entries.
     if (EntriesOf(write) + TransactionEntriesFor(*job) >
         kMaxKvTransactionEntries) {
@@ -175,22 +185,26 @@
     job->mIsDirty = false;
     AddProgress(write, this->mShardNumber, id, *job);
     progress.mJobs.push_back(id);
+    if (isAlone) {
+      aJobs.pop_front();
+      break;
+    }
   }
   return progress;
 }
 
-asio::awaitable<bool> ShardRunner::CommitProgress(ProgressWrite aProgress)
+asio::awaitable<KvStatus> ShardRunner::CommitProgress(ProgressWrite aProgress)
 {
   const std::vector<JobId>& jobs = aProgress.mJobs;
   if (jobs.empty()) {
-    co_return true;
+    co_return KvStatus::kOk;
   }
   const KvReply reply =
     co_await this->mNode.mStore.mCommit(std::move(aProgress.mWrite));
   UpdateStoreHealth(this->mNode, reply);
   if (reply.mStatus == KvStatus::kOk) {
     this->OnProgressRecorded(jobs, reply.mRevision);
-    co_return true;
+    co_return reply.mStatus;
   }
   spdlog::info("shard.record-failed shard={} epoch={} jobs={} outcome={}",
                this->mShardNumber,
@@ -203,10 +217,13 @@
       job->mIsDirty = true;
     }
   }
+  if (reply.mStatus == KvStatus::kRejected) {
+    this->mJobsWrittenAlone.insert(jobs.begin(), jobs.end());
+  }
   if (reply.mStatus == KvStatus::kConflict) {
     this->OnProgressConflict(reply);
   }
-  co_return false;
+  co_return reply.mStatus;
 }
 
 void ShardRunner::OnProgressRecorded(const std::vector<JobId>& aJobs,
@@ -218,6 +235,7 @@
       continue;
     }
     job->mProgressRevision = aRevision;
+    this->mJobsWrittenAlone.erase(id);
     // A job that ended during the write is dirty again: its final state isn't
     // stored yet.
     const bool isStored = IsFinal(job->mState) && !job->mIsDirty;
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -240,4 +240,36 @@
   CHECK(removed >= kMinRemovedPerSecond * kSeconds);
 }
 
+// Guards against a shard in which nothing is recorded any more, and so nothing
+// shown as ended, because the store rejects the record of one job.
+TEST_CASE("a rejected record doesn't hold back those of other jobs", "[runner]")
+{
+  const JobId rejected = "00000000000000a1";
+  const JobId other = "00000000000000a2";
+  RunnerFixture fixture;
+  fixture.mNode.mStore.mCommit =
+    [&, commit = fixture.mNode.mStore.mCommit](
+      KvTransaction aWrite) -> asio::awaitable<KvReply> {
+    const bool isRejected = std::any_of(
+      aWrite.mPuts.begin(), aWrite.mPuts.end(), [&](const KvPut& aPut) {
+        return aPut.mKey == ProgressKey(0, rejected);
+      });
+    if (isRejected) {
+      KvReply reply;
+      reply.mStatus = KvStatus::kRejected;
+      co_return reply;
+    }
+    co_return co_await commit(std::move(aWrite));
+  };
+  for (const auto& job : { rejected, other }) {
+    BatchRecord record;
+    record.mSpec.mSteps.emplace_back();
+    fixture.Put(InboxJobKey(0, job), Encode(record));
+    fixture.Put(CancelKey(0, job), "{}");
+  }
+  fixture.Start({});
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.mStore.mItems.contains(ProgressKey(0, other)));
+}
+
 } // namespace verbenacroft
