Dispatch: Let a task wait, not its worker, if the task is refused

A worker that refused a start was avoided for 0.25 s, whatever the reason. A start that each worker refuses because of the task (malformed, no ticket, old run number) went from worker to worker with each planning, and a few such tasks kept all workers from other work. Now the task waits for 0.25 s and the worker stays in use.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -45,6 +45,12 @@
                                                aRight.mFirstTask);
 }
 
+/// True if a start of the task may be ordered.
+bool IsWaiting(const DispatchTask& aTask, TimePoint aNow)
+{
+  return aTask.mPhase == RunPhase::kWaiting && aNow >= aTask.mRetryAt;
+}
+
 /// Appends the steps of a job that are ready and have waiting tasks.
 void CollectSteps(const DispatchShard& aShard,
                   const DispatchJob& aJob,
@@ -62,8 +68,8 @@
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
       const auto& tasks = occurrence.mSteps[s].mTasks;
       const bool hasWaiting =
-        std::any_of(tasks.begin(), tasks.end(), [](const DispatchTask& aTask) {
-          return aTask.mPhase == RunPhase::kWaiting;
+        std::any_of(tasks.begin(), tasks.end(), [&](const DispatchTask& aTask) {
+          return IsWaiting(aTask, aNow);
         });
       if (!hasWaiting || !IsStepReady(aJob, occurrence, s)) {
         continue;
@@ -425,7 +431,7 @@
   TaskId key = aFirstTask;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
     const DispatchTask& task = *FindTask(aShard, key);
-    if (task.mPhase != RunPhase::kWaiting) {
+    if (!IsWaiting(task, aRound.mNow)) {
       continue;
     }
     DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
@@ -457,7 +463,7 @@
   std::uint32_t run = 0;
   std::string checkpoint;
   for (const auto& task : tasks) {
-    if (task.mPhase != RunPhase::kWaiting) {
+    if (!IsWaiting(task, aRound.mNow)) {
       return;
     }
     if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -71,6 +71,9 @@
   /// Worker on which the last run failed or was stopped; used for the next run
   /// only if no other worker fits.
   std::string mAvoidedWorker;
+  /// No start is ordered before this time, after a worker refused one for the
+  /// task's own sake.
+  TimePoint mRetryAt{ kNever };
   /// Reading of the worker's clock, in ms, after which it refuses the start.
   std::int64_t mNotAfter = 0;
   /// When the start was ordered or the run was adopted.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -15,6 +15,9 @@
 /// How long a worker is avoided after it refused a start (for lack of capacity,
 /// bad health or another reason) or did not answer it.
 constexpr Duration kRefusalAvoidTime{ 250 };
+/// How long a task waits after a worker refused its start for the task's own
+/// sake.
+constexpr Duration kRefusedTaskPause{ 250 };
 /// A task is stalled if its progress has not changed for this long, unless it
 /// is long-running or suspended.
 constexpr Duration kStallTimeout{ 2'000 };
@@ -28,6 +31,15 @@
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
 
+/// True if a start was refused because of the task or of the order, so that
+/// other tasks may well start on the worker.
+bool IsTasksFault(OrderOutcome aRefusal)
+{
+  return aRefusal == OrderOutcome::kOldRun ||
+         aRefusal == OrderOutcome::kMalformed ||
+         aRefusal == OrderOutcome::kNoTicket;
+}
+
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
 {
   if (aWorker.mClock == 0) {
@@ -255,7 +267,11 @@
   if (task->mPhase != RunPhase::kStarting) {
     return;
   }
-  worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
+  if (IsTasksFault(aReply.mOutcome)) {
+    task->mRetryAt = aNow + kRefusedTaskPause;
+  } else {
+    worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
+  }
   Release(aShard, key, RunPhase::kWaiting);
 }
 
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -23,8 +23,10 @@
                        TimePoint aNow);
 
 /// Handles the outcome of a start order. If it was refused or not answered, the
-/// worker is avoided for a short time. A refused task waits again; a start that
-/// was not answered stays uncertain until reports show whether the task runs.
+/// worker is avoided for a short time; if it was refused for the task's own
+/// sake, only the task waits for that time. A refused task waits again; a start
+/// that was not answered stays uncertain until reports show whether the task
+/// runs.
 void OnStartReply(DispatchShard& aShard,
                   const std::string& aWorker,
                   const StartOrder& aOrder,
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -390,4 +390,41 @@
   CHECK(Encode(progress).size() < kMaxBytes);
 }
 
+// Guards against a job whose starts every worker refuses, so that all workers
+// are avoided one after another and other jobs wait.
+TEST_CASE("a start refused for the task's own sake holds back only the task",
+          "[waits]")
+{
+  struct Row
+  {
+    OrderOutcome mOutcome;
+    bool mIsOtherStarted;
+  };
+  const auto row = GENERATE(values<Row>({
+    { OrderOutcome::kNoRoom, false },
+    { OrderOutcome::kUnhealthy, false },
+    { OrderOutcome::kNotSent, false },
+    { OrderOutcome::kMalformed, true },
+    { OrderOutcome::kNoTicket, true },
+    { OrderOutcome::kOldRun, true },
+  }));
+  WaitFixture shard(1);
+  shard.Add(1, MakeRecord());
+  const auto starts = shard.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  OnStartReply(shard.mShard,
+               "w1",
+               starts[0].mOrder,
+               OrderReply{ row.mOutcome, 0 },
+               shard.mNow);
+  shard.Add(2, MakeRecord());
+  const auto next = shard.Plan().mStarts;
+  const bool isOtherStarted =
+    next.size() == 1 && next[0].mOrder.mTask.mJob == IdOf(2);
+  CHECK(isOtherStarted == row.mIsOtherStarted);
+  CHECK(shard.Task(TaskOf(1)).mPhase == RunPhase::kWaiting);
+  shard.mNow += Duration(300);
+  CHECK(shard.Plan().mStarts.size() == (row.mIsOtherStarted ? 1 : 2));
+}
+
 } // namespace verbenacroft
