KNOWN-RED: A step and a gang that wait for ever

Each has a test of its own, which fails: a step of half a worker isn't started in 200 rounds beside a stream of smaller tasks, and a gang whose member was lost at the end is neither done nor started again.

--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -427,4 +427,74 @@
   CHECK(shard.Plan().mStarts.size() == (row.mIsOtherStarted ? 1 : 2));
 }
 
+// Guards against a step that is never started because smaller ones take each
+// part of a worker that becomes free. Listed in KNOWN-RED.txt.
+TEST_CASE("a large step isn't passed over for ever", "[.][red-large-step]")
+{
+  constexpr std::uint32_t kSmallTasks = 10;
+  constexpr int kRounds = 200;
+  WaitFixture shard(1);
+  BatchRecord small = MakeRecord();
+  small.mSpec.mSteps[0].mCount = kSmallTasks;
+  shard.Add(1, small);
+  REQUIRE(shard.Plan().mStarts.size() == kSmallTasks);
+  BatchRecord large = MakeRecord();
+  large.mTerms.mPriority = -1;
+  large.mSpec.mSteps[0].mNeeds.mMilliCpu = 5'000;
+  shard.Add(2, large);
+  std::set<TaskId> running = shard.mShard.mWorkers.at("w1").mTasks;
+  bool isStarted = false;
+  // In each round one small task ends and another one comes.
+  for (int i = 0; i < kRounds && !isStarted; ++i) {
+    shard.mNow += Duration(100);
+    EndedRun end;
+    end.mIndex = static_cast<std::uint64_t>(i) + 1;
+    end.mTask = *running.begin();
+    end.mRun = 1;
+    running.erase(running.begin());
+    std::vector<RunningTask> rows;
+    for (const auto& task : running) {
+      rows.push_back(RunningOf(task, 1, i % 100));
+    }
+    shard.Report("w1", rows, { end });
+    shard.Add(10 + i, MakeRecord());
+    shard.Plan();
+    running = shard.mShard.mWorkers.at("w1").mTasks;
+    isStarted = running.contains(TaskOf(2));
+  }
+  CHECK(isStarted);
+}
+
+// Guards against a gang that is neither done nor started again, because a
+// worker was lost before the end of its member was read. Listed in
+// KNOWN-RED.txt.
+TEST_CASE("a gang whose member was lost at the end doesn't wait for ever",
+          "[.][red-gang]")
+{
+  constexpr std::int64_t kOtherIncarnation = 2;
+  WaitFixture shard(2);
+  BatchRecord gang = MakeRecord();
+  gang.mSpec.mSteps[0].mIsGang = true;
+  gang.mSpec.mSteps[0].mCount = 2;
+  gang.mSpec.mSteps[0].mMaxPerWorker = 1;
+  shard.Add(1, gang);
+  REQUIRE(shard.Plan().mStarts.size() == 2);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    shard.Report(shard.Task(TaskOf(1, i)).mWorker,
+                 { RunningOf(TaskOf(1, i), 1, 99) });
+  }
+  EndedRun end;
+  end.mIndex = 1;
+  end.mTask = TaskOf(1, 0);
+  end.mRun = 1;
+  shard.mNow += Duration(100);
+  shard.Report(shard.Task(TaskOf(1, 0)).mWorker, {}, { end });
+  shard.mShard.mWorkers.at(shard.Task(TaskOf(1, 1)).mWorker).mIncarnation =
+    kOtherIncarnation;
+  shard.Report(shard.Task(TaskOf(1, 1)).mWorker, {});
+  REQUIRE(shard.Task(TaskOf(1, 1)).mPhase == RunPhase::kWaiting);
+  const bool isStartedAgain = !shard.Plan().mStarts.empty();
+  CHECK((isStartedAgain || IsFinal(shard.mShard.mJobs.at(IdOf(1)).mState)));
+}
+
 } // namespace verbenacroft
