Dispatch: Start best-effort steps that starve as probes

Cause: a best-effort task gets no place where a serving image is predicted to come too close to its target. Only reports of the two together correct the prediction, which it prevents, so a job can wait without a bound beside free capacity.

Change: ageing. A step that has waited may start one task over the limit, as a probe (vcDispatchProbes.h): on a calm worker after 3 s, on others that aren't over their target after 6 s, at a limited rate, the longest wait first. A probe gets 20% right after the start is confirmed, is throttled before other tasks so as to fit above the image's high load, and keeps 10% beside tasks that aren't close to their targets. A suspended probe is moved after 4 s. The stall timeout is for full speed and grows with the throttle. Best-effort gangs don't probe.

Test: vcStarvationTest.cxx, 13 rows over 60 s of a model of the workers. On the code before (without its call of ThrottleStartedProbe) 10 of 39 assertions fail: the jobs of 10 of the 11 rows that must start have no run in 60 s.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -7,6 +7,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchPlacement.h"
+#include "vcDispatchProbes.h"
 #include "vcDispatchReports.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -1,12 +1,14 @@
 #include "vcDispatchPlacement.h"
 
 #include "vcDispatchJobs.h"
+#include "vcDispatchProbes.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchWorkers.h"
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace verbenacroft {
@@ -95,6 +97,8 @@
   BestEffortNeeds mBestEffort;
   /// Number of the step's tasks on each worker.
   std::map<std::string, std::uint32_t> mOnWorker;
+  /// Other than `kNone` if the task to place is a probe.
+  ProbeStage mProbeStage = ProbeStage::kNone;
 };
 
 StepNeeds NeedsOf(DispatchShard& aShard, const TaskId& aKey)
@@ -104,7 +108,8 @@
                    job.mRecord.mTerms.mService,
                    StepOf(job, aKey).mNeeds,
                    {},
-                   {} };
+                   {},
+                   ProbeStage::kNone };
   if (needs.mStep.mIsFilling) {
     needs.mCounted.mMilliCpu = 0;
     needs.mBestEffort = BestEffortNeedsOf(needs.mStep);
@@ -181,7 +186,9 @@
     }
     const BestEffortEffect effect =
       BestEffortEffectOf(aShard, aWorker, aNeeds.mBestEffort, aNow);
-    if (effect.mIsOverLimit) {
+    const bool isProbe = aNeeds.mProbeStage != ProbeStage::kNone;
+    if (isProbe ? !MayProbe(aWorker, aNeeds.mProbeStage, aNow)
+                : effect.mIsOverLimit) {
       return std::nullopt;
     }
     // Prefers workers that this task disturbs less than an average best-effort
@@ -337,6 +344,8 @@
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
   FailedPlacements mFailedPlacements;
+  /// The same for probes, by stage.
+  std::array<FailedPlacements, kProbeStages> mFailedProbes;
 };
 
 Round MakeRound(DispatchShard& aShard, TimePoint aNow)
@@ -351,6 +360,13 @@
   return round;
 }
 
+DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey)
+{
+  return aShard.mJobs.at(aKey.mJob)
+    .mOccurrences[aKey.mOccurrence]
+    .mSteps[aKey.mStep];
+}
+
 void StartOn(DispatchShard& aShard,
              const TaskId& aKey,
              DispatchWorker& aWorker,
@@ -377,6 +393,7 @@
   order.mNotAfter = task.mNotAfter;
   const StepSpec& step = StepOf(job, aKey);
   if (step.mIsFilling) {
+    StepStateOf(aShard, aKey).mStarvedSince = aNow;
     RecordBestEffortPlacement(aShard, aWorker, BestEffortNeedsOf(step), aNow);
   }
   spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={}",
@@ -477,6 +494,106 @@
   }
 }
 
+/// Index of the first task of a step that waits for a start; the number of its
+/// tasks if none waits.
+std::uint32_t FirstWaiting(const DispatchStep& aStep)
+{
+  const auto first = std::find_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const DispatchTask& aTask) {
+      return aTask.mPhase == RunPhase::kWaiting;
+    });
+  return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
+}
+
+/// Starts one task of a best-effort step as a probe, if a worker is eligible.
+void StartProbe(DispatchShard& aShard,
+                const TaskId& aFirstTask,
+                std::size_t aStarvedSteps,
+                Round& aRound,
+                DispatchActions& aActions)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const DispatchStep& state = StepStateOf(aShard, aFirstTask);
+  const ProbeStage stage = ProbeStageOf(job, state, aRound.mNow);
+  FailedPlacements& failed =
+    aRound.mFailedProbes.at(static_cast<std::size_t>(stage));
+  if (failed.IsKnownToFail(job.mRecord.mTerms.mService,
+                           StepOf(job, aFirstTask))) {
+    return;
+  }
+  StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  needs.mProbeStage = stage;
+  TaskId key = aFirstTask;
+  key.mIndex = FirstWaiting(state);
+  const DispatchTask& task = state.mTasks[key.mIndex];
+  StepWorkers workers(
+    aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
+  DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
+  if (worker == nullptr) {
+    if (needs.mStep.mMaxPerWorker == 0) {
+      failed.Record(needs.mService, needs.mStep);
+    }
+    return;
+  }
+  StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+  RecordProbe(aShard, *worker, key, aStarvedSteps, aRound.mNow);
+}
+
+/// Notes the best-effort steps among the candidates that still have waiting
+/// tasks, and returns those that have waited long enough for a probe. Steps of
+/// jobs of which nothing runs come first, then those that have waited longest.
+std::vector<TaskId> StarvedSteps(DispatchShard& aShard,
+                                 const std::vector<Candidate>& aCandidates,
+                                 TimePoint aNow)
+{
+  using Row = std::tuple<bool, TimePoint, TaskId>;
+  std::vector<Row> rows;
+  for (const auto& candidate : aCandidates) {
+    const TaskId& key = candidate.mFirstTask;
+    const DispatchJob& job = aShard.mJobs.at(key.mJob);
+    const StepSpec& step = StepOf(job, key);
+    DispatchStep& state = StepStateOf(aShard, key);
+    const bool mayProbe = step.mIsFilling && !step.mIsGang;
+    if (!mayProbe || FirstWaiting(state) == state.mTasks.size()) {
+      continue;
+    }
+    if (state.mStarvedSince == kNever) {
+      state.mStarvedSince = aNow;
+    }
+    if (ProbeStageOf(job, state, aNow) != ProbeStage::kNone) {
+      rows.emplace_back(job.mActiveRuns > 0, state.mStarvedSince, key);
+    }
+  }
+  std::sort(rows.begin(), rows.end());
+  std::vector<TaskId> starved;
+  starved.reserve(rows.size());
+  for (const auto& row : rows) {
+    starved.push_back(std::get<TaskId>(row));
+  }
+  return starved;
+}
+
+/// Starts probes for steps that no worker is predicted to suit, at a limited
+/// rate.
+void StartProbes(DispatchShard& aShard,
+                 const std::vector<Candidate>& aCandidates,
+                 Round& aRound,
+                 DispatchActions& aActions)
+{
+  const auto starved = StarvedSteps(aShard, aCandidates, aRound.mNow);
+  for (const auto& key : starved) {
+    if (!IsProbeDue(aShard, aRound.mNow)) {
+      return;
+    }
+    // A probe of another step of the job may have been started.
+    const DispatchJob& job = aShard.mJobs.at(key.mJob);
+    const DispatchStep& state = StepStateOf(aShard, key);
+    if (ProbeStageOf(job, state, aRound.mNow) != ProbeStage::kNone) {
+      StartProbe(aShard, key, starved.size(), aRound, aActions);
+    }
+  }
+}
+
 } // namespace
 
 void PlanStarts(DispatchShard& aShard,
@@ -506,6 +623,7 @@
       StartIndividually(aShard, candidate.mFirstTask, round, aActions);
     }
   }
+  StartProbes(aShard, candidates, round, aActions);
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -212,6 +212,15 @@
   return aLatencyRatio <= idle ? 0 : 1 - idle / aLatencyRatio;
 }
 
+double WorstLatencyRatio(const DispatchWorker& aWorker)
+{
+  double worst = 0;
+  for (const auto& [image, latency] : aWorker.mServingLatencies) {
+    worst = std::max(worst, latency.mWorstRatio);
+  }
+  return worst;
+}
+
 BestEffortNeeds BestEffortNeedsOf(const StepSpec& aStep)
 {
   return { InterferenceKindOf(aStep.mImage),
--- a/Source/Dispatch/vcDispatchSharing.h
+++ b/Source/Dispatch/vcDispatchSharing.h
@@ -29,6 +29,15 @@
 /// response times are 1 / (1 - L) times those of an idle queue.
 double LoadAtLatencyRatio(const ServingProfile& aProfile, double aLatencyRatio);
 
+/// Latency ratio above which a serving task counts as disturbed.
+constexpr double kThrottleAboveRatio = 0.95;
+/// Up to this latency ratio a serving task is well below its target.
+constexpr double kRecoveryRatio = 0.7;
+
+/// Highest latency ratio of a serving task in the worker's last report; 0 if
+/// none was measured.
+double WorstLatencyRatio(const DispatchWorker& aWorker);
+
 /// A best-effort task that adds less load than this to a serving task is taken
 /// not to disturb it, because the estimates are not more accurate than this.
 constexpr double kMinAddedLoad = 0.05;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -84,6 +84,7 @@
   task.mProgressPercent = 0;
   task.mProgressAt = kNever;
   task.mThrottledAt = kNever;
+  task.mIsProbe = false;
   task.mIsStartUncertain = false;
   task.mStopSentAt = kNever;
   worker.mTasks.insert(aKey);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -81,6 +81,8 @@
   std::int64_t mOrderedThrottlePercent = 100;
   /// When the throttle was last ordered.
   TimePoint mThrottledAt{ kNever };
+  /// The current run was started as a probe (vcDispatchProbes.h).
+  bool mIsProbe = false;
   std::int64_t mProgressPercent = 0;
   /// When the reported progress last changed.
   TimePoint mProgressAt{ kNever };
@@ -93,6 +95,9 @@
 {
   std::vector<DispatchTask> mTasks;
   std::uint32_t mDone = 0;
+  /// Of a best-effort step: when this owner last started a task of it, or first
+  /// found no worker for one.
+  TimePoint mStarvedSince{ kNever };
 };
 
 /// One execution of all steps of a job; a scheduled job has several.
@@ -220,6 +225,8 @@
   TimePoint mAvoidedUntil{ kNever };
   /// No best-effort task is started here before this time.
   TimePoint mNoBestEffortUntil{ kNever };
+  /// When a probe was last started here.
+  TimePoint mProbedAt{ kNever };
   /// Jobs whose tasks failed here since the last success, to distinguish a
   /// faulty worker from a faulty job.
   std::set<JobId> mFailedJobs;
@@ -287,6 +294,8 @@
   std::map<std::string, ServingProfile> mServingProfiles;
   /// Kinds of all best-effort images reported so far.
   std::set<std::uint64_t> mBestEffortKinds;
+  /// No probe is started before this time.
+  TimePoint mNextProbeAt{ kNever };
   /// This owner is fenced: a worker refused its epoch because it has seen a
   /// higher one.
   bool mIsFenced = false;
--- a/Source/Dispatch/vcDispatchThrottling.cxx
+++ b/Source/Dispatch/vcDispatchThrottling.cxx
@@ -1,5 +1,6 @@
 #include "vcDispatchThrottling.h"
 
+#include "vcDispatchProbes.h"
 #include "vcDispatchSharing.h"
 
 #include <spdlog/spdlog.h>
@@ -10,14 +11,11 @@
 
 namespace {
 
-/// Latency ratio above which a serving task counts as disturbed.
-constexpr double kThrottleAboveRatio = 0.95;
 /// Best-effort tasks are throttled until a serving task beside them is expected
-/// at this latency ratio. The gap to `kThrottleAboveRatio` is hysteresis.
-constexpr double kThrottledRatio = 0.85;
-/// The same for a serving task that is already disturbed; lower, so that it
+/// at this latency ratio. The gap to `kThrottleAboveRatio` is hysteresis. If
+/// the serving task is already disturbed, `kRecoveryRatio` is used, so that it
 /// recovers at once.
-constexpr double kRecoveryRatio = 0.7;
+constexpr double kThrottledRatio = 0.85;
 /// Throttle percent of a task that runs at full speed.
 constexpr double kFullSpeedPercent = 100;
 /// Ordered throttle percentages are multiples of this.
@@ -31,6 +29,9 @@
 /// worker is above `kRecoveryRatio`. Tasks that keep running show whether they
 /// disturb as much as was learned.
 constexpr double kMinThrottlePercent = 20;
+/// The same for a probe, while no serving task is above `kThrottledRatio`;
+/// lower, since it is predicted to disturb.
+constexpr double kMinProbePercent = 10;
 /// How long no further best-effort task is started on a worker after a serving
 /// task was disturbed there.
 constexpr Duration kNoBestEffortTime{ 1'000 };
@@ -78,8 +79,53 @@
            : static_cast<double>(aTask.mOrderedThrottlePercent);
 }
 
-/// Chooses lower throttle percents, starting with the tasks that add the most
-/// load to a serving image, until the image is expected to stay at
+/// A best-effort task and the load that it adds to a serving image at full
+/// speed.
+using AddingTask = std::pair<double, BestEffortTask*>;
+
+/// The tasks that disturb a serving image: probes first, then those that add
+/// the most load.
+std::vector<AddingTask> DisturbingTasks(
+  const DispatchShard& aShard,
+  const DispatchWorker& aWorker,
+  const ServingLatency& aLatency,
+  std::vector<BestEffortTask>& aBestEffort,
+  TimePoint aNow)
+{
+  std::vector<AddingTask> disturbing;
+  for (auto& task : aBestEffort) {
+    const double added =
+      AddedLoad(aShard, aLatency, task.mNeeds, aWorker, aNow);
+    if (added >= kMinAddedLoad) {
+      disturbing.emplace_back(added, &task);
+    }
+  }
+  std::sort(disturbing.begin(),
+            disturbing.end(),
+            [](const AddingTask& aLeft, const AddingTask& aRight) {
+              return std::pair(aLeft.second->mTask->mIsProbe, aLeft.first) >
+                     std::pair(aRight.second->mTask->mIsProbe, aRight.first);
+            });
+  return disturbing;
+}
+
+/// Lowers throttle percents in order until the load that the tasks add is less
+/// by the excess.
+void ReduceAddedLoad(const std::vector<AddingTask>& aTasks, double aExcess)
+{
+  for (const auto& [added, task] : aTasks) {
+    if (aExcess <= 0) {
+      return;
+    }
+    const double reduction = std::min(added, aExcess);
+    aExcess -= reduction;
+    task->mPercent =
+      std::min(task->mPercent, kFullSpeedPercent * (1 - reduction / added));
+  }
+}
+
+/// Chooses lower throttle percents, starting with probes and the tasks that add
+/// the most load to a serving image, until the image is expected to stay at
 /// `kThrottledRatio`, or at `kRecoveryRatio` if it is disturbed now.
 void ThrottleForImage(const DispatchShard& aShard,
                       const DispatchWorker& aWorker,
@@ -88,43 +134,32 @@
                       std::vector<BestEffortTask>& aBestEffort,
                       TimePoint aNow)
 {
-  std::vector<std::pair<double, BestEffortTask*>> disturbing;
+  auto disturbing =
+    DisturbingTasks(aShard, aWorker, aLatency, aBestEffort, aNow);
   double addedAtFullSpeed = 0;
   double removedByThrottles = 0;
-  for (auto& task : aBestEffort) {
-    const double added =
-      AddedLoad(aShard, aLatency, task.mNeeds, aWorker, aNow);
-    if (added >= kMinAddedLoad) {
-      disturbing.emplace_back(added, &task);
-      addedAtFullSpeed += added;
-      removedByThrottles +=
-        added * (1 - ThrottlePercentOf(*task.mTask) / kFullSpeedPercent);
-    }
+  for (const auto& [added, task] : disturbing) {
+    addedAtFullSpeed += added;
+    removedByThrottles +=
+      added * (1 - ThrottlePercentOf(*task->mTask) / kFullSpeedPercent);
   }
   const ServingProfile& profile = aShard.mServingProfiles.at(aImage);
+  const double addable =
+    LoadAtLatencyRatio(profile, kThrottledRatio) - addedAtFullSpeed;
   const double ownLoad =
     std::max(aLatency.mLoad - aLatency.mAddedLoad, profile.mMeanLoad);
-  double excess =
-    ownLoad + addedAtFullSpeed - LoadAtLatencyRatio(profile, kThrottledRatio);
+  double excess = ownLoad - addable;
   if (aLatency.mWorstRatio > kThrottleAboveRatio) {
     excess = std::max(excess,
                       aLatency.mLoad + removedByThrottles -
                         LoadAtLatencyRatio(profile, kRecoveryRatio));
   }
-  std::sort(disturbing.begin(),
-            disturbing.end(),
-            [](const auto& aLeft, const auto& aRight) {
-              return aLeft.first > aRight.first;
-            });
-  for (auto& [added, task] : disturbing) {
-    if (excess <= 0) {
-      return;
-    }
-    const double reduction = std::min(added, excess);
-    excess -= reduction;
-    task->mPercent =
-      std::min(task->mPercent, kFullSpeedPercent * (1 - reduction / added));
-  }
+  ReduceAddedLoad(disturbing, excess);
+  // Placement didn't leave room for the image's high load beside probes.
+  std::erase_if(disturbing, [](const AddingTask& aTask) {
+    return !aTask.second->mTask->mIsProbe;
+  });
+  ReduceAddedLoad(disturbing, std::max(ownLoad, profile.mHighLoad) - addable);
 }
 
 /// Chooses lower throttle percents, starting with the tasks that have the least
@@ -194,13 +229,22 @@
       { aTask.mRow->mTask, aTask.mRow->mRun, aShard.mEpoch, percent } });
 }
 
-double WorstLatencyRatio(const DispatchWorker& aWorker)
+/// Minimum throttle percent of a best-effort task at the worst latency ratio on
+/// its worker.
+double MinThrottlePercent(const DispatchTask& aTask, double aWorst)
 {
-  double worst = 0;
-  for (const auto& [image, latency] : aWorker.mServingLatencies) {
-    worst = std::max(worst, latency.mWorstRatio);
+  if (aTask.mIsProbe) {
+    return aWorst <= kThrottledRatio ? kMinProbePercent : 0;
   }
-  return worst;
+  return aWorst <= kRecoveryRatio ? kMinThrottlePercent : 0;
+}
+
+/// Maximum throttle percent: a probe has to be measured at a low one first.
+double MaxThrottlePercent(const DispatchTask& aTask)
+{
+  const bool isNewProbe = aTask.mIsProbe && aTask.mThrottledAt == kNever;
+  return isNewProbe ? static_cast<double>(kProbeStartPercent)
+                    : kFullSpeedPercent;
 }
 
 bool IsOverTargetTooLong(const DispatchShard& aShard,
@@ -232,9 +276,11 @@
   for (auto& row : aBestEffort) {
     if (isOverTooLong) {
       row.mPercent = 0;
-    } else if (aWorst <= kRecoveryRatio) {
-      row.mPercent = std::max(row.mPercent, kMinThrottlePercent);
+      continue;
     }
+    row.mPercent = std::clamp(row.mPercent,
+                              MinThrottlePercent(*row.mTask, aWorst),
+                              MaxThrottlePercent(*row.mTask));
   }
 }
 
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -15,12 +15,16 @@
 /// How long a worker is avoided after it refused a start (for lack of capacity,
 /// bad health or another reason) or did not answer it.
 constexpr Duration kRefusalAvoidTime{ 250 };
-/// A task is stalled if its progress has not changed for this long, unless it
-/// is long-running or suspended.
+/// A task is stalled if its progress has not changed for this long at full
+/// speed, unless it is long-running or suspended.
 constexpr Duration kStallTimeout{ 2'000 };
+constexpr std::int64_t kFullSpeedPercent = 100;
 /// A best-effort task that was suspended for this long is moved to another
 /// worker.
 constexpr Duration kMaxSuspension{ 1'000 };
+/// The same for a probe: no other worker was predicted to suit it better, so a
+/// move gains nothing if the load of the serving tasks falls again soon.
+constexpr Duration kMaxProbeSuspension{ 4'000 };
 /// Runs are stopped this long, plus the stop timeout, before their worker may
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
@@ -51,8 +55,13 @@
   const bool isRunning = aTask.mPhase == RunPhase::kRunning &&
                          aTask.mOrderedThrottlePercent > 0 &&
                          aTask.mProgressAt != kNever;
+  if (aStep.mIsLasting || !isRunning) {
+    return false;
+  }
   const TimePoint since = std::max(aTask.mProgressAt, aTask.mThrottledAt);
-  return !aStep.mIsLasting && isRunning && aNow - since > kStallTimeout;
+  const Duration timeout =
+    kStallTimeout * kFullSpeedPercent / aTask.mOrderedThrottlePercent;
+  return aNow - since > timeout;
 }
 
 /// True if a best-effort task has been suspended for too long and a move loses
@@ -64,8 +73,9 @@
   constexpr std::int64_t kMaxLostProgressPercent = 25;
   const bool isCheapToMove =
     aStep.mIsCheckpointing || aTask.mProgressPercent < kMaxLostProgressPercent;
+  const Duration limit = aTask.mIsProbe ? kMaxProbeSuspension : kMaxSuspension;
   return aStep.mIsFilling && aTask.mOrderedThrottlePercent == 0 &&
-         isCheapToMove && aNow - aTask.mThrottledAt > kMaxSuspension;
+         isCheapToMove && aNow - aTask.mThrottledAt > limit;
 }
 
 bool MustStop(const DispatchShard& aShard,
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,7 +51,7 @@
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
-    vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
+    vcDispatchProbes.cxx vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchWorkers.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -332,7 +332,11 @@
       const StartOrder order = PopFront(queue.mStarts);
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStart(address, order);
-      OnStartReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
+      const TimePoint now = SuspendAwareNow();
+      OnStartReply(this->mShard, aWorker, order, reply, now);
+      DispatchActions actions;
+      ThrottleStartedProbe(this->mShard, aWorker, order, now, actions);
+      this->EnqueueOrders(actions);
       if (reply.mOutcome != OrderOutcome::kDone) {
         this->SchedulePlanning();
       }
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -23,6 +23,7 @@
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
   Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
+  Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcViewsTest.cxx)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
   vcBurn vcDispatch vcNode vcSitePlatform)
