--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -28,6 +28,9 @@
 /// A best-effort task that was suspended for this long is moved to another
 /// worker, if that loses little of its progress.
 constexpr Duration kMaxSuspension{ 1'000 };
+/// The same for a probe: no other worker was predicted to suit it better, so a
+/// move gains nothing if the load of the serving tasks falls again soon.
+constexpr Duration kMaxProbeSuspension{ 4'000 };
 /// Runs are stopped this long, plus the stop timeout, before their worker may
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
@@ -82,9 +85,11 @@
   const bool isRunning = aTask.mPhase == RunPhase::kRunning &&
                          aTask.mOrderedThrottlePercent > 0 &&
                          aTask.mProgressAt != kNever;
+  if (aStep.mIsLasting || !isRunning) {
+    return false;
+  }
   const TimePoint since = std::max(aTask.mProgressAt, aTask.mThrottledAt);
-  return !aStep.mIsLasting && isRunning &&
-         aNow - since > StallTimeout(aShard, aJob, aStep, aTask);
+  return aNow - since > StallTimeout(aShard, aJob, aStep, aTask);
 }
 
 /// Longest time for which a best-effort task is suspended. A task that would
@@ -98,13 +103,14 @@
   constexpr double kWholePercent = 100;
   const bool isCheapToMove =
     aStep.mIsCheckpointing || aTask.mProgressPercent < kMaxLostProgressPercent;
+  const Duration least = aTask.mIsProbe ? kMaxProbeSuspension : kMaxSuspension;
   if (isCheapToMove) {
-    return kMaxSuspension;
+    return least;
   }
   const double lostMs = LongestExpectedRunMs(aShard, aJob, aStep) *
                         static_cast<double>(aTask.mProgressPercent) /
                         kWholePercent;
-  return std::max(kMaxSuspension, Duration(static_cast<std::int64_t>(lostMs)));
+  return std::max(least, Duration(static_cast<std::int64_t>(lostMs)));
 }
 
 bool IsSuspendedTooLong(const DispatchShard& aShard,
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,15 +51,16 @@
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
-    vcDispatchReports.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchWaiting.cxx vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx
+    vcDispatchProbes.cxx vcDispatchReports.cxx vcDispatchSharing.cxx
+    vcDispatchState.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
+    vcDispatchWorkerSet.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcFormerOwner.cxx vcMembership.cxx
-    vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx
-    vcShardLog.cxx vcShardStoreWriter.cxx vcShardRunner.cxx
-    vcShardStoreReader.cxx vcShardWorkerSet.cxx vcStoreMonitor.cxx
-    vcWorkerSetRecords.cxx
+    vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx
+    vcPeers.cxx vcShardClaims.cxx vcShardLog.cxx vcShardRunner.cxx
+    vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
+    vcStoreMonitor.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
 
 # The adapter to the users' platform. No other folder uses the platform's field
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -447,7 +447,11 @@
       }
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStart(address, order);
-      OnStartReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
+      const TimePoint answeredAt = SuspendAwareNow();
+      OnStartReply(this->mShard, aWorker, order, reply, answeredAt);
+      DispatchActions actions;
+      ThrottleStartedProbe(this->mShard, aWorker, order, answeredAt, actions);
+      this->EnqueueOrders(actions);
       if (reply.mOutcome != OrderOutcome::kDone) {
         this->SchedulePlanning();
       }
