Node: Keep the leases that adopted runs inherit, and count from the claim

What callers would see: a task runs twice, or jobs wait for longer than they have to.

Cause, each by reading: the first answer of a worker removed what was known of earlier owners' leases there, and an inactive worker isn't renewed before it is recorded as active, so its adopted runs counted as over at its next silence while they still lasted. PollWorker renewed with a permission that was copied before a pause of the process. Each retry of Load began the wait of a takeover anew. A new worker was taken out of the record and put back until its first answer. While the store is away a worker that missed some renewals lost its tasks, since it couldn't be recorded as active again.

Change: the first answer keeps the end of the earlier leases, at most the longest lease; the permission is computed with each renewal; the wait counts from the claim; a worker is abandoned only after it was silent for as long as an inactive one; silence isn't recorded while the store is down.

Tests: two cases in vcWorkerSetTest; they weren't run without the change.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchReports.h"
 
 #include "vcDispatchJobs.h"
+#include "vcDispatchWorkerSet.h"
 
 #include <spdlog/spdlog.h>
 
@@ -38,6 +39,7 @@
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
   aWorker.mLeaseUntil = 0;
+  aWorker.mEarlierLeasesUntil = kNever;
   aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
   for (const auto& key : tasks) {
@@ -244,7 +246,7 @@
   worker->mClock = aReport.mClock;
   worker->mClockReadAt = aNow;
   worker->mLastReportAt = aNow;
-  aShard.mUnansweredWorkers.erase(aWorker);
+  OnFirstAnswer(aShard, *worker, aNow);
   ApplyReport(aShard, *worker, aReport, aSentAt, aNow, aNowMs);
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -216,6 +216,9 @@
   /// Latest lease end or start deadline that this owner ordered, in ms on the
   /// worker's clock.
   std::int64_t mLeaseUntil = 0;
+  /// When the worker answered this owner for the first time, leases of earlier
+  /// owners could last until this time. `kNever` if none can.
+  TimePoint mEarlierLeasesUntil{ kNever };
   /// Latest start deadline that this owner ordered, in ms on the worker's
   /// clock. After it the worker refuses all starts ordered so far.
   std::int64_t mStartsUntil = 0;
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -52,8 +52,8 @@
                  const DispatchWorker& aWorker,
                  TimePoint aNow)
 {
-  return IsSilent(aWorker) && aWorker.mTasks.empty() && aShard.mIsLeaseProved &&
-         aNow > RunsEndAt(aShard, aWorker, aNow);
+  return MustBeInactive(aWorker, aNow) && aWorker.mTasks.empty() &&
+         aShard.mIsLeaseProved && aNow > RunsEndAt(aShard, aWorker, aNow);
 }
 
 bool IsOver(const DispatchShard& aShard,
@@ -73,7 +73,8 @@
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
 {
   return aWorker.mClock == 0 ||
-         aNow > LatestTimeOf(aWorker, aWorker.mLeaseUntil);
+         (aNow > aWorker.mEarlierLeasesUntil &&
+          aNow > LatestTimeOf(aWorker, aWorker.mLeaseUntil));
 }
 
 TimePoint RunsEndAt(const DispatchShard& aShard,
@@ -90,8 +91,9 @@
   }
   const std::int64_t until =
     std::max(aWorker.mLeaseUntil, aWorker.mStartsUntil);
-  return std::min(LatestTimeOf(aWorker, until),
-                  aNow + LongestLease(aShard.mBounds));
+  const TimePoint ownEnd =
+    std::min(LatestTimeOf(aWorker, until), aNow + LongestLease(aShard.mBounds));
+  return std::max(ownEnd, aWorker.mEarlierLeasesUntil);
 }
 
 bool MustBeRecorded(const DispatchShard& aShard,
@@ -156,6 +158,19 @@
   worker.mNoJobsAfter = aNoJobsAfter;
 }
 
+void OnFirstAnswer(DispatchShard& aShard,
+                   DispatchWorker& aWorker,
+                   TimePoint aNow)
+{
+  const auto row = aShard.mUnansweredWorkers.find(aWorker.mEntry.mWorker);
+  if (row == aShard.mUnansweredWorkers.end()) {
+    return;
+  }
+  aWorker.mEarlierLeasesUntil =
+    std::min(row->second.mRunsEndAt, aNow + LongestLease(aShard.mBounds));
+  aShard.mUnansweredWorkers.erase(row);
+}
+
 void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow)
 {
   std::erase_if(aShard.mUnansweredWorkers, [&](const auto& aRow) {
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -34,8 +34,9 @@
                 DispatchWorker& aWorker,
                 std::uint64_t aLatestRevision);
 
-/// Time by which all runs on the worker have ended, unless its lease is renewed
-/// or a task is started there. Not after `aNow` plus the longest lease.
+/// Time by which all runs on the worker have ended, whoever started them,
+/// unless its lease is renewed or a task is started there. `kNever` if nothing
+/// can run there.
 TimePoint RunsEndAt(const DispatchShard& aShard,
                     const DispatchWorker& aWorker,
                     TimePoint aNow);
@@ -64,6 +65,13 @@
                        std::uint64_t aNoJobsAfter,
                        TimePoint aNow);
 
+/// Handles an answer of a worker that was unanswered so far, if it was. The
+/// runs that it reports keep the leases of earlier owners until they are
+/// renewed.
+void OnFirstAnswer(DispatchShard& aShard,
+                   DispatchWorker& aWorker,
+                   TimePoint aNow);
+
 /// Forgets the unanswered workers on which all runs of earlier owners have
 /// ended.
 void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -68,6 +68,7 @@
 
 void ShardRunner::Start()
 {
+  this->mStartedAt = SuspendAwareNow();
   this->Spawn("run", [self = this->shared_from_this()] { return self->Run(); });
 }
 
@@ -153,6 +154,8 @@
       break;
     }
     const TimePoint sentAt = SuspendAwareNow();
+    // The process may have been paused since the last tick.
+    this->mShard.mMayRenew = MayRenewLeases(this->mNode, sentAt);
     const bool isNearTarget = worker->mNoBestEffortUntil > sentAt;
     const RenewOrder order =
       MakeRenewal(this->mShard,
@@ -201,7 +204,9 @@
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
   const bool isNeeded =
     worker != nullptr && worker->mIsInactive && !worker->mIsUnresponsive;
-  if (isNeeded && !this->mIsStopped) {
+  const bool mayWrite =
+    !this->mIsStopped && !IsStoreDown(this->mNode, SuspendAwareNow());
+  if (isNeeded && mayWrite) {
     co_await this->RecordWorkerSet();
   }
 }
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -209,6 +209,9 @@
   std::uint32_t mShardNumber;
   DispatchShard mShard;
   StoredWorkerSet mStored;
+  /// When the claim of the shard was known. Earlier owners stop counting from
+  /// the claim, however long it takes to load the shard.
+  TimePoint mStartedAt{ kNever };
   /// A write of the worker set is running.
   bool mIsRecordingWorkerSet = false;
   /// Orders to send, by worker.
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -25,7 +25,7 @@
 constexpr Duration kAskInterval{ 300 };
 
 /// True if the two records name the same workers, and the recorded times are
-/// not much later than the present ones.
+/// not earlier than the present ones and not much later.
 bool IsUpToDate(const InactiveWorkersRecord& aRecorded,
                 const InactiveWorkersRecord& aPresent)
 {
@@ -35,9 +35,9 @@
     aPresent.mWorkers.begin(),
     aPresent.mWorkers.end(),
     [](const InactiveWorker& aLeft, const InactiveWorker& aRight) {
-      return aLeft.mWorker == aRight.mWorker &&
-             Duration(aLeft.mRunsEndInMs - aRight.mRunsEndInMs) <=
-               kMaxRunsEndExcess;
+      const Duration excess(aLeft.mRunsEndInMs - aRight.mRunsEndInMs);
+      return aLeft.mWorker == aRight.mWorker && excess >= Duration(0) &&
+             excess <= kMaxRunsEndExcess;
     });
 }
 
@@ -103,14 +103,16 @@
     worker.mSilentSince = aNow;
     const auto row = inactive.find(member.mWorker);
     if (row == inactive.end()) {
-      AddActiveWorker(
-        this->mShard, member.mWorker, workerSet.mHasEarlierStopped, aNow);
+      AddActiveWorker(this->mShard,
+                      member.mWorker,
+                      workerSet.mHasEarlierStopped,
+                      this->mStartedAt);
     } else {
       AddInactiveWorker(this->mShard,
                         member.mWorker,
                         Duration(row->second.mRunsEndInMs),
                         row->second.mNoJobsAfter,
-                        aNow);
+                        this->mStartedAt);
     }
   }
 }
@@ -184,7 +186,9 @@
         return aWorker.second.mIsRecorded &&
                MustBeInactive(aWorker.second, now);
       });
-    if (isNeeded && !this->mIsStopped) {
+    // A worker whose silence can't be recorded stays active, so that its tasks
+    // are renewed when it answers again.
+    if (isNeeded && !this->mIsStopped && !IsStoreDown(this->mNode, now)) {
       co_await this->RecordWorkerSet();
     }
   }
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -305,4 +305,46 @@
   UseManualTime(std::nullopt);
 }
 
+// Guards against runs that are given up while they last: the first answer of a
+// worker doesn't end the leases of earlier owners, and isn't renewed yet.
+TEST_CASE("adopted runs keep the leases of earlier owners", "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    Duration mRunsEndIn;
+    TimePoint mOverAt;
+  };
+  // The worker answers after 1 s and is silent from then on.
+  const auto row = GENERATE(values<Row>({
+    { "a lease that was recorded", Duration(4'000), TimePoint(4'000) },
+    { "one that can't last that long", Duration(13'000), TimePoint(7'123) },
+  }));
+  CAPTURE(row.mName);
+  OneWorker shard;
+  shard.Worker() = {};
+  AddInactiveWorker(shard.mShard, "w1", row.mRunsEndIn, 30, shard.mNow);
+  shard.Worker().mEntry.mWorker = "w1";
+  shard.mNow += Duration(1'000);
+  shard.Answer();
+  CHECK(shard.Renew().mLeaseUntil == 0);
+  shard.Silence();
+  CHECK(RunsEndAt(shard.mShard, shard.Worker(), shard.mNow) == row.mOverAt);
+  CHECK_FALSE(IsLeaseOver(shard.Worker(), row.mOverAt));
+  CHECK(IsLeaseOver(shard.Worker(), row.mOverAt + Duration(1)));
+}
+
+// Guards against a record that changes with each check of a new worker.
+TEST_CASE("a new worker stays recorded until it is silent for long",
+          "[worker-set]")
+{
+  OneWorker shard;
+  shard.Worker().mHasAnswered = false;
+  shard.Worker().mClock = 0;
+  shard.Worker().mSilentSince = shard.mNow;
+  CHECK(shard.IsRecorded());
+  shard.mNow += Duration(1'000);
+  CHECK_FALSE(shard.IsRecorded());
+}
+
 } // namespace verbenacroft
