Node: Log how the owner's calls to its workers go

Cause: an owner whose link or processor is slow logs the same as one whose workers are: worker.unresponsive, refused starts, worker.lease-over.

Change: every call to a worker is counted by outcome and by the time of its answer, without the time for which the worker was asked to wait, and shard.calls says once a second how many were answered and failed and how long the fastest and the slowest took. If even the fastest of all workers is late, the cause is the owner's.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -15,4 +15,5 @@
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcWorkerCalls.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcWorkerOrders.h
+++ b/Source/Dispatch/vcWorkerOrders.h
@@ -116,6 +116,13 @@
   });
 };
 
+/// True if the worker has answered, whatever it says.
+constexpr bool IsAnswer(OrderOutcome aOutcome)
+{
+  return aOutcome != OrderOutcome::kNotSent &&
+         aOutcome != OrderOutcome::kUnknown;
+}
+
 /// Renews the lease of all runs on a worker and asks for a report.
 struct RenewOrder
 {
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -139,6 +139,19 @@
   }
 }
 
+void LogWorkerCalls(CallCounts& aCalls, std::uint32_t aNumber)
+{
+  spdlog::info("shard.calls shard={} answered={} failed={} timed={} "
+               "least_ms={} max_ms={}",
+               aNumber,
+               aCalls.mAnswered,
+               aCalls.mFailed,
+               aCalls.mTimed,
+               aCalls.mLeastLatency.count(),
+               aCalls.mMaxLatency.count());
+  aCalls = {};
+}
+
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber)
 {
   for (const auto& [reason, row] : aWaiting) {
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -169,6 +169,7 @@
       break;
     }
     const TimePoint now = SuspendAwareNow();
+    this->OnCallEnded(report.mOutcome, LatencyOf(order, report, now - sentAt));
     DispatchActions actions;
     OnReport(this->mShard, aWorker, report, sentAt, now, WallClockMs());
     const bool isGood = report.mOutcome == OrderOutcome::kDone;
@@ -184,6 +185,12 @@
   this->mPolledWorkers.erase(aWorker);
 }
 
+void ShardRunner::OnCallEnded(OrderOutcome aOutcome,
+                              std::optional<Duration> aLatency)
+{
+  CountCall(this->mCalls, aOutcome, aLatency);
+}
+
 Duration ShardRunner::PauseBeforeNextRenewal(const std::string& aWorker,
                                              bool aIsGood)
 {
@@ -314,6 +321,7 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
+      LogWorkerCalls(this->mCalls, this->mShardNumber);
       this->mWaiting =
         SummarizeWaiting(this->mShard, loadLoggedAt, WallClockMs());
       LogWaiting(this->mWaiting, this->mShardNumber);
@@ -432,11 +440,16 @@
     const WorkerAddress address{ aWorker, worker->mEndpoint };
     if (!queue.mThrottleOrders.empty()) {
       const ThrottleOrder order = PopFront(queue.mThrottleOrders);
-      co_await this->mNode.mWorkers.mSetThrottle(address, order);
+      const TimePoint sentAt = SuspendAwareNow();
+      const OrderReply reply =
+        co_await this->mNode.mWorkers.mSetThrottle(address, order);
+      this->OnCallEnded(reply.mOutcome, SuspendAwareNow() - sentAt);
     } else if (!queue.mStops.empty()) {
       const StopOrder order = PopFront(queue.mStops);
+      const TimePoint sentAt = SuspendAwareNow();
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStop(address, order);
+      this->OnCallEnded(reply.mOutcome, SuspendAwareNow() - sentAt);
       OnStopReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
     } else if (!queue.mStarts.empty()) {
       const StartOrder order = PopFront(queue.mStarts);
@@ -453,6 +466,7 @@
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStart(address, order);
       const TimePoint answeredAt = SuspendAwareNow();
+      this->OnCallEnded(reply.mOutcome, answeredAt - now);
       OnStartReply(this->mShard, aWorker, order, reply, answeredAt);
       DispatchActions actions;
       ThrottleStartedProbe(this->mShard, aWorker, order, answeredAt, actions);
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -121,6 +121,8 @@
   /// Records a worker as active at once if it is inactive and has answered,
   /// since its lease isn't renewed before.
   asio::awaitable<void> ReactivateIfNeeded(std::string aWorker);
+  /// Counts a call to a worker that has ended.
+  void OnCallEnded(OrderOutcome aOutcome, std::optional<Duration> aLatency);
   /// Time from a report to the next renewal.
   Duration PauseBeforeNextRenewal(const std::string& aWorker, bool aIsGood);
   /// Removes lost workers, stops tasks and plans at a fixed interval. Stops the
@@ -218,6 +220,8 @@
   std::map<std::string, OrderQueue> mOrderQueues;
   /// Workers whose leases are being renewed.
   std::set<std::string> mPolledWorkers;
+  /// Calls to workers since the last log line.
+  CallCounts mCalls;
   InboxReads mInboxReads;
   WaitingSummary mWaiting;
   /// Why starts are forbidden; nothing while they are allowed.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -27,6 +27,7 @@
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx
   Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
+  Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
