Dispatch: Await the ends of tasks on workers that are well but not heard

What callers saw: a task that was done ran again (TWICE).

Cause: the owner took the end of a worker's lease for the loss of the worker's tasks. The lease only proves that they don't run any more. One that has ended as done stays in the worker's list, but the owner started it elsewhere without having heard the list. A worker whose renewal isn't answered isn't renewed again, and one that was just recorded as active has the deadline of its first start as its lease. So a silence of 1.0 s was enough.

Change: while discovery lists a worker that doesn't answer, a task that may be done is given up only 6 s after the end of the lease, so that the worker's list is heard first. Long-running tasks never end as done, and workers that crashed or left leave discovery; both are given up as soon as before, and so are the tasks of a worker that answers that it is unhealthy.

Three older tests of the end of a lease had a worker that discovery still lists; they now say that it has left discovery, with the same times, and the new test covers the listed one with its own bound.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -159,13 +159,16 @@
   }
 }
 
-void SetUnresponsive(DispatchWorker& aWorker, TimePoint aNow)
+void SetUnresponsive(DispatchWorker& aWorker,
+                     OrderOutcome aOutcome,
+                     TimePoint aNow)
 {
   const bool isFirst = !aWorker.mIsUnresponsive && aWorker.mHasAnswered;
   if (isFirst) {
     aWorker.mSilentSince = aNow;
   }
   aWorker.mIsUnresponsive = true;
+  aWorker.mIsUnheard = !IsAnswer(aOutcome);
 }
 
 void ApplyReport(DispatchShard& aShard,
@@ -216,7 +219,7 @@
   if (aReport.mOutcome == OrderOutcome::kOtherIncarnation) {
     OnNewIncarnation(aShard, *worker, aNow);
     aShard.mUnansweredWorkers.erase(aWorker);
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(*worker, aReport.mOutcome, aNow);
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
@@ -227,7 +230,7 @@
         NameOf(aReport.mOutcome),
         (aNow - worker->mLastReportAt).count());
     }
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(*worker, aReport.mOutcome, aNow);
     return;
   }
   const bool isNewIncarnation =
@@ -241,6 +244,7 @@
                  aReport.mIncarnation);
   }
   worker->mIsUnresponsive = false;
+  worker->mIsUnheard = false;
   worker->mHasAnswered = true;
   worker->mIncarnation = aReport.mIncarnation;
   worker->mClock = aReport.mClock;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -34,6 +34,10 @@
 /// Runs are stopped this long, plus the stop timeout, before their worker may
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
+/// Once the lease of a worker is over that discovery lists and that doesn't
+/// answer, its report is awaited for this long before tasks are started
+/// elsewhere that it may list as done.
+constexpr Duration kUnheardEndsWait{ 6'000 };
 
 /// True if a start was refused because of the task or of the order, so that
 /// other tasks may well start on the worker.
@@ -140,6 +144,44 @@
          IsSuspendedTooLong(aShard, aJob, step, aTask, aNow);
 }
 
+/// True if the task may have ended as done on a worker that is well, though its
+/// answers don't arrive. The lease proves only that the task doesn't run.
+bool MayBeDoneUnheard(const DispatchShard& aShard,
+                      const DispatchWorker& aWorker,
+                      const TaskId& aKey,
+                      TimePoint aNow)
+{
+  const bool mayBeWell = aWorker.mIsListed && aWorker.mIsUnheard;
+  const bool isAwaited =
+    aNow < RunsEndAt(aShard, aWorker, aNow) + kUnheardEndsWait;
+  return mayBeWell && isAwaited &&
+         !StepOf(aShard.mJobs.at(aKey.mJob), aKey).mIsLasting;
+}
+
+/// Gives up the runs on an unresponsive worker whose lease is over.
+void ReleaseLostRuns(DispatchShard& aShard,
+                     DispatchWorker& aWorker,
+                     TimePoint aNow)
+{
+  const std::set<TaskId> tasks = aWorker.mTasks;
+  std::size_t released = 0;
+  for (const auto& key : tasks) {
+    if (!MayBeDoneUnheard(aShard, aWorker, key, aNow)) {
+      OnRunLost(aShard, key, aNow);
+      ++released;
+    }
+  }
+  if (released > 0) {
+    spdlog::info("worker.lease-over worker={} tasks={} awaited={} listed={} "
+                 "last_report_ms_ago={}",
+                 aWorker.mEntry.mWorker,
+                 released,
+                 aWorker.mTasks.size(),
+                 aWorker.mIsListed,
+                 (aNow - aWorker.mLastReportAt).count());
+  }
+}
+
 } // namespace
 
 void OnDiscovery(DispatchShard& aShard,
@@ -302,15 +344,8 @@
     DispatchWorker& worker = at->second;
     const bool isLeaseOver = aShard.mIsLeaseProved && worker.mIsUnresponsive &&
                              IsLeaseOver(worker, aNow);
-    if (isLeaseOver && !worker.mTasks.empty()) {
-      spdlog::info("worker.lease-over worker={} tasks={} last_report_ms_ago={}",
-                   at->first,
-                   worker.mTasks.size(),
-                   (aNow - worker.mLastReportAt).count());
-      const std::set<TaskId> tasks = worker.mTasks;
-      for (const auto& key : tasks) {
-        OnRunLost(aShard, key, aNow);
-      }
+    if (isLeaseOver) {
+      ReleaseLostRuns(aShard, worker, aNow);
     }
     // Runs that an earlier owner started may still exist on a worker that has
     // not answered, whether discovery lists it or not.
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -48,7 +48,9 @@
                  TimePoint aNow);
 
 /// Releases the tasks of unresponsive workers whose leases have certainly
-/// expired, and removes workers that are no longer listed and run nothing.
+/// expired. On a worker that discovery lists and that doesn't answer, a task
+/// that may be done is released some time later. Removes workers that are no
+/// longer listed and run nothing.
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow);
 
 /// Orders the runs to stop that must not continue: those of ended jobs, those
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -531,6 +531,7 @@
 {
   Fixture fixture({ "w1" });
   RunAndSilence(fixture);
+  OnDiscovery(fixture.mShard, {}, fixture.mNow);
   // A clock that runs 2% slow ends a lease of 6 s after 6.13 s of ours.
   ReapWorkers(fixture.mShard, TimePoint(6'100));
   CHECK(fixture.Task().mPhase == RunPhase::kRunning);
@@ -538,6 +539,67 @@
   CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
 }
 
+// Guards against two runs of a task: it is done on a worker that is well, but
+// the owner doesn't hear of that and takes the end of the lease for the loss of
+// the task.
+TEST_CASE("a task isn't started elsewhere while its worker may list it as done",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsListed;
+    bool mIsLasting;
+    OrderOutcome mOutcome;
+    bool mIsAwaited;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "unheard", true, false, OrderOutcome::kUnknown, true },
+    { "not reached", true, false, OrderOutcome::kNotSent, true },
+    { "gone from discovery", false, false, OrderOutcome::kUnknown, false },
+    { "a long-running task", true, true, OrderOutcome::kUnknown, false },
+    { "unhealthy", true, false, OrderOutcome::kUnhealthy, false },
+  }));
+  INFO(row.mName);
+  Fixture fixture({ "w1", "w2" });
+  fixture.Add(1);
+  fixture.Job().mRecord.mSpec.mSteps[0].mIsLasting = row.mIsLasting;
+  const auto actions = fixture.Plan();
+  REQUIRE(actions.mStarts.size() == 1);
+  const std::string worker = actions.mStarts[0].mWorker;
+  fixture.Report(worker, { MakeRunning(1) }, {});
+  fixture.mNow += Duration(1);
+  WorkerReport failure;
+  failure.mOutcome = row.mOutcome;
+  OnReport(fixture.mShard,
+           worker,
+           failure,
+           fixture.mNow,
+           fixture.mNow,
+           fixture.mNow.count());
+  if (!row.mIsListed) {
+    OnDiscovery(fixture.mShard, {}, fixture.mNow);
+  }
+  // Only the start's deadline had extended the lease.
+  fixture.mNow = TimePoint(2'000);
+  ReapWorkers(fixture.mShard, fixture.mNow);
+  CHECK((fixture.Task().mPhase == RunPhase::kRunning) == row.mIsAwaited);
+  if (!row.mIsAwaited) {
+    return;
+  }
+  SECTION("the worker answers again")
+  {
+    fixture.Report(worker, {}, { MakeEnd(1, 1, RunEnd::kDone) });
+    CHECK(fixture.Job().mState == BatchState::kCompleted);
+    CHECK(fixture.Plan().mStarts.empty());
+  }
+  SECTION("the worker doesn't answer")
+  {
+    ReapWorkers(fixture.mShard, TimePoint(9'000));
+    CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
+  }
+}
+
 TEST_CASE("questions to a silent worker don't prolong its lease", "[dispatch]")
 {
   Fixture fixture({ "w1" });
@@ -546,6 +608,7 @@
     fixture.mNow += Duration(300);
     Renew(fixture);
   }
+  OnDiscovery(fixture.mShard, {}, fixture.mNow);
   ReapWorkers(fixture.mShard, TimePoint(6'200));
   CHECK(fixture.Task().mPhase == RunPhase::kWaiting);
 }
@@ -555,6 +618,7 @@
 {
   Fixture fixture({ "w1" });
   RunAndSilence(fixture);
+  OnDiscovery(fixture.mShard, {}, fixture.mNow);
   const auto isProved = GENERATE(false, true);
   fixture.mShard.mIsLeaseProved = isProved;
   ReapWorkers(fixture.mShard, TimePoint(6'200));
