--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -15,5 +15,6 @@
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcOwnerPacing.h"
 #include "vcWorkerCalls.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -4,6 +4,7 @@
 #include "vcDispatchProbes.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcOwnerPacing.h"
 
 #include <spdlog/spdlog.h>
 
@@ -469,6 +470,8 @@
                aWorker.mEntry.mWorker,
                task.mFailedRuns.size(),
                (aNow - job.mAcceptedAt).count());
+  aShard.mStartBudget -=
+    StartBytes(order.mText.size() + order.mCheckpoint.size());
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
 }
 
@@ -489,6 +492,9 @@
     aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   TaskId key = aFirstTask;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
+    if (aShard.mStartBudget <= 0) {
+      return;
+    }
     const DispatchTask& task = *FindTask(aShard, key);
     if (!IsWaiting(task, aRound.mNow)) {
       continue;
@@ -705,6 +711,9 @@
   std::sort(candidates.begin(), candidates.end(), ComesBefore);
   Round round = MakeRound(aShard, aNow);
   for (const auto& candidate : candidates) {
+    if (aShard.mStartBudget <= 0) {
+      return;
+    }
     const StepSpec& step =
       StepOf(aShard.mJobs.at(candidate.mFirstTask.mJob), candidate.mFirstTask);
     if (step.mIsGang) {
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -5,6 +5,7 @@
 #include "vcInterference.h"
 #include "vcWorkerOrders.h"
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -341,6 +342,9 @@
   bool mIsFenced = false;
   /// Starts are allowed; cleared while ownership is uncertain.
   bool mMayStart = true;
+  /// Bytes of start orders that the owner's link has room for. Nothing is
+  /// started once it is used up; the last order may exceed it.
+  double mStartBudget = std::numeric_limits<double>::infinity();
   /// Leases of the workers are renewed; cleared once another owner may count on
   /// their end.
   bool mMayRenew = true;
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -53,7 +53,7 @@
   SOURCES vcDispatchJobs.cxx vcDispatchThrottling.cxx vcDispatchPlacement.cxx
     vcDispatchProbes.cxx vcDispatchReports.cxx vcDispatchSharing.cxx
     vcDispatchState.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
-    vcDispatchWorkerSet.cxx vcWorkerCalls.cxx
+    vcDispatchWorkerSet.cxx vcOwnerPacing.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcFormerOwner.cxx vcMembership.cxx
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -33,6 +33,10 @@
     aFaults.push_back(
       { "$.processors", std::to_string(aSettings.mProcessors), "more than 0" });
   }
+  if (aSettings.mLinkMbps <= 0) {
+    aFaults.push_back(
+      { "$.linkMbps", std::to_string(aSettings.mLinkMbps), "more than 0" });
+  }
   if (aSettings.mBounds.mGraceSeconds <= 0) {
     aFaults.push_back({ "$.bounds.graceSeconds",
                         std::to_string(aSettings.mBounds.mGraceSeconds),
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -51,6 +51,8 @@
   /// Processors that the process may use. Nodes with more processors claim
   /// shards first.
   double mProcessors = 1;
+  /// Bandwidth of the instance's network link, in Mbit/s.
+  double mLinkMbps = 100;
   /// Intended number of workers per shard.
   std::uint32_t mWorkersPerShard = 400;
   /// Maximum number of log lines per second. Further lines are counted but not
@@ -70,6 +72,7 @@
                        mLeastLeaseMs,
                        mBounds,
                        mProcessors,
+                       mLinkMbps,
                        mWorkersPerShard,
                        mLogLinesPerSecond,
                        mLogLevel))
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -139,16 +139,22 @@
   }
 }
 
-void LogWorkerCalls(CallCounts& aCalls, std::uint32_t aNumber)
+void LogWorkerCalls(CallCounts& aCalls,
+                    const OwnerPacing& aPacing,
+                    std::uint32_t aNumber)
 {
-  spdlog::info("shard.calls shard={} answered={} failed={} timed={} "
-               "least_ms={} max_ms={}",
-               aNumber,
-               aCalls.mAnswered,
-               aCalls.mFailed,
-               aCalls.mTimed,
-               aCalls.mLeastLatency.count(),
-               aCalls.mMaxLatency.count());
+  spdlog::info(
+    "shard.calls shard={} answered={} failed={} timed={} "
+    "least_ms={} max_ms={} reply_rate={:.0f} start_rate={:.0f} congested={}",
+    aNumber,
+    aCalls.mAnswered,
+    aCalls.mFailed,
+    aCalls.mTimed,
+    aCalls.mLeastLatency.count(),
+    aCalls.mMaxLatency.count(),
+    aPacing.mReplies.mRate,
+    aPacing.mStarts.mRate,
+    aPacing.mIsCongested);
   aCalls = {};
 }
 
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -60,7 +60,9 @@
 
 /// Logs how the owner's calls to its workers went, and starts the counts again.
 /// @param aNumber number of the shard
-void LogWorkerCalls(CallCounts& aCalls, std::uint32_t aNumber);
+void LogWorkerCalls(CallCounts& aCalls,
+                    const OwnerPacing& aPacing,
+                    std::uint32_t aNumber);
 
 /// Logs the shard's waiting tasks, one line for each reason.
 /// @param aNumber number of the shard
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -45,6 +45,16 @@
 /// Maximum number of concurrent orders to one worker.
 constexpr int kSendersPerWorker = 2;
 
+/// Number of runs on all workers of the shard.
+std::size_t CountRuns(const DispatchShard& aShard)
+{
+  std::size_t runs = 0;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    runs += worker.mTasks.size();
+  }
+  return runs;
+}
+
 template<class Rows>
 auto PopFront(Rows& aRows)
 {
@@ -149,6 +159,10 @@
 asio::awaitable<void> ShardRunner::PollWorker(std::string aWorker)
 {
   while (!this->mIsStopped) {
+    co_await this->WaitForLink(aWorker);
+    if (this->mIsStopped) {
+      break;
+    }
     DispatchWorker* worker = FindWorker(this->mShard, aWorker);
     if (worker == nullptr) {
       break;
@@ -185,10 +199,25 @@
   this->mPolledWorkers.erase(aWorker);
 }
 
+asio::awaitable<void> ShardRunner::WaitForLink(std::string aWorker)
+{
+  const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
+  if (worker == nullptr) {
+    co_return;
+  }
+  const TimePoint now = SuspendAwareNow();
+  const TimePoint sendAt =
+    ReserveReply(this->mPacing, ReplyBytes(worker->mTasks.size()), now);
+  if (sendAt > now) {
+    co_await Sleep(sendAt - now);
+  }
+}
+
 void ShardRunner::OnCallEnded(OrderOutcome aOutcome,
                               std::optional<Duration> aLatency)
 {
   CountCall(this->mCalls, aOutcome, aLatency);
+  CountCall(this->mPacing.mPeriod, aOutcome, aLatency);
 }
 
 Duration ShardRunner::PauseBeforeNextRenewal(const std::string& aWorker,
@@ -321,7 +350,7 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
-      LogWorkerCalls(this->mCalls, this->mShardNumber);
+      LogWorkerCalls(this->mCalls, this->mPacing, this->mShardNumber);
       this->mWaiting =
         SummarizeWaiting(this->mShard, loadLoggedAt, WallClockMs());
       LogWaiting(this->mWaiting, this->mShardNumber);
@@ -336,6 +365,12 @@
       this->Stop();
       break;
     }
+    AdaptRates(this->mPacing,
+               this->mNode.mSettings.mLinkMbps,
+               this->mShard.mWorkers.size(),
+               CountRuns(this->mShard),
+               this->mShard.mBounds.mMaxLease,
+               SuspendAwareNow());
     this->CopyNodeStateToShard(SuspendAwareNow());
     this->LogBarrierEnd(SuspendAwareNow());
     ReapWorkers(this->mShard, SuspendAwareNow());
@@ -358,8 +393,13 @@
   }
   const TimePoint now = SuspendAwareNow();
   this->CopyNodeStateToShard(now);
+  const double budget = StartBudget(
+    this->mPacing, this->mShard.mStartBudget, this->mStartBudgetAt, now);
+  this->mStartBudgetAt = now;
+  this->mShard.mStartBudget = budget;
   DispatchActions actions;
   PlanStarts(this->mShard, now, WallClockMs(), actions);
+  this->mPacing.mStarts.mUsed += budget - this->mShard.mStartBudget;
   this->EnqueueOrders(actions);
   this->mPlanTime = SuspendAwareNow() - now;
   this->mInboxReads.mMaxPlanTime =
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -121,6 +121,8 @@
   /// Records a worker as active at once if it is inactive and has answered,
   /// since its lease isn't renewed before.
   asio::awaitable<void> ReactivateIfNeeded(std::string aWorker);
+  /// Waits until the owner's link has room for the worker's next report.
+  asio::awaitable<void> WaitForLink(std::string aWorker);
   /// Counts a call to a worker that has ended.
   void OnCallEnded(OrderOutcome aOutcome, std::optional<Duration> aLatency);
   /// Time from a report to the next renewal.
@@ -222,6 +224,9 @@
   std::set<std::string> mPolledWorkers;
   /// Calls to workers since the last log line.
   CallCounts mCalls;
+  OwnerPacing mPacing;
+  /// When the start budget of the shard was last filled up.
+  TimePoint mStartBudgetAt{ kNever };
   InboxReads mInboxReads;
   WaitingSummary mWaiting;
   /// Why starts are forbidden; nothing while they are allowed.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -23,7 +23,8 @@
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
   Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
   Tests/Unit/vcDispatchWaitTest.cxx Tests/Unit/vcWorkerSetTest.cxx
-  Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
+  Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcOwnerPacingTest.cxx
+  Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx
   Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
