Dispatch: Let a takeover await the ends of workers that are well but not heard

What callers saw: a task that was done ran again (TWICE), after a takeover.

A new owner starts older jobs once the runs on workers that don't answer it are over, by the time that is recorded for them or by what the former owner tells of its leases. Both prove that nothing runs there, not that nothing is done there.

Change: an unanswered worker that discovery lists is awaited for 6 s more, as by an owner that has used it. Until discovery is read, every recorded worker counts as listed. How long ago the runs on an inactive worker have ended is recorded too, so the wait doesn't begin anew with each owner.

Result: "a takeover awaits the answer of a worker that may be well" (unit test) fails without the change in its third row and passes with it.

--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -46,21 +46,46 @@
          aWorker.mAckIndex >= aWorker.mSeenIndex;
 }
 
-/// True if the worker is silent and everything that ran there has ended. While
-/// this owner's lease isn't proved, another owner may renew the worker.
-bool IsAbandoned(const DispatchShard& aShard,
-                 const DispatchWorker& aWorker,
-                 TimePoint aNow)
+/// Time until which the answer of an unanswered worker is awaited.
+TimePoint AwaitedUntil(const DispatchShard& aShard,
+                       const std::string& aName,
+                       const UnansweredWorker& aWorker)
 {
-  return MustBeInactive(aWorker, aNow) && aWorker.mTasks.empty() &&
-         aShard.mIsLeaseProved && aNow > RunsEndAt(aShard, aWorker, aNow);
+  const auto known = aShard.mWorkers.find(aName);
+  const bool mayBeWell =
+    known != aShard.mWorkers.end() && known->second.mIsListed;
+  return aWorker.mRunsEndAt + (mayBeWell ? kUnheardEndsWait : Duration(0));
 }
 
 bool IsOver(const DispatchShard& aShard,
+            const std::string& aName,
             const UnansweredWorker& aWorker,
             TimePoint aNow)
 {
-  return aShard.mIsLeaseProved && aNow >= aWorker.mRunsEndAt;
+  return aShard.mIsLeaseProved && aNow >= AwaitedUntil(aShard, aName, aWorker);
+}
+
+/// True if the worker was used by an earlier owner, is unanswered, and its
+/// answer is awaited.
+bool IsAwaited(const DispatchShard& aShard,
+               const DispatchWorker& aWorker,
+               TimePoint aNow)
+{
+  const std::string& name = aWorker.mEntry.mWorker;
+  const auto row = aShard.mUnansweredWorkers.find(name);
+  return row != aShard.mUnansweredWorkers.end() &&
+         !IsOver(aShard, name, row->second, aNow);
+}
+
+/// True if the worker is silent and everything that ran there has ended. While
+/// this owner's lease isn't proved, another owner may renew the worker.
+bool IsAbandoned(const DispatchShard& aShard,
+                 const DispatchWorker& aWorker,
+                 TimePoint aNow)
+{
+  return MustBeInactive(aWorker, aNow) && aWorker.mTasks.empty() &&
+         aShard.mIsLeaseProved && aNow > RunsEndAt(aShard, aWorker, aNow) &&
+         !IsAwaited(aShard, aWorker, aNow);
 }
 
 } // namespace
@@ -174,7 +199,7 @@
 void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow)
 {
   std::erase_if(aShard.mUnansweredWorkers, [&](const auto& aRow) {
-    return IsOver(aShard, aRow.second, aNow);
+    return IsOver(aShard, aRow.first, aRow.second, aNow);
   });
 }
 
@@ -182,7 +207,7 @@
 {
   std::uint64_t revision = 0;
   for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
-    if (!IsOver(aShard, worker, aNow)) {
+    if (!IsOver(aShard, name, worker, aNow)) {
       revision = std::max(revision, worker.mNoJobsAfter);
     }
   }
@@ -193,17 +218,18 @@
 {
   TimePoint endsAt = kNever;
   for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
-    endsAt = std::max(endsAt, worker.mRunsEndAt);
+    endsAt = std::max(endsAt, AwaitedUntil(aShard, name, worker));
   }
   return endsAt;
 }
 
 bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow)
 {
-  return std::all_of(
-    aShard.mUnansweredWorkers.begin(),
-    aShard.mUnansweredWorkers.end(),
-    [&](const auto& aRow) { return IsOver(aShard, aRow.second, aNow); });
+  return std::all_of(aShard.mUnansweredWorkers.begin(),
+                     aShard.mUnansweredWorkers.end(),
+                     [&](const auto& aRow) {
+                       return IsOver(aShard, aRow.first, aRow.second, aNow);
+                     });
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -15,6 +15,11 @@
 
 namespace verbenacroft {
 
+/// A worker that discovery lists and that doesn't answer may be well, and may
+/// list tasks as done. After the end of all its runs its answer is awaited for
+/// this long before such tasks are started elsewhere.
+constexpr Duration kUnheardEndsWait{ 6'000 };
+
 /// True if the worker set in the store has to contain the worker: because tasks
 /// may be started there, or because the next owner has to ask it what runs
 /// there. A worker isn't contained any more once nothing can run there: it is
@@ -73,7 +78,7 @@
                    TimePoint aNow);
 
 /// Forgets the unanswered workers on which all runs of earlier owners have
-/// ended.
+/// ended and whose answer isn't awaited any more.
 void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow);
 
 /// Highest revision of the store at which a job can have been accepted that
@@ -81,13 +86,14 @@
 /// be started.
 std::uint64_t LastHeldRevision(const DispatchShard& aShard, TimePoint aNow);
 
-/// Latest time by which all runs on unanswered workers have ended; `kNever` if
-/// every worker has answered.
+/// Latest time until which the answer of an unanswered worker is awaited;
+/// `kNever` if every worker has answered.
 TimePoint BarrierEndsAt(const DispatchShard& aShard);
 
 /// True once no run started by an earlier owner can be unknown to this one:
-/// every worker that an earlier owner used has answered, or the time for which
-/// its runs may last has passed while this owner's lease is valid.
+/// every worker that an earlier owner used has answered, or the time has
+/// passed, while this owner's lease is valid, for which its runs may last and
+/// for which the answer of one that may be well is awaited.
 bool IsBarrierClear(const DispatchShard& aShard, TimePoint aNow);
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -34,10 +34,6 @@
 /// Runs are stopped this long, plus the stop timeout, before their worker may
 /// leave.
 constexpr Duration kLeaveMargin{ 600 };
-/// Once the lease of a worker is over that discovery lists and that doesn't
-/// answer, its report is awaited for this long before tasks are started
-/// elsewhere that it may list as done.
-constexpr Duration kUnheardEndsWait{ 6'000 };
 
 /// True if a start was refused because of the task or of the order, so that
 /// other tasks may well start on the worker.
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -41,6 +41,14 @@
     });
 }
 
+/// Time in ms until all runs on an inactive worker end, as it is recorded.
+/// Negative once they have ended, so that no later owner awaits the worker's
+/// answer from the start.
+std::int64_t RecordedTimeUntil(TimePoint aEndAt, TimePoint aNow)
+{
+  return std::max(aEndAt - aNow, -kUnheardEndsWait).count();
+}
+
 /// Takes the current revisions of the records from a failed write.
 void TakeRevisions(const KvReply& aReply,
                    std::uint32_t aShard,
@@ -101,6 +109,8 @@
     worker.mEndpoint = *endpoint;
     worker.mLastReportAt = aNow;
     worker.mSilentSince = aNow;
+    // Until discovery is read.
+    worker.mIsListed = true;
     const auto row = inactive.find(member.mWorker);
     if (row == inactive.end()) {
       AddActiveWorker(this->mShard,
@@ -122,7 +132,7 @@
 {
   const std::string& name = aWorker.mEntry.mWorker;
   const TimePoint endAt = RunsEndAt(this->mShard, aWorker, aNow);
-  const auto endIn = std::max<std::int64_t>((endAt - aNow).count(), 0);
+  const std::int64_t endIn = RecordedTimeUntil(endAt, aNow);
   if (!aWorker.mIsInactive) {
     spdlog::info("worker.inactive worker={} shard={} runs_end_in_ms={} "
                  "last_report_ms_ago={}",
@@ -297,10 +307,9 @@
   inactive.mGeneration = workerSet.mGeneration;
   for (const auto& [name, worker] : this->mShard.mWorkers) {
     if (worker.mIsInactive) {
-      const Duration endIn = RunsEndAt(this->mShard, worker, now) - now;
-      inactive.mWorkers.push_back({ name,
-                                    std::max<std::int64_t>(endIn.count(), 0),
-                                    worker.mNoJobsAfter });
+      const TimePoint endAt = RunsEndAt(this->mShard, worker, now);
+      inactive.mWorkers.push_back(
+        { name, RecordedTimeUntil(endAt, now), worker.mNoJobsAfter });
     }
   }
   AddWorkerSet(aWrite, this->mShardNumber, workerSet, inactive);
--- a/Source/Node/vcWorkerSetRecords.h
+++ b/Source/Node/vcWorkerSetRecords.h
@@ -47,7 +47,7 @@
   /// Name of the worker.
   std::string mWorker;
   /// Time in ms, from any moment after the record was written, by which all
-  /// runs on the worker have ended.
+  /// runs on the worker have ended; negative if they have ended before.
   std::int64_t mRunsEndInMs = 0;
   /// No job that was accepted after this revision of the store was started on
   /// the worker.
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -102,6 +102,41 @@
   CHECK(shard.IsRecorded() == row.mIsRecorded);
 }
 
+// Guards against two runs of a task after a takeover: it is done on a worker
+// that is well, but the new owner doesn't hear of that.
+TEST_CASE("a takeover awaits the answer of a worker that may be well",
+          "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsListed;
+    Duration mAfterRunsEnd;
+    bool mIsClear;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "gone, before its runs have ended", false, Duration(-1), false },
+    { "gone, once its runs have ended", false, Duration(0), true },
+    { "listed, once its runs have ended", true, Duration(0), false },
+    { "listed, its answer was awaited", true, kUnheardEndsWait, true },
+  }));
+  CAPTURE(row.mName);
+  constexpr Duration kRunsEndIn{ 3'000 };
+  constexpr std::uint64_t kNoJobsAfter = 30;
+  DispatchShard shard;
+  shard.mEpoch = kEpoch;
+  AddInactiveWorker(shard, "w1", kRunsEndIn, kNoJobsAfter, TimePoint(0));
+  DispatchWorker& worker = shard.mWorkers.at("w1");
+  worker.mEntry.mWorker = "w1";
+  worker.mIsListed = row.mIsListed;
+  const TimePoint now = TimePoint(0) + kRunsEndIn + row.mAfterRunsEnd;
+  ForgetEndedRuns(shard, now);
+  CHECK(IsBarrierClear(shard, now) == row.mIsClear);
+  CHECK(LastHeldRevision(shard, now) == (row.mIsClear ? 0 : kNoJobsAfter));
+  // The next owner has to know of it as well.
+  CHECK(MustBeRecorded(shard, worker, now + Duration(1)) != row.mIsClear);
+}
+
 // Guards against a run that outlasts the time that was recorded for the next
 // owner, so that its task runs twice.
 TEST_CASE("an inactive worker isn't renewed or used until it is active again",
