Node: Give a shard as many workers as the link of its owner carries

What callers saw: work that was accepted waited beside free workers (LOST) where all nodes have narrow links.

Cause: the number of shards was derived from the number of workers alone.

Change: the workers of a shard are also bounded by the owner's link, at 2,000 bytes a second for each worker on 0.4 of the link. The nodes with the most processors claim the shards, so one of them decides. With links of 16 Mbit/s and more nothing changes.

Unit test "a shard has as many workers as its owner's link carries".

--- a/Source/Dispatch/vcOwnerPacing.cxx
+++ b/Source/Dispatch/vcOwnerPacing.cxx
@@ -75,6 +75,11 @@
 
 } // namespace
 
+double LinkBytesPerSecond(double aMbps)
+{
+  return aMbps * kBytesPerMbit;
+}
+
 double ReplyBytes(std::size_t aRuns)
 {
   return kReplyBytes + kRowBytes * static_cast<double>(aRuns);
@@ -108,7 +113,7 @@
                 Duration aMaxLease,
                 TimePoint aNow)
 {
-  const double link = aLinkMbps * kBytesPerMbit;
+  const double link = LinkBytesPerSecond(aLinkMbps);
   const double allReplies = kReplyBytes * static_cast<double>(aWorkers) +
                             kRowBytes * static_cast<double>(aRuns);
   const RateLimits replies{
--- a/Source/Dispatch/vcOwnerPacing.h
+++ b/Source/Dispatch/vcOwnerPacing.h
@@ -47,6 +47,9 @@
   bool mIsCongested = false;
 };
 
+/// Bytes per second of a link of this bandwidth.
+double LinkBytesPerSecond(double aMbps);
+
 /// Expected size in bytes of a reply that lists `aRuns` runs, with all that
 /// its call adds on the link.
 double ReplyBytes(std::size_t aRuns);
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -1,5 +1,7 @@
 #include "vcNodeSettings.h"
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -10,6 +12,11 @@
 constexpr Duration kGracePeriod{ 5'000 };
 constexpr std::size_t kInternalPortCount = 2;
 constexpr double kMsPerSecond = 1'000;
+/// Bytes per second, in the direction with more of them, for the orders to a
+/// busy worker, its reports and the records of its work in the store.
+constexpr double kBytesPerWorker = 2'000;
+/// Part of an owner's link for these.
+constexpr double kSchedulingShare = 0.4;
 
 } // namespace
 
@@ -51,6 +58,14 @@
   return std::max(kMinLeaseTtl, aSettings.mLeastLeaseMs);
 }
 
+std::uint32_t WorkersPerShardOf(const NodeSettings& aSettings)
+{
+  const double link = LinkBytesPerSecond(aSettings.mLinkMbps);
+  const double carried = kSchedulingShare * link / kBytesPerWorker;
+  const double least = std::min<double>(carried, aSettings.mWorkersPerShard);
+  return std::max(1U, static_cast<std::uint32_t>(least));
+}
+
 DispatchBounds DispatchBoundsOf(const NodeSettings& aSettings)
 {
   const NodeBounds& from = aSettings.mBounds;
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -53,7 +53,7 @@
   double mProcessors = 1;
   /// Bandwidth of the instance's network link, in Mbit/s.
   double mLinkMbps = 100;
-  /// Intended number of workers per shard.
+  /// Intended number of workers per shard, if the link carries as many.
   std::uint32_t mWorkersPerShard = 400;
   /// Maximum number of log lines per second. Further lines are counted but not
   /// written.
@@ -80,6 +80,10 @@
 /// Appends a fault for each setting that is missing or out of range.
 void CheckNodeSettings(const NodeSettings& aSettings, Faults& aFaults);
 
+/// Number of workers per shard that the owner's link carries, at most
+/// `mWorkersPerShard`.
+std::uint32_t WorkersPerShardOf(const NodeSettings& aSettings);
+
 /// Bounds of the dispatch core that follow from the settings.
 DispatchBounds DispatchBoundsOf(const NodeSettings& aSettings);
 
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -6,6 +6,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -136,6 +138,15 @@
   co_await ReadOwner(aNode, aShard);
 }
 
+/// True if no other known node has more processors.
+bool IsLargest(const NodeContext& aNode)
+{
+  return std::none_of(
+    aNode.mNodes.begin(), aNode.mNodes.end(), [&](const auto& aRow) {
+      return aRow.second.mProcessors > aNode.mSettings.mProcessors;
+    });
+}
+
 /// Writes the number of shards once the size of the fleet is stable.
 asio::awaitable<void> WriteLayoutOnceStable(NodeContext& aNode,
                                             FleetSizeTracker& aTracker)
@@ -144,10 +155,17 @@
     co_await ReadAllPages(aNode, aNode.mCodec.mDiscoveryPrefix);
   const auto workers = static_cast<std::uint32_t>(listed.mItems.size());
   const bool isCounted = listed.mStatus == KvStatus::kOk && workers > 0;
-  if (!isCounted || !IsFleetSizeStable(aTracker, workers, SuspendAwareNow())) {
+  const TimePoint now = SuspendAwareNow();
+  if (!isCounted || !IsFleetSizeStable(aTracker, workers, now)) {
+    co_return;
+  }
+  // The largest nodes claim the shards, so their links decide.
+  const bool mayDecide =
+    IsLargest(aNode) || now - aTracker.mFirstCountAt >= kMaxFleetStartup;
+  if (!mayDecide) {
     co_return;
   }
-  const std::uint32_t each = aNode.mSettings.mWorkersPerShard;
+  const std::uint32_t each = WorkersPerShardOf(aNode.mSettings);
   LayoutRecord layout;
   layout.mShards = std::max<std::uint32_t>(1, (workers + each / 2) / each);
   KvTransaction write;
--- a/Tests/Unit/vcOwnerPacingTest.cxx
+++ b/Tests/Unit/vcOwnerPacingTest.cxx
@@ -1,6 +1,7 @@
-/// The pacing of an owner's calls by what its link carries.
+/// The pacing of an owner's calls by what its link carries, and the size of
+/// shards that follows from it.
 
-#include "vcDispatch.h"
+#include "vcNode.h"
 
 #include <catch2/catch.hpp>
 
@@ -138,4 +139,25 @@
   CHECK(StartBudget(pacing, 0, now, now + Duration(1'000)) > 0);
 }
 
+// Guards against a shard with more workers than the link of its owner carries.
+TEST_CASE("a shard has as many workers as its owner's link carries", "[pacing]")
+{
+  struct Row
+  {
+    double mLinkMbps;
+    std::uint32_t mAtMost;
+    std::uint32_t mWorkers;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 1'000, 400, 400 },
+    { 2, 400, 50 },
+    { 2, 30, 30 },
+    { 0.01, 400, 1 },
+  }));
+  NodeSettings settings;
+  settings.mLinkMbps = row.mLinkMbps;
+  settings.mWorkersPerShard = row.mAtMost;
+  CHECK(WorkersPerShardOf(settings) == row.mWorkers);
+}
+
 } // namespace verbenacroft
