--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -5,6 +5,7 @@
 #include "vcInterference.h"
 #include "vcWorkerOrders.h"
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -229,6 +230,8 @@
   TimePoint mLastReportAt{ kNever };
   /// The last renewal did not succeed.
   bool mIsUnresponsive = false;
+  /// It wasn't answered at all.
+  bool mIsUnheard = false;
   /// When the first renewal since the last report failed, or, if the worker has
   /// never answered, when it became known. Only valid while it is silent.
   TimePoint mSilentSince{ kNever };
@@ -339,6 +342,9 @@
   bool mIsFenced = false;
   /// Starts are allowed; cleared while ownership is uncertain.
   bool mMayStart = true;
+  /// Bytes of start orders that the owner's link has room for. Nothing is
+  /// started once it is used up; the last order may exceed it.
+  double mStartBudget = std::numeric_limits<double>::infinity();
   /// Leases of the workers are renewed; cleared once another owner may count on
   /// their end.
   bool mMayRenew = true;
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -139,6 +139,25 @@
   }
 }
 
+void LogWorkerCalls(CallCounts& aCalls,
+                    const OwnerPacing& aPacing,
+                    std::uint32_t aNumber)
+{
+  spdlog::info(
+    "shard.calls shard={} answered={} failed={} timed={} "
+    "least_ms={} max_ms={} reply_rate={:.0f} start_rate={:.0f} congested={}",
+    aNumber,
+    aCalls.mAnswered,
+    aCalls.mFailed,
+    aCalls.mTimed,
+    aCalls.mLeastLatency.count(),
+    aCalls.mMaxLatency.count(),
+    aPacing.mReplies.mRate,
+    aPacing.mStarts.mRate,
+    aPacing.mIsCongested);
+  aCalls = {};
+}
+
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber)
 {
   for (const auto& [reason, row] : aWaiting) {
