Tests: Cover odd entries and store items among good ones

Entries of workers that are nested 100,000 deep, hold numbers up to 1e300, ports out of range or bytes that aren't UTF-8 are refused with a fault; odd items of a store reply leave the others as they are.

--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -25,7 +25,7 @@
   Tests/Unit/vcDispatchWaitTest.cxx Tests/Unit/vcWorkerSetTest.cxx
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
-  Tests/Unit/vcStoreOutcomeTest.cxx
+  Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
   Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
--- /dev/null
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -0,0 +1,114 @@
+/// Odd items among good ones in what other writers, operators, callers and
+/// workers send: the good ones hold, nothing throws, and no number is taken for
+/// another one.
+
+#include "vcSitePlatform.h"
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+HttpResult Answered(std::string aBody)
+{
+  HttpResult result;
+  result.mWasSent = true;
+  result.mResponse.mStatus = 200;
+  result.mResponse.mBody = std::move(aBody);
+  return result;
+}
+
+std::string Nested(int aDepth)
+{
+  return std::string(aDepth, '[') + std::string(aDepth, ']');
+}
+
+/// A worker's entry with one more member, which replaces an earlier one of the
+/// same name.
+std::string EntryWith(const std::string& aMember)
+{
+  return R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+         R"("state":"ready","born":1700000000000,)"
+         R"("capacity":{"cpu":1000,"mem_mb":10},"labels":["a"])" +
+         (aMember.empty() ? "" : "," + aMember) + "}";
+}
+
+std::string StepWith(const std::string& aMember)
+{
+  return R"({"steps":[{"count":1,"cpu":5},{"count":1,)" + aMember + "}]}";
+}
+
+} // namespace
+
+TEST_CASE("an odd entry names no worker, and nothing throws", "[odd]")
+{
+  const auto text = GENERATE_COPY(
+    as<std::string>{},
+    Nested(31),
+    Nested(100'000),
+    EntryWith(R"("more":)" + Nested(100'000)),
+    EntryWith(R"("more":)" + std::string(1, '"') + "\xff\xfe\""),
+    EntryWith(R"("born":1e300)"),
+    EntryWith(R"("born":18446744073709551616)"),
+    EntryWith(R"("cold_remaining_ms":1e19)"),
+    EntryWith(R"("cold_remaining_ms":NaN)"),
+    EntryWith(R"("address":"10.0.0.1:0")"),
+    EntryWith(R"("address":"10.0.0.1:70000")"),
+    EntryWith(R"("address":"10.0.0.1:99999999999")"),
+    EntryWith(R"("address":"10.0.0.1:-1")"),
+    EntryWith(R"("address":":80")"),
+    EntryWith(R"("address":"::1")"),
+    EntryWith(R"("address":"[::1:80")"),
+    EntryWith(R"("address":")" + std::string(1'000'000, 'x') + R"(:80")"),
+    EntryWith(R"("address":8080)"),
+    EntryWith(R"("state":"READY")"),
+    EntryWith(R"("capacity":[])"));
+  INFO(text.substr(0, 200));
+  Faults faults;
+  CHECK_FALSE(DecodeWorkerEntry("servers/i-1", text, faults));
+  CHECK_FALSE(faults.empty());
+}
+
+TEST_CASE("an unusual but valid entry names a worker", "[odd]")
+{
+  const auto text =
+    GENERATE_COPY(as<std::string>{},
+                  EntryWith(""),
+                  EntryWith(R"("more":[[[[1e300]]]],"new":null)"),
+                  EntryWith(R"("more":1e999)"),
+                  EntryWith(R"("address":"[2001:db8::1]:65535")"),
+                  EntryWith(R"("born":1.7e12,"cold_remaining_ms":0.5)"),
+                  EntryWith(R"("state":"draining")"));
+  INFO(text);
+  Faults faults;
+  const auto entry = DecodeWorkerEntry("servers/i-1", text, faults);
+  REQUIRE(entry);
+  CHECK(entry->mCapacity.mMilliCpu == 1'000);
+}
+
+TEST_CASE("an odd item of a store reply leaves the others as they are", "[odd]")
+{
+  const auto item =
+    GENERATE_COPY(as<std::string>{},
+                  "7",
+                  "null",
+                  "[[]]",
+                  R"({"key":7,"value":"YQ==","revision":1})",
+                  R"({"key":"servers/odd","value":7,"revision":1})",
+                  R"({"key":"servers/odd","value":"*","revision":1e300})",
+                  R"({"key":"servers/odd","value":"YQ","revision":1e19})",
+                  R"({"key":"servers/odd","value":"YQ==","lease":-1.5e18})");
+  INFO(item);
+  const KvReply reply = DecodeStoreReply(Answered(
+    R"({"as_of":9,"items":[{"key":"servers/a","value":"YQ==","revision":3},)" +
+    item + R"(,{"key":"servers/b","value":"Yg==","revision":4}]})"));
+  CHECK(reply.mStatus == KvStatus::kOk);
+  CHECK(reply.mRevision == 9);
+  REQUIRE(reply.mItems.size() >= 2);
+  CHECK(reply.mItems.front().mValue == "a");
+  CHECK(reply.mItems.back().mValue == "b");
+  CHECK(reply.mItems.back().mRevision == 4);
+}
+
+} // namespace verbenacroft
