--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -111,4 +111,38 @@
   CHECK(reply.mItems.back().mRevision == 4);
 }
 
+// Guards against sums of resources that overflow, by which a task that no
+// worker has room for fits any of them.
+TEST_CASE("an amount too large for sums is refused", "[odd]")
+{
+  const auto amount = GENERATE(
+    as<std::string>{}, "9223372036854775807", "9223372036854775000", "1e15");
+  const auto name = GENERATE(as<std::string>{}, "cpu", "mem_mb", "gpus");
+  INFO(name << " " << amount);
+  Faults faults;
+  const std::string member = "\"" + name + "\":" + amount;
+  const auto spec = DecodeBatchSpec(StepWith(member), faults);
+  CHECK_FALSE(spec);
+  if (spec) {
+    const Resources used{ 1'000, 1'000, 1 };
+    const Resources capacity{ 64'000, 250'000, 8 };
+    CHECK_FALSE(Fits(used + spec->mSteps[1].mNeeds, capacity));
+  }
+  const auto entry = DecodeWorkerEntry(
+    "servers/i-1", EntryWith(R"("capacity":{)" + member + "}"), faults);
+  CHECK_FALSE(entry);
+  CHECK(faults.size() == 2);
+}
+
+// Guards against a worker with less than no room, which other numbers are
+// divided by.
+TEST_CASE("a worker's negative capacity names no worker", "[odd]")
+{
+  const auto name = GENERATE(as<std::string>{}, "cpu", "mem_mb", "gpus");
+  Faults faults;
+  CHECK_FALSE(DecodeWorkerEntry(
+    "servers/i-1", EntryWith(R"("capacity":{")" + name + R"(":-1})"), faults));
+  CHECK_FALSE(faults.empty());
+}
+
 } // namespace verbenacroft
