Site: Refuse a dependency on a step number that can't be

A step's "after" was read as a double and cast to 32 bits. A fraction was cut off, so that 0.5 became step 0, and a number out of range was cast without bounds, which is undefined. A job could be accepted that waits for a step that its caller didn't name.

--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -145,4 +145,33 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against a number that is cut to that of another step, so that a job
+// is accepted that waits for a step that its caller didn't name.
+TEST_CASE("a dependency on a step that can't be is refused", "[odd]")
+{
+  const auto after = GENERATE(as<std::string>{},
+                              "4294967296",
+                              "18446744073709551616",
+                              "1e19",
+                              "1e300",
+                              "0.5",
+                              "-1",
+                              "-0.5",
+                              "\"0\"",
+                              "null",
+                              "[0]");
+  INFO(after);
+  Faults faults;
+  CHECK_FALSE(DecodeBatchSpec(StepWith(R"("after":[)" + after + "]"), faults));
+  CHECK_FALSE(faults.empty());
+}
+
+TEST_CASE("a dependency may be written with a fraction of 0", "[odd]")
+{
+  Faults faults;
+  const auto spec = DecodeBatchSpec(StepWith(R"("after":[0.0])"), faults);
+  REQUIRE(spec);
+  CHECK(spec->mSteps[1].mAfter == std::vector<std::uint32_t>{ 0 });
+}
+
 } // namespace verbenacroft
