Site: Refuse a configuration whose priority is out of range

A queue's priority was cast to 32 bits: became 0, the priority that comes first and may preempt others.

--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -39,6 +39,11 @@
   return R"({"steps":[{"count":1,"cpu":5},{"count":1,)" + aMember + "}]}";
 }
 
+std::string RouteWith(const std::string& aMember)
+{
+  return R"({"version":1,"routes":[{"name":"r",)" + aMember + "}]}";
+}
+
 } // namespace
 
 TEST_CASE("an odd entry names no worker, and nothing throws", "[odd]")
@@ -174,4 +179,19 @@
   CHECK(spec->mSteps[1].mAfter == std::vector<std::uint32_t>{ 0 });
 }
 
+// Guards against a queue's priority that is cut to another one.
+TEST_CASE("a priority or count out of range isn't cut", "[odd]")
+{
+  const auto text = GENERATE_COPY(as<std::string>{},
+                                  RouteWith(R"("priority":4294967296)"),
+                                  RouteWith(R"("priority":-2147483649)"),
+                                  RouteWith(R"("priority":1e300)"),
+                                  RouteWith(R"("max_attempts":4294967297)"),
+                                  RouteWith(R"("max_attempts":-1)"));
+  INFO(text);
+  Faults faults;
+  CHECK_FALSE(DecodeFleetConfig(text, faults));
+  CHECK_FALSE(faults.empty());
+}
+
 } // namespace verbenacroft
