--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -194,4 +194,16 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against a version after which no configuration counts as newer.
+TEST_CASE("a configuration with an odd version isn't taken", "[odd]")
+{
+  const auto version = GENERATE(
+    as<std::string>{}, "-1", "1e19", "9223372036854775807", "\"2\"", "[]");
+  INFO(version);
+  Faults faults;
+  const std::string text = R"({"routes":[],"version":)" + version + "}";
+  CHECK_FALSE(DecodeFleetConfig(text, faults));
+  CHECK_FALSE(faults.empty());
+}
+
 } // namespace verbenacroft
