--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -206,4 +206,17 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against a configuration that is taken without one of its queues, whose
+// jobs would then be answered with 404.
+TEST_CASE("a configuration with an odd route isn't taken in part", "[odd]")
+{
+  const auto route = GENERATE(as<std::string>{}, "7", "null", "[]", "\"r\"");
+  INFO(route);
+  Faults faults;
+  const std::string text =
+    R"({"version":1,"routes":[{"name":"a"},)" + route + "]}";
+  CHECK_FALSE(DecodeFleetConfig(text, faults));
+  CHECK_FALSE(faults.empty());
+}
+
 } // namespace verbenacroft
