--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -4,6 +4,8 @@
 
 #include "vcSitePlatform.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
 namespace verbenacroft {
@@ -219,4 +221,34 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against an entry whose key can't be sent to a worker as its name:
+// each order to it would end the shard's owner, again and again.
+TEST_CASE("a key that can't be a worker's name names no worker", "[odd]")
+{
+  const auto name = GENERATE_COPY(as<std::string>{},
+                                  "",
+                                  "a\r\nHost: b",
+                                  std::string("a\0b", 3),
+                                  std::string(70'000, 'a'),
+                                  "a b");
+  INFO(name.substr(0, 20));
+  Faults faults;
+  const auto entry =
+    DecodeWorkerEntry("servers/" + name, EntryWith(""), faults);
+  CHECK_FALSE(entry);
+  CHECK_FALSE(faults.empty());
+  if (entry) {
+    asio::io_context io{ 1 };
+    HttpClient http(io);
+    const WorkerPort port = MakeSiteWorkers(http);
+    asio::ip::tcp::acceptor silent(io, { asio::ip::address_v4::loopback(), 0 });
+    auto report = asio::co_spawn(
+      io,
+      port.mRenew({ entry->mWorker, silent.local_endpoint() }, {}),
+      asio::use_future);
+    io.run();
+    CHECK_NOTHROW(report.get());
+  }
+}
+
 } // namespace verbenacroft
