Node: Tell of an entry that names no worker, once

An entry that can't be decoded was left out with a line at the level debug at each read, every 0.7 s, so in the operators' log nothing said that a writer's entry isn't used. One line at the level warning now tells its key and first fault, and another one only if the fault changes.

The test follows a list with an odd entry through the owner of a shard with the decoder of the platform: workers before and after it are found, and the owner goes on.

--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -113,6 +113,9 @@
   /// Reads the entries of the shard's workers periodically, and starts to poll
   /// new workers.
   asio::awaitable<void> PollDiscovery();
+  /// Decodes the listed entries of the shard's workers. An entry that names no
+  /// worker is left out, with one line for as long as its fault is the same.
+  std::vector<WorkerEntry> DecodeEntries(const std::vector<KvItem>& aItems);
   /// Starts to poll the workers that aren't polled yet.
   void PollNewWorkers();
   /// Renews the lease of a worker and evaluates its reports, for as long as the
@@ -216,6 +219,9 @@
   bool mIsRecordingWorkerSet = false;
   /// Orders to send, by worker.
   std::map<std::string, OrderQueue> mOrderQueues;
+  /// Path of the first fault of each entry of the list that names no worker,
+  /// by key.
+  std::map<std::string, std::string> mSkippedEntries;
   /// Workers whose leases are being renewed.
   std::set<std::string> mPolledWorkers;
   InboxReads mInboxReads;
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -27,6 +27,8 @@
 constexpr Duration kInboxReplyTime{ 2'500 };
 /// Interval of reads of the workers' entries.
 constexpr Duration kDiscoveryInterval{ 700 };
+/// Another writer's key may be of any length.
+constexpr std::size_t kMaxLoggedKeyBytes = 100;
 
 } // namespace
 
@@ -222,6 +224,37 @@
   }
 }
 
+std::vector<WorkerEntry> ShardRunner::DecodeEntries(
+  const std::vector<KvItem>& aItems)
+{
+  std::vector<WorkerEntry> entries;
+  std::map<std::string, std::string> skipped;
+  for (const auto& item : aItems) {
+    if (ShardOf(item.mKey, this->mNode.mShards) != this->mShardNumber) {
+      continue;
+    }
+    Faults faults;
+    auto entry =
+      this->mNode.mCodec.mDecodeWorker(item.mKey, item.mValue, faults);
+    if (entry) {
+      entries.push_back(std::move(*entry));
+      continue;
+    }
+    const std::string fault = faults.empty() ? "" : faults[0].mPath;
+    const auto before = this->mSkippedEntries.find(item.mKey);
+    const bool isKnown =
+      before != this->mSkippedEntries.end() && before->second == fault;
+    if (!isKnown) {
+      spdlog::warn("worker.entry-skipped key={} fault={}",
+                   item.mKey.substr(0, kMaxLoggedKeyBytes),
+                   fault);
+    }
+    skipped.emplace(item.mKey, fault);
+  }
+  this->mSkippedEntries = std::move(skipped);
+  return entries;
+}
+
 asio::awaitable<void> ShardRunner::PollDiscovery()
 {
   // The leases of an earlier owner's runs go on meanwhile.
@@ -233,22 +266,7 @@
       co_return;
     }
     if (listed.mStatus == KvStatus::kOk) {
-      std::vector<WorkerEntry> entries;
-      for (const auto& item : listed.mItems) {
-        if (ShardOf(item.mKey, this->mNode.mShards) != this->mShardNumber) {
-          continue;
-        }
-        Faults faults;
-        auto entry =
-          this->mNode.mCodec.mDecodeWorker(item.mKey, item.mValue, faults);
-        if (entry) {
-          entries.push_back(std::move(*entry));
-        } else {
-          spdlog::debug("worker.entry-skipped key={} fault={}",
-                        item.mKey,
-                        faults.empty() ? "" : faults[0].mPath);
-        }
-      }
+      const auto entries = this->DecodeEntries(listed.mItems);
       OnDiscovery(this->mShard, entries, SuspendAwareNow());
       co_await this->RecordWorkerSet();
       this->SchedulePlanning();
--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -2,11 +2,19 @@
 /// workers send: the good ones hold, nothing throws, and no number is taken for
 /// another one.
 
+#include "vcFleetStore.h"
+
+#include "vcMembership.h"
+#include "vcShardRunner.h"
 #include "vcSitePlatform.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
 
 namespace verbenacroft {
 
@@ -46,6 +54,37 @@
   return R"({"version":1,"routes":[{"name":"r",)" + aMember + "}]}";
 }
 
+/// Writes all log lines to a text for as long as it exists.
+struct LogCapture
+{
+  LogCapture()
+    : mBefore(spdlog::default_logger())
+  {
+    const auto sink =
+      std::make_shared<spdlog::sinks::ostream_sink_mt>(this->mText);
+    spdlog::set_default_logger(
+      std::make_shared<spdlog::logger>("captured", sink));
+  }
+  ~LogCapture() { spdlog::set_default_logger(this->mBefore); }
+  LogCapture(const LogCapture&) = delete;
+  LogCapture& operator=(const LogCapture&) = delete;
+
+  /// Number of lines that contain `aText`.
+  std::size_t Count(const std::string& aText) const
+  {
+    std::istringstream lines(this->mText.str());
+    std::string line;
+    std::size_t count = 0;
+    while (std::getline(lines, line)) {
+      count += line.find(aText) == std::string::npos ? 0 : 1;
+    }
+    return count;
+  }
+
+  std::ostringstream mText;
+  std::shared_ptr<spdlog::logger> mBefore;
+};
+
 } // namespace
 
 TEST_CASE("an odd entry names no worker, and nothing throws", "[odd]")
@@ -251,4 +290,75 @@
   }
 }
 
+// Guards against an owner that ends or no longer follows the list of workers
+// because of one odd entry, and against such an entry that no line tells of or
+// that a line tells of at each read.
+TEST_CASE("an odd entry leaves the shard's owner to follow the list", "[odd]")
+{
+  struct Row
+  {
+    std::string mName;
+    std::string mText;
+  };
+  const auto row = GENERATE_COPY(
+    values<Row>({ { "odd", Nested(100'000) },
+                  { "odd", EntryWith(R"("born":1e300)") },
+                  { "odd", EntryWith(R"("address":"10.0.0.1:70000")") },
+                  { "odd", "\x01\xff" },
+                  { std::string(70'000, 'o'), EntryWith("") } }));
+  INFO(row.mName.substr(0, 20) << " " << row.mText.substr(0, 200));
+  constexpr Duration kTick{ 5 };
+  TimePoint now{ 1'000'000 };
+  UseManualTime(now);
+  const LogCapture log;
+  MemoryStore store;
+  asio::io_context io{ 1 };
+  NodeContext node{ io, {} };
+  node.mSettings.mName = "node";
+  node.mShards = 1;
+  node.mOperators.emplace();
+  node.mCodec.mDiscoveryPrefix = kDiscoveryKeyPrefix;
+  node.mCodec.mDecodeWorker = DecodeWorkerEntry;
+  node.mStore = MakeMemoryStore(store, "node");
+  node.mWorkers.mRenew = [](WorkerAddress aTo,
+                            RenewOrder) -> asio::awaitable<WorkerReport> {
+    // As the HTTP library does with a header that is too long.
+    if (aTo.mWorker.size() > 65'000) {
+      throw std::length_error("too long");
+    }
+    co_await Sleep(Duration(100));
+    co_return WorkerReport{};
+  };
+  const auto put = [&](const std::string& aKey, std::string aValue) {
+    KvTransaction write;
+    write.mPuts.push_back(PersistentPut(aKey, std::move(aValue)));
+    CommitNow(store, write);
+  };
+  const auto run = [&](Duration aTime) {
+    for (const TimePoint until = now + aTime; now < until;) {
+      now += kTick;
+      UseManualTime(now);
+      io.restart();
+      io.poll();
+    }
+  };
+  put("servers/a", EntryWith(""));
+  put("servers/" + row.mName, row.mText);
+  WorkerSetRecord workerSet;
+  workerSet.mGeneration = 1;
+  put(WorkerSetKey(0), Encode(workerSet));
+  put(OwnerKey(0), "{}");
+  const auto runner = std::make_shared<ShardRunner>(node, 0, store.mRevision);
+  runner->Start();
+  run(Duration(3'000));
+  put("servers/z", EntryWith(""));
+  run(Duration(3'000));
+  CHECK_FALSE(runner->IsStopped());
+  CHECK(runner->State().mWorkers.contains("a"));
+  CHECK(runner->State().mWorkers.contains("z"));
+  CHECK_FALSE(runner->State().mWorkers.contains(row.mName));
+  CHECK(log.Count("worker.entry-skipped key=servers/o") == 1);
+  UseManualTime(std::nullopt);
+}
+
 } // namespace verbenacroft
