--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -260,6 +260,47 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against numbers of a worker's report that are cut to others, so that
+// a run counts as another run, and its own as lost.
+TEST_CASE("a row with a number out of range is left out of a report", "[odd]")
+{
+  const auto number = GENERATE(as<std::string>{},
+                               "1e300",
+                               "1e19",
+                               "18446744073709551615",
+                               "4294967297",
+                               "-1",
+                               "\"1\"",
+                               "null");
+  INFO(number);
+  const auto report = DecodeWorkerReport(Answered(
+    R"({"clock_ms":5,"born":8,"running":[["00.0.0.1",)" + number +
+    R"(,"",1,2],["00.0.0.2",1,"",3,4.5]],"ended_runs":[[1,"00.0.0.3",)" +
+    number + R"(,"done",""],[2,"00.0.0.4",1,"done",""]]})"));
+  CHECK(report.mOutcome == OrderOutcome::kDone);
+  REQUIRE(report.mRunning.size() == 1);
+  CHECK(report.mRunning[0].mTask.mIndex == 2);
+  CHECK(report.mRunning[0].mMeasured == 4);
+  REQUIRE(report.mEnded.size() == 1);
+  CHECK(report.mEnded[0].mTask.mIndex == 4);
+}
+
+// Guards against a run that counts as lost because a figure beside it, which
+// only serves to share a worker, can't be read.
+TEST_CASE("a row with odd figures still tells that its task runs", "[odd]")
+{
+  const auto number =
+    GENERATE(as<std::string>{}, "1e300", "-1e19", "\"1\"", "null", "[]");
+  INFO(number);
+  const auto report = DecodeWorkerReport(
+    Answered(R"({"clock_ms":5,"born":8,"running":[["00.0.0.1",7,"",)" + number +
+             "," + number + "]]}"));
+  REQUIRE(report.mRunning.size() == 1);
+  CHECK(report.mRunning[0].mRun == 7);
+  CHECK(report.mRunning[0].mProgressPercent == 0);
+  CHECK(report.mRunning[0].mMeasured == 0);
+}
+
 // Guards against an entry whose key can't be sent to a worker as its name:
 // each order to it would end the shard's owner, again and again.
 TEST_CASE("a key that can't be a worker's name names no worker", "[odd]")
