--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -301,6 +301,21 @@
   CHECK(report.mRunning[0].mMeasured == 0);
 }
 
+// Guards against runs that count as lost, and are started a second time,
+// because the list that names them can't be read.
+TEST_CASE("a report whose lists can't be read lists nothing as gone", "[odd]")
+{
+  const auto text = GENERATE(as<std::string>{},
+                             R"({"clock_ms":5,"born":8,"running":7})",
+                             R"({"clock_ms":5,"born":8,"running":{}})",
+                             R"({"clock_ms":5,"born":8,"ended_runs":"x"})",
+                             R"({"clock_ms":"5","born":8})",
+                             R"({"clock_ms":5,"born":1e300})");
+  INFO(text);
+  CHECK(DecodeWorkerReport(Answered(text)).mOutcome ==
+        OrderOutcome::kMalformed);
+}
+
 // Guards against an entry whose key can't be sent to a worker as its name:
 // each order to it would end the shard's owner, again and again.
 TEST_CASE("a key that can't be a worker's name names no worker", "[odd]")
