--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 
@@ -260,6 +261,29 @@
   CHECK_FALSE(faults.empty());
 }
 
+// Guards against times and factors whose products don't fit into a time: the
+// job would be due, or late, at a moment that nobody named.
+TEST_CASE("a time too large to be reckoned with is refused", "[odd]")
+{
+  const auto number =
+    GENERATE(as<std::string>{}, "9223372036854775807", "-9e15", "1e15");
+  INFO(number);
+  Faults faults;
+  CHECK_FALSE(DecodeBatchSpec(StepWith(R"("estimate_ms":)" + number), faults));
+  CHECK_FALSE(DecodeBatchSpec(StepWith(R"("target_ms":)" + number), faults));
+  for (const char* name : { "start_at_ms", "interval_ms" }) {
+    CHECK_FALSE(DecodeBatchSpec(
+      fmt::format(R"({{"steps":[{{"count":1}}],"repeat_count":3,"{}":{}}})",
+                  name,
+                  number),
+      faults));
+  }
+  CHECK_FALSE(
+    DecodeFleetConfig(RouteWith(R"("target_duration_ms":)" + number), faults));
+  CHECK_FALSE(DecodeFleetConfig(RouteWith(R"("stretch":)" + number), faults));
+  CHECK(faults.size() == 6);
+}
+
 // Guards against numbers of a worker's report that are cut to others, so that
 // a run counts as another run, and its own as lost.
 TEST_CASE("a row with a number out of range is left out of a report", "[odd]")
