Site: Refuse an entry with a label that isn't a string

Such a label was left out, and the entry still named a worker, of an unknown kind or rack. A field of another type names no worker to use.

Before the change the test failed for each row in which the labels are a list.

--- a/Tests/Unit/vcOddInputTest.cxx
+++ b/Tests/Unit/vcOddInputTest.cxx
@@ -370,6 +370,19 @@
   }
 }
 
+// Guards against a worker of an unknown kind or rack that is used as if it had
+// told all of its labels.
+TEST_CASE("an entry with an odd label names no worker", "[odd]")
+{
+  const auto labels =
+    GENERATE(as<std::string>{}, "[7]", R"(["a",null])", R"([["a"]])", "{}");
+  INFO(labels);
+  Faults faults;
+  CHECK_FALSE(DecodeWorkerEntry(
+    "servers/i-1", EntryWith(R"("labels":)" + labels), faults));
+  CHECK_FALSE(faults.empty());
+}
+
 // Guards against an owner that ends or no longer follows the list of workers
 // because of one odd entry, and against such an entry that no line tells of or
 // that a line tells of at each read.
