--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -26,7 +26,7 @@
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcOwnerPacingTest.cxx
   Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
-  Tests/Unit/vcStoreOutcomeTest.cxx
+  Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
   Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
   Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
