Tests: Show that a task crashes one worker after another

A task that crashes each worker that starts it is started again and again, and each crash takes down the runs beside it.

In the unit tests: the same with the decisions alone, and that a worker that leaves while it drains is not taken for crashed.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -212,6 +212,8 @@
     this->ScheduleTakeovers();
   } else if (this->mOptions.mPlay == FleetPlay::kLongPartition) {
     this->SchedulePartition();
+  } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
+    this->ScheduleDeadlyTasks();
   } else {
     this->ScheduleFaults();
   }
@@ -252,6 +254,7 @@
   }
   Advance(this->mStore, this->mNow);
   Advance(this->mWorkers, this->mNow);
+  this->HandleCrashes();
   for (auto& [name, life] : this->mLives) {
     if (!life.mIsPaused) {
       life.mIo->poll();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -45,6 +45,9 @@
   /// The owner reaches only some of the workers for a long time, and neither
   /// the store nor the other nodes. These reach only the other workers.
   kLongPartition,
+  /// Some tasks crash each worker that starts them, and owners are killed just
+  /// then. The worker returns under its id or under a new one.
+  kDeadlyTasks,
 };
 
 template<>
@@ -58,6 +61,7 @@
     { FleetPlay::kSmallNodes, "small-nodes" },
     { FleetPlay::kSuccessiveTakeovers, "successive-takeovers" },
     { FleetPlay::kLongPartition, "long-partition" },
+    { FleetPlay::kDeadlyTasks, "deadly-tasks" },
   });
 };
 
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -52,6 +52,7 @@
 {
   const JobId id = fmt::format("{:016x}", this->mRandom());
   const BatchSpec spec = this->DrawJob(id);
+  this->DrawDeadlyTask(id, spec);
   const auto life = this->mLives.find(this->DrawNode());
   const bool isThere = life != this->mLives.end() && !life->second.mIsPaused &&
                        !life->second.mNode->mIsStopping;
--- a/Tests/Fleet/vcFleetJudges.cxx
+++ b/Tests/Fleet/vcFleetJudges.cxx
@@ -135,7 +135,8 @@
 {
   for (const auto& [task, plan] : this->mWorkers.mPlans) {
     const bool isOwed = plan.mIsLasting && aJobs.contains(task.mJob) &&
-                        !this->mCancelled.contains(task.mJob);
+                        !this->mCancelled.contains(task.mJob) &&
+                        !this->mDeadly.contains(task.mJob);
     if (isOwed && this->mWorkers.mRunning[task].empty()) {
       this->Problem(Describe(task) + " doesn't run");
     }
@@ -170,7 +171,8 @@
     }
   }
   for (const auto& id : this->mJobs) {
-    if (this->mLasting.contains(id) || this->mCancelled.contains(id)) {
+    if (this->mLasting.contains(id) || this->mCancelled.contains(id) ||
+        this->mDeadly.contains(id)) {
       continue;
     }
     const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
@@ -184,6 +186,7 @@
     }
   }
   this->CheckLasting(this->mLasting);
+  this->CheckDeadlyTasks();
   for (const auto& text : this->mStore.mRejectedWrites) {
     this->mResult.mProblems.push_back(text);
   }
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -116,8 +116,14 @@
   constexpr std::uint32_t kManyJobs = 4;
   const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
                            aOptions.mPlay == FleetPlay::kLongPartition;
+  // Enough workers that some are left while others are down.
+  constexpr std::uint32_t kManyWorkers = 12;
+  const bool hasDeadlyTasks = aOptions.mPlay == FleetPlay::kDeadlyTasks;
+  if (hasDeadlyTasks) {
+    aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
+  }
   // The owner that loses its shard has to be that of all tasks.
-  if (hasManyJobs || aOptions.mPlay == FleetPlay::kRelease) {
+  if (hasManyJobs || hasDeadlyTasks || aOptions.mPlay == FleetPlay::kRelease) {
     aOptions.mShards = 1;
   }
   if (hasManyJobs) {
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -206,6 +206,16 @@
   /// Lets the long-running tasks be judged, some time after `mCalmAt`.
   void ScheduleCheckOfCalm();
 
+  // Tasks that crash their workers.
+  void ScheduleDeadlyTasks();
+  /// Makes a task of a new job deadly, in a small part of the jobs.
+  void DrawDeadlyTask(const JobId& aId, const BatchSpec& aSpec);
+  /// Lets the workers that have just crashed return some seconds later.
+  void HandleCrashes();
+  void ReturnWorker(const std::string& aName);
+  /// Deadly tasks are given up, and nothing else.
+  void CheckDeadlyTasks();
+
   // Judges.
   /// Asks every node for the number of waiting jobs of each shard.
   void AskForCounts();
@@ -244,6 +254,15 @@
   std::map<JobId, TimePoint> mAcceptedAt;
   std::set<std::string> mLasting;
   std::set<JobId> mCancelled;
+  /// Jobs with a deadly task. They can't be done and aren't missed.
+  std::set<JobId> mDeadly;
+  /// No job that is submitted later has a deadly task.
+  TimePoint mDeadlyUntil = kStart;
+  /// Number of times that the owner is still killed just after a crash.
+  int mKillsLeft = 0;
+  bool mIsOwnerKilled = false;
+  /// Number of workers that have returned under a new id.
+  int mReplacements = 0;
   /// Jobs that were refused as not run.
   std::set<std::string> mRefused;
   FleetResult mResult;
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -44,6 +44,14 @@
   }
 }
 
+void CountDeadlyStart(MemoryFleet& aFleet, const TaskId& aTask)
+{
+  constexpr int kCrashesAllowed = 3;
+  if (aFleet.mCrashes[aTask] >= kCrashesAllowed) {
+    ++aFleet.mStartsAfterThird[aTask];
+  }
+}
+
 OrderOutcome StartRun(MemoryFleet& aFleet,
                       MemoryWorker& aWorker,
                       const StartOrder& aOrder,
@@ -85,6 +93,10 @@
   const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
   MemoryRun run;
   run.mRun = aOrder.mRun;
+  if (plan.mCrashesAfter > Duration(0)) {
+    run.mCrashesAt = clock + plan.mCrashesAfter.count();
+    CountDeadlyStart(aFleet, aOrder.mTask);
+  }
   run.mDoneAt = plan.mIsLasting ? std::numeric_limits<std::int64_t>::max()
                                 : clock + plan.mWork.count();
   aWorker.mRuns[aOrder.mTask] = run;
@@ -137,6 +149,9 @@
     co_await Sleep(kOrderTimeout);
     co_return OrderReply{};
   }
+  if (worker.mIsReplaced) {
+    co_return OrderReply{ OrderOutcome::kOtherIncarnation, 0 };
+  }
   if (IsLate(aFleet, worker)) {
     std::uniform_int_distribution<int> late(kShortestLateMs, kLongestLateMs);
     const TimePoint at = SuspendAwareNow() + Duration(late(aFleet.mRandom));
@@ -165,6 +180,9 @@
     co_await Sleep(kOrderTimeout);
     co_return OrderReply{};
   }
+  if (worker.mIsReplaced) {
+    co_return OrderReply{ OrderOutcome::kOtherIncarnation, 0 };
+  }
   OrderReply reply;
   reply.mClock = ClockOf(worker, SuspendAwareNow());
   reply.mOutcome = OrderOutcome::kStaleEpoch;
@@ -230,6 +248,10 @@
     co_await Sleep(aOrder.mWait + kOrderTimeout);
     co_return report;
   }
+  if (worker.mIsReplaced) {
+    report.mOutcome = OrderOutcome::kOtherIncarnation;
+    co_return report;
+  }
   if (aOrder.mEpoch < worker.mFence) {
     report.mOutcome = OrderOutcome::kStaleEpoch;
     co_return report;
@@ -281,6 +303,37 @@
   }
 }
 
+/// Tasks that crash their worker now.
+std::vector<TaskId> CrashingTasks(const MemoryWorker& aWorker, TimePoint aNow)
+{
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  std::vector<TaskId> tasks;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    if (run.mCrashesAt <= clock) {
+      tasks.push_back(task);
+    }
+  }
+  return tasks;
+}
+
+/// Crashes the workers on which a deadly task has run for long enough.
+void CrashWorkers(MemoryFleet& aFleet, TimePoint aNow)
+{
+  for (const auto& [name, worker] : aFleet.mWorkers) {
+    const auto tasks = CrashingTasks(worker, aNow);
+    for (const auto& task : tasks) {
+      ++aFleet.mCrashes[task];
+    }
+    if (!tasks.empty()) {
+      aFleet.mCrashed.push_back(name);
+    }
+  }
+  for (const auto& name : aFleet.mCrashed) {
+    Restart(aFleet, name, aNow);
+    aFleet.mWorkers.at(name).mCutFrom.insert("*");
+  }
+}
+
 } // namespace
 
 void Advance(MemoryFleet& aFleet, TimePoint aNow)
@@ -300,6 +353,7 @@
   for (auto& [name, worker] : aFleet.mWorkers) {
     AdvanceWorker(aFleet, worker, aNow);
   }
+  CrashWorkers(aFleet, aNow);
 }
 
 void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow)
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -5,6 +5,7 @@
 
 #include "vcNode.h"
 
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -16,6 +17,8 @@
   std::uint32_t mRun = 0;
   /// Worker's clock at which the task is done; never for a lasting task.
   std::int64_t mDoneAt = 0;
+  /// Worker's clock at which the task crashes it; never for most tasks.
+  std::int64_t mCrashesAt = std::numeric_limits<std::int64_t>::max();
 };
 
 struct MemoryWorker
@@ -40,6 +43,8 @@
   double mLateShare = 0;
   /// Its next report is one that nobody foresaw.
   bool mIsMalformedNext = false;
+  /// Another worker, with an id of its own, answers at the address.
+  bool mIsReplaced = false;
 };
 
 /// A start that reaches its worker late.
@@ -55,6 +60,9 @@
 {
   Duration mWork{ 500 };
   bool mIsLasting = false;
+  /// Time after its start at which the task crashes its worker; 0 if it
+  /// doesn't.
+  Duration mCrashesAfter{ 0 };
 };
 
 struct MemoryFleet
@@ -78,6 +86,13 @@
   std::map<std::string, TimePoint> mNoStartInFrom;
   /// Jobs of which a task has started.
   std::set<JobId> mBegun;
+  /// Number of workers that each deadly task has crashed.
+  std::map<TaskId, int> mCrashes;
+  /// Starts of each deadly task after the third of these crashes.
+  std::map<TaskId, int> mStartsAfterThird;
+  /// Workers that have crashed since this was last cleared. Nobody reaches
+  /// them.
+  std::vector<std::string> mCrashed;
   std::vector<std::string> mProblems;
 };
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -26,7 +26,8 @@
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx
-  Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
+  Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
+  Tests/Unit/vcWaitingTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -35,6 +36,7 @@
 # Known to fail; see KNOWN-RED.txt.
 add_test(NAME unit_large_step COMMAND vcUnitTests "[red-large-step]")
 add_test(NAME unit_gang_lost_member COMMAND vcUnitTests "[red-gang]")
+add_test(NAME unit_deadly_task COMMAND vcUnitTests "[red-deadly-task]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
 set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
@@ -73,7 +75,7 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
-  Tests/Fleet/vcFleetJudges.cxx
+  Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
 # Each test plays other faults, or another fleet, on the same seeds.
@@ -113,6 +115,9 @@
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
+# Guards against a task that crashes one worker after another, and against other
+# jobs that fail because they ran beside it.
+verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
--- /dev/null
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -0,0 +1,291 @@
+/// Tasks that crash their workers: what an owner counts, whom it suspects, and
+/// when it gives a task up.
+
+#include "vcDispatch.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+/// How a crashed worker shows that it has crashed.
+enum class CrashSign
+{
+  /// Another worker answers at its address.
+  kOtherId,
+  /// It answers as a new incarnation.
+  kSameId,
+};
+
+template<>
+struct EnumTable<CrashSign>
+{
+  static constexpr auto kRows = std::to_array<NameRow<CrashSign>>({
+    { CrashSign::kOtherId, "under another id" },
+    { CrashSign::kSameId, "under its id" },
+  });
+};
+
+namespace {
+
+constexpr const char* kDeadlyJob = "00000000000000d1";
+constexpr const char* kSoundJob = "00000000000000a1";
+constexpr std::int64_t kFirstClock = 100'000;
+constexpr Duration kDownTime{ 3'000 };
+
+/// A shard whose workers run what they are told. A start of the deadly job
+/// crashes its worker.
+class CrashFleet
+{
+public:
+  explicit CrashFleet(int aWorkers)
+  {
+    this->mShard.mEpoch = 10;
+    for (int i = 0; i < aWorkers; ++i) {
+      this->AddWorker();
+    }
+    this->Discover();
+    this->Report();
+  }
+
+  void AddJob(const JobId& aId, std::uint32_t aTasks, bool aIsLasting = false)
+  {
+    BatchRecord record;
+    record.mTerms.mQueue = "queue";
+    record.mTerms.mService = "pool";
+    record.mTerms.mMaxAttempts = 3;
+    StepSpec step;
+    step.mCount = aTasks;
+    step.mNeeds.mMilliCpu = 1'000;
+    step.mNeeds.mMemoryMb = 100;
+    step.mEstimateMs = 1'000;
+    step.mIsLasting = aIsLasting;
+    record.mSpec.mSteps.push_back(step);
+    verbenacroft::AddJob(
+      this->mShard, aId, record, 20, this->mNow, this->mNow.count());
+  }
+
+  /// Plans and carries out the starts.
+  /// @return the workers that the deadly job has crashed
+  std::vector<std::string> Start()
+  {
+    DispatchActions actions;
+    PlanStarts(this->mShard, this->mNow, this->mNow.count(), actions);
+    std::vector<std::string> crashed;
+    for (const auto& [worker, order] : actions.mStarts) {
+      ++this->mStarts[order.mTask];
+      OrderReply reply;
+      reply.mOutcome = OrderOutcome::kDone;
+      reply.mClock = this->Clock();
+      OnStartReply(this->mShard, worker, order, reply, this->mNow);
+      this->mRuns[worker].push_back({ order.mTask, order.mRun, {}, 50, 0 });
+      if (order.mTask.mJob == kDeadlyJob) {
+        crashed.push_back(worker);
+      }
+    }
+    return crashed;
+  }
+
+  /// Every worker that isn't down reports.
+  void Report()
+  {
+    for (const auto& name : this->mNames) {
+      this->Report(name);
+    }
+  }
+
+  /// The worker is silent for some seconds and then known to have crashed.
+  void Crash(const std::string& aWorker, CrashSign aSign)
+  {
+    this->mRuns[aWorker].clear();
+    this->Answer(aWorker, WorkerReport{});
+    this->mNow += kDownTime;
+    std::erase(this->mNames, aWorker);
+    this->Report();
+    if (aSign == CrashSign::kSameId) {
+      this->mNames.push_back(aWorker);
+      ++this->mBorn[aWorker];
+      this->Report(aWorker);
+      this->mDraining.erase(aWorker);
+      this->Discover();
+      return;
+    }
+    WorkerReport other;
+    other.mOutcome = OrderOutcome::kOtherIncarnation;
+    // It is asked again and again.
+    this->Answer(aWorker, other);
+    this->Answer(aWorker, other);
+    this->AddWorker();
+    this->Discover();
+    this->Report();
+  }
+
+  /// Lets the runs go on until all of them were seen at work.
+  void Run(Duration aTime)
+  {
+    constexpr Duration kBetween{ 250 };
+    for (const TimePoint end = this->mNow + aTime; this->mNow < end;) {
+      this->mNow += kBetween;
+      this->Report();
+    }
+  }
+
+  void SetDraining(const std::string& aWorker)
+  {
+    this->mDraining.insert(aWorker);
+    this->Discover();
+  }
+
+  /// The store takes the numbers of crashes.
+  void Record() {}
+
+  BatchState StateOf(const JobId& aJob)
+  {
+    return this->mShard.mJobs.at(aJob).mState;
+  }
+  int Starts(const TaskId& aTask) { return this->mStarts[aTask]; }
+  std::string WorkerOf(const TaskId& aTask)
+  {
+    return FindTask(this->mShard, aTask)->mWorker;
+  }
+  DispatchShard& Shard() { return this->mShard; }
+
+private:
+  std::int64_t Clock() const { return kFirstClock + this->mNow.count(); }
+
+  void AddWorker()
+  {
+    this->mNames.push_back(fmt::format("w{}", ++this->mLastWorker));
+  }
+
+  void Discover()
+  {
+    std::vector<WorkerEntry> entries;
+    for (const auto& name : this->mNames) {
+      WorkerEntry entry;
+      entry.mWorker = name;
+      entry.mService = "pool";
+      entry.mAddress = "127.0.0.1:9000";
+      entry.mCapacity.mMilliCpu = 10'000;
+      entry.mCapacity.mMemoryMb = 10'000;
+      entry.mIsDraining = this->mDraining.contains(name);
+      entry.mLeavesInMs = 60'000;
+      entries.push_back(entry);
+    }
+    OnDiscovery(this->mShard, entries, this->mNow);
+    for (const auto& name : this->mNames) {
+      this->mShard.mWorkers.at(name).mIsRecorded = true;
+    }
+  }
+
+  void Report(const std::string& aWorker)
+  {
+    WorkerReport report;
+    report.mOutcome = OrderOutcome::kDone;
+    report.mClock = this->Clock();
+    report.mIncarnation = 1 + this->mBorn[aWorker];
+    report.mRunning = this->mRuns[aWorker];
+    this->Answer(aWorker, report);
+  }
+
+  void Answer(const std::string& aWorker, const WorkerReport& aReport)
+  {
+    OnReport(this->mShard,
+             aWorker,
+             aReport,
+             this->mNow,
+             this->mNow,
+             this->mNow.count());
+  }
+
+  TimePoint mNow{ 0 };
+  DispatchShard mShard;
+  int mLastWorker = 0;
+  std::vector<std::string> mNames;
+  std::set<std::string> mDraining;
+  std::map<std::string, std::vector<RunningTask>> mRuns;
+  std::map<std::string, int> mBorn;
+  std::map<TaskId, int> mStarts;
+};
+
+/// Lets the fleet work until no crash comes for some rounds.
+/// @return the number of workers that crashed, at most `aMost`
+int CrashUntilCalm(CrashFleet& aFleet, CrashSign aSign, int aMost)
+{
+  constexpr int kCalmRounds = 40;
+  int crashes = 0;
+  for (int calm = 0; calm < kCalmRounds && crashes < aMost; ++calm) {
+    aFleet.Record();
+    for (const auto& worker : aFleet.Start()) {
+      aFleet.Crash(worker, aSign);
+      ++crashes;
+      calm = 0;
+    }
+    aFleet.Run(Duration(250));
+  }
+  return crashes;
+}
+
+} // namespace
+
+// Guards against a task that crashes one worker after another for ever.
+TEST_CASE("a task that crashes its workers is given up", "[.][red-deadly-task]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int workers = GENERATE(1, 2, 6);
+  CAPTURE(NameOf(sign), workers);
+  CrashFleet fleet(workers);
+  fleet.AddJob(kSoundJob, 4, true);
+  fleet.Start();
+  fleet.Run(Duration(2'000));
+  fleet.AddJob(kDeadlyJob, 1);
+  constexpr int kMostCrashes = 12;
+  CHECK(CrashUntilCalm(fleet, sign, kMostCrashes) <= 3);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+}
+
+// Guards against jobs that end as failed because they were started beside a
+// task that crashes its workers.
+TEST_CASE("a task that is started beside a deadly one isn't given up",
+          "[.][red-deadly-task]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int workers = GENERATE(1, 2, 6);
+  CAPTURE(NameOf(sign), workers);
+  CrashFleet fleet(workers);
+  fleet.AddJob(kDeadlyJob, 1);
+  fleet.AddJob(kSoundJob, 8, true);
+  constexpr int kMostCrashes = 12;
+  CHECK(CrashUntilCalm(fleet, sign, kMostCrashes) <= 3);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+  CHECK(fleet.StateOf(kSoundJob) == BatchState::kRunning);
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    CAPTURE(i);
+    CHECK_FALSE(fleet.WorkerOf({ kSoundJob, 0, 0, i }).empty());
+  }
+}
+
+// Guards against suspicion of what ran on a worker that left as announced.
+TEST_CASE("a worker that was draining doesn't count as crashed", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  CAPTURE(NameOf(sign));
+  CrashFleet fleet(1);
+  fleet.AddJob(kSoundJob, 1, true);
+  constexpr int kLeaves = 4;
+  for (int i = 0; i < kLeaves; ++i) {
+    fleet.Record();
+    fleet.Start();
+    const std::string worker = fleet.WorkerOf({ kSoundJob, 0, 0, 0 });
+    REQUIRE_FALSE(worker.empty());
+    fleet.Run(Duration(250));
+    fleet.SetDraining(worker);
+    fleet.Crash(worker, sign);
+    fleet.Run(Duration(500));
+  }
+  CHECK(fleet.StateOf(kSoundJob) == BatchState::kRunning);
+}
+
+} // namespace verbenacroft
