--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -214,6 +214,8 @@
     this->SchedulePartition();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
+  } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
+    this->ScheduleDeadlyTasks();
   } else {
     this->ScheduleFaults();
   }
@@ -254,6 +256,7 @@
   }
   Advance(this->mStore, this->mNow);
   Advance(this->mWorkers, this->mNow);
+  this->HandleCrashes();
   for (auto& [name, life] : this->mLives) {
     if (!life.mIsPaused) {
       life.mIo->poll();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -49,6 +49,9 @@
   /// worker at each end of a task, but carries one or two a second. In half of
   /// the seeds the owner is also killed. The workers are well.
   kChokedOwner,
+  /// Some tasks crash each worker that starts them, and owners are killed just
+  /// then. The worker returns under its id or under a new one.
+  kDeadlyTasks,
 };
 
 template<>
@@ -63,6 +66,7 @@
     { FleetPlay::kSuccessiveTakeovers, "successive-takeovers" },
     { FleetPlay::kLongPartition, "long-partition" },
     { FleetPlay::kChokedOwner, "choked-owner" },
+    { FleetPlay::kDeadlyTasks, "deadly-tasks" },
   });
 };
 
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -130,8 +130,16 @@
     aOptions.mWorkers = std::max(aOptions.mWorkers, kChokedWorkers);
     aOptions.mJobsAtOnce = std::max(aOptions.mJobsAtOnce, kChokedJobs);
   }
+  // Enough workers that some are left while others are down.
+  constexpr std::uint32_t kManyWorkers = 12;
+  const bool hasDeadlyTasks = aOptions.mPlay == FleetPlay::kDeadlyTasks;
+  if (hasDeadlyTasks) {
+    aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
+  }
   // The owner that loses its shard has to be that of all tasks.
-  if (hasManyJobs || isChoked || aOptions.mPlay == FleetPlay::kRelease) {
+  const bool needsOneShard = hasManyJobs || isChoked || hasDeadlyTasks ||
+                             aOptions.mPlay == FleetPlay::kRelease;
+  if (needsOneShard) {
     aOptions.mShards = 1;
   }
   if (hasManyJobs) {
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -6,6 +6,7 @@
 #include "vcFleetLink.h"
 #include "vcNode.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -18,6 +19,8 @@
   std::uint32_t mRun = 0;
   /// Worker's clock at which the task is done; never for a lasting task.
   std::int64_t mDoneAt = 0;
+  /// Worker's clock at which the task crashes it; never for most tasks.
+  std::int64_t mCrashesAt = std::numeric_limits<std::int64_t>::max();
 };
 
 struct MemoryWorker
@@ -44,6 +47,8 @@
   double mLateShare = 0;
   /// Its next report is one that nobody foresaw.
   bool mIsMalformedNext = false;
+  /// Another worker, with an id of its own, answers at the address.
+  bool mIsReplaced = false;
 };
 
 /// A start that reaches its worker late.
@@ -67,6 +72,9 @@
 {
   Duration mWork{ 500 };
   bool mIsLasting = false;
+  /// Time after its start at which the task crashes its worker; 0 if it
+  /// doesn't.
+  Duration mCrashesAfter{ 0 };
 };
 
 struct MemoryFleet
@@ -94,6 +102,13 @@
   std::map<std::string, TimePoint> mNoStartInFrom;
   /// Jobs of which a task has started.
   std::set<JobId> mBegun;
+  /// Number of workers that each deadly task has crashed.
+  std::map<TaskId, int> mCrashes;
+  /// Starts of each deadly task after the third of these crashes.
+  std::map<TaskId, int> mStartsAfterThird;
+  /// Workers that have crashed since this was last cleared. Nobody reaches
+  /// them.
+  std::vector<std::string> mCrashed;
   std::vector<std::string> mProblems;
   /// Links of the nodes; a node that isn't in here has one without limits.
   std::map<std::string, NodeLink> mLinks;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -27,8 +27,8 @@
   Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
-  Tests/Unit/vcViewsTest.cxx Tests/Unit/vcWaitingTest.cxx
-  Tests/Unit/vcWorkerCallsTest.cxx
+  Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
+  Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -75,7 +75,7 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
-  Tests/Fleet/vcFleetJudges.cxx
+  Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
 target_link_libraries(vcFleet PRIVATE vcNode)
@@ -123,6 +123,9 @@
 # The same on links that are wide enough and processors that are fast enough.
 verbenacroft_fleet(unchoked_owner
   --play choked-owner --seeds 1..40 --link-factor 4)
+# Guards against a task that crashes one worker after another, and against other
+# jobs that fail because they ran beside it.
+verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
 
 add_executable(vcLoad Tests/Bench/vcLoadMain.cxx)
 target_link_libraries(vcLoad PRIVATE vcHttp)
