--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -118,7 +118,7 @@
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
 # Guards against an owner that takes workers that are well for lost, since their
 # replies queue on its own link or processor, and starts tasks again that they
-# have listed as done. Known to fail; see KNOWN-RED.txt.
+# have listed as done.
 verbenacroft_fleet(choked_owner --play choked-owner --seeds 1..40)
 # The same on links that are wide enough and processors that are fast enough.
 verbenacroft_fleet(unchoked_owner
