Dispatch: Blame no task for workers that crash together

Cause: every crash counted against the runs on its worker, also where many workers crash at once, as with a rack, a power loss or a bad release. If all runs of a worker had been seen at work, all of them became suspects.

A task that crashes its workers is still given up, since it is never seen at work.

Result: "tasks aren't blamed for workers that crash together" fails without the change (the job ends as failed) and passes with it; all unit tests pass.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -25,6 +25,12 @@
 /// Maximum number of suspects, so that their record fits into one value of the
 /// store.
 constexpr std::size_t kMaxSuspects = 500;
+/// Workers that fell silent within this time of each other did so together.
+constexpr Duration kTogether{ 1'000 };
+/// If at least this many did, and this part of all workers, the cause is
+/// outside of them, such as their rack or their software.
+constexpr std::size_t kMinTogether = 4;
+constexpr double kMinPartTogether = 0.1;
 
 /// A run that may have caused a crash.
 struct SuspectRun
@@ -48,6 +54,22 @@
   return runs;
 }
 
+/// True if many workers fell silent together with this one.
+bool HasOutsideCause(const DispatchShard& aShard, const DispatchWorker& aWorker)
+{
+  const auto together = std::count_if(
+    aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
+      const DispatchWorker& other = aRow.second;
+      const Duration apart =
+        std::chrono::abs(other.mSilentSince - aWorker.mSilentSince);
+      return other.mIsUnresponsive && apart <= kTogether;
+    });
+  const double part =
+    kMinPartTogether * static_cast<double>(aShard.mWorkers.size());
+  return together >= static_cast<std::ptrdiff_t>(kMinTogether) &&
+         static_cast<double>(together) >= part;
+}
+
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
             std::uint32_t aCrashes,
@@ -141,14 +163,16 @@
     std::count_if(runs.begin(), runs.end(), [](const SuspectRun& aRun) {
       return !aRun.mIsSeenAtWork;
     }));
-  if (unseen > 0) {
+  const bool hasOutsideCause = HasOutsideCause(aShard, aWorker);
+  if (unseen > 0 || hasOutsideCause) {
     std::erase_if(runs,
                   [](const SuspectRun& aRun) { return aRun.mIsSeenAtWork; });
   }
-  spdlog::warn("worker.crashed worker={} tasks={} suspects={}",
+  spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={}",
                aWorker.mEntry.mWorker,
                all,
-               runs.size());
+               runs.size(),
+               hasOutsideCause);
   const TimePoint silentSince =
     aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
   for (const auto& run : runs) {
@@ -158,7 +182,8 @@
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
-  const std::uint32_t most = unseen == 1 ? kCrashesOfCulprit : kMaxCrashes;
+  const bool isNamed = unseen == 1 && !hasOutsideCause;
+  const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
   for (const auto& run : runs) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
     if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -122,6 +122,28 @@
     this->Report();
   }
 
+  /// The workers fall silent together and are then known to have crashed.
+  void CrashTogether(const std::vector<std::string>& aWorkers)
+  {
+    for (const auto& worker : aWorkers) {
+      this->mRuns[worker].clear();
+      this->Answer(worker, WorkerReport{});
+      std::erase(this->mNames, worker);
+    }
+    this->mNow += kDownTime;
+    this->Report();
+    for (const auto& worker : aWorkers) {
+      WorkerReport other;
+      other.mOutcome = OrderOutcome::kOtherIncarnation;
+      this->Answer(worker, other);
+      this->AddWorker();
+    }
+    this->Discover();
+    this->Report();
+  }
+
+  const std::vector<std::string>& Names() const { return this->mNames; }
+
   /// Lets the runs go on until all of them were seen at work.
   void Run(Duration aTime)
   {
@@ -276,6 +298,25 @@
   }
 }
 
+// Guards against jobs that end as failed because their workers were lost with a
+// rack or a release, again and again.
+TEST_CASE("tasks aren't blamed for workers that crash together", "[crash]")
+{
+  constexpr int kWorkers = 10;
+  constexpr int kWaves = 4;
+  CrashFleet fleet(kWorkers);
+  fleet.AddJob(kSoundJob, 3 * kWorkers, true);
+  for (int i = 0; i < kWaves; ++i) {
+    fleet.Record();
+    fleet.Start();
+    fleet.Run(Duration(2'000));
+    const auto names = fleet.Names();
+    fleet.CrashTogether({ names.begin(), names.begin() + kWorkers / 2 });
+  }
+  CHECK(fleet.StateOf(kSoundJob) == BatchState::kRunning);
+  CHECK(fleet.Shard().mSuspects.empty());
+}
+
 // Guards against suspicion of what ran on a worker that left as announced.
 TEST_CASE("a worker that was draining doesn't count as crashed", "[crash]")
 {
