Dispatch: Don't raise a rate that wasn't used while the owner is congested

Cause: in a congested period a rate falls to a part of what was used. Without a start in it, as while starts are forbidden, that was 0, which counted as not known yet, so the rate rose to its maximum. The first period began at no time at all, so its use per second was close to 0, and a failed call at a takeover lowered both rates to their least.

Change: the rates and the period begin with the first call; 0 is a rate like any other.

Result: "a congested owner goes on renewing and starting" plays periods without a start too; that row fails without the change (a rate of 150,000 bytes a second instead of less than 25,000) and passes with it.

--- a/Source/Dispatch/vcOwnerPacing.cxx
+++ b/Source/Dispatch/vcOwnerPacing.cxx
@@ -68,9 +68,8 @@
 
 void Limit(AdaptiveRate& aRate, const RateLimits& aLimits)
 {
-  const double rate = aRate.mRate > 0 ? aRate.mRate : aLimits.mMax;
   aRate.mRate =
-    std::clamp(rate, aLimits.mMin, std::max(aLimits.mMin, aLimits.mMax));
+    std::clamp(aRate.mRate, aLimits.mMin, std::max(aLimits.mMin, aLimits.mMax));
 }
 
 } // namespace
@@ -120,6 +119,12 @@
     kReplyShare * link, kRenewalsPerLease * PerSecond(allReplies, aMaxLease)
   };
   const RateLimits starts{ kStartShare * link, kMinStartShare * link };
+  const bool isFirst = aPacing.mPeriodAt == kNever;
+  if (isFirst) {
+    aPacing.mPeriodAt = aNow;
+    aPacing.mReplies.mRate = replies.mMax;
+    aPacing.mStarts.mRate = starts.mMax;
+  }
   const CallCounts& period = aPacing.mPeriod;
   const Duration length = aNow - aPacing.mPeriodAt;
   const bool isOver =
--- a/Source/Dispatch/vcOwnerPacing.h
+++ b/Source/Dispatch/vcOwnerPacing.h
@@ -23,7 +23,7 @@
 /// A rate that adapts to congestion, in bytes per second.
 struct AdaptiveRate
 {
-  /// 0 until the limits are known.
+  /// 0 before the first call of `AdaptRates`.
   double mRate = 0;
   /// Bytes that were sent or asked for in the current period.
   double mUsed = 0;
--- a/Tests/Unit/vcOwnerPacingTest.cxx
+++ b/Tests/Unit/vcOwnerPacingTest.cxx
@@ -121,9 +121,13 @@
   constexpr double kMbps = 2;
   constexpr int kPeriods = 100;
   constexpr int kFailedCalls = 8;
+  // Bytes of starts in a period; none while starts are forbidden.
+  const double started = GENERATE(0.0, 1.0, 50'000.0);
+  CAPTURE(started);
   OwnerPacing pacing;
   TimePoint now = kBegin;
   for (int i = 0; i < kPeriods; ++i) {
+    pacing.mStarts.mUsed = started;
     for (int call = 0; call < kFailedCalls; ++call) {
       CountCall(pacing.mPeriod, OrderOutcome::kUnknown, std::nullopt);
     }
@@ -131,6 +135,7 @@
     now += Duration(250);
   }
   CHECK(pacing.mIsCongested);
+  CHECK(pacing.mStarts.mRate < LinkBytesPerSecond(kMbps) / 10);
   TimePoint last = now;
   for (std::size_t i = 0; i < kWorkers; ++i) {
     last = ReserveReply(pacing, ReplyBytes(kRunsPerWorker), now);
