Dispatch: Await the ends of workers that answer without a list, too

What callers would see: a task that was done runs again (TWICE).

Cause: one answer without a list of ends, such as 503 or one that can't be read, after the lease was over gave the tasks up at once. It proves no more than no answer does. Found in review of the change that awaits unheard ends.

Change: the ends of a listed worker are awaited whatever its last answer was, unless another incarnation answers in its place.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -178,16 +178,13 @@
   }
 }
 
-void SetUnresponsive(DispatchWorker& aWorker,
-                     OrderOutcome aOutcome,
-                     TimePoint aNow)
+void SetUnresponsive(DispatchWorker& aWorker, TimePoint aNow)
 {
   const bool isFirst = !aWorker.mIsUnresponsive && aWorker.mHasAnswered;
   if (isFirst) {
     aWorker.mSilentSince = aNow;
   }
   aWorker.mIsUnresponsive = true;
-  aWorker.mIsUnheard = !IsAnswer(aOutcome);
 }
 
 void ApplyReport(DispatchShard& aShard,
@@ -239,7 +236,7 @@
     OnNewIncarnation(aShard, *worker, aNow, aNowMs);
     worker->mIsReplaced = true;
     aShard.mUnansweredWorkers.erase(aWorker);
-    SetUnresponsive(*worker, aReport.mOutcome, aNow);
+    SetUnresponsive(*worker, aNow);
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
@@ -250,7 +247,7 @@
         NameOf(aReport.mOutcome),
         (aNow - worker->mLastReportAt).count());
     }
-    SetUnresponsive(*worker, aReport.mOutcome, aNow);
+    SetUnresponsive(*worker, aNow);
     return;
   }
   const bool isNewIncarnation =
@@ -264,7 +261,6 @@
                  aReport.mIncarnation);
   }
   worker->mIsUnresponsive = false;
-  worker->mIsUnheard = false;
   worker->mIsReplaced = false;
   worker->mLostRuns.clear();
   worker->mHasAnswered = true;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -258,8 +258,6 @@
   TimePoint mLastReportAt{ kNever };
   /// The last renewal did not succeed.
   bool mIsUnresponsive = false;
-  /// It wasn't answered at all.
-  bool mIsUnheard = false;
   /// When the first renewal since the last report failed, or, if the worker has
   /// never answered, when it became known. Only valid while it is silent.
   TimePoint mSilentSince{ kNever };
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -144,14 +144,14 @@
          IsSuspendedTooLong(aShard, aJob, step, aTask, aNow);
 }
 
-/// True if the task may have ended as done on a worker that is well, though its
-/// answers don't arrive. The lease proves only that the task doesn't run.
+/// True if the task may have ended as done on a worker that is well, though no
+/// report of it arrives. The lease proves only that the task doesn't run.
 bool MayBeDoneUnheard(const DispatchShard& aShard,
                       const DispatchWorker& aWorker,
                       const TaskId& aKey,
                       TimePoint aNow)
 {
-  const bool mayBeWell = aWorker.mIsListed && aWorker.mIsUnheard;
+  const bool mayBeWell = aWorker.mIsListed && !aWorker.mIsReplaced;
   const bool isAwaited =
     aNow < RunsEndAt(aShard, aWorker, aNow) + kUnheardEndsWait;
   return mayBeWell && isAwaited &&
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -558,7 +558,9 @@
     { "not reached", true, false, OrderOutcome::kNotSent, true },
     { "gone from discovery", false, false, OrderOutcome::kUnknown, false },
     { "a long-running task", true, true, OrderOutcome::kUnknown, false },
-    { "unhealthy", true, false, OrderOutcome::kUnhealthy, false },
+    { "unhealthy", true, false, OrderOutcome::kUnhealthy, true },
+    { "unreadable", true, false, OrderOutcome::kMalformed, true },
+    { "replaced", true, false, OrderOutcome::kOtherIncarnation, false },
   }));
   INFO(row.mName);
   Fixture fixture({ "w1", "w2" });
