Node: Let each owner ask a listed worker itself before its runs are given up

Cause: an owner that doesn't reach a worker because of its own link records that its runs have ended 6 s ago; the next owner then starts their tasks without a call of its own. Found in review.

Change: at least 1 s of the wait is left for the next owner.

--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -42,11 +42,13 @@
 }
 
 /// Time in ms until all runs on an inactive worker end, as it is recorded.
-/// Negative once they have ended, so that no later owner awaits the worker's
-/// answer from the start.
+/// Negative once they have ended, so that the next owner awaits the worker's
+/// answer only for the rest of the time, but for as long as a call takes: it
+/// may reach a worker that this owner doesn't.
 std::int64_t RecordedTimeUntil(TimePoint aEndAt, TimePoint aNow)
 {
-  return std::max(aEndAt - aNow, -kUnheardEndsWait).count();
+  constexpr Duration kLeastWait{ 1'000 };
+  return std::max(aEndAt - aNow, kLeastWait - kUnheardEndsWait).count();
 }
 
 /// Takes the current revisions of the records from a failed write.
