Dispatch: Suspect only fresh runs on workers that crash together

Change: of workers that crash together only runs count that began within 0.3 s before. A worker that restarts at once wasn't silent, so it isn't one of them.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -31,6 +31,9 @@
 /// outside of them, such as their rack or their software.
 constexpr std::size_t kMinTogether = 4;
 constexpr double kMinPartTogether = 0.1;
+/// Then only a run that began this long before its worker fell silent counts,
+/// since a task that crashes its worker mostly does so at its start.
+constexpr Duration kFreshRun{ 300 };
 
 /// A run that may have caused a crash.
 struct SuspectRun
@@ -57,6 +60,10 @@
 /// True if many workers fell silent together with this one.
 bool HasOutsideCause(const DispatchShard& aShard, const DispatchWorker& aWorker)
 {
+  // A worker that has restarted at once wasn't silent.
+  if (!aWorker.mIsUnresponsive) {
+    return false;
+  }
   const auto together = std::count_if(
     aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
       const DispatchWorker& other = aRow.second;
@@ -164,7 +171,14 @@
       return !aRun.mIsSeenAtWork;
     }));
   const bool hasOutsideCause = HasOutsideCause(aShard, aWorker);
-  if (unseen > 0 || hasOutsideCause) {
+  const TimePoint silentSince =
+    aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
+  if (hasOutsideCause) {
+    std::erase_if(runs, [&](const SuspectRun& aRun) {
+      return aRun.mIsSeenAtWork ||
+             silentSince - aRun.mStartOrderedAt > kFreshRun;
+    });
+  } else if (unseen > 0) {
     std::erase_if(runs,
                   [](const SuspectRun& aRun) { return aRun.mIsSeenAtWork; });
   }
@@ -173,8 +187,6 @@
                all,
                runs.size(),
                hasOutsideCause);
-  const TimePoint silentSince =
-    aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
   for (const auto& run : runs) {
     const Duration ranFor =
       std::max(silentSince - run.mStartOrderedAt, Duration(0));
