Dispatch: Reserve no worker for a suspect that may start anywhere

Cause: a suspect that has waited for 5 s may start beside others, but a worker was still reserved for it in each round. One that fits nowhere kept a worker free for good; if a service has only one, nothing else started there. Found in review.

Change: no reservation from then on.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -664,7 +664,9 @@
     auto& workers = aRound.mUsable[needs.mService];
     DispatchWorker* worker = ChooseApart(aShard, needs, aRound, workers);
     if (worker == nullptr) {
-      ReserveWorker(aShard, needs, aRound, workers);
+      if (!MayStartBesideOthers(task, aRound.mNow)) {
+        ReserveWorker(aShard, needs, aRound, workers);
+      }
       continue;
     }
     StartOn(aShard, *at, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
