Fleet: Take the orders of workers in memory by reference

Cause: the linter refuses parameters that are copied and only read.

Change: references; the calls still copy what they need.

--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -550,7 +550,8 @@
 WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, const std::string& aCaller)
 {
   WorkerPort port;
-  port.mRenew = [&aFleet, aCaller](WorkerAddress aTo, RenewOrder aOrder) {
+  port.mRenew = [&aFleet, aCaller](const WorkerAddress& aTo,
+                                   RenewOrder aOrder) {
     return Call<WorkerReport>(
       aFleet,
       aCaller,
@@ -559,7 +560,8 @@
          return Renew(aFleet, aCaller, aTo, aOrder);
        } });
   };
-  port.mStart = [&aFleet, aCaller](WorkerAddress aTo, StartOrder aOrder) {
+  port.mStart = [&aFleet, aCaller](const WorkerAddress& aTo,
+                                   const StartOrder& aOrder) {
     const auto texts = aOrder.mText.size() + aOrder.mCheckpoint.size();
     return Call<OrderReply>(
       aFleet,
@@ -569,7 +571,8 @@
         kLinkOrderTimeout,
         [=, &aFleet] { return Start(aFleet, aCaller, aTo, aOrder); } });
   };
-  port.mStop = [&aFleet, aCaller](WorkerAddress aTo, StopOrder aOrder) {
+  port.mStop = [&aFleet, aCaller](const WorkerAddress& aTo,
+                                  const StopOrder& aOrder) {
     return Call<OrderReply>(aFleet,
                             aCaller,
                             aTo.mWorker,
