Node: Log the jobs that have nothing running, by reason

Cause: shard.waiting counts tasks, also those of jobs that run others.

Change: each job knows since when nothing of it runs; shard.idle-jobs and two metrics count those idle for over 3 s by the reasons of shard.waiting. Nothing is decided by it.

Result: a table test of what counts as idle; [waiting] passes, 139 assertions.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -121,6 +121,7 @@
     return;
   }
   Release(aShard, aKey, RunPhase::kDone);
+  NoteRunEnded(job, aNow);
   task.mCheckpoint.clear();
   CountTaskDone(job, aKey);
   MarkReady(job, aKey, aNow);
@@ -241,6 +242,28 @@
   return aSpec.mStartAtMs + aSpec.mIntervalMs * aOccurrence;
 }
 
+TimePoint ReadyAt(const DispatchJob& aJob,
+                  const TaskId& aTask,
+                  TimePoint aNow,
+                  std::int64_t aNowMs)
+{
+  const DispatchStep& step =
+    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep];
+  const std::int64_t dueAt = DueAtMs(aJob.mRecord.mSpec, aTask.mOccurrence);
+  if (dueAt == 0) {
+    return step.mReadyAt;
+  }
+  return std::max(step.mReadyAt, aNow + Duration(dueAt - aNowMs));
+}
+
+TimePoint IdleSince(const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    TimePoint aNow,
+                    std::int64_t aNowMs)
+{
+  return std::max(aJob.mIdleSince, ReadyAt(aJob, aTask, aNow, aNowMs));
+}
+
 void AddJob(DispatchShard& aShard,
             const JobId& aId,
             BatchRecord aRecord,
@@ -262,6 +285,7 @@
   const std::int64_t age = std::clamp<std::int64_t>(
     aNowMs - job.mRecord.mAcceptedAtMs, 0, aShard.mBounds.mStatus.count());
   job.mAcceptedAt = aNow - Duration(age);
+  job.mIdleSince = job.mAcceptedAt;
   SetReadyTimes(job, aNow);
   const QueueTerms& terms = job.mRecord.mTerms;
   const double objective = terms.mStretch * CriticalPathMs(aShard, job) +
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -65,6 +65,26 @@
 /// isn't scheduled and may start at once.
 std::int64_t DueAtMs(const BatchSpec& aSpec, std::uint32_t aOccurrence);
 
+/// When the step of the task became ready, or its occurrence is due if that is
+/// later. Only valid for a step that is ready.
+/// @param aNowMs current time in ms since 1970
+TimePoint ReadyAt(const DispatchJob& aJob,
+                  const TaskId& aTask,
+                  TimePoint aNow,
+                  std::int64_t aNowMs);
+
+/// A job with a ready task has nothing running for at most this long, if there
+/// is capacity.
+constexpr Duration kMaxIdleTime{ 3'000 };
+
+/// Since when a job without a run could have had one of the task's step, which
+/// is ready.
+/// @param aNowMs current time in ms since 1970
+TimePoint IdleSince(const DispatchJob& aJob,
+                    const TaskId& aTask,
+                    TimePoint aNow,
+                    std::int64_t aNowMs);
+
 /// Expected run time in ms of a task of `aJob`'s step: the mean that was
 /// learned for the job's queue, or the caller's estimate until enough runs were
 /// seen.
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -130,9 +130,17 @@
   task.mPhase = aPhase;
 }
 
+void NoteRunEnded(DispatchJob& aJob, TimePoint aNow)
+{
+  if (aJob.mActiveRuns == 0) {
+    aJob.mIdleSince = aNow;
+  }
+}
+
 void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow)
 {
   Release(aShard, aKey, RunPhase::kWaiting);
+  NoteRunEnded(aShard.mJobs.at(aKey.mJob), aNow);
   FindTask(aShard, aKey)->mWaitingSince = aNow;
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -165,6 +165,9 @@
   bool mIsFinalStored = false;
   /// Number of the job's runs that are assigned to workers.
   std::uint32_t mActiveRuns = 0;
+  /// When the last of them ended, or the job was accepted. Only valid while
+  /// there are none.
+  TimePoint mIdleSince{ kNever };
   TimePoint mEndedAt{ kNever };
   /// The same in ms since 1970.
   std::int64_t mEndedAtMs = 0;
@@ -439,6 +442,10 @@
 /// the task's phase.
 void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase);
 
+/// Notes that a run of the job has ended: without another one it is idle from
+/// `aNow` on.
+void NoteRunEnded(DispatchJob& aJob, TimePoint aNow);
+
 /// Releases a task that waits for a new start from `aNow` on.
 void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow);
 
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -28,12 +28,7 @@
 {
   const DispatchStep& step =
     aJob.mOccurrences[aFirstTask.mOccurrence].mSteps[aFirstTask.mStep];
-  TimePoint readyAt = step.mReadyAt;
-  const std::int64_t dueAt =
-    DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
-  if (dueAt > 0) {
-    readyAt = std::max(readyAt, aNow + Duration(dueAt - aNowMs));
-  }
+  const TimePoint readyAt = ReadyAt(aJob, aFirstTask, aNow, aNowMs);
   WaitingStep waiting;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     const DispatchTask& task = step.mTasks[i];
@@ -51,6 +46,30 @@
   return waiting;
 }
 
+/// The ready step of an idle job that has been ready for longest, as one
+/// waiting unit, if the job has one that has waited for longer than
+/// `kMaxIdleTime`.
+std::optional<WaitingStep> LongIdleStep(const DispatchShard& aShard,
+                                        const DispatchJob& aJob,
+                                        TimePoint aNow,
+                                        std::int64_t aNowMs)
+{
+  std::optional<WaitingStep> longest;
+  if (aJob.mActiveRuns > 0) {
+    return longest;
+  }
+  for (const auto& firstTask : ReadySteps(aShard, aJob, aNowMs)) {
+    WaitingStep step = MakeWaitingStep(aJob, firstTask, aNow, aNowMs);
+    step.mSince = IdleSince(aJob, firstTask, aNow, aNowMs);
+    step.mTasks = 1;
+    const bool isLong = aNow - step.mSince > kMaxIdleTime;
+    if (isLong && (!longest || step.mSince < longest->mSince)) {
+      longest = step;
+    }
+  }
+  return longest;
+}
+
 /// The reason that holds for all tasks of a job, whatever they need.
 std::optional<WaitReason> ReasonOfJob(const DispatchShard& aShard,
                                       const DispatchJob& aJob,
@@ -86,6 +105,27 @@
          std::tie(aRight.mSince, aRight.mOldest);
 }
 
+/// Counts steps by the reason for which they wait. Only those that have waited
+/// longest are examined.
+void CountExamined(WaitingSummary& aSummary,
+                   const DispatchShard& aShard,
+                   std::vector<WaitingStep>& aSteps,
+                   TimePoint aNow,
+                   std::size_t aMaxExamined)
+{
+  const std::size_t examined = std::min(aMaxExamined, aSteps.size());
+  std::partial_sort(aSteps.begin(),
+                    aSteps.begin() + static_cast<std::ptrdiff_t>(examined),
+                    aSteps.end(),
+                    HasWaitedLonger);
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    const WaitReason reason = i < examined
+                                ? WhyNotPlaced(aShard, aSteps[i].mOldest, aNow)
+                                : WaitReason::kNotExamined;
+    Count(aSummary, reason, aShard, aSteps[i], aNow);
+  }
+}
+
 } // namespace
 
 WaitingSummary SummarizeWaiting(const DispatchShard& aShard,
@@ -109,17 +149,33 @@
       }
     }
   }
-  const std::size_t examined = std::min(aMaxExamined, steps.size());
-  std::partial_sort(steps.begin(),
-                    steps.begin() + static_cast<std::ptrdiff_t>(examined),
-                    steps.end(),
-                    HasWaitedLonger);
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    const WaitReason reason = i < examined
-                                ? WhyNotPlaced(aShard, steps[i].mOldest, aNow)
-                                : WaitReason::kNotExamined;
-    Count(summary, reason, aShard, steps[i], aNow);
+  CountExamined(summary, aShard, steps, aNow, aMaxExamined);
+  return summary;
+}
+
+WaitingSummary SummarizeIdleJobs(const DispatchShard& aShard,
+                                 TimePoint aNow,
+                                 std::int64_t aNowMs,
+                                 std::size_t aMaxExamined)
+{
+  WaitingSummary summary;
+  std::vector<WaitingStep> steps;
+  for (const auto& [id, job] : aShard.mJobs) {
+    if (IsFinal(job.mState)) {
+      continue;
+    }
+    const auto step = LongIdleStep(aShard, job, aNow, aNowMs);
+    if (!step) {
+      continue;
+    }
+    const auto reason = ReasonOfJob(aShard, job, aNow);
+    if (reason) {
+      Count(summary, *reason, aShard, *step, aNow);
+    } else {
+      steps.push_back(*step);
+    }
   }
+  CountExamined(summary, aShard, steps, aNow, aMaxExamined);
   return summary;
 }
 
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -1,7 +1,8 @@
 #pragma once
 
-/// Waiting work: a summary of the tasks of a shard that are ready and wait for
-/// a start, by the reason why they wait. It has no effect on placement.
+/// Waiting work: summaries of the tasks of a shard that are ready and wait for
+/// a start, and of the jobs that have nothing running meanwhile, by the reason
+/// why they wait. They have no effect on placement.
 
 #include "vcDispatchState.h"
 #include "vcErrorTable.h"
@@ -60,7 +61,7 @@
   });
 };
 
-/// Tasks that wait for the same reason.
+/// Tasks, or idle jobs, that wait for the same reason.
 struct WaitingTasks
 {
   std::uint64_t mTasks = 0;
@@ -86,4 +87,13 @@
                                 std::int64_t aNowMs,
                                 std::size_t aMaxExamined = kMaxExaminedSteps);
 
+/// Counts the jobs that have had nothing running for longer than
+/// `kMaxIdleTime` although a task of theirs is ready, each as one task. Those
+/// that have been idle for longest are examined first.
+/// @param aNowMs current time in ms since 1970, for occurrences that are due
+WaitingSummary SummarizeIdleJobs(const DispatchShard& aShard,
+                                 TimePoint aNow,
+                                 std::int64_t aNowMs,
+                                 std::size_t aMaxExamined = kMaxExaminedSteps);
+
 } // namespace verbenacroft
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -74,11 +74,31 @@
   gauge("verbenacroft_shard_epoch", "Epoch of this owner.", aState.mEpoch);
 }
 
+/// A metric of waiting work: its name and help text.
+struct WaitingMetric
+{
+  const char* mName;
+  const char* mHelp;
+};
+
+constexpr WaitingMetric kWaitingTasks{ "verbenacroft_shard_waiting_tasks",
+                                       "Tasks that are ready and wait." };
+constexpr WaitingMetric kOldestWait{ "verbenacroft_shard_oldest_wait_ms",
+                                     "Longest wait of a task that is ready." };
+constexpr WaitingMetric kIdleJobs{
+  "verbenacroft_shard_idle_jobs",
+  "Jobs with a ready task that have had nothing running for too long."
+};
+constexpr WaitingMetric kLongestIdle{ "verbenacroft_shard_longest_idle_ms",
+                                      "Longest such time of a job." };
+
 /// Adds the metrics of a shard's waiting work. A reason for which nothing waits
 /// is 0, so that its series doesn't keep an old value.
 void CollectWaiting(MetricsPage& aPage,
                     std::uint32_t aShard,
-                    const WaitingSummary& aWaiting)
+                    const WaitingSummary& aWaiting,
+                    const WaitingMetric& aCount,
+                    const WaitingMetric& aLongest)
 {
   for (const auto& reason : EnumTable<WaitReason>::kRows) {
     const MetricLabels labels{ { "shard", std::to_string(aShard) },
@@ -86,12 +106,10 @@
     const auto found = aWaiting.find(reason.mValue);
     const WaitingTasks row =
       found == aWaiting.end() ? WaitingTasks{} : found->second;
-    aPage.Gauge("verbenacroft_shard_waiting_tasks",
-                "Tasks that are ready and wait.",
-                static_cast<double>(row.mTasks),
-                labels);
-    aPage.Gauge("verbenacroft_shard_oldest_wait_ms",
-                "Longest wait of a task that is ready.",
+    aPage.Gauge(
+      aCount.mName, aCount.mHelp, static_cast<double>(row.mTasks), labels);
+    aPage.Gauge(aLongest.mName,
+                aLongest.mHelp,
                 static_cast<double>(row.mLongestWait.count()),
                 labels);
   }
@@ -158,7 +176,10 @@
   viewAge("system", aNode.mSystemCompleteAt);
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
-    CollectWaiting(aPage, shard, runner->WaitingTasksByReason());
+    CollectWaiting(
+      aPage, shard, runner->WaitingTasksByReason(), kWaitingTasks, kOldestWait);
+    CollectWaiting(
+      aPage, shard, runner->IdleJobsByReason(), kIdleJobs, kLongestIdle);
     aPage.Gauge(
       "verbenacroft_shard_inbox_age_ms",
       "Time since the inbox was last known to be complete.",
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -173,4 +173,19 @@
   }
 }
 
+void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber)
+{
+  for (const auto& [reason, row] : aIdle) {
+    spdlog::info("shard.idle-jobs shard={} reason={} jobs={} longest_ms={} "
+                 "example={} need_mcpu={} need_mb={}",
+                 aNumber,
+                 NameOf(reason),
+                 row.mTasks,
+                 row.mLongestWait.count(),
+                 Describe(row.mExample),
+                 row.mNeeds.mMilliCpu,
+                 row.mNeeds.mMemoryMb);
+  }
+}
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -68,4 +68,8 @@
 /// @param aNumber number of the shard
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber);
 
+/// Logs the shard's idle jobs, one line for each reason.
+/// @param aNumber number of the shard
+void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber);
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -355,6 +355,9 @@
       this->mWaiting =
         SummarizeWaiting(this->mShard, loadLoggedAt, WallClockMs());
       LogWaiting(this->mWaiting, this->mShardNumber);
+      this->mIdleJobs =
+        SummarizeIdleJobs(this->mShard, loadLoggedAt, WallClockMs());
+      LogIdleJobs(this->mIdleJobs, this->mShardNumber);
       LogInboxReads(this->mInboxReads,
                     this->mShardNumber,
                     this->mNode.mLatestRevision,
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -58,6 +58,8 @@
   const InboxReads& Inbox() const { return this->mInboxReads; }
   /// The tasks that were ready and waited at the last line about the load.
   const WaitingSummary& WaitingTasksByReason() const { return this->mWaiting; }
+  /// The jobs that had nothing running for too long at that time.
+  const WaitingSummary& IdleJobsByReason() const { return this->mIdleJobs; }
   /// State of the dispatch core.
   const DispatchShard& State() const { return this->mShard; }
 
@@ -249,6 +251,8 @@
   TimePoint mStartBudgetAt{ kNever };
   InboxReads mInboxReads;
   WaitingSummary mWaiting;
+  /// Jobs that had nothing running for too long, at the same time.
+  WaitingSummary mIdleJobs;
   /// Why starts are forbidden; nothing while they are allowed.
   std::optional<StartsForbiddenCause> mForbiddenCause;
   /// When starts became forbidden.
--- a/Tests/Unit/vcWaitingTest.cxx
+++ b/Tests/Unit/vcWaitingTest.cxx
@@ -13,6 +13,8 @@
 constexpr const char* kService = "pool";
 constexpr TimePoint kNow{ 10'000 };
 constexpr std::uint64_t kEpoch = 10;
+/// Longer than a job may be idle.
+constexpr Duration kLongIdle = kMaxIdleTime + Duration(1);
 
 DispatchWorker& AddWorker(DispatchShard& aShard, const std::string& aName)
 {
@@ -321,4 +323,85 @@
   CHECK(fixture.LongestWait() == Duration(800));
 }
 
+// Guards against idle jobs that no log line shows.
+TEST_CASE("a job counts as idle once nothing of it has run for too long",
+          "[waiting]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::uint64_t mIdleJobs;
+    void (*mPrepare)(Fixture&);
+  };
+  const auto row = GENERATE(values<Row>({
+    { "not for long enough",
+      0,
+      [](Fixture& aShard) {
+        aShard.Add();
+        aShard.mNow += kMaxIdleTime;
+      } },
+    { "two jobs that nothing was started of",
+      2,
+      [](Fixture& aShard) {
+        aShard.Add();
+        aShard.Add("00000000000000a2");
+        aShard.mNow += kLongIdle;
+      } },
+    { "one task runs, another waits",
+      0,
+      [](Fixture& aShard) {
+        aShard.Step().mCount = 2;
+        aShard.Step().mNeeds.mMilliCpu = 6'000;
+        aShard.Add();
+        REQUIRE(aShard.Plan().mStarts.size() == 1);
+        aShard.mNow += kLongIdle;
+      } },
+    { "its only run has failed just now",
+      0,
+      [](Fixture& aShard) {
+        aShard.mRecord.mTerms.mMaxAttempts = 2;
+        aShard.Add();
+        REQUIRE(aShard.Plan().mStarts.size() == 1);
+        aShard.mNow += kLongIdle;
+        aShard.End(0, RunEnd::kFailed);
+      } },
+    { "the step after became ready just now",
+      0,
+      [](Fixture& aShard) {
+        aShard.mRecord.mSpec.mSteps.push_back(aShard.Step());
+        aShard.mRecord.mSpec.mSteps[1].mAfter = { 0 };
+        aShard.Add();
+        REQUIRE(aShard.Plan().mStarts.size() == 1);
+        aShard.mNow += kLongIdle;
+        aShard.End(0, RunEnd::kDone);
+      } },
+    { "its only run ended long ago",
+      1,
+      [](Fixture& aShard) {
+        aShard.mRecord.mTerms.mMaxAttempts = 2;
+        aShard.Add();
+        REQUIRE(aShard.Plan().mStarts.size() == 1);
+        aShard.End(0, RunEnd::kFailed);
+        aShard.mNow += kLongIdle;
+      } },
+    { "not due",
+      0,
+      [](Fixture& aShard) {
+        aShard.mRecord.mSpec.mRepeatCount = 1;
+        aShard.mRecord.mSpec.mStartAtMs = kNow.count() + kLongIdle.count();
+        aShard.Add();
+        aShard.mNow += kLongIdle;
+      } },
+  }));
+  INFO(row.mName);
+  Fixture shard;
+  row.mPrepare(shard);
+  std::uint64_t idle = 0;
+  for (const auto& [reason, tasks] :
+       SummarizeIdleJobs(shard.mShard, shard.mNow, shard.mNow.count())) {
+    idle += tasks.mTasks;
+  }
+  CHECK(idle == row.mIdleJobs);
+}
+
 } // namespace verbenacroft
