Tests: Show jobs that have nothing running beside others that run many tasks

Cause: not mended here.

Change: vcIdleJobsTest and a second judge in vcStarvationTest; both fail and are listed in KNOWN-RED.txt.

--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -29,6 +29,7 @@
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
   Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
+  Tests/Unit/vcIdleJobsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -36,6 +37,8 @@
 add_test(NAME unit COMMAND vcUnitTests)
 # Known to fail; see KNOWN-RED.txt.
 add_test(NAME unit_large_step COMMAND vcUnitTests "[red-large-step]")
+add_test(NAME unit_idle_order COMMAND vcUnitTests "[red-idle-order]")
+add_test(NAME unit_idle_probes COMMAND vcUnitTests "[red-idle-probes]")
 add_test(NAME unit_gang_lost_member COMMAND vcUnitTests "[red-gang]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
--- a/Tests/Unit/vcStarvationTest.cxx
+++ b/Tests/Unit/vcStarvationTest.cxx
@@ -97,6 +97,8 @@
     return longest;
   }
 
+  /// Longest time for which a job had nothing running.
+  Duration mLongestIdle{ 0 };
   std::uint32_t mBestEffortStarts = 0;
   /// Longest time on end, and sum over the workers, for which best-effort tasks
   /// kept a serving task over its target.
@@ -186,11 +188,12 @@
 
   void AddBestEffortJob(std::uint32_t aIndex)
   {
-    const JobId job = fmt::format("00000000000000b{}", aIndex);
+    const JobId job = fmt::format("b{:015x}", aIndex);
     StepSpec step = MakeStep(kBestEffortMilliCpu, kBestEffortImage);
     step.mIsFilling = true;
     this->AddJobOf(job, { step });
     this->mFirstStarts[job] = kNever;
+    this->mIdleSince[job] = this->mNow;
   }
 
   bool IsBestEffort(const TaskId& aTask) const
@@ -327,14 +330,33 @@
   void Step()
   {
     this->mNow += kReportInterval;
+    this->JudgeIdle();
     this->Report();
     this->Plan();
   }
 
+  /// Notes for how long each job has had nothing running since the step before.
+  void JudgeIdle()
+  {
+    for (const auto& [name, worker] : this->mWorkers) {
+      for (const auto& [task, run] : worker.mRuns) {
+        const auto found = this->mIdleSince.find(task.mJob);
+        if (found != this->mIdleSince.end()) {
+          found->second = this->mNow;
+        }
+      }
+    }
+    for (const auto& [job, since] : this->mIdleSince) {
+      this->mLongestIdle = std::max(this->mLongestIdle, this->mNow - since);
+    }
+  }
+
   const StarvationCase& mCase;
   DispatchShard mShard;
   std::map<std::string, ModelWorker> mWorkers;
   std::map<JobId, TimePoint> mFirstStarts;
+  /// Since when a job has had nothing running.
+  std::map<JobId, TimePoint> mIdleSince;
   TimePoint mNow{ 0 };
   TimePoint mAddedAt{ 0 };
 };
@@ -371,6 +393,27 @@
   };
 }
 
+/// The cases of one job, and more jobs than workers.
+std::vector<StarvationCase> CrowdedCases()
+{
+  const std::pair<double, double> calm{ 0.4, 0.6 };
+  std::vector<StarvationCase> cases;
+  for (const auto& row : StarvationCases()) {
+    if (row.mMustStart) {
+      cases.push_back(row);
+    }
+  }
+  StarvationCase crowd{
+    "a crowd of jobs that disturb", std::vector(20, calm), 3, 4
+  };
+  crowd.mJobs = 40;
+  cases.push_back(crowd);
+  crowd.mName = "a crowd of jobs that are only predicted to disturb";
+  crowd.mTrueCoefficient = 0;
+  cases.push_back(crowd);
+  return cases;
+}
+
 } // namespace
 
 // Guards against best-effort jobs that wait without a bound beside free
@@ -396,4 +439,20 @@
   CHECK(model.mBestEffortStarts <= maxStarts);
 }
 
+// Guards against best-effort jobs that have nothing running for long, since
+// their images are predicted to disturb the serving tasks.
+TEST_CASE("a best-effort job isn't idle for long, whatever is predicted",
+          "[.][red-idle-probes]")
+{
+  const StarvationCase row = GENERATE(from_range(CrowdedCases()));
+  INFO(row.mName);
+  const Model model(row);
+  INFO("idle for " << model.mLongestIdle.count() << " ms, harmed "
+                   << model.mMaxHarmed.count() << " ms, in all "
+                   << model.mSumHarmed.count() << " ms, starts "
+                   << model.mBestEffortStarts);
+  CHECK(model.mLongestIdle <= kMaxIdleTime);
+  CHECK(model.mMaxHarmed <= DispatchBounds{}.mMaxOverTarget / 2);
+}
+
 } // namespace verbenacroft
