Dispatch: Give each idle job a turn ahead of the usual order

What callers saw: accepted jobs had nothing running for up to 100 s beside free room (LOST, "could run and doesn't").

Cause: steps of late jobs came after those of all jobs that aren't late, and within each of the two by objective, without a bound on the wait. A job of which nothing ran wasn't preferred to one that ran twenty tasks.

Evidence: vcIdleJobsTest failed in 6 of 7 rows before, idle for the whole 29.9 s watched.

Change: after 1 s without a run one task of a job starts ahead of the usual order. Best-effort ones come before all priorities, since they take no capacity from others; the rest among their own priority. Among late jobs those without a run come first. All other starts keep their order, so jobs that can meet their objective wait for at most one task of each late one.

Result: the rows pass.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -33,25 +33,58 @@
 /// last round in which the suspect waited.
 constexpr Duration kReservationTime{ 300 };
 
+/// How long a job has had nothing running before one task of it is started
+/// ahead of the usual order. The rest of `kMaxIdleTime` is for starts that are
+/// refused, and for runs that end before they are reported.
+constexpr Duration kTurnAfter{ 1'000 };
+
+/// Tiers of the steps of one priority, in the order in which they start.
+enum class Tier
+{
+  /// One task of a job that has had nothing running for `kTurnAfter`.
+  kTurn,
+  /// As many tasks as fit of a job that can still meet its objective.
+  kOnTime,
+  /// One task of a late job that has nothing running.
+  kLateTurn,
+  /// As many tasks as fit of a late job.
+  kLate,
+};
+
+bool IsTurn(Tier aTier)
+{
+  return aTier == Tier::kTurn || aTier == Tier::kLateTurn;
+}
+
 /// A step with tasks that wait for a start.
 struct Candidate
 {
   /// First task of the step.
   TaskId mFirstTask;
   std::int32_t mPriority = 0;
-  bool mIsLate = false;
-  TimePoint mObjectiveAt{ 0 };
+  Tier mTier = Tier::kOnTime;
+  bool mIsBestEffort = false;
+  /// When the job should be done, or, of a turn, since when it has been idle.
+  TimePoint mDueAt{ 0 };
 };
 
+/// Best-effort tasks take no capacity from others, so their turns come first
+/// whatever the priority: else a job could wait without a bound for those of
+/// more urgent queues.
+auto RankOf(const Candidate& aCandidate)
+{
+  const bool isFirst =
+    aCandidate.mIsBestEffort && aCandidate.mTier == Tier::kTurn;
+  return std::tuple(!isFirst,
+                    aCandidate.mPriority,
+                    aCandidate.mTier,
+                    aCandidate.mDueAt,
+                    aCandidate.mFirstTask);
+}
+
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight)
 {
-  return std::tie(aLeft.mPriority,
-                  aLeft.mIsLate,
-                  aLeft.mObjectiveAt,
-                  aLeft.mFirstTask) < std::tie(aRight.mPriority,
-                                               aRight.mIsLate,
-                                               aRight.mObjectiveAt,
-                                               aRight.mFirstTask);
+  return RankOf(aLeft) < RankOf(aRight);
 }
 
 /// True if a start of the task may be ordered, at least on some workers.
@@ -108,16 +141,47 @@
       DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
     const bool isLasting = StepOf(aJob, aFirstTask).mIsLasting;
     Candidate candidate;
+    candidate.mIsBestEffort = StepOf(aJob, aFirstTask).mIsFilling;
     candidate.mFirstTask = std::move(aFirstTask);
     candidate.mPriority = aJob.mRecord.mTerms.mPriority;
-    candidate.mObjectiveAt =
+    candidate.mDueAt =
       dueAt > 0 ? aNow + Duration(dueAt - aNowMs) : aJob.mObjectiveAt;
-    candidate.mIsLate =
-      !isLasting && dueAt == 0 && candidate.mObjectiveAt < aNow;
+    const bool isLate = !isLasting && dueAt == 0 && candidate.mDueAt < aNow;
+    candidate.mTier = isLate ? Tier::kLate : Tier::kOnTime;
     aOut.push_back(std::move(candidate));
   });
 }
 
+/// The steps in the order of the round, with turns for those whose job has
+/// nothing running. The tasks of a gang start together, so no single one has a
+/// turn.
+std::vector<Candidate> WithTurns(const DispatchShard& aShard,
+                                 const std::vector<Candidate>& aSteps,
+                                 TimePoint aNow,
+                                 std::int64_t aNowMs)
+{
+  std::vector<Candidate> candidates = aSteps;
+  for (const auto& step : aSteps) {
+    const DispatchJob& job = aShard.mJobs.at(step.mFirstTask.mJob);
+    const bool isGang = StepOf(job, step.mFirstTask).mIsGang;
+    if (job.mActiveRuns > 0 || isGang) {
+      continue;
+    }
+    Candidate turn = step;
+    turn.mDueAt = IdleSince(job, step.mFirstTask, aNow, aNowMs);
+    if (aNow - turn.mDueAt >= kTurnAfter) {
+      turn.mTier = Tier::kTurn;
+    } else if (step.mTier == Tier::kLate) {
+      turn.mTier = Tier::kLateTurn;
+    } else {
+      continue;
+    }
+    candidates.push_back(std::move(turn));
+  }
+  std::sort(candidates.begin(), candidates.end(), ComesBefore);
+  return candidates;
+}
+
 bool HasLabel(const WorkerEntry& aEntry, const std::string& aLabel)
 {
   return std::find(aEntry.mLabels.begin(), aEntry.mLabels.end(), aLabel) !=
@@ -490,9 +554,11 @@
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
 }
 
-/// Starts the waiting tasks of a step one by one, as far as there is capacity.
+/// Starts waiting tasks of a step one by one, as far as there is capacity.
+/// @param aMaxStarts maximum number of tasks to start
 void StartIndividually(DispatchShard& aShard,
                        const TaskId& aFirstTask,
+                       std::uint32_t aMaxStarts,
                        Round& aRound,
                        DispatchActions& aActions)
 {
@@ -506,8 +572,9 @@
   StepWorkers workers(
     aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   TaskId key = aFirstTask;
+  std::uint32_t started = 0;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
-    if (aShard.mStartBudget <= 0) {
+    if (aShard.mStartBudget <= 0 || started == aMaxStarts) {
       return;
     }
     const DispatchTask& task = *FindTask(aShard, key);
@@ -525,6 +592,7 @@
     ++needs.mOnWorker[worker->mEntry.mWorker];
     StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
     workers.PutBack(*worker);
+    ++started;
   }
 }
 
@@ -584,6 +652,27 @@
   }
 }
 
+/// Starts the tasks of one candidate.
+void StartCandidate(DispatchShard& aShard,
+                    const Candidate& aCandidate,
+                    Round& aRound,
+                    DispatchActions& aActions)
+{
+  const TaskId& first = aCandidate.mFirstTask;
+  const DispatchJob& job = aShard.mJobs.at(first.mJob);
+  const StepSpec& step = StepOf(job, first);
+  if (step.mIsGang) {
+    StartGang(aShard, first, aRound, aActions);
+    return;
+  }
+  const bool isTurn = IsTurn(aCandidate.mTier);
+  // Another step of the job may have had its turn in this round.
+  if (!isTurn || job.mActiveRuns == 0) {
+    StartIndividually(
+      aShard, first, isTurn ? 1 : step.mCount, aRound, aActions);
+  }
+}
+
 /// The worker on which a suspect is started: one where every run was seen at
 /// work, with as few runs as possible. Null if there is none.
 DispatchWorker* ChooseApart(const DispatchShard& aShard,
@@ -832,29 +921,23 @@
     return;
   }
   const std::uint64_t heldUpTo = LastHeldRevision(aShard, aNow);
-  std::vector<Candidate> candidates;
+  std::vector<Candidate> steps;
   for (const auto& [id, job] : aShard.mJobs) {
     const bool isSafe = job.mCreatedAt > heldUpTo;
     if (isSafe && !IsFinal(job.mState)) {
-      CollectSteps(aShard, job, aNow, aNowMs, candidates);
+      CollectSteps(aShard, job, aNow, aNowMs, steps);
     }
   }
-  std::sort(candidates.begin(), candidates.end(), ComesBefore);
+  std::sort(steps.begin(), steps.end(), ComesBefore);
   Round round = MakeRound(aShard, aNow);
-  StartSuspects(aShard, candidates, round, aActions);
-  for (const auto& candidate : candidates) {
+  StartSuspects(aShard, steps, round, aActions);
+  for (const auto& candidate : WithTurns(aShard, steps, aNow, aNowMs)) {
     if (aShard.mStartBudget <= 0) {
       return;
     }
-    const StepSpec& step =
-      StepOf(aShard.mJobs.at(candidate.mFirstTask.mJob), candidate.mFirstTask);
-    if (step.mIsGang) {
-      StartGang(aShard, candidate.mFirstTask, round, aActions);
-    } else {
-      StartIndividually(aShard, candidate.mFirstTask, round, aActions);
-    }
+    StartCandidate(aShard, candidate, round, aActions);
   }
-  StartProbes(aShard, candidates, round, aActions);
+  StartProbes(aShard, steps, round, aActions);
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchPlacement.h
+++ b/Source/Dispatch/vcDispatchPlacement.h
@@ -9,9 +9,11 @@
 
 /// Starts the tasks that are ready and fit on a worker. The order is by
 /// priority, then jobs that can still meet their objective before late ones,
-/// then the earliest objective. Started tasks are assigned to their workers
-/// immediately, before the workers answer. Best-effort steps that have waited
-/// for too long then start probes (vcDispatchProbes.h).
+/// then the earliest objective. Ahead of it, one task starts of each job of
+/// which nothing has run for some time, so that no order lets a job wait
+/// without a bound. Started tasks are assigned to their workers immediately,
+/// before the workers answer. Best-effort steps that have waited for too long
+/// then start probes (vcDispatchProbes.h).
 /// @param aNowMs current time in ms since 1970, for occurrences that are due
 /// @param aActions receives the start orders
 void PlanStarts(DispatchShard& aShard,
