Dispatch: Probe for idle jobs within the time that they may be idle

Cause: such a job runs only by probes, and these came 3 s after its last start at the earliest, 6 s where all workers count, in turns of 5 s. So a job that lived by probes was idle for longer than the 3 s that are allowed, by design.

Change: what counts is the time for which the job has been idle; probes start after 1 s, anywhere after 1.5 s, each idle job in its turn within 1 s. Steps beside other runs of their job no longer raise the rate.

Result: the rows of up to four jobs pass with 3 s in place of 10 s, for the first run and for each pause after it.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -469,6 +469,8 @@
 struct Round
 {
   TimePoint mNow{ 0 };
+  /// The same in ms since 1970.
+  std::int64_t mNowMs = 0;
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
   /// Reserved workers for which a suspect already waits in this round.
@@ -484,10 +486,11 @@
   return static_cast<double>(aQuarantined) > kMaxQuarantinedFraction * all;
 }
 
-Round MakeRound(DispatchShard& aShard, TimePoint aNow)
+Round MakeRound(DispatchShard& aShard, TimePoint aNow, std::int64_t aNowMs)
 {
   Round round;
   round.mNow = aNow;
+  round.mNowMs = aNowMs;
   std::map<std::string, std::vector<DispatchWorker*>> quarantined;
   const std::set<std::string> isolated = IsolatedWorkers(aShard);
   for (auto& [name, worker] : aShard.mWorkers) {
@@ -801,13 +804,14 @@
 /// Starts one task of a best-effort step as a probe, if a worker is eligible.
 void StartProbe(DispatchShard& aShard,
                 const TaskId& aFirstTask,
-                std::size_t aStarvedSteps,
+                std::size_t aIdleSteps,
                 Round& aRound,
                 DispatchActions& aActions)
 {
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
   const DispatchStep& state = StepStateOf(aShard, aFirstTask);
-  const ProbeStage stage = ProbeStageOf(job, state, aRound.mNow);
+  const ProbeStage stage =
+    ProbeStageOf(job, aFirstTask, aRound.mNow, aRound.mNowMs);
   FailedPlacements& failed =
     aRound.mFailedProbes.at(static_cast<std::size_t>(stage));
   if (failed.IsKnownToFail(job.mRecord.mTerms.mService,
@@ -829,40 +833,57 @@
     return;
   }
   StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
-  RecordProbe(aShard, *worker, key, aStarvedSteps, aRound.mNow);
+  RecordProbe(aShard, *worker, key, aIdleSteps, aRound.mNow);
+}
+
+/// A step that has waited for long enough to start a probe.
+struct StarvedStep
+{
+  /// Other tasks of its job run.
+  bool mIsBesideRuns = false;
+  /// Since when its job has been idle or, beside other runs, since when no task
+  /// of the step was started.
+  TimePoint mSince{ 0 };
+  TaskId mFirstTask;
+};
+
+bool ProbesBefore(const StarvedStep& aLeft, const StarvedStep& aRight)
+{
+  return std::tie(aLeft.mIsBesideRuns, aLeft.mSince, aLeft.mFirstTask) <
+         std::tie(aRight.mIsBesideRuns, aRight.mSince, aRight.mFirstTask);
 }
 
 /// Notes the best-effort steps among the candidates that still have waiting
 /// tasks, and returns those that have waited long enough for a probe. Steps of
-/// jobs of which nothing runs come first, then those that have waited longest.
-std::vector<TaskId> StarvedSteps(DispatchShard& aShard,
-                                 const std::vector<Candidate>& aCandidates,
-                                 TimePoint aNow)
+/// idle jobs come first, then those that have waited longest.
+std::vector<StarvedStep> StarvedSteps(DispatchShard& aShard,
+                                      const std::vector<Candidate>& aCandidates,
+                                      const Round& aRound)
 {
-  using Row = std::tuple<bool, TimePoint, TaskId>;
-  std::vector<Row> rows;
+  const TimePoint now = aRound.mNow;
+  std::vector<StarvedStep> starved;
   for (const auto& candidate : aCandidates) {
     const TaskId& key = candidate.mFirstTask;
     const DispatchJob& job = aShard.mJobs.at(key.mJob);
     const StepSpec& step = StepOf(job, key);
     DispatchStep& state = StepStateOf(aShard, key);
     const bool mayProbe = step.mIsFilling && !step.mIsGang;
-    if (!mayProbe || FirstWaiting(state, aNow) == state.mTasks.size()) {
+    if (!mayProbe || FirstWaiting(state, now) == state.mTasks.size()) {
       continue;
     }
     if (state.mStarvedSince == kNever) {
-      state.mStarvedSince = aNow;
+      state.mStarvedSince = now;
     }
-    if (ProbeStageOf(job, state, aNow) != ProbeStage::kNone) {
-      rows.emplace_back(job.mActiveRuns > 0, state.mStarvedSince, key);
+    if (ProbeStageOf(job, key, now, aRound.mNowMs) == ProbeStage::kNone) {
+      continue;
     }
+    const bool isBesideRuns = job.mActiveRuns > 0;
+    const TimePoint since = isBesideRuns
+                              ? state.mStarvedSince
+                              : IdleSince(job, key, now, aRound.mNowMs);
+    starved.push_back({ isBesideRuns, since, key });
   }
-  std::sort(rows.begin(), rows.end());
-  std::vector<TaskId> starved;
-  starved.reserve(rows.size());
-  for (const auto& row : rows) {
-    starved.push_back(std::get<TaskId>(row));
-  }
+  std::sort(starved.begin(), starved.end(), ProbesBefore);
   return starved;
 }
 
@@ -873,16 +894,21 @@
                  Round& aRound,
                  DispatchActions& aActions)
 {
-  const auto starved = StarvedSteps(aShard, aCandidates, aRound.mNow);
-  for (const auto& key : starved) {
+  const auto starved = StarvedSteps(aShard, aCandidates, aRound);
+  const auto idle = static_cast<std::size_t>(
+    std::count_if(starved.begin(), starved.end(), [](const StarvedStep& aStep) {
+      return !aStep.mIsBesideRuns;
+    }));
+  for (const auto& step : starved) {
     if (!IsProbeDue(aShard, aRound.mNow)) {
       return;
     }
     // A probe of another step of the job may have been started.
-    const DispatchJob& job = aShard.mJobs.at(key.mJob);
-    const DispatchStep& state = StepStateOf(aShard, key);
-    if (ProbeStageOf(job, state, aRound.mNow) != ProbeStage::kNone) {
-      StartProbe(aShard, key, starved.size(), aRound, aActions);
+    const TaskId& key = step.mFirstTask;
+    const ProbeStage stage =
+      ProbeStageOf(aShard.mJobs.at(key.mJob), key, aRound.mNow, aRound.mNowMs);
+    if (stage != ProbeStage::kNone) {
+      StartProbe(aShard, key, step.mIsBesideRuns ? 0 : idle, aRound, aActions);
     }
   }
 }
@@ -929,7 +955,7 @@
     }
   }
   std::sort(steps.begin(), steps.end(), ComesBefore);
-  Round round = MakeRound(aShard, aNow);
+  Round round = MakeRound(aShard, aNow, aNowMs);
   StartSuspects(aShard, steps, round, aActions);
   for (const auto& candidate : WithTurns(aShard, steps, aNow, aNowMs)) {
     if (aShard.mStartBudget <= 0) {
--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -1,5 +1,6 @@
 #include "vcDispatchProbes.h"
 
+#include "vcDispatchJobs.h"
 #include "vcDispatchSharing.h"
 
 #include <spdlog/spdlog.h>
@@ -10,11 +11,10 @@
 
 namespace {
 
-/// How long no task of a step was started before it may start a probe, if
-/// nothing of its job runs.
-constexpr Duration kProbeAfter{ 3'000 };
+/// How long a job has had nothing running before it may start a probe.
+constexpr Duration kProbeAfter{ 1'000 };
 /// The same before workers count that are not calm or run best-effort tasks.
-constexpr Duration kProbeAnywhereAfter{ 6'000 };
+constexpr Duration kProbeAnywhereAfter{ 1'500 };
 /// How long no task of a step was started before it may start a probe beside
 /// other runs of its job.
 constexpr Duration kProbeBesideRunsAfter{ 15'000 };
@@ -24,17 +24,18 @@
 /// Usual maximum number of probes per second, as a share of the shard's
 /// workers.
 constexpr double kUsualProbeShare = 0.15;
-/// Time in which each step that waits for a probe gets its turn. More probes
-/// than usual are started if it takes them.
-constexpr Duration kMaxProbeDelay{ 5'000 };
+/// Time in which each idle job that waits for a probe gets its turn. More
+/// probes than usual are started if it takes them.
+constexpr Duration kMaxProbeDelay{ 1'000 };
+static_assert(kProbeAnywhereAfter + kMaxProbeDelay < kMaxIdleTime);
 /// Probes that were not started in this time may be started at once.
 constexpr Duration kProbeBurstTime{ 200 };
 
-Duration ProbeInterval(const DispatchShard& aShard, std::size_t aStarvedSteps)
+Duration ProbeInterval(const DispatchShard& aShard, std::size_t aIdleSteps)
 {
   const double usual =
     kUsualProbeShare * static_cast<double>(aShard.mWorkers.size());
-  const double needed = static_cast<double>(aStarvedSteps) /
+  const double needed = static_cast<double>(aIdleSteps) /
                         std::chrono::duration<double>(kMaxProbeDelay).count();
   const double perSecond = std::max({ usual, needed, 1.0 });
   return Duration(static_cast<std::int64_t>(1'000 / perSecond));
@@ -43,21 +44,22 @@
 } // namespace
 
 ProbeStage ProbeStageOf(const DispatchJob& aJob,
-                        const DispatchStep& aStep,
-                        TimePoint aNow)
+                        const TaskId& aTask,
+                        TimePoint aNow,
+                        std::int64_t aNowMs)
 {
-  if (aStep.mStarvedSince == kNever) {
-    return ProbeStage::kNone;
-  }
-  const Duration waited = aNow - aStep.mStarvedSince;
   if (aJob.mActiveRuns > 0) {
-    return waited >= kProbeBesideRunsAfter ? ProbeStage::kCalmWorkers
-                                           : ProbeStage::kNone;
+    const DispatchStep& step =
+      aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep];
+    const bool isStarved = step.mStarvedSince != kNever &&
+                           aNow - step.mStarvedSince >= kProbeBesideRunsAfter;
+    return isStarved ? ProbeStage::kCalmWorkers : ProbeStage::kNone;
   }
-  if (waited >= kProbeAnywhereAfter) {
+  const Duration idle = aNow - IdleSince(aJob, aTask, aNow, aNowMs);
+  if (idle >= kProbeAnywhereAfter) {
     return ProbeStage::kAllWorkers;
   }
-  return waited >= kProbeAfter ? ProbeStage::kCalmWorkers : ProbeStage::kNone;
+  return idle >= kProbeAfter ? ProbeStage::kCalmWorkers : ProbeStage::kNone;
 }
 
 bool MayProbe(const DispatchWorker& aWorker, ProbeStage aStage, TimePoint aNow)
@@ -82,11 +84,11 @@
 void RecordProbe(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
-                 std::size_t aStarvedSteps,
+                 std::size_t aIdleSteps,
                  TimePoint aNow)
 {
   aShard.mNextProbeAt = std::max(aShard.mNextProbeAt, aNow - kProbeBurstTime) +
-                        ProbeInterval(aShard, aStarvedSteps);
+                        ProbeInterval(aShard, aIdleSteps);
   aWorker.mProbedAt = aNow;
   FindTask(aShard, aKey)->mIsProbe = true;
   spdlog::info("task.probe task={} worker={} worst_latency_ratio={:.2f}",
--- a/Source/Dispatch/vcDispatchProbes.h
+++ b/Source/Dispatch/vcDispatchProbes.h
@@ -30,11 +30,15 @@
 /// Number of values of `ProbeStage`.
 constexpr std::size_t kProbeStages = 3;
 
-/// Stage of a step that found no place for its waiting tasks, by the time for
-/// which none of its tasks has been started.
+/// Stage of a step that found no place for its waiting tasks: by the time for
+/// which its job has had nothing running, or, beside other runs of the job, by
+/// the time for which none of the step's tasks has been started.
+/// @param aTask any task of the step
+/// @param aNowMs current time in ms since 1970
 ProbeStage ProbeStageOf(const DispatchJob& aJob,
-                        const DispatchStep& aStep,
-                        TimePoint aNow);
+                        const TaskId& aTask,
+                        TimePoint aNow,
+                        std::int64_t aNowMs);
 
 /// True if a probe may start on a worker at this stage. Free capacity is not
 /// checked.
@@ -44,11 +48,12 @@
 bool IsProbeDue(const DispatchShard& aShard, TimePoint aNow);
 
 /// Counts a probe that was started and marks its task.
-/// @param aStarvedSteps number of steps that wait for a probe
+/// @param aIdleSteps number of steps that wait for a probe and whose job has
+/// nothing running
 void RecordProbe(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
-                 std::size_t aStarvedSteps,
+                 std::size_t aIdleSteps,
                  TimePoint aNow);
 
 /// Orders the throttle of a probe that the worker has just started. The worker
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -37,7 +37,7 @@
 add_test(NAME unit COMMAND vcUnitTests)
 # Known to fail; see KNOWN-RED.txt.
 add_test(NAME unit_large_step COMMAND vcUnitTests "[red-large-step]")
-add_test(NAME unit_idle_probes COMMAND vcUnitTests "[red-idle-probes]")
+add_test(NAME unit_idle_crowd COMMAND vcUnitTests "[red-idle-crowd]")
 add_test(NAME unit_gang_lost_member COMMAND vcUnitTests "[red-gang]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
--- a/Tests/Unit/vcStarvationTest.cxx
+++ b/Tests/Unit/vcStarvationTest.cxx
@@ -22,8 +22,6 @@
 constexpr double kIdleMs = 20;
 /// Time between two reports of a worker.
 constexpr Duration kReportInterval{ 500 };
-/// A ready job has a run at the latest after this, if there is capacity.
-constexpr Duration kMaxWait{ 10'000 };
 /// Time in which the owner learns the serving images before jobs come.
 constexpr Duration kWarmUp{ 40'000 };
 /// Time for which the jobs are watched.
@@ -393,25 +391,16 @@
   };
 }
 
-/// The cases of one job, and more jobs than workers.
+/// More jobs than workers.
 std::vector<StarvationCase> CrowdedCases()
 {
   const std::pair<double, double> calm{ 0.4, 0.6 };
-  std::vector<StarvationCase> cases;
-  for (const auto& row : StarvationCases()) {
-    if (row.mMustStart) {
-      cases.push_back(row);
-    }
-  }
-  StarvationCase crowd{
-    "a crowd of jobs that disturb", std::vector(20, calm), 3, 4
-  };
-  crowd.mJobs = 40;
-  cases.push_back(crowd);
-  crowd.mName = "a crowd of jobs that are only predicted to disturb";
-  crowd.mTrueCoefficient = 0;
-  cases.push_back(crowd);
-  return cases;
+  StarvationCase disturbs{ "disturb", std::vector(20, calm), 3, 4 };
+  disturbs.mJobs = 40;
+  StarvationCase wrong = disturbs;
+  wrong.mName = "are only predicted to disturb";
+  wrong.mTrueCoefficient = 0;
+  return { disturbs, wrong };
 }
 
 } // namespace
@@ -429,7 +418,8 @@
                  << " ms, in all " << model.mSumHarmed.count() << " ms, starts "
                  << model.mBestEffortStarts);
   if (row.mMustStart) {
-    CHECK(waited <= kMaxWait);
+    CHECK(waited <= kMaxIdleTime);
+    CHECK(model.mLongestIdle <= kMaxIdleTime);
   } else {
     CHECK(model.mBestEffortStarts == 0);
   }
@@ -439,10 +429,11 @@
   CHECK(model.mBestEffortStarts <= maxStarts);
 }
 
-// Guards against best-effort jobs that have nothing running for long, since
-// their images are predicted to disturb the serving tasks.
-TEST_CASE("a best-effort job isn't idle for long, whatever is predicted",
-          "[.][red-idle-probes]")
+// Guards against a crowd of best-effort jobs that are idle for long, since
+// their images are predicted to disturb and each worker takes probes one by
+// one. Listed in KNOWN-RED.txt.
+TEST_CASE("no job of a crowd is idle for long, whatever is predicted",
+          "[.][red-idle-crowd]")
 {
   const StarvationCase row = GENERATE(from_range(CrowdedCases()));
   INFO(row.mName);
