Dispatch: Keep a job's idle time when a start of it ran nothing

What callers would see: each refused start cost a job another second without a run, and one that wasn't answered 2.5 s; shard.idle-jobs showed 0 ms meanwhile.

Cause: the end of any assignment counted as the end of a run. A refused probe also kept its worker from other probes, though it had measured nothing. Found in review.

Change: only a run that was seen, or whose end is listed, begins a new idle time; a refused probe frees its worker for the next one.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -120,8 +120,11 @@
   if (task.mPhase == RunPhase::kDone) {
     return;
   }
+  const bool wasAssigned = !task.mWorker.empty();
   Release(aShard, aKey, RunPhase::kDone);
-  NoteRunEnded(job, aNow);
+  if (wasAssigned) {
+    NoteRunEnded(job, aNow);
+  }
   task.mCheckpoint.clear();
   CountTaskDone(job, aKey);
   MarkReady(job, aKey, aNow);
@@ -419,6 +422,7 @@
   }
   if (isCurrent) {
     ReleaseToWait(aShard, key, aNow);
+    NoteRunEnded(job, aNow);
   }
 }
 
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -145,8 +145,12 @@
 
 void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow)
 {
+  // A start that was refused or not answered ran nothing.
+  const bool wasSeen = FindTask(aShard, aKey)->mPhase != RunPhase::kStarting;
   Release(aShard, aKey, RunPhase::kWaiting);
-  NoteRunEnded(aShard.mJobs.at(aKey.mJob), aNow);
+  if (wasSeen) {
+    NoteRunEnded(aShard.mJobs.at(aKey.mJob), aNow);
+  }
   FindTask(aShard, aKey)->mWaitingSince = aNow;
 }
 
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -305,6 +305,10 @@
   } else {
     worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
   }
+  if (task->mIsProbe) {
+    // It measures nothing, so another one needn't wait for its effect.
+    worker->mProbedAt = kNever;
+  }
   ReleaseToWait(aShard, key, aNow);
 }
 
