Dispatch: Let the step that holds a reservation try its worker

What callers would see: with one usable worker nothing best-effort started any more: a reservation was renewed for ever (29.9 s, the whole time watched).

Cause: a step that came first failed since the room was kept for another one, and its failure kept all steps that need as much from being tried in that round, the holder of the reservation as well. A reservation of a less urgent queue also kept more urgent ordinary tasks away.

Change: the holder is tried in any case; more urgent ordinary tasks aren't kept off.

Result: "no job is idle for long beside starts of others", row "one start unanswered", failed with shorter turns before and passes; "not best-effort, less urgent queue" of vcIdleJobsTest failed without the second part.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -271,7 +271,7 @@
   if (!Fits(after, aWorker.mEntry.mCapacity)) {
     return WaitReason::kNoCapacity;
   }
-  if (IsReservedForAnother(aWorker, step, aNeeds.mFirstTask, aNow)) {
+  if (IsReservedForAnother(aShard, aWorker, aNeeds.mFirstTask, aNow)) {
     return WaitReason::kReserved;
   }
   const auto capacity = static_cast<double>(
@@ -576,13 +576,16 @@
 {
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
   const std::string& service = job.mRecord.mTerms.mService;
-  if (aRound.mFailedPlacements.IsKnownToFail(service,
-                                             StepOf(job, aFirstTask))) {
+  auto& usable = aRound.mUsable[service];
+  // Steps before it may have failed only since the room is kept for this one.
+  const bool isKnownToFail =
+    aRound.mFailedPlacements.IsKnownToFail(service, StepOf(job, aFirstTask)) &&
+    !HasReservation(aFirstTask, usable, aRound.mNow);
+  if (isKnownToFail) {
     return;
   }
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
-  StepWorkers workers(
-    aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
+  StepWorkers workers(aShard, needs, usable, aRound.mNow);
   TaskId key = aFirstTask;
   std::uint32_t started = 0;
   for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -57,14 +57,30 @@
 
 } // namespace
 
-bool IsReservedForAnother(const DispatchWorker& aWorker,
-                          const StepSpec& aStep,
+bool IsReservedForAnother(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
                           const TaskId& aFirstTask,
                           TimePoint aNow)
 {
-  return IsReserved(aWorker, aNow) &&
-         aWorker.mRoom.mIsBestEffort == aStep.mIsFilling &&
-         aWorker.mRoom.mFirstTask != aFirstTask;
+  const RoomReservation& room = aWorker.mRoom;
+  if (!IsReserved(aWorker, aNow) || room.mFirstTask == aFirstTask) {
+    return false;
+  }
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const bool isBestEffort = StepOf(job, aFirstTask).mIsFilling;
+  const bool isMoreUrgent = job.mRecord.mTerms.mPriority < room.mPriority;
+  return room.mIsBestEffort == isBestEffort && (isBestEffort || !isMoreUrgent);
+}
+
+bool HasReservation(const TaskId& aFirstTask,
+                    std::span<DispatchWorker* const> aWorkers,
+                    TimePoint aNow)
+{
+  return std::any_of(
+    aWorkers.begin(), aWorkers.end(), [&](const DispatchWorker* aWorker) {
+      return IsReserved(*aWorker, aNow) &&
+             aWorker->mRoom.mFirstTask == aFirstTask;
+    });
 }
 
 bool ReserveRoom(const DispatchShard& aShard,
@@ -73,7 +89,8 @@
                  const std::function<bool(const DispatchWorker&)>& aMayRun,
                  TimePoint aNow)
 {
-  const StepSpec& step = StepOf(aShard.mJobs.at(aFirstTask.mJob), aFirstTask);
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const StepSpec& step = StepOf(job, aFirstTask);
   std::size_t reserved = 0;
   for (auto* worker : aWorkers) {
     if (!IsReserved(*worker, aNow)) {
@@ -107,7 +124,10 @@
   if (best == nullptr) {
     return false;
   }
-  best->mRoom = { aFirstTask, step.mIsFilling, aNow + kReservationTime };
+  best->mRoom = { aFirstTask,
+                  step.mIsFilling,
+                  job.mRecord.mTerms.mPriority,
+                  aNow + kReservationTime };
   spdlog::info("worker.reserved worker={} task={} missing_mcpu={:.0f}",
                best->mEntry.mWorker,
                Describe(aFirstTask),
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -12,15 +12,20 @@
 
 namespace verbenacroft {
 
-/// True if the worker's free room is kept for another step. A reservation for a
-/// best-effort step keeps other best-effort tasks away, one for any other step
-/// those that aren't best-effort.
+/// True if the worker's free room is kept from the step. A reservation for a
+/// best-effort step keeps other best-effort tasks away; one for any other step
+/// those that aren't best-effort, unless they are more urgent.
 /// @param aFirstTask first task of the step that looks for room
-bool IsReservedForAnother(const DispatchWorker& aWorker,
-                          const StepSpec& aStep,
+bool IsReservedForAnother(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
                           const TaskId& aFirstTask,
                           TimePoint aNow);
 
+/// True if one of the workers is reserved for the step.
+bool HasReservation(const TaskId& aFirstTask,
+                    std::span<DispatchWorker* const> aWorkers,
+                    TimePoint aNow);
+
 /// Reserves the worker that lacks the least room for a task of the step, or
 /// renews the step's reservation. Does nothing if only long-running tasks are
 /// in the way, or if too many of the workers are reserved.
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -225,6 +225,8 @@
   TaskId mFirstTask;
   /// Processors for best-effort tasks are kept, and none for others.
   bool mIsBestEffort = false;
+  /// Of the step's queue; a lower value is more urgent.
+  std::int32_t mPriority = 0;
   TimePoint mUntil{ kNever };
 };
 
