Dispatch: Start overdue long-running tasks before the turns of idle jobs

What callers would see: a long-running task that was lost waited behind turns of late batch jobs of the same priority. Found in review.

Cause: turns came before all other starts of their priority.

Change: long-running tasks past their objective have a tier of their own, ahead of turns.

Result: "a lasting task comes before the turn of a late job" failed before and passes.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -42,6 +42,8 @@
 /// Tiers of the steps of one priority, in the order in which they start.
 enum class Tier
 {
+  /// Long-running tasks that should be at work by now.
+  kOverdueLongRunning,
   /// One task of a job that has had nothing running for `kTurnAfter`.
   kTurn,
   /// As many tasks as fit of a job that can still meet its objective.
@@ -131,6 +133,18 @@
 }
 
 /// Appends the steps of a job that are ready and have waiting tasks.
+Tier TierOf(bool aIsLongRunning, bool aIsScheduled, bool aIsOverdue)
+{
+  if (!aIsOverdue) {
+    return Tier::kOnTime;
+  }
+  if (aIsLongRunning) {
+    return Tier::kOverdueLongRunning;
+  }
+  // An occurrence is worked for until its last task ends, however late.
+  return aIsScheduled ? Tier::kOnTime : Tier::kLate;
+}
+
 void CollectSteps(const DispatchShard& aShard,
                   const DispatchJob& aJob,
                   TimePoint aNow,
@@ -147,8 +161,7 @@
     candidate.mPriority = aJob.mRecord.mTerms.mPriority;
     candidate.mDueAt =
       dueAt > 0 ? aNow + Duration(dueAt - aNowMs) : aJob.mObjectiveAt;
-    const bool isLate = !isLasting && dueAt == 0 && candidate.mDueAt < aNow;
-    candidate.mTier = isLate ? Tier::kLate : Tier::kOnTime;
+    candidate.mTier = TierOf(isLasting, dueAt > 0, candidate.mDueAt <= aNow);
     aOut.push_back(std::move(candidate));
   });
 }
