Dispatch: Count idle jobs, not their steps, for the rate of probes

Cause: a job with 40 ready steps raised the rate of probes as 40 jobs would, and its second probe of a round counted as one of an idle job. It started nine probes at once. Found in review.

Change: jobs are counted, and whether a step probes beside runs is read anew.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -950,24 +950,34 @@
 /// rate.
 void StartProbes(DispatchShard& aShard,
                  const std::vector<Candidate>& aCandidates,
+/// Number of jobs among the steps that have nothing running.
+std::size_t CountIdleJobs(const std::vector<StarvedStep>& aSteps)
+{
+  std::set<std::string_view> jobs;
+  for (const auto& step : aSteps) {
+    if (!step.mIsBesideRuns) {
+      jobs.insert(step.mFirstTask.mJob);
+    }
+  }
+  return jobs.size();
+}
+
                  Round& aRound,
                  DispatchActions& aActions)
 {
   const auto starved = StarvedSteps(aShard, aCandidates, aRound);
-  const auto idle = static_cast<std::size_t>(
-    std::count_if(starved.begin(), starved.end(), [](const StarvedStep& aStep) {
-      return !aStep.mIsBesideRuns;
-    }));
+  const std::size_t idleJobs = CountIdleJobs(starved);
   for (const auto& step : starved) {
     if (!IsProbeDue(aShard, aRound.mNow)) {
       return;
     }
     // A probe of another step of the job may have been started.
     const TaskId& key = step.mFirstTask;
-    const ProbeStage stage =
-      ProbeStageOf(aShard.mJobs.at(key.mJob), key, aRound.mNow, aRound.mNowMs);
+    const DispatchJob& job = aShard.mJobs.at(key.mJob);
+    const ProbeStage stage = ProbeStageOf(job, key, aRound.mNow, aRound.mNowMs);
     if (stage != ProbeStage::kNone) {
-      StartProbe(aShard, key, step.mIsBesideRuns ? 0 : idle, aRound, aActions);
+      StartProbe(
+        aShard, key, job.mActiveRuns > 0 ? 0 : idleJobs, aRound, aActions);
     }
   }
 }
