Dispatch: Order the steps of a round without copying their names

Cause: each comparison of two candidates copied both task ids, and the steps were sorted once more with the turns. Found in review.

Change: the rank refers to the id, and only the turns are sorted and merged in.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -74,15 +74,16 @@
 /// Best-effort tasks take no capacity from others, so their turns come first
 /// whatever the priority: else a job could wait without a bound for those of
 /// more urgent queues.
-auto RankOf(const Candidate& aCandidate)
+std::tuple<bool, std::int32_t, Tier, TimePoint, const TaskId&> RankOf(
+  const Candidate& aCandidate)
 {
   const bool isFirst =
     aCandidate.mIsBestEffort && aCandidate.mTier == Tier::kTurn;
-  return std::tuple(!isFirst,
-                    aCandidate.mPriority,
-                    aCandidate.mTier,
-                    aCandidate.mDueAt,
-                    aCandidate.mFirstTask);
+  return { !isFirst,
+           aCandidate.mPriority,
+           aCandidate.mTier,
+           aCandidate.mDueAt,
+           aCandidate.mFirstTask };
 }
 
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight)
@@ -132,7 +133,6 @@
   }
 }
 
-/// Appends the steps of a job that are ready and have waiting tasks.
 Tier TierOf(bool aIsLongRunning, bool aIsScheduled, bool aIsOverdue)
 {
   if (!aIsOverdue) {
@@ -145,6 +145,7 @@
   return aIsScheduled ? Tier::kOnTime : Tier::kLate;
 }
 
+/// Appends the steps of a job that are ready and have waiting tasks.
 void CollectSteps(const DispatchShard& aShard,
                   const DispatchJob& aJob,
                   TimePoint aNow,
@@ -166,15 +167,16 @@
   });
 }
 
-/// The steps in the order of the round, with turns for those whose job has
-/// nothing running. The tasks of a gang start together, so no single one has a
-/// turn.
+/// The sorted steps in the order of the round, with turns for those whose job
+/// has nothing running. The tasks of a gang start together, so no single one
+/// has a turn.
 std::vector<Candidate> WithTurns(const DispatchShard& aShard,
                                  const std::vector<Candidate>& aSteps,
                                  TimePoint aNow,
                                  std::int64_t aNowMs)
 {
   std::vector<Candidate> candidates = aSteps;
+  const auto steps = static_cast<std::ptrdiff_t>(aSteps.size());
   for (const auto& step : aSteps) {
     const DispatchJob& job = aShard.mJobs.at(step.mFirstTask.mJob);
     const bool isGang = StepOf(job, step.mFirstTask).mIsGang;
@@ -192,7 +194,9 @@
     }
     candidates.push_back(std::move(turn));
   }
-  std::sort(candidates.begin(), candidates.end(), ComesBefore);
+  const auto turns = candidates.begin() + steps;
+  std::sort(turns, candidates.end(), ComesBefore);
+  std::inplace_merge(candidates.begin(), turns, candidates.end(), ComesBefore);
   return candidates;
 }
 
@@ -946,10 +950,6 @@
   return starved;
 }
 
-/// Starts probes for steps that no worker is predicted to suit, at a limited
-/// rate.
-void StartProbes(DispatchShard& aShard,
-                 const std::vector<Candidate>& aCandidates,
 /// Number of jobs among the steps that have nothing running.
 std::size_t CountIdleJobs(const std::vector<StarvedStep>& aSteps)
 {
@@ -962,6 +962,10 @@
   return jobs.size();
 }
 
+/// Starts probes for steps that no worker is predicted to suit, at a limited
+/// rate.
+void StartProbes(DispatchShard& aShard,
+                 const std::vector<Candidate>& aCandidates,
                  Round& aRound,
                  DispatchActions& aActions)
 {
