Dispatch: Keep off workers that fail to carry out start after start

What callers see: a job has nothing running, without a bound, beside workers with free room, while two or three others carry out no start (orders vanish, are refused with 503 or can't be sent) and still answer renewals.

Cause: such a worker looks free and so costs least. It is avoided for 0.25 s, and a task remembers only the last worker that failed. A start that vanishes takes 1.6 s, a round with a long planning 0.1 s or so, so the task goes round among the faulty workers and never comes to the next one. One task also used up 600 run numbers in 60 s; 256 are reserved for an owner.

Change: after two starts in a row that weren't carried out, of which the second was ordered after the first had failed, the worker is in quarantine for 3 s, and for 6 s after each further one. A start that is carried out ends the row. As before, quarantine doesn't count where most workers of a service are in it, so a fault of the owner's own link shuts no fleet out. Refusals for lack of room don't count, since smaller tasks may start there.

Result: the new test failed in 4 of 4 rows before (60 s, the whole time watched) and passes with a bound of 15 s. So this bounds the wait, but a lone task may still be idle for longer than 3 s.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -102,6 +102,8 @@
     if (task->mPhase == RunPhase::kStarting) {
       task->mPhase = RunPhase::kRunning;
       task->mConfirmedAt = aNow;
+      // The start was carried out, whatever became of its answer.
+      aWorker.mFailedStarts = 0;
     }
     task->mIsStartUncertain = false;
     UpdateSeenAtWork(*task, aWorker.mClock);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -284,9 +284,15 @@
   std::map<std::string, ServingLatency> mServingLatencies;
   /// No task is started here before this time.
   TimePoint mAvoidedUntil{ kNever };
-  /// Tasks of several jobs failed here in a row. No task is started here before
-  /// this time, unless most workers of the service are in quarantine.
+  /// Tasks of several jobs failed here in a row, or starts were not carried
+  /// out. No task is started here before this time, unless most workers of the
+  /// service are in quarantine.
   TimePoint mQuarantinedUntil{ kNever };
+  /// Starts in a row that were not carried out, for the worker's sake. Those
+  /// that were ordered before the last one failed don't count.
+  std::uint32_t mFailedStarts = 0;
+  /// When the last of them failed.
+  TimePoint mStartFailedAt{ kNever };
   /// No best-effort task is started here before this time.
   TimePoint mNoBestEffortUntil{ kNever };
   /// When a probe was last started here.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -20,6 +20,13 @@
 /// How long a task waits after a worker refused its start for the task's own
 /// sake.
 constexpr Duration kRefusedTaskPause{ 250 };
+/// A worker that fails to carry out this many starts in a row is put into
+/// quarantine. It looks free, so it is preferred, and a task remembers only the
+/// last worker that failed.
+constexpr std::uint32_t kMaxFailedStarts = 2;
+/// How long such a worker is in quarantine, and how long if it fails again.
+constexpr Duration kFailedStartsQuarantine{ 3'000 };
+constexpr Duration kRepeatedQuarantine{ 6'000 };
 /// A task is stalled if its progress has not changed for this long, unless it
 /// is long-running or suspended.
 constexpr Duration kStallTimeout{ 2'000 };
@@ -48,6 +55,32 @@
          aRefusal == OrderOutcome::kNoTicket;
 }
 
+/// Avoids a worker that has not carried out a start, for longer if it did so
+/// before.
+void OnFailedStart(DispatchWorker& aWorker,
+                   const DispatchTask& aTask,
+                   TimePoint aNow)
+{
+  aWorker.mAvoidedUntil = aNow + kRefusalAvoidTime;
+  if (aTask.mStartOrderedAt < aWorker.mStartFailedAt) {
+    return;
+  }
+  aWorker.mStartFailedAt = aNow;
+  ++aWorker.mFailedStarts;
+  if (aWorker.mFailedStarts < kMaxFailedStarts) {
+    return;
+  }
+  const Duration quarantine = aWorker.mFailedStarts == kMaxFailedStarts
+                                ? kFailedStartsQuarantine
+                                : kRepeatedQuarantine;
+  aWorker.mQuarantinedUntil =
+    std::max(aWorker.mQuarantinedUntil, aNow + quarantine);
+  spdlog::info("worker.quarantine worker={} failed_starts={} for_ms={}",
+               aWorker.mEntry.mWorker,
+               aWorker.mFailedStarts,
+               quarantine.count());
+}
+
 /// True if discovery lists the worker as draining and it may leave within the
 /// stop timeout plus the margin.
 bool IsAboutToLeave(const DispatchShard& aShard, const DispatchWorker& aWorker)
@@ -272,6 +305,7 @@
     return;
   }
   if (aReply.mOutcome == OrderOutcome::kDone) {
+    worker->mFailedStarts = 0;
     MarkStarted(aShard.mJobs.at(key.mJob));
     if (task->mPhase == RunPhase::kStarting) {
       task->mPhase = RunPhase::kRunning;
@@ -293,7 +327,7 @@
     // have been answered already.
     task->mIsStartUncertain =
       task->mIsStartUncertain || task->mPhase == RunPhase::kStarting;
-    worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
+    OnFailedStart(*worker, *task, aNow);
     return;
   }
   task->mIsStartUncertain = false;
@@ -302,8 +336,11 @@
   }
   if (IsTasksFault(aReply.mOutcome)) {
     task->mRetryAt = aNow + kRefusedTaskPause;
-  } else {
+  } else if (aReply.mOutcome == OrderOutcome::kNoRoom) {
+    // Smaller tasks may well start there.
     worker->mAvoidedUntil = aNow + kRefusalAvoidTime;
+  } else {
+    OnFailedStart(*worker, *task, aNow);
   }
   ReleaseToWait(aShard, key, aNow);
 }
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -29,7 +29,7 @@
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
   Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
-  Tests/Unit/vcIdleJobsTest.cxx
+  Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcTurnsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
