Node: Let each peer have its turn as a relay

What callers see: a node that is cut off from the store answers 503 or 504 to every submission and cancellation, although some of its peers reach the store.

Cause: at most two peers are asked for a call, by data centre and name. The table of nodes doesn't change during the partition, so these two are always the same, whether they are gone, cut off as well, or slow.

Change: peers whose last relayed call failed (not sent, no answer that can be read, refused, or of unknown outcome) come after all others, the longest ago first. A call that the store answered puts a peer back. The alternation of data centres stays among those that haven't failed, and two peers stay the maximum.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -49,6 +49,7 @@
     aItem.mKey.substr(std::string_view(kNodePrefix).size());
   if (aItem.mIsRemoved) {
     aNode.mNodes.erase(name);
+    aNode.mRelayFailedAt.erase(name);
     return;
   }
   const auto record = TryDecode<NodeRecord>(aItem.mValue);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -169,6 +169,9 @@
   TimePoint mOperatorsCompleteAt{ kNever };
   /// Live nodes by name, this one included.
   std::map<std::string, NodeRecord> mNodes;
+  /// When peers last failed to make a store call for this node, by name; only
+  /// those whose last such call failed.
+  std::map<std::string, TimePoint> mRelayFailedAt;
   /// Owners by shard number.
   std::map<std::uint32_t, ShardOwner> mOwners;
   /// Number of shards; 0 until the layout is known.
--- a/Source/Node/vcPeers.cxx
+++ b/Source/Node/vcPeers.cxx
@@ -6,6 +6,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -98,35 +100,55 @@
   return owner->second.mRecord.mPeerAddress;
 }
 
-/// Addresses of the peers that may relay a call. Peers of other data centres
-/// and of this one alternate, beginning with another data centre, since a
-/// network partition mostly affects a whole data centre.
-std::vector<std::string> RelayAddresses(const NodeContext& aNode)
+/// A peer that may make a store call for this node.
+struct RelayPeer
+{
+  std::string mNode;
+  std::string mAddress;
+  /// When it last failed to; `kNever` if its last call succeeded.
+  TimePoint mFailedAt{ kNever };
+};
+
+/// The peers that are asked to relay a call. Peers of other data centres and of
+/// this one alternate, beginning with another data centre, since a network
+/// partition mostly affects a whole data centre. Those that have failed come
+/// last, the longest ago first: the table of nodes doesn't change during a
+/// partition, so the same ones would always be asked.
+std::vector<RelayPeer> RelayPeers(const NodeContext& aNode)
 {
-  std::vector<std::string> sameDataCentre;
-  std::vector<std::string> otherDataCentres;
+  std::vector<RelayPeer> sameDataCentre;
+  std::vector<RelayPeer> otherDataCentres;
   for (const auto& [name, record] : aNode.mNodes) {
     if (name == aNode.mSettings.mName) {
       continue;
     }
     const bool isSameDataCentre =
       record.mDataCentre == aNode.mSettings.mDataCentre;
+    const auto failed = aNode.mRelayFailedAt.find(name);
     (isSameDataCentre ? sameDataCentre : otherDataCentres)
-      .push_back(record.mPeerAddress);
+      .push_back(
+        { name,
+          record.mPeerAddress,
+          failed == aNode.mRelayFailedAt.end() ? kNever : failed->second });
   }
-  std::vector<std::string> addresses;
+  std::vector<RelayPeer> peers;
   for (std::size_t i = 0;
        i < std::max(sameDataCentre.size(), otherDataCentres.size());
        ++i) {
     if (i < otherDataCentres.size()) {
-      addresses.push_back(otherDataCentres[i]);
+      peers.push_back(otherDataCentres[i]);
     }
     if (i < sameDataCentre.size()) {
-      addresses.push_back(sameDataCentre[i]);
+      peers.push_back(sameDataCentre[i]);
     }
   }
-  addresses.resize(std::min(addresses.size(), kMaxRelays));
-  return addresses;
+  std::stable_sort(peers.begin(),
+                   peers.end(),
+                   [](const RelayPeer& aLeft, const RelayPeer& aRight) {
+                     return aLeft.mFailedAt < aRight.mFailedAt;
+                   });
+  peers.resize(std::min(peers.size(), kMaxRelays));
+  return peers;
 }
 
 /// Reply to a relayed store call if this node can't reach the store either. It
@@ -138,6 +160,36 @@
   return reply;
 }
 
+/// Asks one peer to make a store call.
+/// @return `kRefused` if it didn't get the call or didn't make it, and
+/// `kUnknown` if it may have made it
+asio::awaitable<KvReply> RelayThrough(NodeContext& aNode,
+                                      std::string aAddress,
+                                      std::string_view aPath,
+                                      std::string aBody)
+{
+  KvReply failed;
+  failed.mStatus = KvStatus::kRefused;
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return failed;
+  }
+  ++aNode.mCounters.mRelayedCalls;
+  HttpCallOptions options;
+  options.mTimeout = kRelayTimeout;
+  HttpRequest request =
+    MakePeerRequest("POST", std::string(aPath), std::move(aBody));
+  const HttpResult result =
+    co_await aNode.mHttp.Call(*endpoint, std::move(request), options);
+  if (result.mError && !result.mWasSent) {
+    co_return failed;
+  }
+  failed.mStatus = KvStatus::kUnknown;
+  const auto reply =
+    result.mError ? std::nullopt : TryDecode<KvReply>(result.mResponse.mBody);
+  co_return reply.value_or(failed);
+}
+
 /// Asks peers to make a store call, one after another, until one of them
 /// doesn't refuse. Stops at the first unknown outcome, since the call may have
 /// taken effect.
@@ -148,28 +200,15 @@
 {
   KvReply last;
   last.mStatus = KvStatus::kRefused;
-  for (const auto& address : RelayAddresses(aNode)) {
-    const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) {
-      continue;
-    }
-    ++aNode.mCounters.mRelayedCalls;
-    HttpCallOptions options;
-    options.mTimeout = kRelayTimeout;
-    HttpRequest request = MakePeerRequest("POST", std::string(aPath), aBody);
-    const HttpResult result =
-      co_await aNode.mHttp.Call(*endpoint, std::move(request), options);
-    if (result.mError && !result.mWasSent) {
-      continue;
-    }
-    const auto reply =
-      result.mError ? std::nullopt : TryDecode<KvReply>(result.mResponse.mBody);
-    if (!reply) {
-      last.mStatus = KvStatus::kUnknown;
-      co_return last;
+  for (const auto& peer : RelayPeers(aNode)) {
+    last = co_await RelayThrough(aNode, peer.mAddress, aPath, aBody);
+    if (IsAnswered(last.mStatus)) {
+      aNode.mRelayFailedAt.erase(peer.mNode);
+    } else {
+      aNode.mRelayFailedAt[peer.mNode] = SuspendAwareNow();
     }
-    if (reply->mStatus != KvStatus::kRefused) {
-      co_return *reply;
+    if (last.mStatus != KvStatus::kRefused) {
+      break;
     }
   }
   co_return last;
--- a/Tests/Unit/vcTurnsTest.cxx
+++ b/Tests/Unit/vcTurnsTest.cxx
@@ -2,6 +2,11 @@
 /// come last for as long as its order allows.
 
 #include "vcDispatch.h"
+#include "vcNode.h"
+#include "vcPeers.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -196,6 +201,14 @@
   std::list<Pending> mPending;
 };
 
+/// What a peer answers that has made a store call.
+std::string RelayedReply(KvStatus aStatus)
+{
+  KvReply reply;
+  reply.mStatus = aStatus;
+  return Encode(reply);
+}
+
 } // namespace
 
 // Guards against a task that goes for ever from one worker that carries out no
@@ -270,4 +283,57 @@
   CHECK(fleet.RunUntilStarted(kJob, Duration(60'000)) <= kMaxIdleTime);
 }
 
+// Guards against callers that are refused for as long as the node is cut off
+// from the store, since it asks only the peers whose names come first.
+TEST_CASE("a store call is relayed by whichever peer can make it", "[turns]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::string mAnswer;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "peers are cut off too", RelayedReply(KvStatus::kRefused) },
+    { "peers give no answer that can be read", "{" },
+  }));
+  CAPTURE(row.mName);
+  constexpr int kFailing = 4;
+  constexpr int kMostCalls = 5;
+  asio::io_context io{ 1 };
+  // No reply of the store is known, so it counts as down.
+  NodeContext node{ io, {} };
+  const Endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+  const HttpServer failing(
+    io, anyPort, {}, [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+      co_return JsonResponse(row.mAnswer);
+    });
+  const HttpServer sound(
+    io, anyPort, {}, [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+      co_return JsonResponse(RelayedReply(KvStatus::kOk));
+    });
+  for (int i = 0; i <= kFailing; ++i) {
+    const HttpServer& peer = i < kFailing ? failing : sound;
+    NodeRecord record;
+    record.mPeerAddress =
+      fmt::format("127.0.0.1:{}", peer.LocalEndpoint().port());
+    node.mNodes[fmt::format("node-{}", i)] = record;
+  }
+  int calls = 0;
+  KvStatus outcome = KvStatus::kRefused;
+  asio::co_spawn(
+    io,
+    [&]() -> asio::awaitable<void> {
+      while (outcome != KvStatus::kOk && calls < kMostCalls) {
+        ++calls;
+        const KvReply reply = co_await CommitWithRelay(node, KvTransaction{});
+        outcome = reply.mStatus;
+      }
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(std::chrono::seconds(10));
+  CAPTURE(calls);
+  CHECK(outcome == KvStatus::kOk);
+}
+
 } // namespace verbenacroft
