--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -30,6 +30,7 @@
   Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcIdleBoundsTest.cxx
+  Tests/Unit/vcTurnsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -42,6 +43,8 @@
 add_test(NAME unit_idle_gangs COMMAND vcUnitTests "[red-idle-gangs]")
 add_test(NAME unit_idle_costs COMMAND vcUnitTests "[red-idle-costs]")
 add_test(NAME unit_gang_lost_member COMMAND vcUnitTests "[red-gang]")
+add_test(NAME unit_suspects_first COMMAND vcUnitTests "[red-suspects-first]")
+add_test(NAME unit_start_budget COMMAND vcUnitTests "[red-start-budget]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
 set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
