Dispatch: Count runs to stop against their worker's capacity

After a takeover a worker may list runs that the owner doesn't want: the task runs elsewhere or is done, or the job isn't known any more. The owner orders their stop, but counted their needs nowhere, so until they had ended it started tasks that brought the worker over its capacity. A worker that guards its capacity refuses such starts; one that doesn't runs them.

Each report now sets what the listed runs to stop use, as part of the worker's used capacity. A run of an unknown job may use all of it, so nothing starts there until the run's end is listed, or the run has been listed for as long as a lease and a stop may last. Sharing with best-effort tasks still leaves these runs out.

Not covered: a run that is released since its task was done elsewhere counts again only from its worker's next report on.

The new tests of a run to stop and of a run with unknown needs fail without it.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -21,9 +21,47 @@
 /// Adds a run to those that have to be stopped, unless it is one already.
 void RequestStop(DispatchWorker& aWorker,
                  const TaskId& aTask,
-                 std::uint32_t aRun)
+                 std::uint32_t aRun,
+                 TimePoint aNow)
 {
-  aWorker.mRunsToStop.try_emplace(RunKey{ aTask, aRun }, kNever);
+  aWorker.mRunsToStop.try_emplace(RunKey{ aTask, aRun },
+                                  RunToStop{ aNow, kNever });
+}
+
+/// Longest time for which a run with unknown needs closes its worker: that of a
+/// lease and of a stop. A worker that lists it for longer must not stay closed
+/// for ever.
+Duration MaxClosedTime(const DispatchShard& aShard)
+{
+  return LongestLease(aShard.mBounds) + aShard.mBounds.mStopTimeout;
+}
+
+/// Counts the runs to stop that the report lists: they use their worker's
+/// capacity until it lists their end, also if it accepts starts beyond that. A
+/// run whose needs aren't known may use all of it.
+void CountRunsToStop(const DispatchShard& aShard,
+                     DispatchWorker& aWorker,
+                     const WorkerReport& aReport,
+                     TimePoint aNow)
+{
+  Resources used;
+  bool isClosed = false;
+  for (const auto& row : aReport.mRunning) {
+    const DispatchTask* task = FindTask(aShard, row.mTask);
+    if (task == nullptr) {
+      const RunToStop& run = aWorker.mRunsToStop.at({ row.mTask, row.mRun });
+      const bool isExpected = aNow - run.mListedSince < MaxClosedTime(aShard);
+      isClosed = isClosed || isExpected;
+      continue;
+    }
+    const bool isAssignedHere =
+      task->mWorker == aWorker.mEntry.mWorker && task->mRun == row.mRun;
+    if (!isAssignedHere) {
+      used += CountedNeeds(StepOf(aShard.mJobs.at(row.mTask.mJob), row.mTask));
+    }
+  }
+  SetUsedByRunsToStop(
+    aWorker, isClosed ? ElementwiseMax(used, aWorker.mEntry.mCapacity) : used);
 }
 
 /// Handles a restarted worker. The new incarnation runs nothing that ran
@@ -48,6 +86,7 @@
   aWorker.mEarlierLeasesUntil = kNever;
   aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
+  SetUsedByRunsToStop(aWorker, {});
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
     if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
@@ -92,7 +131,7 @@
   const TaskId key = aRow.mTask;
   DispatchTask* task = FindTask(aShard, key);
   if (task == nullptr) {
-    RequestStop(aWorker, aRow.mTask, aRow.mRun);
+    RequestStop(aWorker, aRow.mTask, aRow.mRun, aNow);
     return;
   }
   DispatchJob& job = aShard.mJobs.at(key.mJob);
@@ -121,7 +160,7 @@
   const bool isAdoptable = task->mPhase == RunPhase::kWaiting &&
                            !IsFinal(job.mState) && aRow.mRun > task->mEndedRun;
   if (!isAdoptable) {
-    RequestStop(aWorker, aRow.mTask, aRow.mRun);
+    RequestStop(aWorker, aRow.mTask, aRow.mRun, aNow);
     return;
   }
   Assign(aShard, key, aWorker.mEntry.mWorker, aRow.mRun);
@@ -213,6 +252,7 @@
     OnRunningTask(aShard, aWorker, row, aNow);
   }
   OnMissingTasks(aShard, aWorker, aReport, listed, aSentAt, aNow);
+  CountRunsToStop(aShard, aWorker, aReport, aNow);
 }
 
 } // namespace
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -198,10 +198,13 @@
 }
 
 /// Processors requested by tasks that neither serve nor are best-effort, in
-/// thousandths.
+/// thousandths. Runs to stop are left out: they end too soon for a change of
+/// the others' throttles.
 double OrdinaryCpu(const DispatchWorker& aWorker)
 {
-  return static_cast<double>(aWorker.mUsed.mMilliCpu - aWorker.mServingCpu);
+  return static_cast<double>(aWorker.mUsed.mMilliCpu -
+                             aWorker.mUsedByRunsToStop.mMilliCpu -
+                             aWorker.mServingCpu);
 }
 
 } // namespace
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -8,10 +8,9 @@
 /// or subtracts them (-1).
 void CountNeeds(DispatchWorker& aWorker, const StepSpec& aStep, int aSign)
 {
-  Resources needs = aStep.mNeeds;
+  const Resources needs = CountedNeeds(aStep);
   if (aStep.mIsFilling) {
-    aWorker.mBestEffortCpu += aSign * needs.mMilliCpu;
-    needs.mMilliCpu = 0;
+    aWorker.mBestEffortCpu += aSign * aStep.mNeeds.mMilliCpu;
   }
   if (aStep.mTargetMs > 0) {
     auto& count = aWorker.mServingImages[aStep.mImage];
@@ -84,6 +83,22 @@
   return aWorker.mClock + (aNow - aWorker.mClockReadAt).count();
 }
 
+Resources CountedNeeds(const StepSpec& aStep)
+{
+  Resources needs = aStep.mNeeds;
+  if (aStep.mIsFilling) {
+    needs.mMilliCpu = 0;
+  }
+  return needs;
+}
+
+void SetUsedByRunsToStop(DispatchWorker& aWorker, const Resources& aUsed)
+{
+  aWorker.mUsed -= aWorker.mUsedByRunsToStop;
+  aWorker.mUsedByRunsToStop = aUsed;
+  aWorker.mUsed += aUsed;
+}
+
 void Assign(DispatchShard& aShard,
             const TaskId& aKey,
             const std::string& aWorker,
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -219,6 +219,15 @@
   TimePoint mStartOrderedAt{ kNever };
 };
 
+/// A run on a worker that is no longer needed.
+struct RunToStop
+{
+  /// When a report listed it for the first time.
+  TimePoint mListedSince{ kNever };
+  /// When its stop was last sent.
+  TimePoint mStopSentAt{ kNever };
+};
+
 /// A worker of the shard, what it last reported, and what runs on it.
 struct DispatchWorker
 {
@@ -269,8 +278,11 @@
   std::uint64_t mSeenIndex = 0;
   /// Run ends up to this index are in the store; the worker may discard them.
   std::uint64_t mAckIndex = 0;
-  /// Needs of the tasks here; best-effort tasks count without processors.
+  /// Needs of the tasks here and of the runs to stop; best-effort tasks count
+  /// without processors.
   Resources mUsed;
+  /// The part of it that runs to stop use, as of the last report.
+  Resources mUsedByRunsToStop;
   /// Processors that best-effort tasks here request, in thousandths.
   std::int64_t mBestEffortCpu = 0;
   std::set<TaskId> mTasks;
@@ -294,8 +306,7 @@
   /// Jobs whose tasks failed here since the last success, to distinguish a
   /// faulty worker from a faulty job.
   std::set<JobId> mFailedJobs;
-  /// Runs that are no longer needed, and when their stop was last sent.
-  std::map<std::pair<TaskId, std::uint32_t>, TimePoint> mRunsToStop;
+  std::map<std::pair<TaskId, std::uint32_t>, RunToStop> mRunsToStop;
   /// Time of the last report in which no serving task here was close to or over
   /// its latency target.
   TimePoint mOverTargetSince{ kNever };
@@ -427,6 +438,12 @@
 /// it was never read.
 std::int64_t EstimateClock(const DispatchWorker& aWorker, TimePoint aNow);
 
+/// Needs of a task of the step that count against the capacity of its worker.
+Resources CountedNeeds(const StepSpec& aStep);
+
+/// Sets the part of the worker's capacity that runs to stop use.
+void SetUsedByRunsToStop(DispatchWorker& aWorker, const Resources& aUsed);
+
 /// Assigns run `aRun` of the task to a worker and reserves the capacity that it
 /// needs there.
 void Assign(DispatchShard& aShard,
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -368,9 +368,9 @@
     if (worker.mIsUnresponsive) {
       continue;
     }
-    for (auto& [run, sentAt] : worker.mRunsToStop) {
-      if (aNow - sentAt >= kStopRetryInterval) {
-        sentAt = aNow;
+    for (auto& [run, stop] : worker.mRunsToStop) {
+      if (aNow - stop.mStopSentAt >= kStopRetryInterval) {
+        stop.mStopSentAt = aNow;
         aActions.mStops.push_back(
           { name, { run.first, run.second, aShard.mEpoch } });
       }
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -208,6 +208,98 @@
   CHECK(actions.mStarts[0].mOrder.mRun == 257);
 }
 
+// Guards against a start that brings a worker over its capacity: what is being
+// stopped still uses it.
+TEST_CASE("a run to stop counts on its worker until its end is listed",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    JobId mJob;
+    void (*mEnd)(Fixture&, const RunningTask&);
+  };
+  const auto end = [](Fixture& aShard, const RunningTask& aRun) {
+    EndedRun ended = MakeEnd(1, aRun.mRun, RunEnd::kStopped);
+    ended.mTask = aRun.mTask;
+    aShard.Report("w1", {}, { ended });
+  };
+  const auto restart = [](Fixture& aShard, const RunningTask&) {
+    aShard.Report("w1", {}, {}, kBorn + 1);
+  };
+  const auto row = GENERATE_COPY(values<Row>({
+    { "its task runs elsewhere", kJob, end },
+    { "the same, and its worker restarts", kJob, restart },
+    { "its job isn't known", "00000000000000a2", end },
+    { "the same, and its worker restarts", "00000000000000a2", restart },
+  }));
+  CAPTURE(row.mName, row.mJob);
+  Fixture fixture({ "w1", "w2" });
+  fixture.mShard.mRunBase = 256;
+  BatchRecord record = MakeRecord(1);
+  record.mSpec.mSteps[0].mNeeds.mMilliCpu = 6'000;
+  AddJob(fixture.mShard, kJob, record, 5, fixture.mNow, 0);
+  fixture.Report("w2", { MakeRunning(3) }, {});
+  REQUIRE(fixture.Task().mWorker == "w2");
+  RunningTask other = MakeRunning(2);
+  other.mTask.mJob = row.mJob;
+  fixture.Report("w1", { other }, {});
+  AddJob(fixture.mShard, "00000000000000a3", record, 20, fixture.mNow, 0);
+  const auto actions = fixture.Plan();
+  REQUIRE(actions.mStops.size() == 1);
+  CHECK(actions.mStops[0].mOrder.mTask == other.mTask);
+  CHECK(actions.mStarts.empty());
+  fixture.mNow += Duration(100);
+  fixture.Report("w1", { other }, {});
+  CHECK(fixture.Plan().mStarts.empty());
+  fixture.mNow += Duration(100);
+  row.mEnd(fixture, other);
+  const auto starts = fixture.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].mWorker == "w1");
+  CHECK(fixture.Worker().mUsed == record.mSpec.mSteps[0].mNeeds);
+}
+
+// Guards against a worker that takes nothing for as long as it lists a run that
+// no stop ends.
+TEST_CASE("a run with unknown needs closes its worker for a bounded time",
+          "[dispatch]")
+{
+  Fixture fixture({ "w1" });
+  fixture.mShard.mRunBase = 256;
+  RunningTask unknown = MakeRunning(2);
+  unknown.mTask.mJob = "00000000000000a2";
+  fixture.Add(1);
+  const TimePoint bound = LongestLease(fixture.mShard.mBounds) +
+                          fixture.mShard.mBounds.mStopTimeout + fixture.mNow;
+  while (fixture.mNow < bound) {
+    fixture.Report("w1", { unknown }, {});
+    CHECK(fixture.Plan().mStarts.empty());
+    fixture.mNow += Duration(100);
+  }
+  fixture.Report("w1", { unknown }, {});
+  CHECK(fixture.Plan().mStarts.size() == 1);
+}
+
+// Guards against a run that counts twice: once as a run to stop, once as the
+// run of its task.
+TEST_CASE("a run to stop that becomes its task's run counts once", "[dispatch]")
+{
+  Fixture fixture({ "w1", "w2" });
+  fixture.mShard.mRunBase = 256;
+  fixture.Add(1, 5);
+  fixture.Report("w2", { MakeRunning(3) }, {});
+  fixture.Report("w1", { MakeRunning(4) }, {});
+  fixture.Report("w2", {}, { MakeEnd(1, 3, RunEnd::kStopped) });
+  REQUIRE(fixture.Task().mPhase == RunPhase::kWaiting);
+  fixture.Report("w1", { MakeRunning(4) }, {});
+  REQUIRE(fixture.Task().mWorker == "w1");
+  const Resources needs = fixture.Job().mRecord.mSpec.mSteps[0].mNeeds;
+  CHECK(fixture.Worker().mUsed == needs);
+  fixture.Report("w1", {}, { MakeEnd(1, 4, RunEnd::kStopped) });
+  CHECK(fixture.Worker().mUsed == Resources{});
+}
+
 TEST_CASE("workers of an earlier owner stay until they have answered",
           "[dispatch]")
 {
