Node: Ask a former owner whose record is gone

After the store has forgotten the leases, a new owner asks the one before it how long the leases of the workers last. It read the address from the node's record, which is gone until that node has a lease again. Until then it assumed the longest leases, and tasks waited for runs that had ended.

The addresses of the nodes are now remembered after their records are gone. An answer still counts only if it names the former owner, since an address may have been given to another node. A node that has never read the record, since it was started later, still can't ask.

The new test fails without the change.

--- a/Source/Node/vcFormerOwner.cxx
+++ b/Source/Node/vcFormerOwner.cxx
@@ -83,15 +83,15 @@
   if (name == aNode.mSettings.mName) {
     co_return AnswerNewOwner(aNode, aShard, aEpoch);
   }
-  const auto node = aNode.mNodes.find(name);
-  if (node == aNode.mNodes.end()) {
+  const auto known = aNode.mPeerAddresses.find(name);
+  if (known == aNode.mPeerAddresses.end()) {
     co_return std::nullopt;
   }
   HttpRequest request;
   request.mMethod = "POST";
   request.mTarget = std::string(kFormerOwnerPath) + std::to_string(aShard);
   request.mBody = std::to_string(aEpoch);
-  std::string address = node->second.mPeerAddress;
+  std::string address = known->second;
   auto answer = co_await CallPeer<FormerOwnerAnswer>(
     aNode.mHttp, std::move(address), std::move(request), kAskTimeout);
   // An address may have been given to another node.
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -54,6 +54,7 @@
   const auto record = TryDecode<NodeRecord>(aItem.mValue);
   if (record) {
     aNode.mNodes[name] = *record;
+    aNode.mPeerAddresses[name] = record->mPeerAddress;
   }
 }
 
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -169,6 +169,9 @@
   TimePoint mOperatorsCompleteAt{ kNever };
   /// Live nodes by name, this one included.
   std::map<std::string, NodeRecord> mNodes;
+  /// Last known addresses of the nodes for calls from other nodes, by name. A
+  /// node without a lease has no record, but may still answer.
+  std::map<std::string, std::string> mPeerAddresses;
   /// Owners by shard number.
   std::map<std::uint32_t, ShardOwner> mOwners;
   /// Number of shards; 0 until the layout is known.
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -3,7 +3,9 @@
 
 #include "vcFleetStore.h"
 
+#include "vcFormerOwner.h"
 #include "vcMembership.h"
+#include "vcServerSupport.h"
 #include "vcShardRunner.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -272,4 +274,52 @@
   CHECK(fixture.mStore.mItems.contains(ProgressKey(0, other)));
 }
 
+// Guards against a takeover that waits for the longest leases until the former
+// owner, which runs without a lease meanwhile, has its record again.
+TEST_CASE("a former owner is asked though its record is gone", "[runner]")
+{
+  RunnerFixture fixture;
+  HttpServer server(
+    fixture.mIo,
+    { asio::ip::address_v4::loopback(), 0 },
+    {},
+    [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+      co_return JsonResponse(Encode(FormerOwnerAnswer{ "node-2", 4, {} }));
+    });
+  const std::string key = std::string(kNodePrefix) + "node-2";
+  const NodeRecord record{
+    fmt::format("127.0.0.1:{}", server.LocalEndpoint().port()), "north", 1
+  };
+  fixture.Put(key, Encode(record));
+  asio::co_spawn(
+    fixture.mIo, WatchSystemRecords(fixture.mNode), asio::detached);
+  fixture.Run(Duration(100));
+  REQUIRE(fixture.mNode.mNodes.contains("node-2"));
+  KvTransaction removal;
+  removal.mDeletes.push_back(key);
+  CommitNow(fixture.mStore, removal);
+  // Long enough for a complete read of the records.
+  fixture.Run(Duration(15'000));
+  REQUIRE_FALSE(fixture.mNode.mNodes.contains("node-2"));
+  fixture.mNode.mFormerOwners[0] = { "node-2", 4, true };
+  std::optional<FormerOwnerAnswer> answer;
+  bool isDone = false;
+  asio::co_spawn(
+    fixture.mIo,
+    [&]() -> asio::awaitable<void> {
+      answer = co_await AskFormerOwner(fixture.mNode, 0, 10);
+      isDone = true;
+    },
+    asio::detached);
+  // The sockets need real time.
+  const auto until =
+    std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!isDone && std::chrono::steady_clock::now() < until) {
+    fixture.mIo.restart();
+    fixture.mIo.poll();
+  }
+  REQUIRE(answer);
+  CHECK(answer->mGeneration == 4);
+}
+
 } // namespace verbenacroft
