--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -172,6 +172,9 @@
   /// When peers last failed to make a store call for this node, by name; only
   /// those whose last such call failed.
   std::map<std::string, TimePoint> mRelayFailedAt;
+  /// Last known addresses of the nodes for calls from other nodes, by name. A
+  /// node without a lease has no record, but may still answer.
+  std::map<std::string, std::string> mPeerAddresses;
   /// Owners by shard number.
   std::map<std::uint32_t, ShardOwner> mOwners;
   /// Number of shards; 0 until the layout is known.
