--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -35,25 +35,21 @@
 /// since a task that crashes its worker mostly does so at its start.
 constexpr Duration kFreshRun{ 300 };
 
-/// A run that may have caused a crash.
-struct SuspectRun
+LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
-  TaskId mTask;
-  bool mIsSeenAtWork = false;
-  TimePoint mStartOrderedAt{ kNever };
-};
+  const DispatchTask& task = *FindTask(aShard, aKey);
+  return { aKey, IsSeenAtWork(task), task.mStartOrderedAt };
+}
 
-std::vector<SuspectRun> RunsOf(const DispatchShard& aShard,
-                               const DispatchWorker& aWorker)
+/// Runs that may have caused a crash of the worker.
+std::vector<LostRun> RunsOf(const DispatchShard& aShard,
+                            const DispatchWorker& aWorker)
 {
-  std::vector<SuspectRun> runs;
+  std::vector<LostRun> runs;
   for (const auto& key : aWorker.mTasks) {
-    const DispatchTask& task = *FindTask(aShard, key);
-    runs.push_back({ key, IsSeenAtWork(task), task.mStartOrderedAt });
-  }
-  for (const auto& lost : aWorker.mLostRuns) {
-    runs.push_back({ lost.mTask, lost.mIsSeenAtWork, lost.mStartOrderedAt });
+    runs.push_back(LostRunOf(aShard, key));
   }
+  runs.insert(runs.end(), aWorker.mLostRuns.begin(), aWorker.mLostRuns.end());
   return runs;
 }
 
@@ -163,24 +159,23 @@
   if (aWorker.mEntry.mIsDraining) {
     return;
   }
-  std::vector<SuspectRun> runs = RunsOf(aShard, aWorker);
+  std::vector<LostRun> runs = RunsOf(aShard, aWorker);
   aWorker.mLostRuns.clear();
   const auto all = runs.size();
   const auto unseen = static_cast<std::size_t>(
-    std::count_if(runs.begin(), runs.end(), [](const SuspectRun& aRun) {
+    std::count_if(runs.begin(), runs.end(), [](const LostRun& aRun) {
       return !aRun.mIsSeenAtWork;
     }));
   const bool hasOutsideCause = HasOutsideCause(aShard, aWorker);
   const TimePoint silentSince =
     aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
   if (hasOutsideCause) {
-    std::erase_if(runs, [&](const SuspectRun& aRun) {
+    std::erase_if(runs, [&](const LostRun& aRun) {
       return aRun.mIsSeenAtWork ||
              silentSince - aRun.mStartOrderedAt > kFreshRun;
     });
   } else if (unseen > 0) {
-    std::erase_if(runs,
-                  [](const SuspectRun& aRun) { return aRun.mIsSeenAtWork; });
+    std::erase_if(runs, [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
   }
   spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={}",
                aWorker.mEntry.mWorker,
@@ -208,9 +203,7 @@
                  DispatchWorker& aWorker,
                  const TaskId& aKey)
 {
-  const DispatchTask& task = *FindTask(aShard, aKey);
-  aWorker.mLostRuns.push_back(
-    { aKey, IsSeenAtWork(task), task.mStartOrderedAt });
+  aWorker.mLostRuns.push_back(LostRunOf(aShard, aKey));
 }
 
 void ApplyCrashHistory(DispatchShard& aShard,
