--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -27,6 +27,24 @@
   }
 }
 
+/// The task with this id, or null; constant if the shard is.
+template<class Shard>
+auto FindTaskIn(Shard& aShard, const TaskId& aKey)
+  -> decltype(FindTask(aShard, aKey))
+{
+  const auto job = aShard.mJobs.find(aKey.mJob);
+  if (job == aShard.mJobs.end() ||
+      aKey.mOccurrence >= job->second.mOccurrences.size()) {
+    return nullptr;
+  }
+  auto& steps = job->second.mOccurrences[aKey.mOccurrence].mSteps;
+  if (aKey.mStep >= steps.size() ||
+      aKey.mIndex >= steps[aKey.mStep].mTasks.size()) {
+    return nullptr;
+  }
+  return &steps[aKey.mStep].mTasks[aKey.mIndex];
+}
+
 } // namespace
 
 DispatchJob* FindJob(DispatchShard& aShard, const JobId& aJob)
@@ -43,31 +61,12 @@
 
 DispatchTask* FindTask(DispatchShard& aShard, const TaskId& aKey)
 {
-  DispatchJob* job = FindJob(aShard, aKey.mJob);
-  if (job == nullptr || aKey.mOccurrence >= job->mOccurrences.size()) {
-    return nullptr;
-  }
-  auto& steps = job->mOccurrences[aKey.mOccurrence].mSteps;
-  if (aKey.mStep >= steps.size() ||
-      aKey.mIndex >= steps[aKey.mStep].mTasks.size()) {
-    return nullptr;
-  }
-  return &steps[aKey.mStep].mTasks[aKey.mIndex];
+  return FindTaskIn(aShard, aKey);
 }
 
 const DispatchTask* FindTask(const DispatchShard& aShard, const TaskId& aKey)
 {
-  const auto job = aShard.mJobs.find(aKey.mJob);
-  if (job == aShard.mJobs.end() ||
-      aKey.mOccurrence >= job->second.mOccurrences.size()) {
-    return nullptr;
-  }
-  const auto& steps = job->second.mOccurrences[aKey.mOccurrence].mSteps;
-  if (aKey.mStep >= steps.size() ||
-      aKey.mIndex >= steps[aKey.mStep].mTasks.size()) {
-    return nullptr;
-  }
-  return &steps[aKey.mStep].mTasks[aKey.mIndex];
+  return FindTaskIn(aShard, aKey);
 }
 
 const StepSpec& StepOf(const DispatchJob& aJob, const TaskId& aKey)
