Dispatch: Return to turns after 1 s and probes after 1 and 1.5 s

Change: the times of before.

Result: all 166 unit test cases pass, also those of refused and unanswered starts.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -37,7 +37,7 @@
 /// How long a job has had nothing running before one task of it is started
 /// ahead of the usual order. The rest of `kMaxIdleTime` is for starts that are
 /// refused, and for runs that end before they are reported.
-constexpr Duration kTurnAfter{ 400 };
+constexpr Duration kTurnAfter{ 1'000 };
 
 /// Tiers of the steps of one priority, in the order in which they start.
 enum class Tier
--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -12,9 +12,9 @@
 namespace {
 
 /// How long a job has had nothing running before it may start a probe.
-constexpr Duration kProbeAfter{ 700 };
+constexpr Duration kProbeAfter{ 1'000 };
 /// The same before workers count that are not calm or run best-effort tasks.
-constexpr Duration kProbeAnywhereAfter{ 1'000 };
+constexpr Duration kProbeAnywhereAfter{ 1'500 };
 /// How long no task of a step was started before it may start a probe beside
 /// other runs of its job.
 constexpr Duration kProbeBesideRunsAfter{ 15'000 };
