Dispatch: Start overdue long-running tasks before best-effort turns, too

Cause: suspected, not traced. Best-effort turns came before all priorities. They take no processors from others, but memory and the budget of starts.

Change: overdue long-running tasks of all priorities come first, then best-effort turns, then all others.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -71,15 +71,31 @@
   TimePoint mDueAt{ 0 };
 };
 
-/// Best-effort tasks take no capacity from others, so their turns come first
-/// whatever the priority: else a job could wait without a bound for those of
-/// more urgent queues.
-std::tuple<bool, std::int32_t, Tier, TimePoint, const TaskId&> RankOf(
+/// Groups of candidates that start one after the other, whatever the priority.
+enum class CandidateGroup
+{
+  /// Few, and each has callers of its own that wait.
+  kOverdueLongRunning,
+  /// They take no capacity from others. Behind more urgent queues a best-effort
+  /// job could wait without a bound.
+  kBestEffortTurns,
+  kOthers,
+};
+
+CandidateGroup GroupOf(const Candidate& aCandidate)
+{
+  if (aCandidate.mTier == Tier::kOverdueLongRunning) {
+    return CandidateGroup::kOverdueLongRunning;
+  }
+  const bool isTurn = aCandidate.mTier == Tier::kTurn;
+  return isTurn && aCandidate.mIsBestEffort ? CandidateGroup::kBestEffortTurns
+                                            : CandidateGroup::kOthers;
+}
+
+std::tuple<CandidateGroup, std::int32_t, Tier, TimePoint, const TaskId&> RankOf(
   const Candidate& aCandidate)
 {
-  const bool isFirst =
-    aCandidate.mIsBestEffort && aCandidate.mTier == Tier::kTurn;
-  return { !isFirst,
+  return { GroupOf(aCandidate),
            aCandidate.mPriority,
            aCandidate.mTier,
            aCandidate.mDueAt,
