Dispatch: Keep room for idle jobs from no long-running task

What callers would see: a lost long-running task of the same priority waits while a worker's room is kept for a batch job.

Cause: a reservation kept off all tasks of its kind.

Change: long-running tasks may start there.

Result: "a reservation doesn't keep a lasting task away" failed before (no start) and passes.

--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -67,9 +67,12 @@
     return false;
   }
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-  const bool isBestEffort = StepOf(job, aFirstTask).mIsFilling;
+  const StepSpec& step = StepOf(job, aFirstTask);
+  if (step.mIsFilling != room.mIsBestEffort) {
+    return false;
+  }
   const bool isMoreUrgent = job.mRecord.mTerms.mPriority < room.mPriority;
-  return room.mIsBestEffort == isBestEffort && (isBestEffort || !isMoreUrgent);
+  return step.mIsFilling || !(step.mIsLasting || isMoreUrgent);
 }
 
 bool HasReservation(const TaskId& aFirstTask,
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -14,7 +14,7 @@
 
 /// True if the worker's free room is kept from the step. A reservation for a
 /// best-effort step keeps other best-effort tasks away; one for any other step
-/// those that aren't best-effort, unless they are more urgent.
+/// those that aren't best-effort, unless they are long-running or more urgent.
 /// @param aFirstTask first task of the step that looks for room
 bool IsReservedForAnother(const DispatchShard& aShard,
                           const DispatchWorker& aWorker,
--- a/Tests/Unit/vcIdleBoundsTest.cxx
+++ b/Tests/Unit/vcIdleBoundsTest.cxx
@@ -363,6 +363,23 @@
   CHECK(starts.front().mOrder.mTask.mJob == lasting);
 }
 
+// Guards against a lasting task that waits while room is kept for a batch job.
+TEST_CASE("a reservation doesn't keep a lasting task away", "[idle]")
+{
+  BoundsModel model;
+  const JobId lasting = "00000000000000b1";
+  JobShape serving{ 1, 0, 0, false, "" };
+  serving.mIsLasting = true;
+  model.Add(lasting, serving);
+  model.Add("00000000000000c1", { 1, kLongObjectiveMs, 0, false, "" });
+  RoomReservation& room = model.mShard.mWorkers.at("w00").mRoom;
+  room.mFirstTask = { kWatchedJob, 0, 0, 0 };
+  room.mUntil = model.mNow + kRound;
+  const auto starts = model.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts.front().mOrder.mTask.mJob == lasting);
+}
+
 // Guards against a turn for each step of a job.
 TEST_CASE("an idle job with several ready steps has one turn", "[idle]")
 {
