Dispatch: Use one piece of code for counted needs and for waiting steps

Cause: the placement and the reservations each took the processors out of a best-effort task's needs, as CountedNeeds does, and the two summaries of waiting work sorted their steps by the same branch.

Change: both call CountedNeeds, and CountOrAdd serves both summaries. Behaviour stays as it is.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -246,12 +246,11 @@
   StepNeeds needs{ { aKey.mJob, aKey.mOccurrence, aKey.mStep, 0 },
                    StepOf(job, aKey),
                    job.mRecord.mTerms.mService,
-                   StepOf(job, aKey).mNeeds,
+                   CountedNeeds(StepOf(job, aKey)),
                    {},
                    {},
                    ProbeStage::kNone };
   if (needs.mStep.mIsFilling) {
-    needs.mCounted.mMilliCpu = 0;
     needs.mBestEffort = BestEffortNeedsOf(needs.mStep);
   }
   const auto& tasks =
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -29,8 +29,6 @@
                                             const StepSpec& aStep,
                                             TimePoint aNow)
 {
-  Resources memory = aStep.mNeeds;
-  memory.mMilliCpu = 0;
   const BestEffortNeeds needs = BestEffortNeedsOf(aStep);
   const auto missing =
     needs.mCpu - static_cast<double>(FreeBestEffortCpu(aWorker));
@@ -38,7 +36,7 @@
     missing <= static_cast<double>(aWorker.mBestEffortCpu);
   const bool isOpen =
     aNow >= aWorker.mNoBestEffortUntil &&
-    Fits(aWorker.mUsed + memory, aWorker.mEntry.mCapacity) &&
+    Fits(aWorker.mUsed + CountedNeeds(aStep), aWorker.mEntry.mCapacity) &&
     !BestEffortEffectOf(aShard, aWorker, needs, aNow).mIsOverLimit;
   return isOpen && canBeFreed ? std::optional(missing) : std::nullopt;
 }
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -99,6 +99,22 @@
   row.mTasks += aStep.mTasks;
 }
 
+/// Counts a step whose job waits for a reason of its own, or adds it to those
+/// to examine.
+void CountOrAdd(WaitingSummary& aSummary,
+                std::vector<WaitingStep>& aToExamine,
+                std::optional<WaitReason> aReason,
+                const DispatchShard& aShard,
+                const WaitingStep& aStep,
+                TimePoint aNow)
+{
+  if (aReason) {
+    Count(aSummary, *aReason, aShard, aStep, aNow);
+  } else {
+    aToExamine.push_back(aStep);
+  }
+}
+
 bool HasWaitedLonger(const WaitingStep& aLeft, const WaitingStep& aRight)
 {
   return std::tie(aLeft.mSince, aLeft.mOldest) <
@@ -142,11 +158,7 @@
     const auto reason = ReasonOfJob(aShard, job, aNow);
     for (const auto& firstTask : ReadySteps(aShard, job, aNowMs)) {
       const WaitingStep step = MakeWaitingStep(job, firstTask, aNow, aNowMs);
-      if (reason) {
-        Count(summary, *reason, aShard, step, aNow);
-      } else {
-        steps.push_back(step);
-      }
+      CountOrAdd(summary, steps, reason, aShard, step, aNow);
     }
   }
   CountExamined(summary, aShard, steps, aNow, aMaxExamined);
@@ -165,14 +177,9 @@
       continue;
     }
     const auto step = LongIdleStep(aShard, job, aNow, aNowMs);
-    if (!step) {
-      continue;
-    }
-    const auto reason = ReasonOfJob(aShard, job, aNow);
-    if (reason) {
-      Count(summary, *reason, aShard, *step, aNow);
-    } else {
-      steps.push_back(*step);
+    if (step) {
+      const auto reason = ReasonOfJob(aShard, job, aNow);
+      CountOrAdd(summary, steps, reason, aShard, *step, aNow);
     }
   }
   CountExamined(summary, aShard, steps, aNow, aMaxExamined);
