Ownership: Grant no lease past a limit after the last proof

Cause: the new owner can't ask the lost one and waits until nothing can run on a worker that doesn't answer. That was the sum of two waits: 6.5 s in which an owner without a valid lease went on renewing, and the longest lease that it might grant at their end. Evidence: shard.barrier-clear 16,718 ms after a claim 1.5 s after the loss, and the tasks started at once.

Change: an owner grants no lease, and orders no start, that could last past 8.5 s after it sent the last renewal of its own that the store answered, on a worker's clock that may be 2% slow. The store lets nobody claim the shard before that renewal, so the next owner waits for 8.5 s from its claim, whatever became of the earlier one. The record of inactive workers says that all owners kept to the limit; otherwise the old sum counts, so releases may be mixed. While the limit is near, workers are asked more often, so that they are renewed soon after the store is back.

Cost: work outlives the store for 8.5 s, not for 12.4 or 16.4 s.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -19,8 +19,6 @@
 
 namespace {
 
-/// A worker refuses a start that arrives later than this after it was ordered.
-constexpr Duration kMaxStartDelay{ 1'500 };
 /// No task is started on a worker whose last report is older than this.
 constexpr Duration kMaxReportAge{ 1'800 };
 /// A best-effort task is started only where at least this fraction of the
@@ -570,7 +568,9 @@
   Assign(aShard, aKey, aWorker.mEntry.mWorker, aRun);
   task.mPhase = RunPhase::kStarting;
   task.mStartOrderedAt = aNow;
-  task.mNotAfter = EstimateClock(aWorker, aNow) + kMaxStartDelay.count();
+  task.mNotAfter =
+    std::min(EstimateClock(aWorker, aNow) + kMaxStartDelay.count(),
+             ClockReachedBy(aWorker, aShard.mLeasesEndBy));
   // A worker that accepts the start may run tasks until the start deadline even
   // if its lease is not renewed.
   aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, task.mNotAfter);
--- a/Source/Dispatch/vcDispatchPlacement.h
+++ b/Source/Dispatch/vcDispatchPlacement.h
@@ -7,6 +7,9 @@
 
 namespace verbenacroft {
 
+/// A worker refuses a start that arrives later than this after it was ordered.
+constexpr Duration kMaxStartDelay{ 1'500 };
+
 /// Starts the tasks that are ready and fit on a worker. The order is by
 /// priority, then jobs that can still meet their objective before late ones,
 /// then the earliest objective. Ahead of it, one task starts of each job of
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -1,5 +1,7 @@
 #include "vcDispatchState.h"
 
+#include <cmath>
+
 namespace verbenacroft {
 
 namespace {
@@ -88,6 +90,14 @@
   return aWorker.mClock + (aNow - aWorker.mClockReadAt).count();
 }
 
+std::int64_t ClockReachedBy(const DispatchWorker& aWorker, TimePoint aTime)
+{
+  const double elapsed = static_cast<double>(aTime.count()) -
+                         static_cast<double>(aWorker.mClockReadAt.count());
+  return aWorker.mClock +
+         static_cast<std::int64_t>(std::floor(elapsed * kMinClockRate));
+}
+
 Resources CountedNeeds(const StepSpec& aStep)
 {
   Resources needs = aStep.mNeeds;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -18,8 +18,12 @@
   Duration mMaxLease{ 6'000 };
   /// Maximum time between an order to stop and the end of the run.
   Duration mStopTimeout{ 400 };
-  /// Maximum time for which an owner without a valid lease may still act.
+  /// Maximum time for which an owner without a valid lease may still renew
+  /// workers if its program is of a release that knows no `mLeaseLimit`.
   Duration mOwnerGracePeriod{ 7'000 };
+  /// No lease that an owner grants lasts for longer than this after the owner
+  /// last asked the store for the proof of its ownership.
+  Duration mLeaseLimit{ 8'500 };
   /// Maximum time by which an occurrence may start before it is due.
   Duration mMaxEarlyStart{ 0 };
   /// Maximum time for which a serving task may stay over its latency target.
@@ -415,9 +419,9 @@
   /// Bytes of start orders that the owner's link has room for. Nothing is
   /// started once it is used up; the last order may exceed it.
   double mStartBudget = std::numeric_limits<double>::infinity();
-  /// Leases of the workers are renewed; cleared once another owner may count on
-  /// their end.
-  bool mMayRenew = true;
+  /// All runs that this owner has started or renewed end by this time, since
+  /// another owner may count on it. It moves on with each proof of ownership.
+  TimePoint mLeasesEndBy{ TimePoint::max() };
   /// The owner's lease is known to be valid. While it is not, another owner may
   /// be renewing the workers that do not answer this one.
   bool mIsLeaseProved = true;
@@ -458,6 +462,10 @@
 /// it was never read.
 std::int64_t EstimateClock(const DispatchWorker& aWorker, TimePoint aNow);
 
+/// Latest reading of the worker's clock, in ms, that it certainly shows by
+/// `aTime`. Its clock has been read.
+std::int64_t ClockReachedBy(const DispatchWorker& aWorker, TimePoint aTime);
+
 /// Needs of a task of the step that count against the capacity of its worker.
 Resources CountedNeeds(const StepSpec& aStep);
 
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -159,15 +159,16 @@
 
 void AddActiveWorker(DispatchShard& aShard,
                      const std::string& aName,
-                     bool aHasEarlierStopped,
-                     TimePoint aNow)
+                     const EarlierOwners& aEarlier,
+                     TimePoint aClaimedAt)
 {
   const DispatchBounds& bounds = aShard.mBounds;
   const Duration gracePeriod =
-    aHasEarlierStopped ? Duration(0) : bounds.mOwnerGracePeriod;
-  aShard.mUnansweredWorkers[aName] = {
-    aNow + gracePeriod + LongestLease(bounds), aShard.mEpoch
-  };
+    aEarlier.mHaveStopped ? Duration(0) : bounds.mOwnerGracePeriod;
+  const Duration longest = gracePeriod + LongestLease(bounds);
+  const Duration endsIn =
+    std::min(longest, aEarlier.mLeaseLimit.value_or(longest));
+  aShard.mUnansweredWorkers[aName] = { aClaimedAt + endsIn, aShard.mEpoch };
   aShard.mWorkers[aName].mIsRecorded = true;
 }
 
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -13,6 +13,8 @@
 
 #include "vcDispatchState.h"
 
+#include <optional>
+
 namespace verbenacroft {
 
 /// A worker that discovery lists and that doesn't answer may be well, and may
@@ -52,13 +54,23 @@
 /// Longest time for which a worker's lease may last on this process's clock.
 Duration LongestLease(const DispatchBounds& aBounds);
 
+/// What is known of the owners before this one.
+struct EarlierOwners
+{
+  /// None of them can act any more.
+  bool mHaveStopped = false;
+  /// `DispatchBounds::mLeaseLimit` that all of them kept to; nothing if one of
+  /// them may have been a program that knows no such limit.
+  std::optional<Duration> mLeaseLimit;
+};
+
 /// Adds a worker of the recorded worker set that was active when this owner
 /// claimed the shard.
-/// @param aHasEarlierStopped no earlier owner can act any more
+/// @param aClaimedAt no earlier owner can prove its ownership after this time
 void AddActiveWorker(DispatchShard& aShard,
                      const std::string& aName,
-                     bool aHasEarlierStopped,
-                     TimePoint aNow);
+                     const EarlierOwners& aEarlier,
+                     TimePoint aClaimedAt);
 
 /// Adds a worker that was recorded as inactive.
 /// @param aRunsEndIn time from `aNow` by which all runs there have ended
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -271,8 +271,11 @@
   // recorded as active.
   order.mWait = aWorker.mIsInactive ? Duration(0) : aWait;
   // The next owner counts on the end of the runs on workers that aren't active.
-  if (aWorker.mIsRecorded && aShard.mMayRenew) {
-    order.mLeaseUntil = clock + aShard.mBounds.mMaxLease.count();
+  const std::int64_t leaseUntil =
+    std::min(clock + aShard.mBounds.mMaxLease.count(),
+             ClockReachedBy(aWorker, aShard.mLeasesEndBy));
+  if (aWorker.mIsRecorded && leaseUntil > clock) {
+    order.mLeaseUntil = leaseUntil;
     aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, order.mLeaseUntil);
   }
   return order;
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -273,12 +273,12 @@
   }
 }
 
-bool MayRenewLeases(const NodeContext& aNode, TimePoint aNow)
+TimePoint LeasesEndBy(const NodeContext& aNode)
 {
+  // The lease counts from the sending of its last renewal.
   const DispatchBounds bounds = DispatchBoundsOf(aNode.mSettings);
-  const Duration gracePeriod =
-    bounds.mOwnerGracePeriod - LeaseTtlOf(aNode.mSettings);
-  return aNow < aNode.mLeaseValidUntil + gracePeriod;
+  return aNode.mLeaseValidUntil - LeaseTtlOf(aNode.mSettings) +
+         bounds.mLeaseLimit;
 }
 
 std::optional<StartsForbiddenCause> WhyStartsForbidden(const NodeContext& aNode,
@@ -296,10 +296,11 @@
   if (aNow < aNode.mLeaseValidUntil) {
     return std::nullopt;
   }
-  const bool isInGracePeriod =
-    IsStoreDown(aNode, aNow) && MayRenewLeases(aNode, aNow);
-  return isInGracePeriod ? std::nullopt
-                         : std::optional(StartsForbiddenCause::kLeaseExpired);
+  const bool mayStartWithoutStore =
+    IsStoreDown(aNode, aNow) && aNow + kMaxStartDelay < LeasesEndBy(aNode);
+  return mayStartWithoutStore
+           ? std::nullopt
+           : std::optional(StartsForbiddenCause::kLeaseExpired);
 }
 
 Duration LeaseRecoveryTime(Duration aLeaseTtl)
--- a/Source/Node/vcMembership.h
+++ b/Source/Node/vcMembership.h
@@ -24,10 +24,10 @@
 /// Updates the table of owners. An item older than the known owner is ignored.
 void ApplyOwner(NodeContext& aNode, const KvItem& aItem);
 
-/// True until the owner grace period of the node's lease has ended. The next
-/// owner of a shard counts on it that this node renews no worker's lease later,
-/// also if it is cut off and doesn't learn of the other.
-bool MayRenewLeases(const NodeContext& aNode, TimePoint aNow);
+/// Time by which all leases end that this node grants to workers. The next
+/// owner of a shard counts on it, also if this node is cut off and doesn't
+/// learn of the other.
+TimePoint LeasesEndBy(const NodeContext& aNode);
 
 /// Why the owner of a shard may start no task.
 enum class StartsForbiddenCause
@@ -36,8 +36,8 @@
   /// The process was stalled, and the lease hasn't been renewed since.
   kLeaseInDoubt,
   kStopping,
-  /// The lease has expired, and so has the owner grace period if the store is
-  /// down.
+  /// The lease has expired and, if the store is down, the leases of the workers
+  /// end too soon for a start.
   kLeaseExpired,
   /// The view of the shard's inbox is too old.
   kOldInbox,
@@ -59,9 +59,9 @@
 };
 
 /// Returns nothing while the node may start tasks: its lease is valid, so that
-/// no other node can own its shards; or the store is down and the owner grace
-/// period hasn't ended, so that no other node starts the tasks that this one
-/// may start. Otherwise the cause; the views are not checked.
+/// no other node can own its shards; or the store is down and a start still
+/// takes effect before `LeasesEndBy`, so that no other node starts the tasks
+/// that this one may start. Otherwise the cause; the views are not checked.
 std::optional<StartsForbiddenCause> WhyStartsForbidden(const NodeContext& aNode,
                                                        TimePoint aNow);
 
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -10,6 +10,13 @@
 /// renew its lease continues with jobs that it already has. The next owner
 /// waits for this time to pass where it can't query the workers.
 constexpr Duration kGracePeriod{ 5'000 };
+/// Shortest limit of the leases of an owner. Together with the time until the
+/// next owner's claim it is how long a lost worker's tasks wait; without the
+/// store it is how long they outlast the proof of ownership.
+constexpr Duration kMinLeaseLimit{ 8'500 };
+/// The limit is at least this multiple of the time to live of the owner's own
+/// lease, so that leases outlast a few lost renewals of it.
+constexpr int kOwnLeasesPerLimit = 2;
 constexpr std::size_t kInternalPortCount = 2;
 constexpr double kMsPerSecond = 1'000;
 /// Bytes per second, in the direction with more of them, for the orders to a
@@ -73,6 +80,8 @@
   bounds.mMaxLease = from.mMaxLeaseMs;
   bounds.mStopTimeout = from.mStopTimeoutMs;
   bounds.mOwnerGracePeriod = LeaseTtlOf(aSettings) + kGracePeriod;
+  bounds.mLeaseLimit =
+    std::max(kMinLeaseLimit, kOwnLeasesPerLimit * LeaseTtlOf(aSettings));
   bounds.mMaxOverTarget = from.mHarmMs;
   bounds.mStatus =
     Duration(static_cast<std::int64_t>(from.mStatusSeconds * kMsPerSecond));
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -236,7 +236,9 @@
     write,
     aShard,
     NextWorkerSet(aRecords.mWorkerSet, aNode.mSettings.mName),
-    NextInactiveWorkers(aRecords.mInactive.mRecord, aRecords.mWorkerSet));
+    NextInactiveWorkers(aRecords.mInactive.mRecord,
+                        aRecords.mWorkerSet,
+                        DispatchBoundsOf(aNode.mSettings).mLeaseLimit));
   return write;
 }
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -29,8 +29,11 @@
 /// How long a worker may wait for the end of a task before it reports.
 constexpr Duration kReportWait{ 1'000 };
 /// Shorter wait for a report while a serving task on the worker is close to its
-/// latency target.
-constexpr Duration kNearTargetReportWait{ 350 };
+/// latency target, or while the workers' leases end soon, so that they are
+/// renewed soon after the owner has proved its ownership again.
+constexpr Duration kShortReportWait{ 350 };
+/// The workers' leases end soon if they can't last for longer than this.
+constexpr Duration kShortLease{ 3'000 };
 /// Pause between a report and the next renewal, so that task ends close
 /// together share one report.
 constexpr Duration kReportPause{ 15 };
@@ -170,12 +173,13 @@
     }
     const TimePoint sentAt = SuspendAwareNow();
     // The process may have been paused since the last tick.
-    this->mShard.mMayRenew = MayRenewLeases(this->mNode, sentAt);
+    this->mShard.mLeasesEndBy = LeasesEndBy(this->mNode);
     const bool isNearTarget = worker->mNoBestEffortUntil > sentAt;
+    const bool isLeaseShort = this->mShard.mLeasesEndBy - sentAt < kShortLease;
     const RenewOrder order =
       MakeRenewal(this->mShard,
                   *worker,
-                  isNearTarget ? kNearTargetReportWait : kReportWait,
+                  isNearTarget || isLeaseShort ? kShortReportWait : kReportWait,
                   sentAt);
     const WorkerAddress address{ aWorker, worker->mEndpoint };
     const WorkerReport report =
@@ -336,7 +340,7 @@
   const auto cause = this->WhyShardMayNotStart(aNow);
   this->LogStartsForbidden(cause, aNow);
   this->mShard.mMayStart = !cause.has_value();
-  this->mShard.mMayRenew = MayRenewLeases(this->mNode, aNow);
+  this->mShard.mLeasesEndBy = LeasesEndBy(this->mNode);
   this->mShard.mIsLeaseProved =
     !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -99,6 +99,8 @@
   /// Reads the worker set and adds its workers.
   /// @return false if the worker set could not be read
   asio::awaitable<bool> LoadWorkerSet();
+  /// What the recorded worker set says of earlier owners.
+  EarlierOwners KnownOfEarlierOwners() const;
   /// Adds the workers of the recorded worker set and the times until which runs
   /// of earlier owners may last there.
   void AddStoredWorkers(TimePoint aNow);
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -29,6 +29,9 @@
 bool IsUpToDate(const InactiveWorkersRecord& aRecorded,
                 const InactiveWorkersRecord& aPresent)
 {
+  if (aRecorded.mLeaseLimitMs != aPresent.mLeaseLimitMs) {
+    return false;
+  }
   return std::equal(
     aRecorded.mWorkers.begin(),
     aRecorded.mWorkers.end(),
@@ -93,6 +96,20 @@
   co_return true;
 }
 
+EarlierOwners ShardRunner::KnownOfEarlierOwners() const
+{
+  const WorkerSetRecord& workerSet = this->mStored.mWorkerSet;
+  const InactiveWorkersRecord& inactive = this->mStored.mInactive;
+  EarlierOwners earlier;
+  earlier.mHaveStopped = workerSet.mHasEarlierStopped;
+  const bool isLimitKnown =
+    inactive.mGeneration == workerSet.mGeneration && inactive.mLeaseLimitMs > 0;
+  if (isLimitKnown) {
+    earlier.mLeaseLimit = Duration(inactive.mLeaseLimitMs);
+  }
+  return earlier;
+}
+
 void ShardRunner::AddStoredWorkers(TimePoint aNow)
 {
   const WorkerSetRecord& workerSet = this->mStored.mWorkerSet;
@@ -117,7 +134,7 @@
     if (row == inactive.end()) {
       AddActiveWorker(this->mShard,
                       member.mWorker,
-                      workerSet.mHasEarlierStopped,
+                      this->KnownOfEarlierOwners(),
                       this->mStartedAt);
     } else {
       AddInactiveWorker(this->mShard,
@@ -155,6 +172,11 @@
   aWorkerSet.mWorkers.clear();
   aWorkerSet.mIsSettled = IsBarrierClear(this->mShard, now);
   aInactive.mGeneration = aWorkerSet.mGeneration;
+  // Once the runs of all earlier owners are accounted for, only this one's
+  // limit counts.
+  aInactive.mLeaseLimitMs = aWorkerSet.mIsSettled
+                              ? this->mShard.mBounds.mLeaseLimit.count()
+                              : this->mStored.mInactive.mLeaseLimitMs;
   for (auto& [name, worker] : this->mShard.mWorkers) {
     if (MustBeRecorded(this->mShard, worker, now)) {
       aWorkerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
@@ -307,6 +329,7 @@
   workerSet.mOwner.clear();
   InactiveWorkersRecord inactive;
   inactive.mGeneration = workerSet.mGeneration;
+  inactive.mLeaseLimitMs = this->mStored.mInactive.mLeaseLimitMs;
   for (const auto& [name, worker] : this->mShard.mWorkers) {
     if (worker.mIsInactive) {
       const TimePoint endAt = RunsEndAt(this->mShard, worker, now);
--- a/Source/Node/vcWorkerSetRecords.cxx
+++ b/Source/Node/vcWorkerSetRecords.cxx
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 WorkerSetRecord NextWorkerSet(const WorkerSetRecord& aEarlier,
@@ -19,12 +21,19 @@
 
 InactiveWorkersRecord NextInactiveWorkers(
   const InactiveWorkersRecord& aRecorded,
-  const WorkerSetRecord& aEarlier)
+  const WorkerSetRecord& aEarlier,
+  Duration aLeaseLimit)
 {
   InactiveWorkersRecord next;
   next.mGeneration = aEarlier.mGeneration + 1;
-  if (aRecorded.mGeneration == aEarlier.mGeneration) {
+  const bool isFirstClaim = aEarlier.mGeneration == 0;
+  if (isFirstClaim) {
+    next.mLeaseLimitMs = aLeaseLimit.count();
+  } else if (aRecorded.mGeneration == aEarlier.mGeneration) {
     next.mWorkers = aRecorded.mWorkers;
+    const bool isKnown = aRecorded.mLeaseLimitMs > 0;
+    next.mLeaseLimitMs =
+      isKnown ? std::max(aRecorded.mLeaseLimitMs, aLeaseLimit.count()) : 0;
   }
   return next;
 }
--- a/Source/Node/vcWorkerSetRecords.h
+++ b/Source/Node/vcWorkerSetRecords.h
@@ -64,8 +64,13 @@
   /// Generation of the worker set that the record belongs to.
   std::uint32_t mGeneration = 0;
   std::vector<InactiveWorker> mWorkers;
+  /// `DispatchBounds::mLeaseLimit` in ms that all owners kept to whose runs may
+  /// last; 0 if it isn't known of all of them.
+  std::int64_t mLeaseLimitMs = 0;
 };
-BOOST_DESCRIBE_STRUCT(InactiveWorkersRecord, (), (mGeneration, mWorkers))
+BOOST_DESCRIBE_STRUCT(InactiveWorkersRecord,
+                      (),
+                      (mGeneration, mWorkers, mLeaseLimitMs))
 
 /// The record that `aNode` writes when it claims a shard.
 /// @param aEarlier record of the previous owner
@@ -76,9 +81,11 @@
 /// the new owner records them as active; it is bound like the previous one.
 /// @param aRecorded the record in the store
 /// @param aEarlier worker set of the previous owner
+/// @param aLeaseLimit limit of the new owner
 InactiveWorkersRecord NextInactiveWorkers(
   const InactiveWorkersRecord& aRecorded,
-  const WorkerSetRecord& aEarlier);
+  const WorkerSetRecord& aEarlier,
+  Duration aLeaseLimit);
 
 /// Inactive members of the worker set according to the record in the store, by
 /// name; none if the record belongs to an earlier claim.
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -212,6 +212,8 @@
     this->ScheduleTakeovers();
   } else if (this->mOptions.mPlay == FleetPlay::kLongPartition) {
     this->SchedulePartition();
+  } else if (this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost) {
+    this->ScheduleLossOfOwnerAndWorkers();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -52,6 +52,9 @@
   /// Some tasks crash each worker that starts them, and owners are killed just
   /// then. The worker returns under its id or under a new one.
   kDeadlyTasks,
+  /// An owner and some workers are lost for good at the same moment. The
+  /// long-running tasks of these workers run again in time.
+  kOwnerAndWorkersLost,
 };
 
 template<>
@@ -67,6 +70,7 @@
     { FleetPlay::kLongPartition, "long-partition" },
     { FleetPlay::kChokedOwner, "choked-owner" },
     { FleetPlay::kDeadlyTasks, "deadly-tasks" },
+    { FleetPlay::kOwnerAndWorkersLost, "owner-and-workers-lost" },
   });
 };
 
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -148,7 +148,8 @@
   bool HasManyLastingJobs() const
   {
     return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
-           this->mOptions.mPlay == FleetPlay::kLongPartition;
+           this->mOptions.mPlay == FleetPlay::kLongPartition ||
+           this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost;
   }
 
   // The fleet and its clock.
@@ -218,6 +219,7 @@
   void LoseOwner(OwnerLoss aLoss, const std::string& aOwner, StoreMood aMood);
   void EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner);
   void SchedulePartition();
+  void ScheduleLossOfOwnerAndWorkers();
   /// From now on the node reaches only these workers, and only it does.
   void CutOff(const std::string& aNode, const std::set<std::string>& aWorkers);
   /// Ends that.
@@ -230,6 +232,8 @@
   void LimitCalls(double aBytesPerSecond, double aReplyMs);
   /// Lets the long-running tasks be judged, some time after `mCalmAt`.
   void ScheduleCheckOfCalm();
+  /// Lets them be judged at `aAt`.
+  void ScheduleCheckOfWork(TimePoint aAt);
 
   // Tasks that crash their workers.
   void ScheduleDeadlyTasks();
--- a/Tests/Fleet/vcFleetTakeovers.cxx
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -1,5 +1,6 @@
 /// The plays of successive takeovers, in which workers are gone for good and
-/// owners lose the shard before they have settled, and of a long partition.
+/// owners lose the shard before they have settled, of a long partition, and of
+/// an owner and workers that are lost at the same moment.
 
 #include "vcFleetState.h"
 
@@ -20,6 +21,9 @@
 constexpr Duration kCalmReturns{ 3'000 };
 /// Long-running tasks that lost their worker run again this soon after that.
 constexpr Duration kRunAgainInCalm{ 7'000 };
+/// After a loss the nodes have 4 s to catch up and 4 s of calm. A task that
+/// could run from then on doesn't wait for 3 s.
+constexpr Duration kRunAgainAfterLoss{ 11'000 };
 
 /// When a next owner can be at work.
 TimePoint TakenOverAt(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
@@ -153,6 +157,16 @@
   this->ScheduleCheckOfCalm();
 }
 
+void Fleet::ScheduleLossOfOwnerAndWorkers()
+{
+  const TimePoint at =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  this->ScheduleGoneWorkers(at);
+  this->At(at, "owner lost", [this] { this->StopNode(this->DrawOwner()); });
+  this->mCalmAt = at;
+  this->ScheduleCheckOfWork(at + kRunAgainAfterLoss);
+}
+
 void Fleet::CutOff(const std::string& aNode,
                    const std::set<std::string>& aWorkers)
 {
@@ -181,12 +195,15 @@
 
 void Fleet::ScheduleCheckOfCalm()
 {
-  this->At(this->mCalmAt + kCalmReturns + kRunAgainInCalm,
-           "long-running tasks run again",
-           [this] {
-             this->CheckLasting(this->mLasting);
-             this->CheckBegun();
-           });
+  this->ScheduleCheckOfWork(this->mCalmAt + kCalmReturns + kRunAgainInCalm);
+}
+
+void Fleet::ScheduleCheckOfWork(TimePoint aAt)
+{
+  this->At(aAt, "long-running tasks run again", [this] {
+    this->CheckLasting(this->mLasting);
+    this->CheckBegun();
+  });
 }
 
 } // namespace verbenacroft
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -121,6 +121,10 @@
 # Guards against a wait for lost workers that begins anew with each takeover.
 verbenacroft_fleet(successive_takeovers
   --play successive-takeovers --seeds 1..100)
+# Guards against a wait for lost workers that begins when their owner is lost
+# with them and lasts for longer than long-running tasks may be away.
+verbenacroft_fleet(owner_and_workers_lost
+  --play owner-and-workers-lost --seeds 1..100)
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -337,7 +337,7 @@
     { "taken over and not heard yet",
       [](Fixture& aShard) {
         aShard.Worker() = {};
-        AddActiveWorker(aShard.mShard, "w1", false, aShard.mNow);
+        AddActiveWorker(aShard.mShard, "w1", {}, aShard.mNow);
         aShard.SetDraining(true);
         aShard.Silence("w1");
       },
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 namespace verbenacroft {
 
 namespace {
@@ -160,16 +162,115 @@
 
 // Guards against an owner that renews workers when the next owner already
 // counts their leases as ended.
-TEST_CASE("an owner whose grace period has ended renews no worker",
+TEST_CASE("an owner whose leases have to end by now renews no worker",
           "[worker-set]")
 {
   OneWorker shard;
-  shard.mShard.mMayRenew = false;
+  shard.mShard.mLeasesEndBy = shard.mNow;
   const RenewOrder order = shard.Renew();
   CHECK(order.mLeaseUntil == 0);
   CHECK(order.mWait == Duration(1'000));
 }
 
+// Guards against a lease that outlasts the time on which the next owner counts:
+// renewed late, renewed with an old reading of the worker's clock, or counted
+// by a worker whose clock is slow.
+TEST_CASE("no lease outlasts the owner's limit", "[worker-set]")
+{
+  const Duration maxLease =
+    GENERATE(values({ Duration(6'000), Duration(10'000) }));
+  const Duration since =
+    GENERATE(values({ Duration(0), Duration(1'900), Duration(7'000) }));
+  const Duration reportAge =
+    GENERATE(values({ Duration(0), Duration(1'000), Duration(5'000) }));
+  const double clockRate = GENERATE(values({ kMinClockRate, 0.99, 1.0 }));
+  CAPTURE(maxLease, since, reportAge, clockRate);
+  OneWorker shard;
+  shard.mShard.mBounds.mMaxLease = maxLease;
+  shard.mNow += since;
+  shard.mShard.mLeasesEndBy = TimePoint(0) + shard.mShard.mBounds.mLeaseLimit;
+  shard.Answer();
+  const TimePoint readAt = shard.mNow;
+  const std::int64_t clock = shard.Worker().mClock;
+  shard.mNow += reportAge;
+  const RenewOrder order = shard.Renew();
+  const double endsIn =
+    static_cast<double>(order.mLeaseUntil - clock) / clockRate;
+  const bool isOver =
+    readAt + Duration(static_cast<std::int64_t>(std::ceil(endsIn))) <=
+    shard.mShard.mLeasesEndBy;
+  const bool isShort =
+    order.mLeaseUntil - EstimateClock(shard.Worker(), shard.mNow) <=
+    maxLease.count();
+  CHECK((order.mLeaseUntil == 0 || (isOver && isShort)));
+}
+
+// Guards against a start that a next owner counts as impossible.
+TEST_CASE("no start takes effect after the owner's limit", "[worker-set]")
+{
+  asio::io_context io(1);
+  NodeContext node(io, {});
+  const TimePoint provedAt(100'000);
+  node.mLease = LeaseId::Of(1);
+  node.mIsLeaseInDoubt = false;
+  node.mLeaseValidUntil = provedAt + LeaseTtlOf(node.mSettings);
+  node.mStoreFailedAt = provedAt;
+  node.mLastStoreReplyAt = provedAt;
+  const TimePoint endBy =
+    provedAt + DispatchBoundsOf(node.mSettings).mLeaseLimit;
+  CHECK(LeasesEndBy(node) == endBy);
+  const TimePoint last = endBy - kMaxStartDelay;
+  CHECK_FALSE(WhyStartsForbidden(node, last - Duration(1)));
+  CHECK(WhyStartsForbidden(node, last) == StartsForbiddenCause::kLeaseExpired);
+}
+
+// Guards against a takeover beside the loss of a worker that holds jobs back
+// for longer than a long-running task may be away: 11 s after the loss, of
+// which the claim takes 1.5 s and the start 0.5 s.
+TEST_CASE("a takeover waits for a lost worker for 9 s at most", "[worker-set]")
+{
+  NodeSettings settings;
+  settings.mBounds.mMaxLeaseMs =
+    GENERATE(values({ Duration(6'000), Duration(10'000) }));
+  const InactiveWorkersRecord first =
+    NextInactiveWorkers({}, {}, DispatchBoundsOf(settings).mLeaseLimit);
+  DispatchShard shard;
+  shard.mEpoch = kEpoch;
+  shard.mBounds = DispatchBoundsOf(settings);
+  const EarlierOwners earlier{ false, Duration(first.mLeaseLimitMs) };
+  AddActiveWorker(shard, "w1", earlier, TimePoint(0));
+  CHECK(BarrierEndsAt(shard) <= TimePoint(9'000));
+}
+
+// Guards against a limit that is assumed of an owner that may not have kept to
+// it.
+TEST_CASE("a lease limit counts once all owners before have kept to it",
+          "[worker-set]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::uint32_t mRecordedGeneration;
+    std::int64_t mRecordedLimitMs;
+    std::int64_t mNextLimitMs;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "the same limit", 4, 8'000, 8'000 },
+    { "a longer one", 4, 12'000, 12'000 },
+    { "a shorter one", 4, 5'000, 8'000 },
+    { "the owner before knew no limit", 4, 0, 0 },
+    { "the record is of an earlier claim", 3, 8'000, 0 },
+  }));
+  CAPTURE(row.mName);
+  WorkerSetRecord earlier;
+  earlier.mGeneration = 4;
+  InactiveWorkersRecord recorded;
+  recorded.mGeneration = row.mRecordedGeneration;
+  recorded.mLeaseLimitMs = row.mRecordedLimitMs;
+  const auto next = NextInactiveWorkers(recorded, earlier, Duration(8'000));
+  CHECK(next.mLeaseLimitMs == row.mNextLimitMs);
+}
+
 // Guards against a wait that begins anew with every owner.
 TEST_CASE("an owner waits only for what may still run", "[worker-set]")
 {
@@ -184,13 +285,28 @@
     { "no worker", [](DispatchShard&) {}, TimePoint(0), 0 },
     { "an active worker",
       [](DispatchShard& aShard) {
-        AddActiveWorker(aShard, "w1", false, TimePoint(0));
+        AddActiveWorker(aShard, "w1", {}, TimePoint(0));
       },
       TimePoint(13'123),
       kEpoch },
+    { "an active worker, and all owners kept to a limit",
+      [](DispatchShard& aShard) {
+        const EarlierOwners earlier{ false, Duration(8'000) };
+        AddActiveWorker(aShard, "w1", earlier, TimePoint(0));
+      },
+      TimePoint(8'000),
+      kEpoch },
     { "an active worker, and nobody else may act",
       [](DispatchShard& aShard) {
-        AddActiveWorker(aShard, "w1", true, TimePoint(0));
+        const EarlierOwners earlier{ true, std::nullopt };
+        AddActiveWorker(aShard, "w1", earlier, TimePoint(0));
+      },
+      TimePoint(6'123),
+      kEpoch },
+    { "the same with a limit",
+      [](DispatchShard& aShard) {
+        const EarlierOwners earlier{ true, Duration(8'000) };
+        AddActiveWorker(aShard, "w1", earlier, TimePoint(0));
       },
       TimePoint(6'123),
       kEpoch },
@@ -242,7 +358,7 @@
   InactiveWorkersRecord recorded;
   recorded.mGeneration = row.mRecordedGeneration;
   recorded.mWorkers = { { "w1", 4'000, 30 } };
-  const auto next = NextInactiveWorkers(recorded, earlier);
+  const auto next = NextInactiveWorkers(recorded, earlier, Duration(8'000));
   const auto claimed = NextWorkerSet(earlier, "node-1");
   CHECK(next.mGeneration == claimed.mGeneration);
   CHECK(InactiveMembers(next, claimed).size() == row.mTakenOver);
@@ -257,7 +373,7 @@
     DispatchShard shard;
     shard.mEpoch = kEpoch;
     if (owner == 0) {
-      AddActiveWorker(shard, "w1", false, TimePoint(0));
+      AddActiveWorker(shard, "w1", {}, TimePoint(0));
     } else {
       AddInactiveWorker(shard, "w1", endIn, kEpoch, TimePoint(0));
     }
@@ -310,7 +426,7 @@
   CAPTURE(row.mName);
   DispatchShard shard;
   shard.mEpoch = kEpoch;
-  AddActiveWorker(shard, "w1", false, TimePoint(0));
+  AddActiveWorker(shard, "w1", {}, TimePoint(0));
   const FormerOwnerAnswer answer{ "node-2",
                                   row.mAnswerGeneration,
                                   { { "w1", 2'000 }, { "w2", 0 } } };
