Dispatch: Hold long-running tasks only until lost runs have ended

Cause: after a takeover the answer of a silent worker that discovery lists is awaited for 6 s after its runs have ended, since it may hold ends that nobody has heard. That held long-running tasks, too, which are never done.

Change: long-running steps are held up to the revision of workers whose runs may last; all others as before.

Result: "after a takeover only tasks that may be done await ends" fails with the change taken out and passes.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -159,9 +159,20 @@
   return aIsScheduled ? Tier::kOnTime : Tier::kLate;
 }
 
-/// Appends the steps of a job that are ready and have waiting tasks.
+/// Revisions of the store up to which the jobs wait that may run on workers
+/// that haven't answered this owner.
+struct HeldRevisions
+{
+  std::uint64_t mLongRunning = 0;
+  /// Not lower than that of long-running steps.
+  std::uint64_t mOthers = 0;
+};
+
+/// Appends the steps of a job that are ready, aren't held and have waiting
+/// tasks.
 void CollectSteps(const DispatchShard& aShard,
                   const DispatchJob& aJob,
+                  const HeldRevisions& aHeld,
                   TimePoint aNow,
                   std::int64_t aNowMs,
                   std::vector<Candidate>& aOut)
@@ -170,6 +181,11 @@
     const std::int64_t dueAt =
       DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
     const bool isLasting = StepOf(aJob, aFirstTask).mIsLasting;
+    const std::uint64_t heldUpTo =
+      isLasting ? aHeld.mLongRunning : aHeld.mOthers;
+    if (aJob.mCreatedAt <= heldUpTo) {
+      return;
+    }
     Candidate candidate;
     candidate.mIsBestEffort = StepOf(aJob, aFirstTask).mIsFilling;
     candidate.mFirstTask = std::move(aFirstTask);
@@ -1034,12 +1050,13 @@
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return;
   }
-  const std::uint64_t heldUpTo = LastHeldRevision(aShard, aNow);
+  const HeldRevisions held{ LastHeldRevisionOfLongRunning(aShard, aNow),
+                            LastHeldRevision(aShard, aNow) };
   std::vector<Candidate> steps;
   for (const auto& [id, job] : aShard.mJobs) {
-    const bool isSafe = job.mCreatedAt > heldUpTo;
-    if (isSafe && !IsFinal(job.mState)) {
-      CollectSteps(aShard, job, aNow, aNowMs, steps);
+    const bool isHeld = job.mCreatedAt <= held.mLongRunning;
+    if (!isHeld && !IsFinal(job.mState)) {
+      CollectSteps(aShard, job, held, aNow, aNowMs, steps);
     }
   }
   std::sort(steps.begin(), steps.end(), ComesBefore);
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -70,15 +70,19 @@
   return longest;
 }
 
-/// The reason that holds for all tasks of a job, whatever they need.
-std::optional<WaitReason> ReasonOfJob(const DispatchShard& aShard,
-                                      const DispatchJob& aJob,
-                                      TimePoint aNow)
+/// The reason that holds for all tasks of a job's step, whatever they need.
+std::optional<WaitReason> ReasonOfStep(const DispatchShard& aShard,
+                                       const DispatchJob& aJob,
+                                       const TaskId& aTask,
+                                       TimePoint aNow)
 {
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return WaitReason::kStartsForbidden;
   }
-  const bool isSafe = aJob.mCreatedAt > LastHeldRevision(aShard, aNow);
+  const std::uint64_t heldUpTo = StepOf(aJob, aTask).mIsLasting
+                                   ? LastHeldRevisionOfLongRunning(aShard, aNow)
+                                   : LastHeldRevision(aShard, aNow);
+  const bool isSafe = aJob.mCreatedAt > heldUpTo;
   return isSafe ? std::nullopt : std::optional(WaitReason::kBarrier);
 }
 
@@ -155,9 +159,9 @@
     if (IsFinal(job.mState)) {
       continue;
     }
-    const auto reason = ReasonOfJob(aShard, job, aNow);
     for (const auto& firstTask : ReadySteps(aShard, job, aNowMs)) {
       const WaitingStep step = MakeWaitingStep(job, firstTask, aNow, aNowMs);
+      const auto reason = ReasonOfStep(aShard, job, firstTask, aNow);
       CountOrAdd(summary, steps, reason, aShard, step, aNow);
     }
   }
@@ -178,7 +182,7 @@
     }
     const auto step = LongIdleStep(aShard, job, aNow, aNowMs);
     if (step) {
-      const auto reason = ReasonOfJob(aShard, job, aNow);
+      const auto reason = ReasonOfStep(aShard, job, step->mOldest, aNow);
       CountOrAdd(summary, steps, reason, aShard, *step, aNow);
     }
   }
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -57,6 +57,14 @@
   return aWorker.mRunsEndAt + (mayBeWell ? kUnheardEndsWait : Duration(0));
 }
 
+/// True if no run on an unanswered worker lasts any more.
+bool HaveRunsEnded(const DispatchShard& aShard,
+                   const UnansweredWorker& aWorker,
+                   TimePoint aNow)
+{
+  return aShard.mIsLeaseProved && aNow >= aWorker.mRunsEndAt;
+}
+
 bool IsOver(const DispatchShard& aShard,
             const std::string& aName,
             const UnansweredWorker& aWorker,
@@ -215,6 +223,18 @@
   return revision;
 }
 
+std::uint64_t LastHeldRevisionOfLongRunning(const DispatchShard& aShard,
+                                            TimePoint aNow)
+{
+  std::uint64_t revision = 0;
+  for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
+    if (!HaveRunsEnded(aShard, worker, aNow)) {
+      revision = std::max(revision, worker.mNoJobsAfter);
+    }
+  }
+  return revision;
+}
+
 TimePoint BarrierEndsAt(const DispatchShard& aShard)
 {
   TimePoint endsAt = kNever;
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -94,10 +94,15 @@
 void ForgetEndedRuns(DispatchShard& aShard, TimePoint aNow);
 
 /// Highest revision of the store at which a job can have been accepted that
-/// runs on an unanswered worker; 0 if there is none. Jobs accepted after it may
-/// be started.
+/// runs on an unanswered worker, or may have ended there unheard; 0 if there is
+/// none. Jobs accepted after it may be started.
 std::uint64_t LastHeldRevision(const DispatchShard& aShard, TimePoint aNow);
 
+/// The same for long-running tasks. They are never done, so no end of theirs is
+/// awaited: they may be started once their runs have ended.
+std::uint64_t LastHeldRevisionOfLongRunning(const DispatchShard& aShard,
+                                            TimePoint aNow);
+
 /// Latest time until which the answer of an unanswered worker is awaited;
 /// `kNever` if every worker has answered.
 TimePoint BarrierEndsAt(const DispatchShard& aShard);
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -312,6 +312,40 @@
   CHECK_FALSE(fixture.mShard.mWorkers.contains("w1"));
 }
 
+// Guards against long-running tasks that wait, after a takeover, for the answer
+// of a silent worker that can only tell of ends that they don't have.
+TEST_CASE("after a takeover only tasks that may be done await ends",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsLongRunning;
+    Duration mAfterRunsEnd;
+    bool mIsStarted;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "long-running, a run may last", true, Duration(-1), false },
+    { "long-running, runs have ended", true, Duration(0), true },
+    { "a run may last", false, Duration(-1), false },
+    { "runs have ended, an end may be unheard", false, Duration(0), false },
+    { "ends were awaited", false, kUnheardEndsWait, true },
+  }));
+  CAPTURE(row.mName);
+  Fixture fixture({ "w1", "w2" });
+  constexpr Duration kRunsEndIn{ 500 };
+  const std::uint64_t jobAt = 20;
+  AddInactiveWorker(fixture.mShard, "w2", kRunsEndIn, jobAt, fixture.mNow);
+  fixture.mShard.mWorkers.at("w2").mHasAnswered = false;
+  BatchRecord record = MakeRecord(1);
+  record.mSpec.mSteps[0].mIsLasting = row.mIsLongRunning;
+  AddJob(
+    fixture.mShard, kJob, record, jobAt, fixture.mNow, fixture.mNow.count());
+  fixture.mNow += kRunsEndIn + row.mAfterRunsEnd;
+  fixture.Report("w1", {}, {});
+  CHECK(fixture.Plan().mStarts.size() == (row.mIsStarted ? 1 : 0));
+}
+
 // Guards against a takeover that waits for workers that a release has
 // replaced, and against one that doesn't wait for a worker on which a task runs
 // or may still start.
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -135,6 +135,10 @@
   ForgetEndedRuns(shard, now);
   CHECK(IsBarrierClear(shard, now) == row.mIsClear);
   CHECK(LastHeldRevision(shard, now) == (row.mIsClear ? 0 : kNoJobsAfter));
+  // Long-running tasks are never done, so only their runs count.
+  const bool haveRunsEnded = row.mAfterRunsEnd >= Duration(0);
+  CHECK(LastHeldRevisionOfLongRunning(shard, now) ==
+        (haveRunsEnded ? 0 : kNoJobsAfter));
   // The next owner has to know of it as well.
   CHECK(MustBeRecorded(shard, worker, now + Duration(1)) != row.mIsClear);
 }
