Http: Close all idle connections once one of them is silent

Cause: a call that timed out closed its own connection; the next call took the next idle one, which had gone silent at the same moment.

Change: a call that gets no byte on a reused connection within its timeout closes all idle connections to that address. One client serves the store, peers and workers, so this holds for all pools. CloseIdle, which nothing called, is gone.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -187,7 +187,9 @@
 constexpr std::string_view kRequestIdHeader = "Verbenacroft-Request";
 
 /// Client with a pool of idle connections for each address. A connection is
-/// reused only if a complete response was read and no further data followed.
+/// reused only if a complete response was read and no further data followed. If
+/// a reused one doesn't answer within the timeout, all idle ones to its address
+/// are closed.
 /// All functions must be called on the thread that runs the io_context.
 class HttpClient
 {
@@ -203,9 +205,6 @@
                                    HttpRequest aRequest,
                                    HttpCallOptions aOptions);
 
-  /// Closes all idle connections.
-  void CloseIdle();
-
 private:
   class Impl;
   std::shared_ptr<Impl> mImpl;
--- a/Source/Http/vcHttpClient.cxx
+++ b/Source/Http/vcHttpClient.cxx
@@ -166,6 +166,21 @@
     }
   }
 
+  /// Handles a connection whose call has failed. If it was idle before the call
+  /// and brought no byte within the timeout, closes all idle connections to the
+  /// address: a connection can go silent without a reset, and mostly all do
+  /// that were open at that moment.
+  void OnFailed(const std::string& aKey,
+                const Connection& aConnection,
+                const HttpResult& aResult)
+  {
+    const bool isSilent = aResult.mError == MakeError(HttpErrc::kTimeout) &&
+                          aResult.mReceivedBytes == 0;
+    if (isSilent && aConnection.mIsReused) {
+      this->mIdle.erase(aKey);
+    }
+  }
+
   /// Opens a connection; null if that fails or takes longer than `aTimeout`.
   asio::awaitable<ConnectionPtr> Connect(Endpoint aEndpoint, Duration aTimeout)
   {
@@ -193,11 +208,6 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::CloseIdle()
-{
-  this->mImpl->mIdle.clear();
-}
-
 namespace {
 
 using ResponseParser = http::response_parser<http::string_body>;
@@ -291,6 +301,7 @@
     co_await http::async_write(connection->mStream, message, kAwaitTuple);
   if (writeError) {
     result.mError = MakeError(ClassifyError(writeError));
+    impl->OnFailed(key, *connection, result);
     co_return result;
   }
   ResponseParser parser;
@@ -300,6 +311,7 @@
     *connection, parser, aOptions, deadline, result.mReceivedBytes);
   if (readError) {
     result.mError = MakeError(ClassifyError(readError));
+    impl->OnFailed(key, *connection, result);
     co_return result;
   }
   result.mError = CheckResponse(parser, aOptions);
--- a/Tests/Unit/vcHttpTest.cxx
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -123,6 +123,60 @@
   Duration mPause;
 };
 
+/// Answers requests on each connection after a pause, until it falls silent:
+/// the connections that are open then get no more answers, new ones do.
+class SilencingServer
+{
+public:
+  explicit SilencingServer(asio::io_context& aContext)
+    : mAcceptor(aContext, { asio::ip::address_v4::loopback(), 0 })
+  {
+    asio::co_spawn(aContext, this->Accept(), asio::detached);
+  }
+
+  Endpoint Address() const { return this->mAcceptor.local_endpoint(); }
+
+  void SilenceOpenConnections() { this->mSilentUpTo = this->mConnections; }
+
+  int mConnections = 0;
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      auto socket = co_await this->mAcceptor.async_accept(asio::use_awaitable);
+      ++this->mConnections;
+      asio::co_spawn(this->mAcceptor.get_executor(),
+                     this->Serve(std::move(socket), this->mConnections),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket, int aNumber)
+  {
+    // Long enough for further requests to need connections of their own.
+    constexpr Duration kPause{ 20 };
+    std::string buffer;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (true) {
+      const auto bytes = co_await asio::async_read_until(
+        aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::use_awaitable);
+      buffer.erase(0, bytes);
+      timer.expires_after(kPause);
+      co_await timer.async_wait(asio::use_awaitable);
+      if (aNumber <= this->mSilentUpTo) {
+        continue;
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      co_await asio::async_write(
+        aSocket, asio::buffer(answer), asio::use_awaitable);
+    }
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  int mSilentUpTo = 0;
+};
+
 const std::string kHead = "HTTP/1.1 200 OK\r\nVerbenacroft-Request: ID\r\n";
 const std::string kGood = kHead + "Content-Length: 4\r\n\r\ngood";
 
@@ -231,6 +285,37 @@
   CHECK(next.mResponse.mBody == "good");
 }
 
+// Guards against a timeout for each connection of a pool that went silent.
+TEST_CASE("a silent connection costs one timeout, not one for each idle one",
+          "[http]")
+{
+  constexpr int kCallsAtOnce = 8;
+  asio::io_context context;
+  SilencingServer server(context);
+  HttpClient client(context);
+  int answered = 0;
+  const auto call = [&]() -> asio::awaitable<void> {
+    HttpRequest request;
+    HttpCallOptions options = ShortCall();
+    const HttpResult result = co_await client.Call(
+      server.Address(), std::move(request), std::move(options));
+    answered += result.mError ? 0 : 1;
+  };
+  for (int i = 0; i < kCallsAtOnce; ++i) {
+    asio::co_spawn(context, call(), asio::detached);
+  }
+  context.run_for(std::chrono::milliseconds(200));
+  REQUIRE(answered == kCallsAtOnce);
+  REQUIRE(server.mConnections == kCallsAtOnce);
+  server.SilenceOpenConnections();
+  CHECK(Call(context, client, server.Address(), "", false).mError ==
+        MakeError(HttpErrc::kTimeout));
+  for (int i = 0; i < kCallsAtOnce; ++i) {
+    CHECK_FALSE(Call(context, client, server.Address(), "", false).mError);
+  }
+  CHECK(server.mConnections == kCallsAtOnce + 1);
+}
+
 TEST_CASE("not sent is said only when nothing was sent", "[http]")
 {
   asio::io_context context;
