Http: Close connections that were idle for long

Cause: nothing shrank a pool after a burst, so it stayed as large as in the largest one, and so did what goes silent together.

Change: connections that were idle for 30 s are closed when another is returned.

Result: "connections that a burst needed are closed" fails with the change taken out and passes.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -194,7 +194,10 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(asio::io_context& aContext);
+  /// @param aMaxIdleTime a connection that was idle for this long is closed
+  /// when another one is returned, so that the pool shrinks after a burst
+  explicit HttpClient(asio::io_context& aContext,
+                      Duration aMaxIdleTime = Duration(30'000));
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/Source/Http/vcHttpClient.cxx
+++ b/Source/Http/vcHttpClient.cxx
@@ -21,6 +21,9 @@
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 /// Idle connections kept for each address; further ones are closed.
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
+/// Checks for connections that have been idle for too long, within the longest
+/// idle time.
+constexpr int kChecksPerIdleTime = 6;
 /// Size of a read that begins a response, in bytes. Most responses fit into it.
 constexpr std::size_t kFirstReadBytes = 4 * 1'024;
 /// Size of the further reads of a large response, in bytes. Each read waits for
@@ -31,6 +34,8 @@
 /// timeout of its call.
 constexpr Duration kMaxTransferTime{ 10'000 };
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 /// One connection to a server. `mBuffer` holds data that was received but not
 /// parsed yet.
 class Connection
@@ -45,6 +50,8 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   bool mIsReused = false;
+  /// When it was last returned to the pool.
+  SteadyTime mIdleSince;
 };
 
 using ConnectionPtr = boost::intrusive_ptr<Connection>;
@@ -134,8 +141,9 @@
 class HttpClient::Impl
 {
 public:
-  explicit Impl(asio::io_context& aContext)
+  Impl(asio::io_context& aContext, Duration aMaxIdleTime)
     : mContext(aContext)
+    , mMaxIdleTime(aMaxIdleTime)
   {
   }
 
@@ -162,8 +170,26 @@
     if (idle.size() < kMaxIdlePerEndpoint) {
       aConnection->mStream.expires_never();
       ShrinkBuffer(*aConnection);
+      aConnection->mIdleSince = std::chrono::steady_clock::now();
       idle.push_back(std::move(aConnection));
     }
+    this->CloseLongIdle();
+  }
+
+  /// Closes the connections that have been idle for too long.
+  void CloseLongIdle()
+  {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (now - this->mCheckedAt < this->mMaxIdleTime / kChecksPerIdleTime) {
+      return;
+    }
+    this->mCheckedAt = now;
+    for (auto at = this->mIdle.begin(); at != this->mIdle.end();) {
+      std::erase_if(at->second, [&](const ConnectionPtr& aConnection) {
+        return now - aConnection->mIdleSince >= this->mMaxIdleTime;
+      });
+      at = at->second.empty() ? this->mIdle.erase(at) : std::next(at);
+    }
   }
 
   /// Handles a connection whose call has failed. If it was idle before the call
@@ -198,11 +224,14 @@
   }
 
   asio::io_context& mContext;
+  Duration mMaxIdleTime;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> mIdle;
+  /// Last check for connections that have been idle for too long.
+  SteadyTime mCheckedAt;
 };
 
-HttpClient::HttpClient(asio::io_context& aContext)
-  : mImpl(std::make_shared<Impl>(aContext))
+HttpClient::HttpClient(asio::io_context& aContext, Duration aMaxIdleTime)
+  : mImpl(std::make_shared<Impl>(aContext, aMaxIdleTime))
 {
 }
 
@@ -211,7 +240,6 @@
 namespace {
 
 using ResponseParser = http::response_parser<http::string_body>;
-using SteadyTime = std::chrono::steady_clock::time_point;
 
 /// Error of a complete response that must not be used, or no error.
 std::error_code CheckResponse(const ResponseParser& aParser,
--- a/Tests/Unit/vcHttpTest.cxx
+++ b/Tests/Unit/vcHttpTest.cxx
@@ -3,6 +3,7 @@
 
 #include "vcHttp.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -139,6 +140,7 @@
   void SilenceOpenConnections() { this->mSilentUpTo = this->mConnections; }
 
   int mConnections = 0;
+  int mOpen = 0;
 
 private:
   asio::awaitable<void> Accept()
@@ -146,6 +148,7 @@
     while (true) {
       auto socket = co_await this->mAcceptor.async_accept(asio::use_awaitable);
       ++this->mConnections;
+      ++this->mOpen;
       asio::co_spawn(this->mAcceptor.get_executor(),
                      this->Serve(std::move(socket), this->mConnections),
                      asio::detached);
@@ -159,8 +162,15 @@
     std::string buffer;
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (true) {
-      const auto bytes = co_await asio::async_read_until(
-        aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::use_awaitable);
+      const auto [error, bytes] =
+        co_await asio::async_read_until(aSocket,
+                                        asio::dynamic_buffer(buffer),
+                                        "\r\n\r\n",
+                                        asio::as_tuple(asio::use_awaitable));
+      if (error) {
+        --this->mOpen;
+        co_return;
+      }
       buffer.erase(0, bytes);
       timer.expires_after(kPause);
       co_await timer.async_wait(asio::use_awaitable);
@@ -316,6 +326,35 @@
   CHECK(server.mConnections == kCallsAtOnce + 1);
 }
 
+// Guards against a pool that stays as large as in the largest burst.
+TEST_CASE("connections that a burst needed are closed", "[http]")
+{
+  constexpr int kCallsAtOnce = 8;
+  constexpr Duration kMaxIdleTime{ 200 };
+  asio::io_context context;
+  SilencingServer server(context);
+  HttpClient client(context, kMaxIdleTime);
+  const auto call = [&]() -> asio::awaitable<void> {
+    HttpRequest request;
+    HttpCallOptions options = ShortCall();
+    co_await client.Call(
+      server.Address(), std::move(request), std::move(options));
+  };
+  for (int i = 0; i < kCallsAtOnce; ++i) {
+    asio::co_spawn(context, call(), asio::detached);
+  }
+  context.run_for(std::chrono::milliseconds(100));
+  REQUIRE(server.mConnections == kCallsAtOnce);
+  // One call at a time needs one connection.
+  for (int i = 0; i < 4; ++i) {
+    context.run_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(Call(context, client, server.Address(), "", false).mError);
+  }
+  context.run_for(std::chrono::milliseconds(50));
+  CHECK(server.mOpen == 1);
+  CHECK(server.mConnections == kCallsAtOnce);
+}
+
 TEST_CASE("not sent is said only when nothing was sent", "[http]")
 {
   asio::io_context context;
