Node: Accept and cancel jobs only by the configuration in force

Cause: the age of the view was looked at before a 404, not before a request was served.

Change: the write that accepts or cancels a job has the revision of the configuration's item as a condition. The reply to a write that is turned down for it holds the newer configuration, by which the node decides anew or answers 404. Before it shows a state or a count by a view older than 2 s, a node reads the configuration; cut off from the store it goes on showing what it knows.

--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -1,10 +1,13 @@
 #include "vcCallerRequests.h"
 
 #include "vcLatencyBounds.h"
+#include "vcOperatorWatch.h"
 #include "vcPeers.h"
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -15,10 +18,13 @@
 /// No attempt begins later than this after the first one, so that the caller
 /// still receives the outcome.
 constexpr Duration kLastAttemptWithin{ 300 };
-/// A queue is only said not to exist if the operators' items are known to be
-/// complete as of at most this long ago: a configuration has to take effect
-/// within 2 s.
+/// A queue is only said not to exist, and a read over it only answered, by a
+/// configuration that was current at most this long ago: a configuration has to
+/// take effect within 2 s.
 constexpr Duration kMaxConfigAge{ 2'000 };
+/// Attempts to write by the current configuration, which may change between
+/// two of them.
+constexpr int kConfigAttempts = 3;
 /// Retries of refused callers are spread over this many seconds, so that
 /// callers that were refused at the same time don't retry at the same time.
 constexpr std::uint64_t kRetrySpreadSeconds = 2;
@@ -36,14 +42,16 @@
   return response;
 }
 
-/// Response to a write that certainly had no effect.
-/// @param aOutcome `kRefused` or `kRejected`
-HttpResponse TurnedDownResponse(std::string_view aSpreadKey, KvStatus aOutcome)
+/// Response to a write that the store rejected. It would reject the same write
+/// again, so no time to retry is given.
+HttpResponse RejectedResponse()
+{
+  return ErrorResponse(503, "the store rejected the write");
+}
+
+HttpResponse NoSuchQueueResponse()
 {
-  // The same write would be rejected again, so no time to retry is given.
-  return aOutcome == KvStatus::kRejected
-           ? ErrorResponse(503, "the store rejected the write")
-           : NotAcceptedResponse(aSpreadKey, "the store can't be reached");
+  return ErrorResponse(404, "no such queue");
 }
 
 /// Response to a write whose outcome is unknown.
@@ -56,44 +64,146 @@
 struct CallerRequest
 {
   std::string mMethod;
+  std::string mHost;
+  std::string mPath;
   std::string mBody;
   /// Path below the queue's prefix: a job identifier, or empty.
   std::string mSubpath;
   QueueTerms mTerms;
 };
 
+/// Sets the queue of a request by the current configuration.
+/// @return false if it has no such queue
+bool ResolveQueue(const NodeContext& aNode, CallerRequest& aRequest)
+{
+  const QueueConfig* queue =
+    FindQueue(aNode.mOperators->mConfig, aRequest.mHost, aRequest.mPath);
+  if (queue == nullptr) {
+    return false;
+  }
+  aRequest.mSubpath = aRequest.mPath.substr(queue->mPathPrefix.size());
+  aRequest.mTerms = queue->mTerms;
+  return true;
+}
+
+/// Lets a write fail if the configuration by which it was made isn't current
+/// any more, however old this node's view of it is.
+void AddConfigCondition(const NodeContext& aNode, KvTransaction& aWrite)
+{
+  if (aNode.mConfigRevision > 0) {
+    aWrite.mConditions.push_back(
+      { aNode.mCodec.mConfigKey, aNode.mConfigRevision });
+  }
+}
+
+/// Applies the configuration in the reply to a write that was turned down since
+/// it was made by another one.
+/// @param aSentAt when the write was sent
+/// @return false if the write wasn't turned down for that
+bool ApplyConfigOfConflict(NodeContext& aNode,
+                           const KvTransaction& aWrite,
+                           const KvReply& aReply,
+                           TimePoint aSentAt)
+{
+  const std::string& key = aNode.mCodec.mConfigKey;
+  const auto condition =
+    std::find_if(aWrite.mConditions.begin(),
+                 aWrite.mConditions.end(),
+                 [&](const auto& aRow) { return aRow.mKey == key; });
+  const auto item =
+    std::find_if(aReply.mItems.begin(),
+                 aReply.mItems.end(),
+                 [&](const KvItem& aRow) { return aRow.mKey == key; });
+  const bool isChanged = aReply.mStatus == KvStatus::kConflict &&
+                         condition != aWrite.mConditions.end() &&
+                         item != aReply.mItems.end() &&
+                         item->mRevision != condition->mRevision;
+  if (isChanged) {
+    spdlog::info("config.changed-before-write revision={} written_by={}",
+                 item->mRevision,
+                 condition->mRevision);
+    ApplyOperatorItem(aNode, *item);
+    aNode.mConfigReadAt = std::max(aNode.mConfigReadAt, aSentAt);
+  }
+  return isChanged;
+}
+
+/// Outcome of the storing of a job.
+enum class SubmitOutcome
+{
+  kStored,
+  /// Certainly not stored, and may be tried again.
+  kRefused,
+  /// Certainly not stored; the store would reject it again.
+  kRejected,
+  /// Certainly not stored, since the configuration has changed.
+  kConfigChanged,
+  kUnknown,
+};
+
+/// True if the reply to a write shows that the job is stored.
+bool ShowsJob(const KvReply& aReply, std::uint32_t aShard, const JobId& aJob)
+{
+  return std::any_of(
+    aReply.mItems.begin(), aReply.mItems.end(), [&](const KvItem& aItem) {
+      const bool isOfJob = aItem.mKey == InboxJobKey(aShard, aJob) ||
+                           aItem.mKey == ProgressKey(aShard, aJob);
+      return isOfJob && aItem.mRevision > 0 && !aItem.mIsRemoved;
+    });
+}
+
 /// Stores a job unless it is stored already.
-/// @return `kOk`, `kRefused` or `kRejected` if the job is certainly not stored,
-/// or `kUnknown`
-asio::awaitable<KvStatus> StoreJob(NodeContext& aNode,
-                                   std::uint32_t aShard,
-                                   JobId aJob,
-                                   KvTransaction aWrite)
+asio::awaitable<SubmitOutcome> StoreJob(NodeContext& aNode,
+                                        std::uint32_t aShard,
+                                        JobId aJob,
+                                        KvTransaction aWrite)
 {
   const TimePoint since = SuspendAwareNow();
   for (int attempt = 0; attempt < kStoreAttempts; ++attempt) {
+    const TimePoint sentAt = SuspendAwareNow();
     const KvReply reply = co_await CommitWithRelay(aNode, aWrite);
-    // A conflict means that the job is stored already; it isn't stored twice.
-    const bool isStored =
-      reply.mStatus == KvStatus::kOk || reply.mStatus == KvStatus::kConflict;
-    if (isStored) {
-      co_return KvStatus::kOk;
+    const bool isStoredBefore =
+      reply.mStatus == KvStatus::kConflict && ShowsJob(reply, aShard, aJob);
+    if (reply.mStatus == KvStatus::kOk || isStoredBefore) {
+      co_return SubmitOutcome::kStored;
+    }
+    // An earlier attempt can't take effect any more either.
+    if (ApplyConfigOfConflict(aNode, aWrite, reply, sentAt)) {
+      co_return SubmitOutcome::kConfigChanged;
     }
     if (IsTurnedDown(reply.mStatus)) {
       // An earlier attempt, of unknown outcome, may still take effect.
-      co_return attempt == 0 ? reply.mStatus : KvStatus::kUnknown;
+      const SubmitOutcome outcome = reply.mStatus == KvStatus::kRejected
+                                      ? SubmitOutcome::kRejected
+                                      : SubmitOutcome::kRefused;
+      co_return attempt == 0 ? outcome : SubmitOutcome::kUnknown;
     }
     const KvReply stored =
       co_await aNode.mStore.mRead(InboxJobKey(aShard, aJob));
     UpdateStoreHealth(aNode, stored);
     if (!stored.mItems.empty()) {
-      co_return KvStatus::kOk;
+      co_return SubmitOutcome::kStored;
     }
     if (SuspendAwareNow() - since > kLastAttemptWithin) {
       break;
     }
   }
-  co_return KvStatus::kUnknown;
+  co_return SubmitOutcome::kUnknown;
+}
+
+/// The write that stores a job.
+KvTransaction MakeSubmission(const NodeContext& aNode,
+                             std::uint32_t aShard,
+                             const JobId& aJob,
+                             const BatchRecord& aRecord)
+{
+  KvTransaction write;
+  write.mConditions.push_back({ InboxJobKey(aShard, aJob), 0 });
+  write.mConditions.push_back({ ProgressKey(aShard, aJob), 0 });
+  AddConfigCondition(aNode, write);
+  write.mPuts.push_back(
+    PersistentPut(InboxJobKey(aShard, aJob), Encode(aRecord)));
+  return write;
 }
 
 /// Decodes and stores a job in the inbox of its shard.
@@ -107,22 +217,28 @@
   }
   const JobId id = aRequest.mSubpath;
   const std::uint32_t shard = ShardOf(id, aNode.mShards);
-  BatchRecord record{ aRequest.mTerms, WallClockMs(), std::move(*spec) };
-  KvTransaction write;
-  write.mConditions.push_back({ InboxJobKey(shard, id), 0 });
-  write.mConditions.push_back({ ProgressKey(shard, id), 0 });
-  write.mPuts.push_back(PersistentPut(InboxJobKey(shard, id), Encode(record)));
-  const KvStatus outcome =
-    co_await StoreJob(aNode, shard, id, std::move(write));
-  switch (outcome) {
-    case KvStatus::kOk:
-      co_return JsonResponse("{}");
-    case KvStatus::kRefused:
-    case KvStatus::kRejected:
-      co_return TurnedDownResponse(id, outcome);
-    default:
-      co_return OutcomeUnknownResponse();
+  for (int attempt = 0; attempt < kConfigAttempts; ++attempt) {
+    const BatchRecord record{ aRequest.mTerms, WallClockMs(), *spec };
+    KvTransaction write = MakeSubmission(aNode, shard, id, record);
+    const SubmitOutcome outcome =
+      co_await StoreJob(aNode, shard, id, std::move(write));
+    switch (outcome) {
+      case SubmitOutcome::kStored:
+        co_return JsonResponse("{}");
+      case SubmitOutcome::kRefused:
+        co_return NotAcceptedResponse(id, "the store can't be reached");
+      case SubmitOutcome::kRejected:
+        co_return RejectedResponse();
+      case SubmitOutcome::kUnknown:
+        co_return OutcomeUnknownResponse();
+      case SubmitOutcome::kConfigChanged:
+        break;
+    }
+    if (!ResolveQueue(aNode, aRequest) || aRequest.mSubpath != id) {
+      co_return NoSuchQueueResponse();
+    }
   }
+  co_return NotAcceptedResponse(id, "the configuration keeps changing");
 }
 
 /// State of a job according to the store.
@@ -187,16 +303,17 @@
 }
 
 /// Stores a cancellation, unless the job has ended. The write is conditional on
-/// the job's record and is repeated if the record has changed meanwhile or the
-/// outcome is unknown.
-asio::awaitable<HttpResponse> Cancel(NodeContext& aNode, JobId aJob)
+/// the job's record and on the configuration, and is repeated if one of them
+/// has changed meanwhile or the outcome is unknown.
+asio::awaitable<HttpResponse> Cancel(NodeContext& aNode, CallerRequest aRequest)
 {
-  const std::uint32_t shard = ShardOf(aJob, aNode.mShards);
+  const JobId job = aRequest.mSubpath;
+  const std::uint32_t shard = ShardOf(job, aNode.mShards);
   constexpr int kAttempts = 3;
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
-    const StoredJob stored = co_await ReadJob(aNode, aJob);
+    const StoredJob stored = co_await ReadJob(aNode, job);
     if (!stored.mIsRead) {
-      co_return NotAcceptedResponse(aJob, "the store can't be read");
+      co_return NotAcceptedResponse(job, "the store can't be read");
     }
     if (!stored.mIsKnown) {
       co_return ErrorResponse(410, "no such job");
@@ -205,14 +322,27 @@
       co_return JsonResponse("{}");
     }
     KvTransaction write;
-    write.mConditions.push_back({ InboxJobKey(shard, aJob), stored.mRevision });
-    write.mPuts.push_back(PersistentPut(CancelKey(shard, aJob), "{}"));
-    const KvReply reply = co_await CommitWithRelay(aNode, std::move(write));
-    if (reply.mStatus == KvStatus::kOk) {
-      co_return JsonResponse("{}");
+    write.mConditions.push_back({ InboxJobKey(shard, job), stored.mRevision });
+    AddConfigCondition(aNode, write);
+    write.mPuts.push_back(PersistentPut(CancelKey(shard, job), "{}"));
+    const TimePoint sentAt = SuspendAwareNow();
+    const KvReply reply = co_await CommitWithRelay(aNode, write);
+    switch (reply.mStatus) {
+      case KvStatus::kOk:
+        co_return JsonResponse("{}");
+      case KvStatus::kRefused:
+        co_return NotAcceptedResponse(job, "the store can't be reached");
+      case KvStatus::kRejected:
+        co_return RejectedResponse();
+      default:
+        break;
     }
-    if (IsTurnedDown(reply.mStatus)) {
-      co_return TurnedDownResponse(aJob, reply.mStatus);
+    const bool isDropped =
+      reply.mStatus == KvStatus::kConflict &&
+      ApplyConfigOfConflict(aNode, write, reply, sentAt) &&
+      (!ResolveQueue(aNode, aRequest) || aRequest.mSubpath != job);
+    if (isDropped) {
+      co_return NoSuchQueueResponse();
     }
   }
   co_return OutcomeUnknownResponse();
@@ -259,19 +389,42 @@
     co_return co_await ShowState(aNode, aRequest.mSubpath);
   }
   if (aRequest.mMethod == "DELETE") {
-    co_return co_await Cancel(aNode, aRequest.mSubpath);
+    co_return co_await Cancel(aNode, std::move(aRequest));
   }
   co_return ErrorResponse(405, "GET, POST or DELETE");
 }
 
+/// True if the configuration was current lately.
+bool IsConfigCurrent(const NodeContext& aNode, TimePoint aNow)
+{
+  const TimePoint currentAt =
+    std::max(aNode.mOperatorsCompleteAt, aNode.mConfigReadAt);
+  return aNow - currentAt <= kMaxConfigAge;
+}
+
+/// Reads the configuration before a request is answered by an old one. A node
+/// that is cut off from the store goes on answering by the one that it has.
+asio::awaitable<void> ReadConfigIfOld(NodeContext& aNode)
+{
+  const TimePoint sentAt = SuspendAwareNow();
+  if (IsConfigCurrent(aNode, sentAt) || IsStoreDown(aNode, sentAt)) {
+    co_return;
+  }
+  const KvReply reply = co_await aNode.mStore.mRead(aNode.mCodec.mConfigKey);
+  UpdateStoreHealth(aNode, reply);
+  if (reply.mStatus == KvStatus::kOk && !reply.mItems.empty()) {
+    ApplyOperatorItem(aNode, reply.mItems[0]);
+    aNode.mConfigReadAt = sentAt;
+  }
+}
+
 /// Response to a request for a queue that the node doesn't know.
 HttpResponse UnknownQueueResponse(const NodeContext& aNode,
                                   std::string_view aPath)
 {
-  const Duration age = SuspendAwareNow() - aNode.mOperatorsCompleteAt;
-  return age > kMaxConfigAge
-           ? NotAcceptedResponse(aPath, "the configuration may have changed")
-           : ErrorResponse(404, "no such queue");
+  return IsConfigCurrent(aNode, SuspendAwareNow())
+           ? NoSuchQueueResponse()
+           : NotAcceptedResponse(aPath, "the configuration may have changed");
 }
 
 /// Adds a response to the metrics.
@@ -300,16 +453,18 @@
       aNode.mShards == 0) {
     response = NotAcceptedResponse(path, "no configuration yet");
   } else {
+    request.mHost = FindHeader(aRequest.mHeaders, "Host");
+    request.mPath = path;
+    request.mBody = aRequest.mBody;
+    // The write of a submission has the configuration as a condition.
+    if (request.mMethod != "POST") {
+      co_await ReadConfigIfOld(aNode);
+    }
     version = aNode.mOperators->mConfig.mVersion;
-    const QueueConfig* queue = FindQueue(
-      aNode.mOperators->mConfig, FindHeader(aRequest.mHeaders, "Host"), path);
-    if (queue == nullptr) {
-      response = UnknownQueueResponse(aNode, path);
-    } else {
-      request.mBody = aRequest.mBody;
-      request.mSubpath = path.substr(queue->mPathPrefix.size());
-      request.mTerms = queue->mTerms;
+    if (ResolveQueue(aNode, request)) {
       response = co_await RouteRequest(aNode, request);
+    } else {
+      response = UnknownQueueResponse(aNode, path);
     }
   }
   const Duration elapsed = SuspendAwareNow() - since;
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -167,6 +167,12 @@
   std::optional<OperatorState> mOperators;
   /// Whatever operators had written before this time has been applied.
   TimePoint mOperatorsCompleteAt{ kNever };
+  /// Revision of the configuration's item as last read, whether it could be
+  /// decoded or not; 0 before.
+  std::uint64_t mConfigRevision = 0;
+  /// The configuration was current at this time, if that is later than
+  /// `mOperatorsCompleteAt`.
+  TimePoint mConfigReadAt{ kNever };
   /// Live nodes by name, this one included.
   std::map<std::string, NodeRecord> mNodes;
   /// When peers last failed to make a store call for this node, by name; only
--- a/Source/Node/vcOperatorWatch.cxx
+++ b/Source/Node/vcOperatorWatch.cxx
@@ -4,6 +4,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -70,6 +72,7 @@
 void ApplyOperatorItem(NodeContext& aNode, const KvItem& aItem)
 {
   if (aItem.mKey == aNode.mCodec.mConfigKey && !aItem.mIsRemoved) {
+    aNode.mConfigRevision = std::max(aNode.mConfigRevision, aItem.mRevision);
     ApplyConfig(aNode, aItem);
   } else if (aItem.mKey.starts_with(aNode.mCodec.mEvacuationPrefix)) {
     ApplyEvacuation(aNode, aItem);
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -30,7 +30,7 @@
   Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcIdleBoundsTest.cxx
-  Tests/Unit/vcTurnsTest.cxx
+  Tests/Unit/vcTurnsTest.cxx Tests/Unit/vcConfigConditionTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
