Dispatch: Keep the state of occurrences and steps only while needed

Cause: AddJob made the state of every task of every occurrence, 304 bytes a task, however far ahead; progress grew by a row for each step that was done.

Change: an occurrence has a state from when it is due until it is done, a step the state of its tasks from when it is ready until it is done. All of them take at most a quarter of the node's memory limit (--memory-mb); steps beyond that wait, the most urgent and oldest first, and overdue occurrences of one job take half of it at most. Progress names done occurrences by ranges. A run of a step that isn't open is adopted in any case.

The sources of vcWaitingTest's summaries now open ready steps first, as each planning does; their checks are the same.

--- a/Source/Batch/vcBatchProgress.h
+++ b/Source/Batch/vcBatchProgress.h
@@ -70,10 +70,15 @@
   BatchState mState = BatchState::kQueued;
   /// Time of day at which the job ended, in milliseconds since 1970; 0 before.
   std::int64_t mEndedAtMs = 0;
+  /// Occurrences that are done, as inclusive ranges in ascending order: first,
+  /// last, first, last, ... The rows below are those of other occurrences.
+  std::vector<std::uint32_t> mDoneOccurrences;
   std::vector<StepProgress> mSteps;
   std::vector<TaskProgress> mTasks;
 };
-BOOST_DESCRIBE_STRUCT(BatchProgress, (), (mState, mEndedAtMs, mSteps, mTasks))
+BOOST_DESCRIBE_STRUCT(BatchProgress,
+                      (),
+                      (mState, mEndedAtMs, mDoneOccurrences, mSteps, mTasks))
 
 /// Positions that are set in `aDone`, as inclusive ranges: first, last, first,
 /// last, ...
--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -7,6 +7,7 @@
 
 #include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
+#include "vcDispatchOccurrences.h"
 #include "vcDispatchPlacement.h"
 #include "vcDispatchProbes.h"
 #include "vcDispatchReports.h"
--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchCrashes.h"
 
 #include "vcDispatchJobs.h"
+#include "vcDispatchOccurrences.h"
 
 #include <spdlog/spdlog.h>
 
@@ -213,7 +214,7 @@
                        TimePoint aNow,
                        std::int64_t aNowMs)
 {
-  DispatchTask* task = FindTask(aShard, aKey);
+  DispatchTask* task = OpenTask(aShard, aKey);
   if (task == nullptr || task->mPhase == RunPhase::kDone || aCrashes == 0) {
     return;
   }
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -1,5 +1,7 @@
 #include "vcDispatchJobs.h"
 
+#include "vcDispatchOccurrences.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -18,20 +20,6 @@
 /// How long such a worker is in quarantine.
 constexpr Duration kQuarantineTime{ 3'000 };
 
-Occurrence MakeOccurrence(const DispatchShard& aShard, const BatchSpec& aSpec)
-{
-  Occurrence occurrence;
-  for (const auto& step : aSpec.mSteps) {
-    DispatchStep slots;
-    slots.mTasks.resize(step.mCount);
-    for (auto& task : slots.mTasks) {
-      task.mHighestRun = aShard.mRunBase;
-    }
-    occurrence.mSteps.push_back(std::move(slots));
-  }
-  return occurrence;
-}
-
 /// Expected time of the critical path through the job's steps, in ms.
 double CriticalPathMs(const DispatchShard& aShard, const DispatchJob& aJob)
 {
@@ -49,51 +37,6 @@
   return longest;
 }
 
-void CountTaskDone(DispatchJob& aJob, const TaskId& aKey)
-{
-  Occurrence& occurrence = aJob.mOccurrences[aKey.mOccurrence];
-  DispatchStep& step = occurrence.mSteps[aKey.mStep];
-  ++step.mDone;
-  if (step.mDone < step.mTasks.size()) {
-    return;
-  }
-  ++occurrence.mStepsDone;
-  if (occurrence.mStepsDone == occurrence.mSteps.size()) {
-    ++aJob.mOccurrencesDone;
-  }
-}
-
-/// Sets the time at which the steps became ready that depend on the task's
-/// step, if that one is done.
-void MarkReady(DispatchJob& aJob, const TaskId& aKey, TimePoint aNow)
-{
-  Occurrence& occurrence = aJob.mOccurrences[aKey.mOccurrence];
-  const DispatchStep& done = occurrence.mSteps[aKey.mStep];
-  if (done.mDone < done.mTasks.size()) {
-    return;
-  }
-  const auto& specs = aJob.mRecord.mSpec.mSteps;
-  for (std::size_t i = 0; i < specs.size(); ++i) {
-    const auto& after = specs[i].mAfter;
-    if (std::find(after.begin(), after.end(), aKey.mStep) != after.end()) {
-      occurrence.mSteps[i].mReadyAt = aNow;
-    }
-  }
-}
-
-/// Sets the time at which each step became ready, as far as it is known when
-/// the job is added.
-void SetReadyTimes(DispatchJob& aJob, TimePoint aNow)
-{
-  const auto& specs = aJob.mRecord.mSpec.mSteps;
-  for (auto& occurrence : aJob.mOccurrences) {
-    for (std::size_t i = 0; i < specs.size(); ++i) {
-      occurrence.mSteps[i].mReadyAt =
-        specs[i].mAfter.empty() ? aJob.mAcceptedAt : aNow;
-    }
-  }
-}
-
 void EndJob(DispatchJob& aJob,
             BatchState aState,
             TimePoint aNow,
@@ -125,11 +68,8 @@
   if (wasAssigned) {
     NoteRunEnded(job, aNow);
   }
-  task.mCheckpoint.clear();
-  CountTaskDone(job, aKey);
-  MarkReady(job, aKey, aNow);
-  const bool isComplete = job.mOccurrencesDone == job.mOccurrences.size();
-  if (isComplete && !IsFinal(job.mState)) {
+  CountTaskDone(aShard, job, aKey, aNow);
+  if (AreOccurrencesDone(job) && !IsFinal(job.mState)) {
     EndJob(job, BatchState::kCompleted, aNow, aNowMs);
   }
 }
@@ -194,6 +134,32 @@
   return isNew;
 }
 
+/// Marks the tasks of a step as done that an earlier owner recorded as done.
+void ApplyStepProgress(DispatchShard& aShard,
+                       DispatchJob& aJob,
+                       const StepProgress& aProgress)
+{
+  const BatchSpec& spec = aJob.mRecord.mSpec;
+  const bool isKnown = aProgress.mOccurrence < OccurrencesOf(spec) &&
+                       aProgress.mStep < spec.mSteps.size();
+  if (!isKnown) {
+    spdlog::error("job.progress names an unknown step job={} step={}",
+                  aJob.mId,
+                  aProgress.mStep);
+    return;
+  }
+  std::vector<bool> done(spec.mSteps[aProgress.mStep].mCount);
+  SetRanges(aProgress.mDone, done);
+  for (std::uint32_t i = 0; i < done.size(); ++i) {
+    const TaskId key{ aJob.mId, aProgress.mOccurrence, aProgress.mStep, i };
+    DispatchTask* task = done[i] ? OpenTask(aShard, key) : nullptr;
+    if (task != nullptr && task->mPhase != RunPhase::kDone) {
+      task->mPhase = RunPhase::kDone;
+      CountTaskDone(aShard, aJob, key, aJob.mAddedAt);
+    }
+  }
+}
+
 void OnFailedRun(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
@@ -224,6 +190,19 @@
   }
 }
 
+/// The tasks of a step that are done, as inclusive ranges of their indexes.
+std::vector<std::uint32_t> DoneRanges(const DispatchStep& aStep)
+{
+  if (aStep.mTasks.empty()) {
+    return { 0, aStep.mCount - 1 };
+  }
+  std::vector<bool> done;
+  for (const auto& task : aStep.mTasks) {
+    done.push_back(task.mPhase == RunPhase::kDone);
+  }
+  return RangesOf(done);
+}
+
 } // namespace
 
 double ExpectedRunMs(const DispatchShard& aShard,
@@ -250,8 +229,7 @@
                   TimePoint aNow,
                   std::int64_t aNowMs)
 {
-  const DispatchStep& step =
-    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep];
+  const DispatchStep& step = StepStateOf(aJob, aTask);
   const std::int64_t dueAt = DueAtMs(aJob.mRecord.mSpec, aTask.mOccurrence);
   if (dueAt == 0) {
     return step.mReadyAt;
@@ -281,21 +259,18 @@
   job.mId = aId;
   job.mRecord = std::move(aRecord);
   job.mCreatedAt = aCreatedAt;
-  const auto occurrences = OccurrencesOf(job.mRecord.mSpec);
-  for (std::uint32_t i = 0; i < occurrences; ++i) {
-    job.mOccurrences.push_back(MakeOccurrence(aShard, job.mRecord.mSpec));
-  }
   const std::int64_t age = std::clamp<std::int64_t>(
     aNowMs - job.mRecord.mAcceptedAtMs, 0, aShard.mBounds.mStatus.count());
   job.mAcceptedAt = aNow - Duration(age);
   job.mIdleSince = job.mAcceptedAt;
-  SetReadyTimes(job, aNow);
+  job.mAddedAt = aNow;
   const QueueTerms& terms = job.mRecord.mTerms;
   const double objective = terms.mStretch * CriticalPathMs(aShard, job) +
                            static_cast<double>(terms.mTargetMs);
   job.mObjectiveAt =
     job.mAcceptedAt + Duration(static_cast<std::int64_t>(objective));
-  aShard.mJobs.emplace(aId, std::move(job));
+  DispatchJob& added = aShard.mJobs.emplace(aId, std::move(job)).first->second;
+  OpenFirstOccurrence(aShard, added, aNowMs);
   if (aShard.mPendingCancellations.erase(aId) > 0) {
     CancelJob(aShard, aId, aNow, aNowMs);
   }
@@ -309,30 +284,13 @@
   if (job == nullptr) {
     return;
   }
+  MarkOccurrencesDone(aShard, *job, aProgress.mDoneOccurrences);
   for (const auto& step : aProgress.mSteps) {
-    const bool isKnown =
-      step.mOccurrence < job->mOccurrences.size() &&
-      step.mStep < job->mOccurrences[step.mOccurrence].mSteps.size();
-    if (!isKnown) {
-      spdlog::error(
-        "job.progress names an unknown step job={} step={}", aId, step.mStep);
-      continue;
-    }
-    const auto count =
-      job->mOccurrences[step.mOccurrence].mSteps[step.mStep].mTasks.size();
-    std::vector<bool> done(count);
-    SetRanges(step.mDone, done);
-    for (std::uint32_t i = 0; i < count; ++i) {
-      if (done[i]) {
-        const TaskId key{ aId, step.mOccurrence, step.mStep, i };
-        FindTask(aShard, key)->mPhase = RunPhase::kDone;
-        CountTaskDone(*job, key);
-      }
-    }
+    ApplyStepProgress(aShard, *job, step);
   }
   for (const auto& row : aProgress.mTasks) {
     DispatchTask* task =
-      FindTask(aShard, { aId, row.mOccurrence, row.mStep, row.mIndex });
+      OpenTask(aShard, { aId, row.mOccurrence, row.mStep, row.mIndex });
     if (task != nullptr && task->mPhase != RunPhase::kDone) {
       task->mHighestRun = std::max(task->mHighestRun, row.mRun);
       task->mEndedRun = row.mRun;
@@ -340,7 +298,8 @@
       task->mCheckpoint = row.mCheckpoint;
     }
   }
-  const bool hasBegun = !aProgress.mSteps.empty() || !aProgress.mTasks.empty();
+  const bool hasBegun = !aProgress.mDoneOccurrences.empty() ||
+                        !aProgress.mSteps.empty() || !aProgress.mTasks.empty();
   job->mState = IsFinal(aProgress.mState) || !hasBegun ? aProgress.mState
                                                        : BatchState::kRunning;
   job->mIsFinalStored = IsFinal(job->mState);
@@ -386,7 +345,7 @@
 {
   const TaskId key = aEnd.mTask;
   aWorker.mRunsToStop.erase({ aEnd.mTask, aEnd.mRun });
-  DispatchTask* task = FindTask(aShard, key);
+  DispatchTask* task = OpenTask(aShard, key);
   if (task == nullptr) {
     return;
   }
@@ -434,19 +393,21 @@
   if (IsFinal(aJob.mState)) {
     return progress;
   }
-  for (std::uint32_t o = 0; o < aJob.mOccurrences.size(); ++o) {
-    const auto& steps = aJob.mOccurrences[o].mSteps;
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      std::vector<bool> done;
-      for (std::uint32_t i = 0; i < steps[s].mTasks.size(); ++i) {
-        const DispatchTask& task = steps[s].mTasks[i];
-        done.push_back(task.mPhase == RunPhase::kDone);
+  progress.mDoneOccurrences = DoneOccurrences(aJob);
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      const DispatchStep& step = occurrence.mSteps[s];
+      if (step.mDone > 0) {
+        progress.mSteps.push_back({ number, s, DoneRanges(step) });
+      }
+      for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+        const DispatchTask& task = step.mTasks[i];
         const bool hasProgress =
           task.mPhase != RunPhase::kDone &&
           (!task.mFailedRuns.empty() || !task.mCheckpoint.empty());
         if (hasProgress) {
           progress.mTasks.push_back(
-            { o,
+            { number,
               s,
               i,
               task.mEndedRun,
@@ -454,10 +415,6 @@
               task.mCheckpoint });
         }
       }
-      auto ranges = RangesOf(done);
-      if (!ranges.empty()) {
-        progress.mSteps.push_back({ o, s, std::move(ranges) });
-      }
     }
   }
   return progress;
@@ -471,7 +428,7 @@
   return std::all_of(
     after.begin(), after.end(), [&](std::uint32_t aDependency) {
       const DispatchStep& step = aOccurrence.mSteps[aDependency];
-      return step.mDone == step.mTasks.size();
+      return step.mDone == step.mCount;
     });
 }
 
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
+#include "vcDispatchOccurrences.h"
 #include "vcDispatchProbes.h"
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
@@ -127,12 +128,11 @@
                      Visit aVisit)
 {
   const BatchSpec& spec = aJob.mRecord.mSpec;
-  for (std::uint32_t o = 0; o < aJob.mOccurrences.size(); ++o) {
-    const std::int64_t dueAt = DueAtMs(spec, o);
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    const std::int64_t dueAt = DueAtMs(spec, number);
     if (dueAt > aNowMs + aShard.mBounds.mMaxEarlyStart.count()) {
       return;
     }
-    const Occurrence& occurrence = aJob.mOccurrences[o];
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
       const auto& tasks = occurrence.mSteps[s].mTasks;
       const bool hasWaiting =
@@ -142,7 +142,7 @@
       if (!hasWaiting || !IsStepReady(aJob, occurrence, s)) {
         continue;
       }
-      aVisit(TaskId{ aJob.mId, o, s, 0 });
+      aVisit(TaskId{ aJob.mId, number, s, 0 });
     }
   }
 }
@@ -267,9 +267,7 @@
   if (needs.mStep.mIsFilling) {
     needs.mBestEffort = BestEffortNeedsOf(needs.mStep);
   }
-  const auto& tasks =
-    job.mOccurrences[aKey.mOccurrence].mSteps[aKey.mStep].mTasks;
-  for (const auto& task : tasks) {
+  for (const auto& task : StepStateOf(job, aKey).mTasks) {
     if (!task.mWorker.empty()) {
       ++needs.mOnWorker[task.mWorker];
     }
@@ -567,9 +565,7 @@
 
 DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey)
 {
-  return aShard.mJobs.at(aKey.mJob)
-    .mOccurrences[aKey.mOccurrence]
-    .mSteps[aKey.mStep];
+  return StepStateOf(aShard.mJobs.at(aKey.mJob), aKey);
 }
 
 void StartOn(DispatchShard& aShard,
@@ -667,10 +663,7 @@
                DispatchActions& aActions)
 {
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
-  const auto& tasks = aShard.mJobs.at(aFirstTask.mJob)
-                        .mOccurrences[aFirstTask.mOccurrence]
-                        .mSteps[aFirstTask.mStep]
-                        .mTasks;
+  const auto& tasks = StepStateOf(aShard, aFirstTask).mTasks;
   std::uint32_t run = 0;
   std::string checkpoint;
   for (const auto& task : tasks) {
@@ -842,10 +835,11 @@
     if (first != aFirstTask) {
       return;
     }
-    const DispatchTask& task = *FindTask(aShard, *at);
-    if (!IsStartable(task, aRound.mNow)) {
+    const DispatchTask* suspect = FindTask(aShard, *at);
+    if (suspect == nullptr || !IsStartable(*suspect, aRound.mNow)) {
       continue;
     }
+    const DispatchTask& task = *suspect;
     const StepNeeds needs = NeedsOf(aShard, *at);
     auto& workers = aRound.mUsable[needs.mService];
     DispatchWorker* worker = ChooseApart(aShard, needs, aRound, workers);
@@ -1047,6 +1041,7 @@
                 std::int64_t aNowMs,
                 DispatchActions& aActions)
 {
+  OpenReadySteps(aShard, aNowMs);
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return;
   }
--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -49,8 +49,7 @@
                         std::int64_t aNowMs)
 {
   if (aJob.mActiveRuns > 0) {
-    const DispatchStep& step =
-      aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep];
+    const DispatchStep& step = StepStateOf(aJob, aTask);
     const bool isStarved = step.mStarvedSince != kNever &&
                            aNow - step.mStarvedSince >= kProbeBesideRunsAfter;
     return isStarved ? ProbeStage::kCalmWorkers : ProbeStage::kNone;
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
+#include "vcDispatchOccurrences.h"
 #include "vcDispatchWorkerSet.h"
 
 #include <spdlog/spdlog.h>
@@ -36,6 +37,18 @@
   return LongestLease(aShard.mBounds) + aShard.mBounds.mStopTimeout;
 }
 
+/// The step that a task belongs to, whether it is open or not; null if it isn't
+/// known.
+const StepSpec* FindStep(const DispatchShard& aShard, const TaskId& aTask)
+{
+  const auto job = aShard.mJobs.find(aTask.mJob);
+  if (job == aShard.mJobs.end()) {
+    return nullptr;
+  }
+  const auto& steps = job->second.mRecord.mSpec.mSteps;
+  return aTask.mStep < steps.size() ? &steps[aTask.mStep] : nullptr;
+}
+
 /// Counts the runs to stop that the report lists: they use their worker's
 /// capacity until it lists their end, also if it accepts starts beyond that. A
 /// run whose needs aren't known may use all of it.
@@ -48,16 +61,18 @@
   bool isClosed = false;
   for (const auto& row : aReport.mRunning) {
     const DispatchTask* task = FindTask(aShard, row.mTask);
-    if (task == nullptr) {
+    const StepSpec* step = FindStep(aShard, row.mTask);
+    if (step == nullptr) {
       const RunToStop& run = aWorker.mRunsToStop.at({ row.mTask, row.mRun });
       const bool isExpected = aNow - run.mListedSince < MaxClosedTime(aShard);
       isClosed = isClosed || isExpected;
       continue;
     }
-    const bool isAssignedHere =
-      task->mWorker == aWorker.mEntry.mWorker && task->mRun == row.mRun;
+    const bool isAssignedHere = task != nullptr &&
+                                task->mWorker == aWorker.mEntry.mWorker &&
+                                task->mRun == row.mRun;
     if (!isAssignedHere) {
-      used += CountedNeeds(StepOf(aShard.mJobs.at(row.mTask.mJob), row.mTask));
+      used += CountedNeeds(*step);
     }
   }
   SetUsedByRunsToStop(
@@ -129,7 +144,7 @@
                    TimePoint aNow)
 {
   const TaskId key = aRow.mTask;
-  DispatchTask* task = FindTask(aShard, key);
+  DispatchTask* task = OpenTask(aShard, key);
   if (task == nullptr) {
     RequestStop(aWorker, aRow.mTask, aRow.mRun, aNow);
     return;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -41,11 +41,14 @@
   -> decltype(FindTask(aShard, aKey))
 {
   const auto job = aShard.mJobs.find(aKey.mJob);
-  if (job == aShard.mJobs.end() ||
-      aKey.mOccurrence >= job->second.mOccurrences.size()) {
+  if (job == aShard.mJobs.end()) {
     return nullptr;
   }
-  auto& steps = job->second.mOccurrences[aKey.mOccurrence].mSteps;
+  const auto occurrence = job->second.mOccurrences.find(aKey.mOccurrence);
+  if (occurrence == job->second.mOccurrences.end()) {
+    return nullptr;
+  }
+  auto& steps = occurrence->second.mSteps;
   if (aKey.mStep >= steps.size() ||
       aKey.mIndex >= steps[aKey.mStep].mTasks.size()) {
     return nullptr;
@@ -77,6 +80,16 @@
   return FindTaskIn(aShard, aKey);
 }
 
+DispatchStep& StepStateOf(DispatchJob& aJob, const TaskId& aKey)
+{
+  return aJob.mOccurrences.at(aKey.mOccurrence).mSteps.at(aKey.mStep);
+}
+
+const DispatchStep& StepStateOf(const DispatchJob& aJob, const TaskId& aKey)
+{
+  return aJob.mOccurrences.at(aKey.mOccurrence).mSteps.at(aKey.mStep);
+}
+
 const StepSpec& StepOf(const DispatchJob& aJob, const TaskId& aKey)
 {
   return aJob.mRecord.mSpec.mSteps[aKey.mStep];
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -129,7 +129,11 @@
 /// Tasks of one step in one occurrence, and how many of them are done.
 struct DispatchStep
 {
+  /// Empty before the step is opened and once it is done; see
+  /// vcDispatchOccurrences.h.
   std::vector<DispatchTask> mTasks;
+  /// Number of tasks that the step has.
+  std::uint32_t mCount = 0;
   std::uint32_t mDone = 0;
   /// When the last step that this one depends on was done. Without such a step,
   /// when the job was accepted. When the job was added here, if neither is
@@ -155,8 +159,13 @@
   /// Revision of the store at which the job was accepted.
   std::uint64_t mCreatedAt = 0;
   BatchState mState = BatchState::kQueued;
-  std::vector<Occurrence> mOccurrences;
+  /// The occurrences that have begun and aren't done, by number.
+  std::map<std::uint32_t, Occurrence> mOccurrences;
+  /// All occurrences before this one, and no others, have begun.
+  std::uint32_t mNextOccurrence = 0;
   std::uint32_t mOccurrencesDone = 0;
+  /// When the job was added here.
+  TimePoint mAddedAt{ kNever };
   /// When the job was accepted, on this process's clock. It is at most
   /// `DispatchBounds::mStatus` before the time at which the job was added here.
   TimePoint mAcceptedAt{ 0 };
@@ -386,6 +395,12 @@
   /// earlier owners.
   std::uint32_t mRunBase = 0;
   std::map<JobId, DispatchJob> mJobs;
+  /// Memory that the occurrences of all jobs take, in bytes.
+  std::size_t mOccurrenceBytes = 0;
+  /// No step is opened beyond this; its tasks wait.
+  std::size_t mMaxOccurrenceBytes = std::numeric_limits<std::size_t>::max();
+  /// A step waits for that.
+  bool mIsOccurrenceMemoryFull = false;
   std::map<JobId, EndedJob> mEndedJobs;
   /// Jobs whose cancellation was read before the job itself.
   std::set<JobId> mPendingCancellations;
@@ -443,10 +458,12 @@
   std::vector<AddressedOrder<ThrottleOrder>> mThrottleOrders;
 };
 
-/// Returns the task with this id, or null.
+/// Returns the task with this id, or null if it doesn't exist or its step isn't
+/// open.
 DispatchTask* FindTask(DispatchShard& aShard, const TaskId& aKey);
 
-/// Returns the task with this id, or null.
+/// Returns the task with this id, or null if it doesn't exist or its step isn't
+/// open.
 const DispatchTask* FindTask(const DispatchShard& aShard, const TaskId& aKey);
 
 /// Returns the job with this id, or null.
@@ -455,6 +472,12 @@
 /// Returns the worker with this name, or null.
 DispatchWorker* FindWorker(DispatchShard& aShard, const std::string& aWorker);
 
+/// State of the task's step; its occurrence must have begun.
+DispatchStep& StepStateOf(DispatchJob& aJob, const TaskId& aKey);
+
+/// State of the task's step; its occurrence must have begun.
+const DispatchStep& StepStateOf(const DispatchJob& aJob, const TaskId& aKey);
+
 /// The step that the task belongs to; the task must exist.
 const StepSpec& StepOf(const DispatchJob& aJob, const TaskId& aKey);
 
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -26,8 +26,7 @@
                             TimePoint aNow,
                             std::int64_t aNowMs)
 {
-  const DispatchStep& step =
-    aJob.mOccurrences[aFirstTask.mOccurrence].mSteps[aFirstTask.mStep];
+  const DispatchStep& step = StepStateOf(aJob, aFirstTask);
   const TimePoint readyAt = ReadyAt(aJob, aFirstTask, aNow, aNowMs);
   WaitingStep waiting;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,7 +51,8 @@
   LINK vcPlatform)
 verbenacroft_library(Dispatch
   SOURCES vcDispatchCrashes.cxx vcDispatchJobs.cxx vcDispatchThrottling.cxx
-    vcDispatchPlacement.cxx vcDispatchProbes.cxx vcDispatchReports.cxx
+    vcDispatchOccurrences.cxx vcDispatchPlacement.cxx
+    vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchWaiting.cxx vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx
     vcOwnerPacing.cxx vcWorkerCalls.cxx
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -67,6 +67,9 @@
     aPage.Gauge(aName, aHelp, static_cast<double>(aValue), labels);
   };
   gauge("verbenacroft_shard_jobs", "Jobs in memory.", aState.mJobs.size());
+  gauge("verbenacroft_shard_task_bytes",
+        "Memory of the state of tasks.",
+        aState.mOccurrenceBytes);
   gauge("verbenacroft_shard_workers", "Workers.", aState.mWorkers.size());
   gauge(
     "verbenacroft_shard_silent_workers", "Workers not heard.", unresponsive);
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -18,6 +18,12 @@
 /// lease, so that leases outlast a few lost renewals of it.
 constexpr int kOwnLeasesPerLimit = 2;
 constexpr std::size_t kInternalPortCount = 2;
+/// Part of the process's memory for the occurrences of jobs. The rest is for
+/// the program itself, the records of jobs, reports and replies of the store.
+constexpr std::size_t kOccurrencePart = 4;
+constexpr std::size_t kBytesPerMb = 1'000'000;
+/// The largest step alone takes less than its part of so much memory.
+constexpr std::uint32_t kMinMemoryMb = 64;
 constexpr double kMsPerSecond = 1'000;
 /// Bytes per second, in the direction with more of them, for the orders to a
 /// busy worker, its reports and the records of its work in the store.
@@ -51,6 +57,11 @@
     aFaults.push_back(
       { "$.linkMbps", std::to_string(aSettings.mLinkMbps), "more than 0" });
   }
+  if (aSettings.mMemoryMb < kMinMemoryMb) {
+    aFaults.push_back({ "$.memoryMb",
+                        std::to_string(aSettings.mMemoryMb),
+                        std::to_string(kMinMemoryMb) + " or more" });
+  }
   if (aSettings.mBounds.mGraceSeconds <= 0) {
     aFaults.push_back({ "$.bounds.graceSeconds",
                         std::to_string(aSettings.mBounds.mGraceSeconds),
@@ -65,6 +76,11 @@
   return std::max(kMinLeaseTtl, aSettings.mLeastLeaseMs);
 }
 
+std::size_t OccurrenceMemoryOf(const NodeSettings& aSettings)
+{
+  return aSettings.mMemoryMb * kBytesPerMb / kOccurrencePart;
+}
+
 std::uint32_t WorkersPerShardOf(const NodeSettings& aSettings)
 {
   const double link = LinkBytesPerSecond(aSettings.mLinkMbps);
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -53,6 +53,9 @@
   double mProcessors = 1;
   /// Bandwidth of the instance's network link, in Mbit/s.
   double mLinkMbps = 100;
+  /// Memory limit of the process, in MB. A quarter of it is for the tasks of
+  /// the shards that the node owns.
+  std::uint32_t mMemoryMb = 160;
   /// Intended number of workers per shard, if the link carries as many.
   std::uint32_t mWorkersPerShard = 400;
   /// Maximum number of log lines per second. Further lines are counted but not
@@ -73,6 +76,7 @@
                        mBounds,
                        mProcessors,
                        mLinkMbps,
+                       mMemoryMb,
                        mWorkersPerShard,
                        mLogLinesPerSecond,
                        mLogLevel))
@@ -84,6 +88,10 @@
 /// `mWorkersPerShard`.
 std::uint32_t WorkersPerShardOf(const NodeSettings& aSettings);
 
+/// Memory for the occurrences of the jobs of all shards that the node owns, in
+/// bytes.
+std::size_t OccurrenceMemoryOf(const NodeSettings& aSettings);
+
 /// Bounds of the dispatch core that follow from the settings.
 DispatchBounds DispatchBoundsOf(const NodeSettings& aSettings);
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -335,8 +335,19 @@
   this->mBarrierStartedAt = kNever;
 }
 
+std::size_t ShardRunner::MaxOccurrenceBytes() const
+{
+  std::size_t others = 0;
+  for (const auto& [number, runner] : this->mNode.mRunners) {
+    others += runner.get() == this ? 0 : runner->State().mOccurrenceBytes;
+  }
+  const std::size_t most = OccurrenceMemoryOf(this->mNode.mSettings);
+  return most > others ? most - others : 0;
+}
+
 void ShardRunner::CopyNodeStateToShard(TimePoint aNow)
 {
+  this->mShard.mMaxOccurrenceBytes = this->MaxOccurrenceBytes();
   const auto cause = this->WhyShardMayNotStart(aNow);
   this->LogStartsForbidden(cause, aNow);
   this->mShard.mMayStart = !cause.has_value();
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -209,8 +209,11 @@
   /// True if the shard knows all cancellations and evacuations that were
   /// acknowledged until lately, or couldn't because the store was down.
   bool KnowsRecentOrders(TimePoint aNow);
-  /// Copies the state of the lease and the evacuations from the node to the
-  /// core.
+  /// Memory for the occurrences of this shard's jobs, in bytes: what those of
+  /// the node's other shards leave.
+  std::size_t MaxOccurrenceBytes() const;
+  /// Copies the memory limit, the state of the lease and the evacuations from
+  /// the node to the core.
   void CopyNodeStateToShard(TimePoint aNow);
   /// Why the shard may start nothing at present; nothing if it may.
   std::optional<StartsForbiddenCause> WhyShardMayNotStart(TimePoint aNow);
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -35,6 +35,7 @@
 asio::awaitable<bool> ShardRunner::Load()
 {
   this->mShard.mJobs.clear();
+  this->mShard.mOccurrenceBytes = 0;
   this->mShard.mEndedJobs.clear();
   this->mShard.mPendingCancellations.clear();
   this->mShard.mWorkers.clear();
@@ -146,7 +147,7 @@
   }
   if (IsFinal(progress->mState)) {
     this->mShard.mEndedJobs[id] = { progress->mState, progress->mEndedAtMs };
-    this->mShard.mJobs.erase(id);
+    EraseJob(this->mShard, id);
     return;
   }
   ApplyProgress(this->mShard, id, *progress);
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -275,12 +275,17 @@
 asio::awaitable<void> ShardRunner::RemoveOldJobs()
 {
   const TimePoint now = SuspendAwareNow();
-  for (auto at = this->mShard.mJobs.begin(); at != this->mShard.mJobs.end();) {
-    const DispatchJob& job = at->second;
+  std::vector<JobId> removable;
+  for (const auto& [id, job] : this->mShard.mJobs) {
     const bool isRemovable = job.mIsFinalStored && !job.mIsDirty &&
                              job.mActiveRuns == 0 &&
                              now - job.mEndedAt > kRemoveInterval;
-    at = isRemovable ? this->mShard.mJobs.erase(at) : std::next(at);
+    if (isRemovable) {
+      removable.push_back(id);
+    }
+  }
+  for (const auto& id : removable) {
+    EraseJob(this->mShard, id);
   }
   bool hasMore = true;
   for (int i = 0; i < kMaxRemovals && hasMore && !this->mIsStopped; ++i) {
--- a/Source/Programs/vcNodeMain.cxx
+++ b/Source/Programs/vcNodeMain.cxx
@@ -36,12 +36,14 @@
     ParseCommandLine(aCount,
                      aArguments,
                      kProgram,
-                     "Takes jobs and runs their tasks on the shards it owns.");
+                     "Takes jobs and runs their tasks on the shards it owns.",
+                     true);
   if (line.mExit) {
     return static_cast<int>(*line.mExit);
   }
   Faults faults;
-  const auto settings = LoadSettings<NodeSettings>(line.mSettingsPath, faults);
+  auto settings = LoadSettings<NodeSettings>(line.mSettingsPath, faults);
+  settings.mMemoryMb = line.mMemoryMb.value_or(settings.mMemoryMb);
   if (faults.empty()) {
     CheckNodeSettings(settings, faults);
   }
--- a/Source/Shell/vcProgram.cxx
+++ b/Source/Shell/vcProgram.cxx
@@ -68,7 +68,8 @@
 CommandLine ParseCommandLine(int aCount,
                              char** aArguments,
                              const std::string& aProgram,
-                             const std::string& aPurpose)
+                             const std::string& aPurpose,
+                             bool aHasMemoryLimit)
 {
   CommandLine line;
   cxxopts::Options options(aProgram, aPurpose);
@@ -78,6 +79,11 @@
       cxxopts::value<std::string>());
   add("check-settings", "check the settings file and exit");
   add("log-json", "log one JSON object a line");
+  if (aHasMemoryLimit) {
+    add("memory-mb",
+        "memory limit of the process in MB, in place of that in the settings",
+        cxxopts::value<std::uint32_t>());
+  }
   add("version", "print the version and exit");
   add("help", "print this help and exit");
   try {
@@ -96,6 +102,9 @@
     }
     line.mCheckOnly = parsed.count("check-settings") > 0;
     line.mLogJson = parsed.count("log-json") > 0;
+    if (aHasMemoryLimit && parsed.count("memory-mb") > 0) {
+      line.mMemoryMb = parsed["memory-mb"].as<std::uint32_t>();
+    }
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << aProgram << ": " << error.what() << "; see --help\n";
     line.mExit = ExitCode::kBadSettings;
--- a/Source/Shell/vcProgram.h
+++ b/Source/Shell/vcProgram.h
@@ -75,16 +75,20 @@
   bool mCheckOnly = false;
   /// Log JSON even if the settings file does not ask for it.
   bool mLogJson = false;
+  /// Memory limit of the process in MB, in place of the one in the settings.
+  std::optional<std::uint32_t> mMemoryMb;
   /// Set if the program should exit immediately with this code.
   std::optional<ExitCode> mExit;
 };
 
 /// Parses the options that all programs on an entry instance have in common.
 /// Handles --help and --version, and prints errors to standard error.
+/// @param aHasMemoryLimit also takes --memory-mb
 CommandLine ParseCommandLine(int aCount,
                              char** aArguments,
                              const std::string& aProgram,
-                             const std::string& aPurpose);
+                             const std::string& aPurpose,
+                             bool aHasMemoryLimit = false);
 
 /// Prints one line for each fault to standard error.
 void PrintFaults(const std::string& aFile, const Faults& aFaults);
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -969,7 +969,8 @@
   {
     std::vector<RunningTask> rows{ MakeRunning(1) };
     rows[0].mMeasured = aTailMs;
-    const auto& tasks = this->mFixture.Job().mOccurrences[0].mSteps[1].mTasks;
+    const auto& tasks =
+      this->mFixture.Job().mOccurrences.at(0).mSteps[1].mTasks;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
       if (tasks[i].mWorker.empty()) {
         continue;
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -91,7 +91,7 @@
         row.mTask = task;
         row.mRun = this->mRunner->State()
                      .mJobs.at(task.mJob)
-                     .mOccurrences[0]
+                     .mOccurrences.at(0)
                      .mSteps[0]
                      .mTasks[task.mIndex]
                      .mRun;
--- a/Tests/Unit/vcWaitingTest.cxx
+++ b/Tests/Unit/vcWaitingTest.cxx
@@ -69,6 +69,8 @@
 
   WaitingSummary Summarize(std::size_t aMaxExamined = kMaxExaminedSteps)
   {
+    // As each planning does.
+    OpenReadySteps(this->mShard, this->mNow.count());
     return SummarizeWaiting(
       this->mShard, this->mNow, this->mNow.count(), aMaxExamined);
   }
