Dispatch: Store progress without checkpoints if it is too large

Cause: with some 12,000 checkpoints the progress of one job exceeds a value of the store. The store rejects it, and no end of the shard is acknowledged any more.

Change: progress that is too large is stored without checkpoints, with a warning. The store of the fleet tests rejects values that are too large.

Result: "progress is stored without checkpoints if it is too large". Not shown with processes.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -420,6 +420,30 @@
   return progress;
 }
 
+std::string EncodeProgress(const DispatchJob& aJob, std::size_t aMaxBytes)
+{
+  BatchProgress progress = ProgressOf(aJob);
+  std::string text = Encode(progress);
+  if (text.size() <= aMaxBytes) {
+    return text;
+  }
+  const std::size_t wholeBytes = text.size();
+  for (auto& task : progress.mTasks) {
+    task.mCheckpoint.clear();
+  }
+  std::erase_if(progress.mTasks, [](const TaskProgress& aTask) {
+    return aTask.mFailedRuns.empty();
+  });
+  text = Encode(progress);
+  spdlog::warn("job.checkpoints-not-stored job={} bytes={} max_bytes={} "
+               "without_checkpoints={}",
+               aJob.mId,
+               wholeBytes,
+               aMaxBytes,
+               text.size());
+  return text;
+}
+
 bool IsStepReady(const DispatchJob& aJob,
                  const Occurrence& aOccurrence,
                  std::uint32_t aStep)
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -56,6 +56,11 @@
 /// ended, only its state and end time are set.
 BatchProgress ProgressOf(const DispatchJob& aJob);
 
+/// The progress of a job as text of at most `aMaxBytes`, as far as possible. If
+/// it is longer, checkpoints are left out: runs that a later owner starts then
+/// begin anew, while the store would reject the whole record.
+std::string EncodeProgress(const DispatchJob& aJob, std::size_t aMaxBytes);
+
 /// True once every step that `aStep` depends on is done in the occurrence.
 bool IsStepReady(const DispatchJob& aJob,
                  const Occurrence& aOccurrence,
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -49,7 +49,8 @@
 {
   const std::string key = ProgressKey(aShard, aId);
   aWrite.mConditions.push_back({ key, aJob.mProgressRevision });
-  aWrite.mPuts.push_back(PersistentPut(key, Encode(ProgressOf(aJob))));
+  aWrite.mPuts.push_back(
+    PersistentPut(key, EncodeProgress(aJob, kMaxKvValueBytes)));
   if (IsFinal(aJob.mState)) {
     aWrite.mDeletes.push_back(InboxJobKey(aShard, aId));
     aWrite.mDeletes.push_back(CancelKey(aShard, aId));
--- a/Source/Store/vcKeyValue.h
+++ b/Source/Store/vcKeyValue.h
@@ -214,6 +214,8 @@
 /// Maximum number of entries in one transaction; see `EntriesOf`. The store
 /// rejects a transaction with more.
 constexpr std::size_t kMaxKvTransactionEntries = 32;
+/// Maximum size of a value, in bytes.
+constexpr std::size_t kMaxKvValueBytes = 1'000'000;
 
 /// Number of entries of a transaction: conditions, puts and deletes together.
 inline std::size_t EntriesOf(const KvTransaction& aTransaction)
--- a/Tests/Fleet/vcFleetStore.cxx
+++ b/Tests/Fleet/vcFleetStore.cxx
@@ -126,10 +126,16 @@
 std::optional<std::string> RejectionOf(const KvTransaction& aWrite)
 {
   const std::size_t entries = EntriesOf(aWrite);
-  if (entries <= kMaxKvTransactionEntries) {
-    return std::nullopt;
+  if (entries > kMaxKvTransactionEntries) {
+    return fmt::format(
+      "{} entries, over {}", entries, kMaxKvTransactionEntries);
   }
-  return fmt::format("{} entries, over {}", entries, kMaxKvTransactionEntries);
+  for (const auto& put : aWrite.mPuts) {
+    if (put.mValue.size() > kMaxKvValueBytes) {
+      return fmt::format("a value of {} bytes", put.mValue.size());
+    }
+  }
+  return std::nullopt;
 }
 
 void NoteRejectedWrite(MemoryStore& aStore,
--- a/Tests/Unit/vcOccurrencesTest.cxx
+++ b/Tests/Unit/vcOccurrencesTest.cxx
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
@@ -223,6 +225,39 @@
   CHECK(fixture.Plan() == row.mStarts);
 }
 
+// Guards against a shard in which no end is acknowledged any more, since the
+// store rejects the progress of a job with many checkpoints.
+TEST_CASE("progress is stored without checkpoints if it is too large",
+          "[occurrences]")
+{
+  constexpr std::uint32_t kManyTasks = 10'000;
+  constexpr std::size_t kMaxBytes = 1'000'000;
+  const std::size_t checkpointBytes = GENERATE(10U, 100U);
+  CAPTURE(checkpointBytes);
+  Fixture fixture;
+  BatchRecord record = MakeRecurring(0);
+  record.mSpec.mSteps[0].mCount = kManyTasks;
+  fixture.Add(kJob, record);
+  for (std::uint32_t i = 0; i < kManyTasks; ++i) {
+    OpenTask(fixture.mShard, { kJob, 0, 0, i })->mCheckpoint =
+      std::string(checkpointBytes, 'c');
+  }
+  OpenTask(fixture.mShard, { kJob, 0, 0, 7 })->mFailedRuns = { 3 };
+  const std::string text = EncodeProgress(fixture.Job(), kMaxBytes);
+  CHECK(text.size() <= kMaxBytes);
+  const auto read = TryDecode<BatchProgress>(text);
+  REQUIRE(read);
+  const bool isWhole = checkpointBytes < 50;
+  CHECK(read->mTasks.size() == (isWhole ? kManyTasks : 1));
+  const auto failed =
+    std::find_if(read->mTasks.begin(),
+                 read->mTasks.end(),
+                 [](const auto& aTask) { return !aTask.mFailedRuns.empty(); });
+  REQUIRE(failed != read->mTasks.end());
+  CHECK(failed->mIndex == 7);
+  CHECK(failed->mFailedRuns == std::vector<std::uint32_t>{ 3 });
+}
+
 // Guards against an owner that is ended by jobs in the store, however large:
 // the steps beyond its memory wait, and each of them runs in the end.
 TEST_CASE("steps beyond the memory wait for those before them", "[occurrences]")
