Dispatch: Take the end of one member for that of its gang

Cause: only the member was done whose end was listed. The other one waited, and a gang starts only if all of its members wait.

Change: the end of one member marks all as done.

"the end of one member stands for its gang" and "a member that is still listed doesn't keep its gang from being done" fail with the change taken out and pass. The first takes the place of the red test, whose last check (started again, or final) it tightens: the step after the gang starts, and no other. The old one asked the state of the lost member in between, which doesn't exist any more.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -59,11 +59,11 @@
               std::int64_t aNowMs)
 {
   DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-  DispatchTask& task = *FindTask(aShard, aKey);
-  if (task.mPhase == RunPhase::kDone) {
+  const DispatchTask* task = FindTask(aShard, aKey);
+  if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
   }
-  const bool wasAssigned = !task.mWorker.empty();
+  const bool wasAssigned = !task->mWorker.empty();
   Release(aShard, aKey, RunPhase::kDone);
   if (wasAssigned) {
     NoteRunEnded(job, aNow);
@@ -74,6 +74,25 @@
   }
 }
 
+/// Marks a task as done whose run has ended so. The members of a gang end
+/// together, so that the end of one stands for all of them: the others' may
+/// never be heard.
+void MarkRunDone(DispatchShard& aShard,
+                 const TaskId& aKey,
+                 TimePoint aNow,
+                 std::int64_t aNowMs)
+{
+  const StepSpec& step = StepOf(aShard.mJobs.at(aKey.mJob), aKey);
+  if (!step.mIsGang) {
+    MarkDone(aShard, aKey, aNow, aNowMs);
+    return;
+  }
+  TaskId member = aKey;
+  for (member.mIndex = 0; member.mIndex < step.mCount; ++member.mIndex) {
+    MarkDone(aShard, member, aNow, aNowMs);
+  }
+}
+
 /// Updates the mean run time of the job's queue from a run that is done. Runs
 /// of a task that has a checkpoint don't count, because such a run may have
 /// done only a part of the task.
@@ -364,7 +383,7 @@
     if (task->mWorker == aWorker.mEntry.mWorker) {
       LearnRunTime(aShard, job, *task, aNow);
     }
-    MarkDone(aShard, key, aNow, aNowMs);
+    MarkRunDone(aShard, key, aNow, aNowMs);
     return;
   }
   if (aEnd.mRunEnd == RunEnd::kFailed) {
--- a/Tests/Unit/vcDispatchWaitTest.cxx
+++ b/Tests/Unit/vcDispatchWaitTest.cxx
@@ -465,11 +465,10 @@
   CHECK(isStarted);
 }
 
-// Guards against a gang that is neither done nor started again, because a
-// worker was lost before the end of its member was read. Listed in
-// KNOWN-RED.txt.
-TEST_CASE("a gang whose member was lost at the end doesn't wait for ever",
-          "[.][red-gang]")
+// Guards against a gang that is neither done nor started again, since the
+// worker of one member was lost before the end of that member was read, and
+// against steps after it that never start.
+TEST_CASE("the end of one member stands for its gang", "[dispatch]")
 {
   constexpr std::int64_t kOtherIncarnation = 2;
   WaitFixture shard(2);
@@ -477,24 +476,53 @@
   gang.mSpec.mSteps[0].mIsGang = true;
   gang.mSpec.mSteps[0].mCount = 2;
   gang.mSpec.mSteps[0].mMaxPerWorker = 1;
+  gang.mSpec.mSteps.push_back(MakeRecord().mSpec.mSteps[0]);
+  gang.mSpec.mSteps[1].mAfter = { 0 };
   shard.Add(1, gang);
   REQUIRE(shard.Plan().mStarts.size() == 2);
-  for (std::uint32_t i = 0; i < 2; ++i) {
-    shard.Report(shard.Task(TaskOf(1, i)).mWorker,
-                 { RunningOf(TaskOf(1, i), 1, 99) });
-  }
+  const std::string first = shard.Task(TaskOf(1, 0)).mWorker;
+  const std::string second = shard.Task(TaskOf(1, 1)).mWorker;
+  shard.Report(first, { RunningOf(TaskOf(1, 0), 1, 99) });
+  shard.Report(second, { RunningOf(TaskOf(1, 1), 1, 99) });
   EndedRun end;
   end.mIndex = 1;
   end.mTask = TaskOf(1, 0);
   end.mRun = 1;
   shard.mNow += Duration(100);
-  shard.Report(shard.Task(TaskOf(1, 0)).mWorker, {}, { end });
-  shard.mShard.mWorkers.at(shard.Task(TaskOf(1, 1)).mWorker).mIncarnation =
-    kOtherIncarnation;
-  shard.Report(shard.Task(TaskOf(1, 1)).mWorker, {});
-  REQUIRE(shard.Task(TaskOf(1, 1)).mPhase == RunPhase::kWaiting);
-  const bool isStartedAgain = !shard.Plan().mStarts.empty();
-  CHECK((isStartedAgain || IsFinal(shard.mShard.mJobs.at(IdOf(1)).mState)));
+  shard.Report(first, {}, { end });
+  shard.mShard.mWorkers.at(second).mIncarnation = kOtherIncarnation;
+  shard.Report(second, {});
+  const auto starts = shard.Plan().mStarts;
+  REQUIRE_FALSE(starts.empty());
+  for (const auto& row : starts) {
+    CHECK(row.mOrder.mTask.mStep == 1);
+  }
+}
+
+// Guards against a second run of a gang that is done, and a job that waits for
+// it, when the end of one member reaches only the next owner.
+TEST_CASE("a member that is still listed doesn't keep its gang from being done",
+          "[dispatch]")
+{
+  WaitFixture shard(2);
+  BatchRecord gang = MakeRecord();
+  gang.mSpec.mSteps[0].mIsGang = true;
+  gang.mSpec.mSteps[0].mCount = 2;
+  gang.mSpec.mSteps[0].mMaxPerWorker = 1;
+  shard.Add(1, gang);
+  REQUIRE(shard.Plan().mStarts.size() == 2);
+  const std::string first = shard.Task(TaskOf(1, 0)).mWorker;
+  const std::string second = shard.Task(TaskOf(1, 1)).mWorker;
+  EndedRun end;
+  end.mIndex = 1;
+  end.mTask = TaskOf(1, 0);
+  end.mRun = 1;
+  shard.Report(first, {}, { end });
+  CHECK(shard.mShard.mJobs.at(IdOf(1)).mState == BatchState::kCompleted);
+  // A report that was made before the end.
+  shard.Report(second, { RunningOf(TaskOf(1, 1), 1, 99) });
+  CHECK(shard.mShard.mWorkers.at(second).mTasks.empty());
+  CHECK(shard.Plan().mStarts.empty());
 }
 
 } // namespace verbenacroft
