Dispatch: Leave half of the workers to others than suspects

Change: suspects take at most half of a service's workers at a time, and one in any case.

Result: "suspects leave workers to other jobs" failed before and passes.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -524,6 +524,8 @@
   std::int64_t mNowMs = 0;
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
+  /// Number of workers that suspects may still take in this round, by service.
+  std::map<std::string, std::size_t> mPlacesForSuspects;
   /// Reserved workers for which a suspect already waits in this round.
   std::set<const DispatchWorker*> mAwaited;
   FailedPlacements mFailedPlacements;
@@ -539,21 +541,39 @@
   return static_cast<double>(aQuarantined) > kMaxQuarantinedFraction * all;
 }
 
+/// Number of workers that suspects may take, so that the other steps keep as
+/// many.
+/// @param aIsolated number of workers that suspects have now
+std::size_t PlacesForSuspects(std::size_t aOthers, std::size_t aIsolated)
+{
+  const std::size_t most = std::max<std::size_t>(1, (aOthers + aIsolated) / 2);
+  return most > aIsolated ? most - aIsolated : 0;
+}
+
 Round MakeRound(DispatchShard& aShard, TimePoint aNow, std::int64_t aNowMs)
 {
   Round round;
   round.mNow = aNow;
   round.mNowMs = aNowMs;
   std::map<std::string, std::vector<DispatchWorker*>> quarantined;
+  std::map<std::string, std::size_t> isolatedOf;
   const std::set<std::string> isolated = IsolatedWorkers(aShard);
   for (auto& [name, worker] : aShard.mWorkers) {
-    if (!IsUsable(aShard, worker, aNow) || isolated.contains(name)) {
+    if (!IsUsable(aShard, worker, aNow)) {
+      continue;
+    }
+    if (isolated.contains(name)) {
+      ++isolatedOf[worker.mEntry.mService];
       continue;
     }
     const bool isQuarantined = aNow < worker.mQuarantinedUntil;
     auto& workers = isQuarantined ? quarantined : round.mUsable;
     workers[worker.mEntry.mService].push_back(&worker);
   }
+  for (const auto& [service, workers] : round.mUsable) {
+    round.mPlacesForSuspects[service] =
+      PlacesForSuspects(workers.size(), isolatedOf[service]);
+  }
   for (const auto& [service, workers] : quarantined) {
     auto& usable = round.mUsable[service];
     if (AreMost(workers.size(), usable.size())) {
@@ -841,6 +861,10 @@
     }
     const DispatchTask& task = *suspect;
     const StepNeeds needs = NeedsOf(aShard, *at);
+    std::size_t& places = aRound.mPlacesForSuspects[needs.mService];
+    if (places == 0) {
+      return;
+    }
     auto& workers = aRound.mUsable[needs.mService];
     DispatchWorker* worker = ChooseApart(aShard, needs, aRound, workers);
     if (worker == nullptr) {
@@ -852,6 +876,7 @@
     StartOn(aShard, *at, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
     worker->mReservedUntil = kNever;
     std::erase(workers, worker);
+    --places;
   }
 }
 
--- a/Tests/Unit/vcTurnsTest.cxx
+++ b/Tests/Unit/vcTurnsTest.cxx
@@ -251,8 +251,8 @@
 }
 
 // Guards against jobs that have nothing running because each worker that
-// becomes free for them is taken by the next suspect. Listed in KNOWN-RED.txt.
-TEST_CASE("suspects leave workers to other jobs", "[.][red-suspects-first]")
+// becomes free for them is taken by the next suspect.
+TEST_CASE("suspects leave workers to other jobs", "[turns]")
 {
   constexpr std::uint32_t kSuspects = 40;
   constexpr const char* kSuspectsJob = "00000000000000c1";
