--- a/Tests/Unit/vcTurnsTest.cxx
+++ b/Tests/Unit/vcTurnsTest.cxx
@@ -274,9 +274,8 @@
 
 // Guards against a job of a less urgent queue that isn't started on workers
 // that are almost empty, because the starts of others use up the budget of each
-// round. Listed in KNOWN-RED.txt.
-TEST_CASE("a start budget leaves a turn to less urgent queues",
-          "[.][red-start-budget]")
+// round.
+TEST_CASE("a start budget leaves a turn to less urgent queues", "[turns]")
 {
   TurnsFleet fleet(4);
   fleet.mBytesPerRound = 1;
