Http: Close only connections that were idle before the call

Cause: an owner that is short of processor time reads replies late, and its calls time out though the connections are well.

Change: only connections that were returned before the call was sent are closed. Those returned later have proved that they work.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -188,8 +188,8 @@
 
 /// Client with a pool of idle connections for each address. A connection is
 /// reused only if a complete response was read and no further data followed. If
-/// a reused one doesn't answer within the timeout, all idle ones to its address
-/// are closed.
+/// a reused one doesn't answer within the timeout, those to its address are
+/// closed that have been idle since before the call.
 /// All functions must be called on the thread that runs the io_context.
 class HttpClient
 {
--- a/Source/Http/vcHttpClient.cxx
+++ b/Source/Http/vcHttpClient.cxx
@@ -193,18 +193,23 @@
   }
 
   /// Handles a connection whose call has failed. If it was idle before the call
-  /// and brought no byte within the timeout, closes all idle connections to the
-  /// address: a connection can go silent without a reset, and mostly all do
-  /// that were open at that moment.
+  /// and brought no byte within the timeout, closes the connections to the
+  /// address that have been idle since before the call: a connection can go
+  /// silent without a reset, and mostly all do that were open at that moment.
   void OnFailed(const std::string& aKey,
                 const Connection& aConnection,
-                const HttpResult& aResult)
+                const HttpResult& aResult,
+                SteadyTime aSentAt)
   {
     const bool isSilent = aResult.mError == MakeError(HttpErrc::kTimeout) &&
                           aResult.mReceivedBytes == 0;
-    if (isSilent && aConnection.mIsReused) {
-      this->mIdle.erase(aKey);
+    const auto idle = this->mIdle.find(aKey);
+    if (!isSilent || !aConnection.mIsReused || idle == this->mIdle.end()) {
+      return;
     }
+    std::erase_if(idle->second, [&](const ConnectionPtr& aIdle) {
+      return aIdle->mIdleSince < aSentAt;
+    });
   }
 
   /// Opens a connection; null if that fails or takes longer than `aTimeout`.
@@ -321,15 +326,15 @@
   }
   const bool isHead = aRequest.mMethod == "HEAD";
   auto message = ToBeast(aRequest, key, aOptions.mRequestId);
-  const SteadyTime deadline =
-    std::chrono::steady_clock::now() + aOptions.mTimeout;
+  const SteadyTime sentAt = std::chrono::steady_clock::now();
+  const SteadyTime deadline = sentAt + aOptions.mTimeout;
   connection->mStream.expires_at(deadline);
   result.mWasSent = true;
   auto [writeError, written] =
     co_await http::async_write(connection->mStream, message, kAwaitTuple);
   if (writeError) {
     result.mError = MakeError(ClassifyError(writeError));
-    impl->OnFailed(key, *connection, result);
+    impl->OnFailed(key, *connection, result, sentAt);
     co_return result;
   }
   ResponseParser parser;
@@ -339,7 +344,7 @@
     *connection, parser, aOptions, deadline, result.mReceivedBytes);
   if (readError) {
     result.mError = MakeError(ClassifyError(readError));
-    impl->OnFailed(key, *connection, result);
+    impl->OnFailed(key, *connection, result, sentAt);
     co_return result;
   }
   result.mError = CheckResponse(parser, aOptions);
