Dispatch: Log which jobs take the room of ended runs

Callers saw jobs that have nothing running for a second after each short run.

shard.turnover, one line a second, counts all three. The counts have no effect on placement.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -15,6 +15,7 @@
 #include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
 #include "vcDispatchThrottling.h"
+#include "vcDispatchTurnover.h"
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcDispatchWorkerSet.h"
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchJobs.h"
 
 #include "vcDispatchOccurrences.h"
+#include "vcDispatchTurnover.h"
 
 #include <spdlog/spdlog.h>
 
@@ -63,10 +64,11 @@
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
   }
-  const bool wasAssigned = !task->mWorker.empty();
+  const std::string worker = task->mWorker;
   Release(aShard, aKey, RunPhase::kDone);
-  if (wasAssigned) {
+  if (!worker.empty()) {
     NoteRunEnded(job, aNow);
+    CountRunEnd(aShard, aKey, worker, aNow);
   }
   CountTaskDone(aShard, job, aKey, aNow);
   if (AreOccurrencesDone(job) && !IsFinal(job.mState)) {
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -6,6 +6,7 @@
 #include "vcDispatchProbes.h"
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
+#include "vcDispatchTurnover.h"
 #include "vcDispatchWorkerSet.h"
 #include "vcOwnerPacing.h"
 
@@ -597,6 +598,7 @@
 {
   DispatchTask& task = *FindTask(aShard, aKey);
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  CountStart(aShard, aKey, aWorker, aNow);
   Assign(aShard, aKey, aWorker.mEntry.mWorker, aRun);
   task.mPhase = RunPhase::kStarting;
   task.mStartOrderedAt = aNow;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -347,6 +347,10 @@
   /// Runs that were given up in the present silence.
   std::vector<LostRun> mLostRuns;
   RoomReservation mRoom;
+  /// The job whose only run has ended here, until the next start; empty if
+  /// there is none.
+  JobId mLeftBy;
+  TimePoint mLeftAt{ kNever };
   /// Until then only a suspect may be started here.
   TimePoint mReservedUntil{ kNever };
 };
@@ -374,6 +378,22 @@
   TimePoint mMeanAddedLoadAt{ kNever };
 };
 
+/// Ends and starts of batch runs since the last log line
+/// (vcDispatchTurnover.h).
+struct RoomTurnover
+{
+  /// Ends of runs that were the only one of their job.
+  std::uint64_t mOnlyRunsEnded = 0;
+  /// Those after which the next start on the worker was of the same job, or of
+  /// another one.
+  std::uint64_t mTakenBySameJob = 0;
+  std::uint64_t mTakenByOthers = 0;
+  /// Times in which a job had nothing running that a start has ended.
+  std::uint64_t mIdleTimes = 0;
+  Duration mIdleSum{ 0 };
+  Duration mLongestIdle{ 0 };
+};
+
 /// A worker that an earlier owner used and that has not answered this one. It
 /// may run tasks that an earlier owner started and that this one doesn't know.
 struct UnansweredWorker
@@ -426,6 +446,7 @@
   std::set<std::uint64_t> mBestEffortKinds;
   /// No probe is started before this time.
   TimePoint mNextProbeAt{ kNever };
+  RoomTurnover mTurnover;
   /// This owner is fenced: a worker refused its epoch because it has seen a
   /// higher one.
   bool mIsFenced = false;
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -54,7 +54,8 @@
     vcDispatchOccurrences.cxx vcDispatchPlacement.cxx
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchWaiting.cxx vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx
+    vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
+    vcDispatchWorkerSet.cxx
     vcOwnerPacing.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -173,6 +173,30 @@
   }
 }
 
+void LogTurnover(RoomTurnover& aTurnover,
+                 const JobsByRuns& aJobs,
+                 std::uint32_t aNumber)
+{
+  spdlog::info("shard.turnover shard={} idle={} one_run={} two_runs={} "
+               "more_runs={} runs={} on_time_waiting={} only_runs_ended={} "
+               "same_job={} other_job={} idle_times={} idle_ms={} "
+               "longest_idle_ms={}",
+               aNumber,
+               aJobs.mIdle,
+               aJobs.mWithOneRun,
+               aJobs.mWithTwoRuns,
+               aJobs.mWithMoreRuns,
+               aJobs.mRuns,
+               aJobs.mOnTimeAndWaiting,
+               aTurnover.mOnlyRunsEnded,
+               aTurnover.mTakenBySameJob,
+               aTurnover.mTakenByOthers,
+               aTurnover.mIdleTimes,
+               aTurnover.mIdleSum.count(),
+               aTurnover.mLongestIdle.count());
+  aTurnover = {};
+}
+
 void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber)
 {
   for (const auto& [reason, row] : aIdle) {
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -68,6 +68,13 @@
 /// @param aNumber number of the shard
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber);
 
+/// Logs how many runs the batch jobs have and which jobs took the room of ended
+/// runs, and starts the counts again.
+/// @param aNumber number of the shard
+void LogTurnover(RoomTurnover& aTurnover,
+                 const JobsByRuns& aJobs,
+                 std::uint32_t aNumber);
+
 /// Logs the shard's idle jobs, one line for each reason.
 /// @param aNumber number of the shard
 void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -373,6 +373,9 @@
       this->mIdleJobs =
         SummarizeIdleJobs(this->mShard, loadLoggedAt, WallClockMs());
       LogIdleJobs(this->mIdleJobs, this->mShardNumber);
+      LogTurnover(this->mShard.mTurnover,
+                  CountJobsByRuns(this->mShard, loadLoggedAt, WallClockMs()),
+                  this->mShardNumber);
       LogInboxReads(this->mInboxReads,
                     this->mShardNumber,
                     this->mNode.mLatestRevision,
