Dispatch: Keep the room of an only run for the job's next task

Each of them had one run at a time, of half a second to a second, and then none for about as long.

Cause: a place that is lost with each run. The end of a run freed its room to whichever job came first, on the worker with the most free processors, so that a job with one run at a time queued anew after each task, behind a second without a run and a reservation. Large tasks fared worst: the hole that they left was taken by smaller ones, and a hole of smaller ones doesn't fit them.

Change: after the only run of a late job the room is kept for the job's next task. Where the same image has just run beside serving tasks well below their targets, no prediction keeps the next task away; after a throttled run it starts as a probe. Reservations prefer workers where runs of jobs with several leave enough room.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -14,6 +14,7 @@
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchState.h"
+#include "vcDispatchSuccession.h"
 #include "vcDispatchThrottling.h"
 #include "vcDispatchTurnover.h"
 #include "vcDispatchWaiting.h"
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -1,6 +1,7 @@
 #include "vcDispatchJobs.h"
 
 #include "vcDispatchOccurrences.h"
+#include "vcDispatchSuccession.h"
 #include "vcDispatchTurnover.h"
 
 #include <spdlog/spdlog.h>
@@ -68,6 +69,7 @@
   Release(aShard, aKey, RunPhase::kDone);
   if (!worker.empty()) {
     NoteRunEnded(job, aNow);
+    NoteRoomLeft(job, aKey, worker);
     CountRunEnd(aShard, aKey, worker, aNow);
   }
   CountTaskDone(aShard, job, aKey, aNow);
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -6,6 +6,7 @@
 #include "vcDispatchProbes.h"
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
+#include "vcDispatchSuccession.h"
 #include "vcDispatchTurnover.h"
 #include "vcDispatchWorkerSet.h"
 #include "vcOwnerPacing.h"
@@ -48,6 +49,8 @@
   kTurn,
   /// As many tasks as fit of a job that can still meet its objective.
   kOnTime,
+  /// The next task of a late job whose only run has just ended, in its room.
+  kSuccession,
   /// One task of a late job that has nothing running.
   kLateTurn,
   /// As many tasks as fit of a late job.
@@ -56,7 +59,8 @@
 
 bool IsTurn(Tier aTier)
 {
-  return aTier == Tier::kTurn || aTier == Tier::kLateTurn;
+  return aTier == Tier::kTurn || aTier == Tier::kSuccession ||
+         aTier == Tier::kLateTurn;
 }
 
 /// A step with tasks that wait for a start.
@@ -201,8 +205,10 @@
 /// The sorted steps in the order of the round, with turns for those whose job
 /// has nothing running. The tasks of a gang start together, so no single one
 /// has a turn.
-std::vector<Candidate> WithTurns(const DispatchShard& aShard,
+/// @param aKept receives the rooms that are kept for some of them
+std::vector<Candidate> WithTurns(DispatchShard& aShard,
                                  const std::vector<Candidate>& aSteps,
+                                 KeptRooms& aKept,
                                  TimePoint aNow,
                                  std::int64_t aNowMs)
 {
@@ -219,7 +225,11 @@
     if (aNow - turn.mDueAt >= kTurnAfter) {
       turn.mTier = Tier::kTurn;
     } else if (step.mTier == Tier::kLate) {
-      turn.mTier = Tier::kLateTurn;
+      const DispatchWorker* left = WorkerLeftBy(aShard, job, turn.mDueAt, aNow);
+      turn.mTier = left != nullptr ? Tier::kSuccession : Tier::kLateTurn;
+      if (left != nullptr) {
+        aKept.Keep(job.mId, *left, RoomOf(StepOf(job, step.mFirstTask)));
+      }
     } else {
       continue;
     }
@@ -253,6 +263,10 @@
   std::map<std::string, std::uint32_t> mOnWorker;
   /// Other than `kNone` if the task to place is a probe.
   ProbeStage mProbeStage = ProbeStage::kNone;
+  /// Rooms that the task must leave to others; null if it may take them.
+  const KeptRooms* mKept = nullptr;
+  /// The task follows the job's last run in the room that this has left.
+  bool mIsSuccessor = false;
 };
 
 StepNeeds NeedsOf(const DispatchShard& aShard, const TaskId& aKey)
@@ -264,7 +278,9 @@
                    CountedNeeds(StepOf(job, aKey)),
                    {},
                    {},
-                   ProbeStage::kNone };
+                   ProbeStage::kNone,
+                   nullptr,
+                   false };
   if (needs.mStep.mIsFilling) {
     needs.mBestEffort = BestEffortNeedsOf(needs.mStep);
   }
@@ -303,6 +319,13 @@
   return step.mMaxPerWorker == 0 || tasksThere < step.mMaxPerWorker;
 }
 
+/// True if the room is reserved for a job that has been idle for so long that
+/// it may take the room of others' only runs.
+bool TakesKeptRoom(const RoomReservation& aRoom, TimePoint aNow)
+{
+  return aNow - aRoom.mIdleSince >= kTakesKeptRoomAfter;
+}
+
 /// Cost of placing a task of the step on the worker, or why it doesn't fit.
 using PlacementCost = std::variant<double, WaitReason>;
 
@@ -312,11 +335,18 @@
                      TimePoint aNow)
 {
   const StepSpec& step = aNeeds.mStep;
-  const Resources after = aWorker.mUsed + aNeeds.mCounted;
+  const JobId& job = aNeeds.mFirstTask.mJob;
+  const WorkerRoom kept = aNeeds.mKept == nullptr
+                            ? WorkerRoom{}
+                            : aNeeds.mKept->KeptFrom(job, aWorker);
+  const Resources after = aWorker.mUsed + kept.mCounted + aNeeds.mCounted;
   if (!Fits(after, aWorker.mEntry.mCapacity)) {
     return WaitReason::kNoCapacity;
   }
-  if (IsReservedForAnother(aShard, aWorker, aNeeds.mFirstTask, aNow)) {
+  const bool mayUseReserved =
+    aNeeds.mIsSuccessor && !TakesKeptRoom(aWorker.mRoom, aNow);
+  if (!mayUseReserved &&
+      IsReservedForAnother(aShard, aWorker, aNeeds.mFirstTask, aNow)) {
     return WaitReason::kReserved;
   }
   const auto capacity = static_cast<double>(
@@ -336,7 +366,8 @@
   }
   if (step.mIsFilling) {
     const auto needed = aNeeds.mBestEffort.mCpu;
-    const auto freeCpu = static_cast<double>(FreeBestEffortCpu(aWorker));
+    const auto freeCpu =
+      static_cast<double>(FreeBestEffortCpu(aWorker) - kept.mBestEffortCpu);
     if (freeCpu < needed * kMinFreeCpuFraction) {
       return WaitReason::kBestEffortCpu;
     }
@@ -346,8 +377,11 @@
     const BestEffortEffect effect =
       BestEffortEffectOf(aShard, aWorker, aNeeds.mBestEffort, aNow);
     const bool isProbe = aNeeds.mProbeStage != ProbeStage::kNone;
+    const bool isKnown =
+      aNeeds.mIsSuccessor &&
+      IsKnownNotToDisturb(aShard.mJobs.at(job), step, aWorker);
     if (isProbe ? !MayProbe(aWorker, aNeeds.mProbeStage, aNow)
-                : effect.mIsOverLimit) {
+                : effect.mIsOverLimit && !isKnown) {
       return WaitReason::kBestEffortDisturbs;
     }
     // Prefers workers that this task disturbs less than an average best-effort
@@ -530,6 +564,10 @@
   /// Reserved workers for which a suspect already waits in this round.
   std::set<const DispatchWorker*> mAwaited;
   FailedPlacements mFailedPlacements;
+  /// The same for steps that leave kept rooms to others.
+  FailedPlacements mFailedBesideKept;
+  /// Rooms that are kept for jobs whose only run has just ended.
+  KeptRooms mKept;
   /// The same for reservations.
   FailedPlacements mFailedReservations;
   /// The same for probes, by stage.
@@ -632,25 +670,40 @@
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
 }
 
+/// Whether a step may take the room that is kept for the next task of another
+/// job.
+enum class KeptRoomUse
+{
+  kTake,
+  kLeave,
+};
+
 /// Starts waiting tasks of a step one by one, as far as there is capacity.
 /// @param aMaxStarts maximum number of tasks to start
 void StartIndividually(DispatchShard& aShard,
                        const TaskId& aFirstTask,
                        std::uint32_t aMaxStarts,
+                       KeptRoomUse aUse,
                        Round& aRound,
                        DispatchActions& aActions)
 {
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
   const std::string& service = job.mRecord.mTerms.mService;
   auto& usable = aRound.mUsable[service];
+  const StepSpec& step = StepOf(job, aFirstTask);
+  const bool leavesKept = aUse == KeptRoomUse::kLeave;
+  FailedPlacements& failed =
+    leavesKept ? aRound.mFailedBesideKept : aRound.mFailedPlacements;
   // Steps before it may have failed only since the room is kept for this one.
   const bool isKnownToFail =
-    aRound.mFailedPlacements.IsKnownToFail(service, StepOf(job, aFirstTask)) &&
+    (aRound.mFailedPlacements.IsKnownToFail(service, step) ||
+     failed.IsKnownToFail(service, step)) &&
     !HasReservation(aFirstTask, usable, aRound.mNow);
   if (isKnownToFail) {
     return;
   }
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  needs.mKept = leavesKept ? &aRound.mKept : nullptr;
   StepWorkers workers(aShard, needs, usable, aRound.mNow);
   TaskId key = aFirstTask;
   std::uint32_t started = 0;
@@ -666,7 +719,7 @@
     if (worker == nullptr) {
       // If the step limits its tasks per worker, other steps may still fit.
       if (needs.mStep.mMaxPerWorker == 0) {
-        aRound.mFailedPlacements.Record(service, needs.mStep);
+        failed.Record(service, needs.mStep);
       }
       return;
     }
@@ -751,13 +804,91 @@
   const auto mayRun = [&](const DispatchWorker& aWorker) {
     return IsAllowed(needs, aWorker);
   };
-  const bool canFit =
-    ReserveRoom(aShard, aFirstTask, workers, mayRun, aRound.mNow);
+  const TimePoint idleSince =
+    IdleSince(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  const bool canFit = ReserveRoom(
+    aShard, aFirstTask, idleSince, workers, mayRun, aRound.mKept, aRound.mNow);
   if (!canFit && step.mMaxPerWorker == 0) {
     failed.Record(service, step);
   }
 }
 
+/// Index of the first task of a step that waits for a start; the number of its
+/// tasks if none waits.
+std::uint32_t FirstWaiting(const DispatchStep& aStep, TimePoint aNow)
+{
+  const auto first = std::find_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
+      return IsWaiting(aTask, aNow);
+    });
+  return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
+}
+
+/// Starts the step's next task in the room that the job's last run has left, if
+/// it still fits there.
+void StartSuccessor(DispatchShard& aShard,
+                    const TaskId& aFirstTask,
+                    Round& aRound,
+                    DispatchActions& aActions)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const DispatchStep& state = StepStateOf(aShard, aFirstTask);
+  TaskId key = aFirstTask;
+  key.mIndex = FirstWaiting(state, aRound.mNow);
+  DispatchWorker* worker = FindWorker(aShard, job.mLastRun.mWorker);
+  if (worker == nullptr || key.mIndex == state.mTasks.size()) {
+    return;
+  }
+  StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  needs.mKept = &aRound.mKept;
+  needs.mIsSuccessor = true;
+  const auto& usable = aRound.mUsable[needs.mService];
+  const bool isUsable =
+    std::find(usable.begin(), usable.end(), worker) != usable.end();
+  const DispatchTask& task = state.mTasks[key.mIndex];
+  const bool fits =
+    isUsable && task.mAvoidedWorker != worker->mEntry.mWorker &&
+    IsAllowed(needs, *worker) &&
+    std::holds_alternative<double>(CostOf(aShard, needs, *worker, aRound.mNow));
+  if (!fits) {
+    return;
+  }
+  const bool isOverLimit =
+    needs.mStep.mIsFilling &&
+    BestEffortEffectOf(aShard, *worker, needs.mBestEffort, aRound.mNow)
+      .mIsOverLimit;
+  StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+  // At full speed it may disturb where the last run, throttled, didn't.
+  FindTask(aShard, key)->mIsProbe = isOverLimit && job.mLastRun.mWasThrottled;
+}
+
+/// Starts one task of a job that has nothing running.
+void StartTurn(DispatchShard& aShard,
+               const Candidate& aTurn,
+               Round& aRound,
+               DispatchActions& aActions)
+{
+  const TaskId& first = aTurn.mFirstTask;
+  const DispatchJob& job = aShard.mJobs.at(first.mJob);
+  if (aTurn.mTier == Tier::kSuccession) {
+    StartSuccessor(aShard, first, aRound, aActions);
+    aRound.mKept.Release(first.mJob);
+  }
+  const auto startOne = [&](KeptRoomUse aUse) {
+    if (job.mActiveRuns == 0) {
+      StartIndividually(aShard, first, 1, aUse, aRound, aActions);
+    }
+  };
+  startOne(KeptRoomUse::kLeave);
+  if (aTurn.mTier != Tier::kTurn) {
+    return;
+  }
+  if (aRound.mNow - aTurn.mDueAt >= kTakesKeptRoomAfter) {
+    startOne(KeptRoomUse::kTake);
+  }
+  KeepRoom(aShard, first, aRound);
+}
+
 /// Starts the tasks of one candidate.
 void StartCandidate(DispatchShard& aShard,
                     const Candidate& aCandidate,
@@ -772,16 +903,15 @@
     return;
   }
   if (!IsTurn(aCandidate.mTier)) {
-    StartIndividually(aShard, first, step.mCount, aRound, aActions);
+    const KeptRoomUse use = aCandidate.mTier == Tier::kLate
+                              ? KeptRoomUse::kLeave
+                              : KeptRoomUse::kTake;
+    StartIndividually(aShard, first, step.mCount, use, aRound, aActions);
     return;
   }
   // Another step of the job may have had its turn in this round.
-  if (job.mActiveRuns > 0) {
-    return;
-  }
-  StartIndividually(aShard, first, 1, aRound, aActions);
-  if (aCandidate.mTier == Tier::kTurn) {
-    KeepRoom(aShard, first, aRound);
+  if (job.mActiveRuns == 0) {
+    StartTurn(aShard, aCandidate, aRound, aActions);
   }
 }
 
@@ -905,17 +1035,6 @@
   }
 }
 
-/// Index of the first task of a step that waits for a start; the number of its
-/// tasks if none waits.
-std::uint32_t FirstWaiting(const DispatchStep& aStep, TimePoint aNow)
-{
-  const auto first = std::find_if(
-    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
-      return IsWaiting(aTask, aNow);
-    });
-  return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
-}
-
 /// Starts one task of a best-effort step as a probe, if a worker is eligible.
 void StartProbe(DispatchShard& aShard,
                 const TaskId& aFirstTask,
@@ -1084,7 +1203,8 @@
   std::sort(steps.begin(), steps.end(), ComesBefore);
   Round round = MakeRound(aShard, aNow, aNowMs);
   StartSuspects(aShard, steps, round, aActions);
-  for (const auto& candidate : WithTurns(aShard, steps, aNow, aNowMs)) {
+  const auto candidates = WithTurns(aShard, steps, round.mKept, aNow, aNowMs);
+  for (const auto& candidate : candidates) {
     if (aShard.mStartBudget <= 0) {
       return;
     }
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -27,11 +27,12 @@
 std::optional<double> MissingBestEffortRoom(const DispatchShard& aShard,
                                             const DispatchWorker& aWorker,
                                             const StepSpec& aStep,
+                                            const WorkerRoom& aKept,
                                             TimePoint aNow)
 {
   const BestEffortNeeds needs = BestEffortNeedsOf(aStep);
-  const auto missing =
-    needs.mCpu - static_cast<double>(FreeBestEffortCpu(aWorker));
+  const auto missing = needs.mCpu + static_cast<double>(aKept.mBestEffortCpu) -
+                       static_cast<double>(FreeBestEffortCpu(aWorker));
   const bool canBeFreed =
     missing <= static_cast<double>(aWorker.mBestEffortCpu);
   const bool isOpen =
@@ -43,16 +44,34 @@
 
 /// The same for any other task. Long-running tasks don't free their room.
 std::optional<double> MissingRoom(const DispatchWorker& aWorker,
-                                  const StepSpec& aStep)
+                                  const StepSpec& aStep,
+                                  const WorkerRoom& aKept)
 {
   if (!Fits(aWorker.mLongRunning + aStep.mNeeds, aWorker.mEntry.mCapacity)) {
     return std::nullopt;
   }
-  const Resources after = aWorker.mUsed + aStep.mNeeds;
+  const Resources after = aWorker.mUsed + aKept.mCounted + aStep.mNeeds;
   return static_cast<double>(after.mMilliCpu -
                              aWorker.mEntry.mCapacity.mMilliCpu);
 }
 
+/// Processors, in thousandths, of the runs on the worker that aren't the only
+/// one of their job.
+double SpareCpu(const DispatchShard& aShard,
+                const DispatchWorker& aWorker,
+                bool aIsBestEffort)
+{
+  std::int64_t spare = 0;
+  for (const auto& key : aWorker.mTasks) {
+    const DispatchJob& job = aShard.mJobs.at(key.mJob);
+    const StepSpec& step = StepOf(job, key);
+    const bool isSpare = job.mActiveRuns > 1 && !step.mIsLasting &&
+                         step.mIsFilling == aIsBestEffort;
+    spare += isSpare ? step.mNeeds.mMilliCpu : 0;
+  }
+  return static_cast<double>(spare);
+}
+
 } // namespace
 
 bool IsReservedForAnother(const DispatchShard& aShard,
@@ -86,8 +105,10 @@
 
 bool ReserveRoom(const DispatchShard& aShard,
                  const TaskId& aFirstTask,
+                 TimePoint aIdleSince,
                  std::span<DispatchWorker* const> aWorkers,
                  const std::function<bool(const DispatchWorker&)>& aMayRun,
+                 const KeptRooms& aKept,
                  TimePoint aNow)
 {
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
@@ -108,18 +129,26 @@
   if (reserved >= most) {
     return true;
   }
+  using Rank = std::pair<bool, double>;
   DispatchWorker* best = nullptr;
-  double leastMissing = 0;
+  Rank bestRank;
   for (auto* worker : aWorkers) {
     if (IsReserved(*worker, aNow) || !aMayRun(*worker)) {
       continue;
     }
-    const auto missing = step.mIsFilling
-                           ? MissingBestEffortRoom(aShard, *worker, step, aNow)
-                           : MissingRoom(*worker, step);
-    if (missing && (best == nullptr || *missing < leastMissing)) {
+    const WorkerRoom kept = aKept.KeptFrom(aFirstTask.mJob, *worker);
+    const auto missing =
+      step.mIsFilling ? MissingBestEffortRoom(aShard, *worker, step, kept, aNow)
+                      : MissingRoom(*worker, step, kept);
+    if (!missing) {
+      continue;
+    }
+    const bool takesOnlyRuns =
+      *missing > SpareCpu(aShard, *worker, step.mIsFilling);
+    const Rank rank{ takesOnlyRuns, *missing };
+    if (best == nullptr || rank < bestRank) {
       best = worker;
-      leastMissing = *missing;
+      bestRank = rank;
     }
   }
   if (best == nullptr) {
@@ -128,11 +157,14 @@
   best->mRoom = { aFirstTask,
                   step.mIsFilling,
                   job.mRecord.mTerms.mPriority,
+                  aIdleSince,
                   aNow + kReservationTime };
-  spdlog::info("worker.reserved worker={} task={} missing_mcpu={:.0f}",
+  spdlog::info("worker.reserved worker={} task={} missing_mcpu={:.0f} "
+               "takes_only_runs={}",
                best->mEntry.mWorker,
                Describe(aFirstTask),
-               leastMissing);
+               bestRank.second,
+               bestRank.first);
   return true;
 }
 
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -5,7 +5,7 @@
 /// idle for long enough, one worker starts no others of its kind until there is
 /// room for it.
 
-#include "vcDispatchState.h"
+#include "vcDispatchSuccession.h"
 
 #include <functional>
 #include <span>
@@ -27,15 +27,20 @@
                     TimePoint aNow);
 
 /// Reserves the worker that lacks the least room for a task of the step, or
-/// renews the step's reservation. Does nothing if only long-running tasks are
-/// in the way, or if too many of the workers are reserved.
+/// renews the step's reservation. Workers where runs of jobs that have several
+/// leave enough are preferred. Does nothing if only long-running tasks are in
+/// the way, or if too many of the workers are reserved.
+/// @param aIdleSince since when the step's job has had nothing running
+/// @param aKept room that is free for others only
 /// @param aWorkers the usable workers of the step's service
 /// @param aMayRun tells whether the step's label and limits allow a worker
 /// @return false if no worker would suit; one that needs more won't either
 bool ReserveRoom(const DispatchShard& aShard,
                  const TaskId& aFirstTask,
+                 TimePoint aIdleSince,
                  std::span<DispatchWorker* const> aWorkers,
                  const std::function<bool(const DispatchWorker&)>& aMayRun,
+                 const KeptRooms& aKept,
                  TimePoint aNow);
 
 /// Ends the step's reservation, if it has one among these workers.
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -151,6 +151,16 @@
   std::uint32_t mStepsDone = 0;
 };
 
+/// The last run of a job that ended as done (vcDispatchSuccession.h).
+struct LastRun
+{
+  /// Empty if there is none.
+  std::string mWorker;
+  std::uint32_t mStep = 0;
+  /// It ran throttled, so a task at full speed may disturb more.
+  bool mWasThrottled = false;
+};
+
 /// A job of the shard and the state of its tasks.
 struct DispatchJob
 {
@@ -181,6 +191,7 @@
   /// When the last of them ended, or the job was accepted. Only valid while
   /// there are none.
   TimePoint mIdleSince{ kNever };
+  LastRun mLastRun;
   TimePoint mEndedAt{ kNever };
   /// The same in ms since 1970.
   std::int64_t mEndedAtMs = 0;
@@ -240,6 +251,8 @@
   bool mIsBestEffort = false;
   /// Of the step's queue; a lower value is more urgent.
   std::int32_t mPriority = 0;
+  /// Since when its job has had nothing running.
+  TimePoint mIdleSince{ kNever };
   TimePoint mUntil{ kNever };
 };
 
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -54,7 +54,7 @@
     vcDispatchOccurrences.cxx vcDispatchPlacement.cxx
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
+    vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
     vcDispatchWorkerSet.cxx
     vcOwnerPacing.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
