Dispatch: Keep no room after a run that wasn't done

The room of a job's last done run was kept again once a later run elsewhere had failed or was stopped, though that room had long gone to others. And room for ordinary late work was kept from more urgent queues, which the reservations never do.

Now the end of any other run clears what is known of the last one, and room that isn't for best-effort tasks is kept from the same queue and less urgent ones only.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -228,7 +228,7 @@
       const DispatchWorker* left = WorkerLeftBy(aShard, job, turn.mDueAt, aNow);
       turn.mTier = left != nullptr ? Tier::kSuccession : Tier::kLateTurn;
       if (left != nullptr) {
-        aKept.Keep(job.mId, *left, RoomOf(StepOf(job, step.mFirstTask)));
+        aKept.Keep(job, StepOf(job, step.mFirstTask), *left);
       }
     } else {
       continue;
@@ -335,7 +335,7 @@
                      TimePoint aNow)
 {
   const StepSpec& step = aNeeds.mStep;
-  const JobId& job = aNeeds.mFirstTask.mJob;
+  const DispatchJob& job = aShard.mJobs.at(aNeeds.mFirstTask.mJob);
   const WorkerRoom kept = aNeeds.mKept == nullptr
                             ? WorkerRoom{}
                             : aNeeds.mKept->KeptFrom(job, aWorker);
@@ -378,8 +378,7 @@
       BestEffortEffectOf(aShard, aWorker, aNeeds.mBestEffort, aNow);
     const bool isProbe = aNeeds.mProbeStage != ProbeStage::kNone;
     const bool isKnown =
-      aNeeds.mIsSuccessor &&
-      IsKnownNotToDisturb(aShard.mJobs.at(job), step, aWorker);
+      aNeeds.mIsSuccessor && IsKnownNotToDisturb(job, step, aWorker);
     if (isProbe ? !MayProbe(aWorker, aNeeds.mProbeStage, aNow)
                 : effect.mIsOverLimit && !isKnown) {
       return WaitReason::kBestEffortDisturbs;
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -136,7 +136,7 @@
     if (IsReserved(*worker, aNow) || !aMayRun(*worker)) {
       continue;
     }
-    const WorkerRoom kept = aKept.KeptFrom(aFirstTask.mJob, *worker);
+    const WorkerRoom kept = aKept.KeptFrom(job, *worker);
     const auto missing =
       step.mIsFilling ? MissingBestEffortRoom(aShard, *worker, step, kept, aNow)
                       : MissingRoom(*worker, step, kept);
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -186,7 +186,9 @@
   const bool wasSeen = FindTask(aShard, aKey)->mPhase != RunPhase::kStarting;
   Release(aShard, aKey, RunPhase::kWaiting);
   if (wasSeen) {
-    NoteRunEnded(aShard.mJobs.at(aKey.mJob), aNow);
+    DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+    NoteRunEnded(job, aNow);
+    job.mLastRun = {};
   }
   FindTask(aShard, aKey)->mWaitingSince = aNow;
 }
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -151,10 +151,10 @@
   std::uint32_t mStepsDone = 0;
 };
 
-/// The last run of a job that ended as done (vcDispatchSuccession.h).
+/// The last run of a job, if it ended as done (vcDispatchSuccession.h).
 struct LastRun
 {
-  /// Empty if there is none.
+  /// Empty if it didn't.
   std::string mWorker;
   std::uint32_t mStep = 0;
   /// It ran throttled, so a task at full speed may disturb more.
--- a/Source/Dispatch/vcDispatchSuccession.cxx
+++ b/Source/Dispatch/vcDispatchSuccession.cxx
@@ -10,57 +10,57 @@
 /// follows the report of the end, or a few later if it is refused.
 constexpr Duration kKeptTime{ 300 };
 
-void Add(WorkerRoom& aSum, const WorkerRoom& aRoom)
+/// The room that a task of the step needs.
+WorkerRoom RoomOf(const StepSpec& aStep)
 {
-  aSum.mCounted += aRoom.mCounted;
-  aSum.mBestEffortCpu += aRoom.mBestEffortCpu;
+  return { CountedNeeds(aStep), aStep.mIsFilling ? aStep.mNeeds.mMilliCpu : 0 };
 }
 
-void Subtract(WorkerRoom& aSum, const WorkerRoom& aRoom)
+bool IsKeptFrom(const KeptRoom& aKept, const DispatchJob& aJob)
 {
-  aSum.mCounted -= aRoom.mCounted;
-  aSum.mBestEffortCpu -= aRoom.mBestEffortCpu;
+  const bool isMoreUrgent = aJob.mRecord.mTerms.mPriority < aKept.mPriority;
+  return aKept.mJob != aJob.mId && (aKept.mIsBestEffort || !isMoreUrgent);
 }
 
 } // namespace
 
-WorkerRoom RoomOf(const StepSpec& aStep)
-{
-  return { CountedNeeds(aStep), aStep.mIsFilling ? aStep.mNeeds.mMilliCpu : 0 };
-}
-
-void KeptRooms::Keep(const JobId& aJob,
-                     const DispatchWorker& aWorker,
-                     const WorkerRoom& aRoom)
+void KeptRooms::Keep(const DispatchJob& aJob,
+                     const StepSpec& aStep,
+                     const DispatchWorker& aWorker)
 {
-  const bool isNew = this->mRooms.try_emplace(aJob, &aWorker, aRoom).second;
-  if (isNew) {
-    Add(this->mSums[&aWorker], aRoom);
+  if (this->mWorkers.try_emplace(aJob.mId, &aWorker).second) {
+    const std::int32_t priority = aJob.mRecord.mTerms.mPriority;
+    this->mRooms[&aWorker].push_back(
+      { aJob.mId, priority, aStep.mIsFilling, RoomOf(aStep) });
   }
 }
 
 void KeptRooms::Release(const JobId& aJob)
 {
-  const auto found = this->mRooms.find(aJob);
-  if (found != this->mRooms.end()) {
-    Subtract(this->mSums.at(found->second.mWorker), found->second.mRoom);
-    this->mRooms.erase(found);
+  const auto found = this->mWorkers.find(aJob);
+  if (found == this->mWorkers.end()) {
+    return;
   }
+  std::erase_if(this->mRooms.at(found->second),
+                [&](const KeptRoom& aKept) { return aKept.mJob == aJob; });
+  this->mWorkers.erase(found);
 }
 
-WorkerRoom KeptRooms::KeptFrom(const JobId& aJob,
+WorkerRoom KeptRooms::KeptFrom(const DispatchJob& aJob,
                                const DispatchWorker& aWorker) const
 {
-  const auto sum = this->mSums.find(&aWorker);
-  if (sum == this->mSums.end()) {
-    return {};
+  WorkerRoom sum;
+  const auto rooms = this->mRooms.find(&aWorker);
+  if (rooms == this->mRooms.end()) {
+    return sum;
   }
-  WorkerRoom kept = sum->second;
-  const auto own = this->mRooms.find(aJob);
-  if (own != this->mRooms.end() && own->second.mWorker == &aWorker) {
-    Subtract(kept, own->second.mRoom);
+  for (const auto& kept : rooms->second) {
+    if (IsKeptFrom(kept, aJob)) {
+      sum.mCounted += kept.mRoom.mCounted;
+      sum.mBestEffortCpu += kept.mRoom.mBestEffortCpu;
+    }
   }
-  return kept;
+  return sum;
 }
 
 void NoteRoomLeft(DispatchJob& aJob,
--- a/Source/Dispatch/vcDispatchSuccession.h
+++ b/Source/Dispatch/vcDispatchSuccession.h
@@ -14,7 +14,7 @@
 /// for another. Up to then it waits for room that jobs with several runs leave.
 constexpr Duration kTakesKeptRoomAfter{ 1'500 };
 
-/// Free room on a worker.
+/// Room on a worker.
 struct WorkerRoom
 {
   /// As in `CountedNeeds`.
@@ -23,33 +23,38 @@
   std::int64_t mBestEffortCpu = 0;
 };
 
-/// The room that a task of the step needs.
-WorkerRoom RoomOf(const StepSpec& aStep);
+/// Room that is kept for the next task of a job.
+struct KeptRoom
+{
+  JobId mJob;
+  /// Of the job's queue; a lower value is more urgent.
+  std::int32_t mPriority = 0;
+  bool mIsBestEffort = false;
+  WorkerRoom mRoom;
+};
 
 /// The rooms that one round of starts keeps, at most one for each job.
 class KeptRooms
 {
 public:
-  /// Keeps room for the job, unless one is kept for it already.
-  void Keep(const JobId& aJob,
-            const DispatchWorker& aWorker,
-            const WorkerRoom& aRoom);
+  /// Keeps room on the worker for a task of the job's step, unless room is kept
+  /// for the job already.
+  void Keep(const DispatchJob& aJob,
+            const StepSpec& aStep,
+            const DispatchWorker& aWorker);
 
   /// Ends what is kept for the job, if anything is.
   void Release(const JobId& aJob);
 
-  /// The room on the worker that is kept for jobs other than this one.
-  WorkerRoom KeptFrom(const JobId& aJob, const DispatchWorker& aWorker) const;
+  /// The room on the worker that is kept from the job: that of others, unless
+  /// it isn't for best-effort tasks and the job is more urgent.
+  WorkerRoom KeptFrom(const DispatchJob& aJob,
+                      const DispatchWorker& aWorker) const;
 
 private:
-  struct Kept
-  {
-    const DispatchWorker* mWorker = nullptr;
-    WorkerRoom mRoom;
-  };
-
-  std::map<JobId, Kept> mRooms;
-  std::map<const DispatchWorker*, WorkerRoom> mSums;
+  std::map<const DispatchWorker*, std::vector<KeptRoom>> mRooms;
+  /// By job, the worker on which its room is kept.
+  std::map<JobId, const DispatchWorker*> mWorkers;
 };
 
 /// Notes on which worker a run of the job ended as done. Called after the run
