Dispatch: Split placement by duty

The placement had grown to 1,215 lines in one file, with five duties beside the order of the starts.

Pure moves into modules that are internal to the library: the cost of a placement (vcPlacementCost), the state of a round and a single start (vcPlacementRound), the candidates and their order (vcPlacementCandidates), the starts of suspects (vcSuspectStarts) and of probes (vcProbeStarts). The members of the two classes moved out of line. What files now share got doc comments.

A comparison of the lines before and after shows only declarations, includes, comments and layout as changes.

--- /dev/null
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -0,0 +1,137 @@
+#include "vcSuspectStarts.h"
+
+#include "vcDispatchCrashes.h"
+
+#include <algorithm>
+#include <tuple>
+#include <variant>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A worker that is reserved for a suspect stays so for this long after the
+/// last round in which the suspect waited.
+constexpr Duration kReservationTime{ 300 };
+
+/// The worker on which a suspect is started: one where every run was seen at
+/// work, with as few runs as possible. Null if there is none.
+DispatchWorker* ChooseApart(const DispatchShard& aShard,
+                            const StepNeeds& aNeeds,
+                            const Round& aRound,
+                            const std::vector<DispatchWorker*>& aWorkers)
+{
+  DispatchWorker* best = nullptr;
+  for (auto* worker : aWorkers) {
+    const bool isFit = IsAllowed(aNeeds, *worker) &&
+                       !HasUnseenRun(aShard, *worker) &&
+                       std::holds_alternative<double>(
+                         CostOf(aShard, aNeeds, *worker, aRound.mNow));
+    const bool isBetter =
+      best == nullptr || worker->mTasks.size() < best->mTasks.size();
+    if (isFit && isBetter) {
+      best = worker;
+    }
+  }
+  return best;
+}
+
+/// Keeps a worker free of other starts, until all runs there were seen at work
+/// and a suspect can be started.
+void ReserveWorker(const DispatchShard& aShard,
+                   const StepNeeds& aNeeds,
+                   Round& aRound,
+                   const std::vector<DispatchWorker*>& aWorkers)
+{
+  // One worker of so many may be reserved, and one in any case.
+  constexpr std::size_t kWorkersForOneReserved = 5;
+  using Rank = std::tuple<bool, bool, std::size_t>;
+  DispatchWorker* best = nullptr;
+  Rank bestRank;
+  std::size_t reserved = 0;
+  for (auto* worker : aWorkers) {
+    const bool isReserved = aRound.mNow < worker->mReservedUntil;
+    reserved += isReserved ? 1 : 0;
+    if (!IsAllowed(aNeeds, *worker) || aRound.mAwaited.contains(worker)) {
+      continue;
+    }
+    const bool hasRoom = std::holds_alternative<double>(
+      CostOf(aShard, aNeeds, *worker, aRound.mNow));
+    const Rank rank{ !isReserved, !hasRoom, worker->mTasks.size() };
+    if (best == nullptr || rank < bestRank) {
+      best = worker;
+      bestRank = rank;
+    }
+  }
+  const std::size_t most =
+    std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneReserved);
+  if (best == nullptr || (std::get<0>(bestRank) && reserved >= most)) {
+    return;
+  }
+  best->mReservedUntil = aRound.mNow + kReservationTime;
+  aRound.mAwaited.insert(best);
+}
+
+/// Starts the waiting suspects of a step, each apart from runs that weren't
+/// seen at work yet.
+void StartSuspectsOf(DispatchShard& aShard,
+                     const TaskId& aFirstTask,
+                     Round& aRound,
+                     DispatchActions& aActions)
+{
+  const std::set<TaskId> suspects = aShard.mSuspects;
+  for (auto at = suspects.lower_bound(aFirstTask); at != suspects.end(); ++at) {
+    TaskId first = *at;
+    first.mIndex = 0;
+    if (first != aFirstTask) {
+      return;
+    }
+    const DispatchTask* suspect = FindTask(aShard, *at);
+    if (suspect == nullptr || !IsStartable(*suspect, aRound.mNow)) {
+      continue;
+    }
+    const DispatchTask& task = *suspect;
+    const StepNeeds needs = NeedsOf(aShard, *at);
+    std::size_t& places = aRound.mPlacesForSuspects[needs.mService];
+    if (places == 0) {
+      return;
+    }
+    auto& workers = aRound.mUsable[needs.mService];
+    DispatchWorker* worker = ChooseApart(aShard, needs, aRound, workers);
+    if (worker == nullptr) {
+      if (!MayStartBesideOthers(task, aRound.mNow)) {
+        ReserveWorker(aShard, needs, aRound, workers);
+      }
+      continue;
+    }
+    StartOn(aShard, *at, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+    worker->mReservedUntil = kNever;
+    std::erase(workers, worker);
+    --places;
+  }
+}
+
+} // namespace
+
+void StartSuspects(DispatchShard& aShard,
+                   const std::vector<Candidate>& aCandidates,
+                   Round& aRound,
+                   DispatchActions& aActions)
+{
+  if (aShard.mSuspects.empty()) {
+    return;
+  }
+  for (const auto& candidate : aCandidates) {
+    const TaskId& key = candidate.mFirstTask;
+    if (!StepOf(aShard.mJobs.at(key.mJob), key).mIsGang) {
+      StartSuspectsOf(aShard, key, aRound, aActions);
+    }
+  }
+  for (auto& [service, workers] : aRound.mUsable) {
+    std::erase_if(workers, [&](const DispatchWorker* aWorker) {
+      return aRound.mNow < aWorker->mReservedUntil;
+    });
+  }
+}
+
+} // namespace verbenacroft
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -56,7 +56,9 @@
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
     vcDispatchWorkerSet.cxx
-    vcOwnerPacing.cxx vcWorkerCalls.cxx
+    vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
+    vcPlacementRound.cxx vcProbeStarts.cxx vcSuspectStarts.cxx
+    vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFormerOwner.cxx
