Fleet: Play owners that are lost in series

Only one pair of waits was tested: an owner and workers that are lost at the same moment, or three owners with calm to come. Whether the whole wait (loss of the worker, claim, barrier, start) is bounded when each owner is lost before it has settled was not.

In the play owners-lost-in-series 1 to 3 workers are gone for good. Within 1 s of that the owner is lost, and 2 to 6 s after each loss the next one, two to four in all: killed, paused, turned away or handing over, and back 2 to 6 s later. The long-running tasks run again 11 s after the last loss (4 s to catch up, 4 s of calm, 3 s), and within 9 s of the last claim, less what the owners before have waited (all but 2.25 s of each, which the record needs).

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -214,6 +214,8 @@
     this->SchedulePartition();
   } else if (this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost) {
     this->ScheduleLossOfOwnerAndWorkers();
+  } else if (this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries) {
+    this->ScheduleOwnersLostInSeries();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
@@ -259,6 +261,7 @@
   Advance(this->mStore, this->mNow);
   Advance(this->mWorkers, this->mNow);
   this->HandleCrashes();
+  this->NoteClaim();
   for (auto& [name, life] : this->mLives) {
     if (!life.mIsPaused) {
       life.mIo->poll();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -55,6 +55,10 @@
   /// An owner and some workers are lost for good at the same moment. The
   /// long-running tasks of these workers run again in time.
   kOwnerAndWorkersLost,
+  /// Some workers are gone for good, and at that time and after it one owner
+  /// after another is lost, each before it has settled. The long-running tasks
+  /// of these workers run again in time after the last loss.
+  kOwnersLostInSeries,
 };
 
 template<>
@@ -71,6 +75,7 @@
     { FleetPlay::kChokedOwner, "choked-owner" },
     { FleetPlay::kDeadlyTasks, "deadly-tasks" },
     { FleetPlay::kOwnerAndWorkersLost, "owner-and-workers-lost" },
+    { FleetPlay::kOwnersLostInSeries, "owners-lost-in-series" },
   });
 };
 
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -122,7 +122,8 @@
   constexpr std::uint32_t kManyJobs = 4;
   const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
                            aOptions.mPlay == FleetPlay::kLongPartition ||
-                           aOptions.mPlay == FleetPlay::kOwnerAndWorkersLost;
+                           aOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
+                           aOptions.mPlay == FleetPlay::kOwnersLostInSeries;
   // Tasks that end in fast succession on each of many workers.
   constexpr std::uint32_t kChokedWorkers = 120;
   constexpr std::uint32_t kChokedJobs = 10;
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -149,7 +149,8 @@
   {
     return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
            this->mOptions.mPlay == FleetPlay::kLongPartition ||
-           this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost;
+           this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
+           this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries;
   }
 
   // The fleet and its clock.
@@ -220,6 +221,13 @@
   void EndOwnerLoss(OwnerLoss aLoss, const std::string& aOwner);
   void SchedulePartition();
   void ScheduleLossOfOwnerAndWorkers();
+  void ScheduleOwnersLostInSeries();
+  OwnerLoss DrawLossOfOneOwner();
+  /// Counts what the owner has waited for the workers that are gone.
+  void OnOwnerLostInSeries();
+  /// Notes a claim of the first shard that has just come.
+  void NoteClaim();
+  void ScheduleCheckAfterLastClaim();
   /// From now on the node reaches only these workers, and only it does.
   void CutOff(const std::string& aNode, const std::set<std::string>& aWorkers);
   /// Ends that.
@@ -290,6 +298,15 @@
   /// Number of times that the owner is still killed just after a crash.
   int mKillsLeft = 0;
   bool mIsOwnerKilled = false;
+  /// Revision and time of the last claim of the first shard.
+  std::uint64_t mClaim = 0;
+  TimePoint mClaimedAt = kStart;
+  TimePoint mWorkersGoneAt = kStart;
+  /// What the owners that were lost in series have waited for these workers,
+  /// as far as it counts for the next one.
+  Duration mWaited{ 0 };
+  /// True from the loss of the last of them to the claim after it.
+  bool mIsClaimAwaited = false;
   /// Number of workers that have returned under a new id.
   int mReplacements = 0;
   /// Jobs that were refused as not run.
--- a/Tests/Fleet/vcFleetTakeovers.cxx
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -1,6 +1,7 @@
 /// The plays of successive takeovers, in which workers are gone for good and
 /// owners lose the shard before they have settled, of a long partition, and of
-/// an owner and workers that are lost at the same moment.
+/// an owner and workers that are lost at the same moment, and of owners that
+/// are lost in series after that.
 
 #include "vcFleetState.h"
 
@@ -24,6 +25,26 @@
 /// After a loss the nodes have 4 s to catch up and 4 s of calm. A task that
 /// could run from then on doesn't wait for 3 s.
 constexpr Duration kRunAgainAfterLoss{ 11'000 };
+/// An owner waits for lost workers for this time from its claim, past which no
+/// owner before it has granted a lease, less what owners before it have waited.
+constexpr Duration kLongestWait{ 8'500 };
+/// This much of an owner's wait doesn't count for the next one: the record may
+/// say 1 s too much, is checked every second, and the shard is loaded first.
+constexpr Duration kUncountedWait{ 2'250 };
+/// From the end of the wait until the tasks have started.
+constexpr Duration kStartsWithin{ 500 };
+/// Owners that are lost in series with the workers.
+constexpr int kFewestInSeries = 2;
+constexpr int kMostInSeries = 4;
+/// Time from one of these losses to the next.
+constexpr int kNextLossMinMs = 2'000;
+constexpr int kNextLossMaxMs = 6'000;
+/// No owner has settled within this time of the first loss: the next one claims
+/// the shard up to 1.5 s later and waits for 8.5 s.
+constexpr Duration kUnsettled{ 9'000 };
+/// Until the owner that was lost is back.
+constexpr int kOwnerBackMinMs = 2'000;
+constexpr int kOwnerBackMaxMs = 6'000;
 
 /// When a next owner can be at work.
 TimePoint TakenOverAt(OwnerLoss aLoss, TimePoint aAt, TimePoint aEnd)
@@ -167,6 +188,76 @@
   this->ScheduleCheckOfWork(at + kRunAgainAfterLoss);
 }
 
+OwnerLoss Fleet::DrawLossOfOneOwner()
+{
+  OwnerLoss loss = this->DrawOwnerLoss();
+  while (loss == OwnerLoss::kStoreDown) {
+    loss = this->DrawOwnerLoss();
+  }
+  return loss;
+}
+
+void Fleet::ScheduleOwnersLostInSeries()
+{
+  const TimePoint goneAt =
+    kStart + kQuietStart + Duration(this->Draw(6'000, 9'000));
+  this->ScheduleGoneWorkers(goneAt);
+  this->mWorkersGoneAt = goneAt;
+  const TimePoint first = goneAt + Duration(this->Draw(-1'000, 800));
+  const int losses = this->Draw(kFewestInSeries, kMostInSeries);
+  TimePoint last = first;
+  TimePoint at = first;
+  for (int i = 0; i < losses && at < first + kUnsettled; ++i) {
+    const Duration back(this->Draw(kOwnerBackMinMs, kOwnerBackMaxMs));
+    this->At(at, "an owner is lost", [this] { this->OnOwnerLostInSeries(); });
+    this->ScheduleOwnerLoss(this->DrawLossOfOneOwner(), at, at + back);
+    this->mCalmAt = std::max(this->mCalmAt, at + back);
+    last = at;
+    at += Duration(this->Draw(kNextLossMinMs, kNextLossMaxMs));
+  }
+  this->At(
+    last, "last claim awaited", [this] { this->mIsClaimAwaited = true; });
+  this->ScheduleCheckOfWork(last + kRunAgainAfterLoss);
+}
+
+void Fleet::OnOwnerLostInSeries()
+{
+  const bool isOwned = this->mStore.mItems.contains(OwnerKey(0));
+  // One that has reached the workers needs longer to find them silent.
+  const bool hasWaited = isOwned && this->mClaimedAt > this->mWorkersGoneAt;
+  if (hasWaited) {
+    const Duration counted = this->mNow - this->mClaimedAt - kUncountedWait;
+    this->mWaited += std::max(counted, Duration(0));
+  }
+}
+
+void Fleet::NoteClaim()
+{
+  const auto owner = this->mStore.mItems.find(OwnerKey(0));
+  const std::uint64_t claim = owner == this->mStore.mItems.end()
+                                ? this->mClaim
+                                : owner->second.mCreateRevision;
+  if (claim == this->mClaim) {
+    return;
+  }
+  this->mClaim = claim;
+  this->mClaimedAt = this->mNow;
+  if (this->mIsClaimAwaited) {
+    this->mIsClaimAwaited = false;
+    this->ScheduleCheckAfterLastClaim();
+  }
+}
+
+void Fleet::ScheduleCheckAfterLastClaim()
+{
+  const Duration wait = std::max(kLongestWait - this->mWaited, Duration(0));
+  // Jobs that come later aren't lost with the workers.
+  this->At(this->mNow + wait + kStartsWithin,
+           "long-running tasks run again after the last claim",
+           [this, jobs = this->mLasting] { this->CheckLasting(jobs); });
+  this->SortChanges();
+}
+
 void Fleet::CutOff(const std::string& aNode,
                    const std::set<std::string>& aWorkers)
 {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -124,6 +124,10 @@
 # with them and lasts for longer than long-running tasks may be away.
 verbenacroft_fleet(owner_and_workers_lost
   --play owner-and-workers-lost --seeds 1..100)
+# Guards against a wait for lost workers that adds up over owners that are lost
+# one after another, each before it has settled.
+verbenacroft_fleet(owners_lost_in_series
+  --play owners-lost-in-series --seeds 1..60)
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
