Node: Log both summaries of waiting work in one function

LogWaiting and LogIdleJobs differed only in the event and two field names. One function now takes these names; the log lines are meant to be the same to the letter, compared by reading, not by a run.

--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -8,6 +8,39 @@
 
 namespace verbenacroft {
 
+namespace {
+
+/// Field names of the log line of a summary.
+struct SummaryNames
+{
+  const char* mEvent;
+  const char* mCount;
+  const char* mTime;
+};
+
+/// Logs a summary, one line for each reason.
+void LogSummary(const SummaryNames& aNames,
+                const WaitingSummary& aSummary,
+                std::uint32_t aNumber)
+{
+  for (const auto& [reason, row] : aSummary) {
+    spdlog::info("{} shard={} reason={} {}={} {}={} example={} need_mcpu={} "
+                 "need_mb={}",
+                 aNames.mEvent,
+                 aNumber,
+                 NameOf(reason),
+                 aNames.mCount,
+                 row.mTasks,
+                 aNames.mTime,
+                 row.mLongestWait.count(),
+                 Describe(row.mExample),
+                 row.mNeeds.mMilliCpu,
+                 row.mNeeds.mMemoryMb);
+  }
+}
+
+} // namespace
+
 void LogWorkerReport(DispatchShard& aShard,
                      const std::string& aWorker,
                      const WorkerReport& aReport)
@@ -160,17 +193,7 @@
 
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber)
 {
-  for (const auto& [reason, row] : aWaiting) {
-    spdlog::info("shard.waiting shard={} reason={} tasks={} oldest_ms={} "
-                 "example={} need_mcpu={} need_mb={}",
-                 aNumber,
-                 NameOf(reason),
-                 row.mTasks,
-                 row.mLongestWait.count(),
-                 Describe(row.mExample),
-                 row.mNeeds.mMilliCpu,
-                 row.mNeeds.mMemoryMb);
-  }
+  LogSummary({ "shard.waiting", "tasks", "oldest_ms" }, aWaiting, aNumber);
 }
 
 void LogTurnover(RoomTurnover& aTurnover,
@@ -199,17 +222,7 @@
 
 void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber)
 {
-  for (const auto& [reason, row] : aIdle) {
-    spdlog::info("shard.idle-jobs shard={} reason={} jobs={} longest_ms={} "
-                 "example={} need_mcpu={} need_mb={}",
-                 aNumber,
-                 NameOf(reason),
-                 row.mTasks,
-                 row.mLongestWait.count(),
-                 Describe(row.mExample),
-                 row.mNeeds.mMilliCpu,
-                 row.mNeeds.mMemoryMb);
-  }
+  LogSummary({ "shard.idle-jobs", "jobs", "longest_ms" }, aIdle, aNumber);
 }
 
 } // namespace verbenacroft
