Dispatch: Name the count of idle jobs as such

The parameter aIdleSteps of RecordProbe counts jobs by now: those that have nothing running and wait for a probe. It is called aIdleJobs now, here and in the callers.

--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -31,11 +31,11 @@
 /// Probes that were not started in this time may be started at once.
 constexpr Duration kProbeBurstTime{ 200 };
 
-Duration ProbeInterval(const DispatchShard& aShard, std::size_t aIdleSteps)
+Duration ProbeInterval(const DispatchShard& aShard, std::size_t aIdleJobs)
 {
   const double usual =
     kUsualProbeShare * static_cast<double>(aShard.mWorkers.size());
-  const double needed = static_cast<double>(aIdleSteps) /
+  const double needed = static_cast<double>(aIdleJobs) /
                         std::chrono::duration<double>(kMaxProbeDelay).count();
   const double perSecond = std::max({ usual, needed, 1.0 });
   return Duration(static_cast<std::int64_t>(1'000 / perSecond));
@@ -83,11 +83,11 @@
 void RecordProbe(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
-                 std::size_t aIdleSteps,
+                 std::size_t aIdleJobs,
                  TimePoint aNow)
 {
   aShard.mNextProbeAt = std::max(aShard.mNextProbeAt, aNow - kProbeBurstTime) +
-                        ProbeInterval(aShard, aIdleSteps);
+                        ProbeInterval(aShard, aIdleJobs);
   aWorker.mProbedAt = aNow;
   FindTask(aShard, aKey)->mIsProbe = true;
   spdlog::info("task.probe task={} worker={} worst_latency_ratio={:.2f}",
--- a/Source/Dispatch/vcDispatchProbes.h
+++ b/Source/Dispatch/vcDispatchProbes.h
@@ -48,12 +48,12 @@
 bool IsProbeDue(const DispatchShard& aShard, TimePoint aNow);
 
 /// Counts a probe that was started and marks its task.
-/// @param aIdleSteps number of steps that wait for a probe and whose job has
-/// nothing running
+/// @param aIdleJobs number of jobs that have nothing running and wait for a
+/// probe
 void RecordProbe(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey,
-                 std::size_t aIdleSteps,
+                 std::size_t aIdleJobs,
                  TimePoint aNow);
 
 /// Orders the throttle of a probe that the worker has just started. The worker
--- a/Source/Dispatch/vcProbeStarts.cxx
+++ b/Source/Dispatch/vcProbeStarts.cxx
@@ -14,7 +14,7 @@
 /// Starts one task of a best-effort step as a probe, if a worker is eligible.
 void StartProbe(DispatchShard& aShard,
                 const TaskId& aFirstTask,
-                std::size_t aIdleSteps,
+                std::size_t aIdleJobs,
                 Round& aRound,
                 DispatchActions& aActions)
 {
@@ -43,7 +43,7 @@
     return;
   }
   StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
-  RecordProbe(aShard, *worker, key, aIdleSteps, aRound.mNow);
+  RecordProbe(aShard, *worker, key, aIdleJobs, aRound.mNow);
 }
 
 /// A step that has waited for long enough to start a probe.
