Tests: Bound the waits of late jobs beside kept rooms

Rooms that are kept for the next task of a job could starve jobs that have none. Whether they do was open: the tests of succession had one run of each job fit, and one size of job beside it.

--- a/Tests/Unit/vcBoundsModel.h
+++ b/Tests/Unit/vcBoundsModel.h
@@ -40,6 +40,8 @@
   std::uint32_t mSteps = 1;
   std::int64_t mMilliCpu = 1'000;
   Duration mRunTime = kRunTime;
+  /// Each step follows the one before it.
+  bool mIsChain = false;
 };
 
 /// Workers with one calm serving image, a stream of jobs, and watched jobs.
@@ -89,6 +91,9 @@
     step.mIsGang = aShape.mIsGang;
     step.mIsLasting = aShape.mIsLasting;
     record.mSpec.mSteps.assign(aShape.mSteps, step);
+    for (std::uint32_t i = 1; aShape.mIsChain && i < aShape.mSteps; ++i) {
+      record.mSpec.mSteps[i].mAfter = { i - 1 };
+    }
     AddJob(this->mShard, aJob, record, 20, this->mNow, this->mNow.count());
     this->mRunTimes[aJob] = aShape.mRunTime;
   }
