Dispatch: Let no larger task follow where it is predicted to disturb

A task that follows its job's last run is started at full speed in spite of the prediction, if a task of the same image has just run there. The size was not compared: a task of eight processors followed one of a single processor.

Now the last run must have needed as many processors at least. Others start as predicted, or as a probe.

Measured: the new test fails before and passes after; all unit tests pass.

--- a/Source/Dispatch/vcDispatchSuccession.cxx
+++ b/Source/Dispatch/vcDispatchSuccession.cxx
@@ -87,7 +87,8 @@
                          const DispatchWorker& aWorker)
 {
   const StepSpec& last = aJob.mRecord.mSpec.mSteps[aJob.mLastRun.mStep];
-  return last.mImage == aStep.mImage && last.mIsFilling &&
+  const bool isAsSmall = aStep.mNeeds.mMilliCpu <= last.mNeeds.mMilliCpu;
+  return last.mImage == aStep.mImage && last.mIsFilling && isAsSmall &&
          WorstLatencyRatio(aWorker) <= kRecoveryRatio;
 }
 
--- a/Source/Dispatch/vcDispatchSuccession.h
+++ b/Source/Dispatch/vcDispatchSuccession.h
@@ -72,8 +72,9 @@
                              TimePoint aNow);
 
 /// True if a task of the step may follow the job's last run on a worker where
-/// it is predicted to disturb: a task of the same image has just run there, and
-/// the serving tasks are well below their targets.
+/// it is predicted to disturb: a task of the same image that needs no fewer
+/// processors has just run there, and the serving tasks are well below their
+/// targets.
 bool IsKnownNotToDisturb(const DispatchJob& aJob,
                          const StepSpec& aStep,
                          const DispatchWorker& aWorker);
--- a/Tests/Unit/vcSuccessionBoundsTest.cxx
+++ b/Tests/Unit/vcSuccessionBoundsTest.cxx
@@ -126,4 +126,36 @@
   CheckGaps(GENERATE(from_range(BoundsCases())));
 }
 
+// Guards against a task that follows a smaller one of the same image at full
+// speed, where it is predicted to disturb: the smaller one has shown nothing of
+// what this one adds.
+TEST_CASE("a larger task isn't known not to disturb", "[succession]")
+{
+  BoundsModel model;
+  model.mWatchedEnd = RunEnd::kDone;
+  JobShape shape = Chain(Disturbing(1'000));
+  shape.mSteps = 2;
+  model.Watch(kWatchedJob, shape);
+  auto& steps = model.mShard.mJobs.at(kWatchedJob).mRecord.mSpec.mSteps;
+  const auto nextCpu = GENERATE(1'000, 8'000);
+  CAPTURE(nextCpu);
+  steps[1].mNeeds.mMilliCpu = nextCpu;
+  const TaskId first{ kWatchedJob, 0, 0, 0 };
+  model.Play({ 0 }, kRound);
+  while (FindTask(model.mShard, first)->mWorker.empty()) {
+    REQUIRE(model.mNow < kMaxIdleTime);
+    model.Play({ 0 }, model.mNow + kRound);
+  }
+  // What began as a probe was found to run well at full speed.
+  FindTask(model.mShard, first)->mIsProbe = false;
+  FindTask(model.mShard, first)->mOrderedThrottlePercent = 100;
+  model.Play({ 0 }, model.mNow + kRunTime + 2 * kRound);
+  // The tasks of a step that is done aren't kept.
+  REQUIRE(FindTask(model.mShard, first) == nullptr);
+  const DispatchTask* next = FindTask(model.mShard, { kWatchedJob, 0, 1, 0 });
+  const bool isAtFullSpeed =
+    next != nullptr && !next->mWorker.empty() && !next->mIsProbe;
+  CHECK(isAtFullSpeed == (nextCpu == 1'000));
+}
+
 } // namespace verbenacroft
