Dispatch: Look a step's job up once for all workers

The cost of a placement looked the job up by its id for every worker since kept rooms count. The step's data names it now. No change of behaviour; not measured.

--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -33,6 +33,7 @@
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   StepNeeds needs{ { aKey.mJob, aKey.mOccurrence, aKey.mStep, 0 },
+                   job,
                    StepOf(job, aKey),
                    job.mRecord.mTerms.mService,
                    CountedNeeds(StepOf(job, aKey)),
@@ -85,10 +86,9 @@
                      TimePoint aNow)
 {
   const StepSpec& step = aNeeds.mStep;
-  const DispatchJob& job = aShard.mJobs.at(aNeeds.mFirstTask.mJob);
   const WorkerRoom kept = aNeeds.mKept == nullptr
                             ? WorkerRoom{}
-                            : aNeeds.mKept->KeptFrom(job, aWorker);
+                            : aNeeds.mKept->KeptFrom(aNeeds.mJob, aWorker);
   const Resources after = aWorker.mUsed + kept.mCounted + aNeeds.mCounted;
   if (!Fits(after, aWorker.mEntry.mCapacity)) {
     return WaitReason::kNoCapacity;
@@ -128,7 +128,7 @@
       BestEffortEffectOf(aShard, aWorker, aNeeds.mBestEffort, aNow);
     const bool isProbe = aNeeds.mProbeStage != ProbeStage::kNone;
     const bool isKnown =
-      aNeeds.mIsSuccessor && IsKnownNotToDisturb(job, step, aWorker);
+      aNeeds.mIsSuccessor && IsKnownNotToDisturb(aNeeds.mJob, step, aWorker);
     if (isProbe ? !MayProbe(aWorker, aNeeds.mProbeStage, aNow)
                 : effect.mIsOverLimit && !isKnown) {
       return WaitReason::kBestEffortDisturbs;
--- a/Source/Dispatch/vcPlacementCost.h
+++ b/Source/Dispatch/vcPlacementCost.h
@@ -17,6 +17,7 @@
 {
   /// First task of the step.
   TaskId mFirstTask;
+  const DispatchJob& mJob;
   const StepSpec& mStep;
   const std::string& mService;
   /// Needs that count against a worker's capacity: those of the step, without
