--- a/Source/Dispatch/vcDispatchSuccession.cxx
+++ b/Source/Dispatch/vcDispatchSuccession.cxx
@@ -19,7 +19,11 @@
 bool IsKeptFrom(const KeptRoom& aKept, const DispatchJob& aJob)
 {
   const bool isMoreUrgent = aJob.mRecord.mTerms.mPriority < aKept.mPriority;
-  return aKept.mJob != aJob.mId && (aKept.mIsBestEffort || !isMoreUrgent);
+  // Best-effort jobs of less urgent queues keep their only run beside the
+  // further runs of more urgent ones.
+  const bool isFurtherRun = aKept.mIsBestEffort && aJob.mActiveRuns > 0;
+  const bool mayTake = isMoreUrgent && !isFurtherRun;
+  return aKept.mJob != aJob.mId && !mayTake;
 }
 
 } // namespace
--- a/Source/Dispatch/vcDispatchSuccession.h
+++ b/Source/Dispatch/vcDispatchSuccession.h
@@ -47,7 +47,7 @@
   void Release(const JobId& aJob);
 
   /// The room on the worker that is kept from the job: that of others, unless
-  /// it isn't for best-effort tasks and the job is more urgent.
+  /// the job is more urgent and, of best-effort room, has nothing running.
   WorkerRoom KeptFrom(const DispatchJob& aJob,
                       const DispatchWorker& aWorker) const;
 
--- a/Tests/Unit/vcSuccessionTest.cxx
+++ b/Tests/Unit/vcSuccessionTest.cxx
@@ -81,4 +81,45 @@
   CHECK(share <= row.mMaxGapShare);
 }
 
+// Guards against a late job that leaves room to less urgent queues while it has
+// nothing running.
+TEST_CASE("kept room is left to whom it is kept for", "[succession]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsBestEffort;
+    std::int32_t mPriority;
+    std::uint32_t mActiveRuns;
+    bool mIsKept;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "same queue, idle", true, 1, 0, true },
+    { "same queue, further run", true, 1, 1, true },
+    { "more urgent, idle", true, 0, 0, false },
+    { "more urgent, further run", true, 0, 1, true },
+    { "less urgent, idle", true, 2, 0, true },
+    { "ordinary, same queue, idle", false, 1, 0, true },
+    { "ordinary, more urgent, further run", false, 0, 1, false },
+  }));
+  CAPTURE(row.mName);
+  DispatchJob left;
+  left.mId = "00000000000000a1";
+  left.mRecord.mTerms.mPriority = 1;
+  StepSpec step;
+  step.mIsFilling = row.mIsBestEffort;
+  step.mNeeds.mMilliCpu = 1'000;
+  DispatchJob other;
+  other.mId = "00000000000000a2";
+  other.mRecord.mTerms.mPriority = row.mPriority;
+  other.mActiveRuns = row.mActiveRuns;
+  const DispatchWorker worker;
+  KeptRooms rooms;
+  rooms.Keep(left, step, worker);
+  const WorkerRoom kept = rooms.KeptFrom(other, worker);
+  const std::int64_t milliCpu = kept.mBestEffortCpu + kept.mCounted.mMilliCpu;
+  CHECK(milliCpu == (row.mIsKept ? 1'000 : 0));
+  CHECK(rooms.KeptFrom(left, worker).mBestEffortCpu == 0);
+}
+
 } // namespace verbenacroft
