Dispatch: Tell what the longest wait of a long-running task is for

One line a second now names the task that has waited longest, the reason, the worker that it waits for and the time until runs there have ended (shard.long-running-wait).

--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -3,9 +3,9 @@
 #include "vcDispatchJobs.h"
 #include "vcDispatchPlacement.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcPlacementCandidates.h"
 
 #include <algorithm>
-#include <optional>
 #include <tuple>
 
 namespace verbenacroft {
@@ -145,6 +145,115 @@
   }
 }
 
+/// True if the task runs on a worker that answers.
+bool IsKnownToRun(const DispatchShard& aShard, const DispatchTask& aTask)
+{
+  const auto worker = aShard.mWorkers.find(aTask.mWorker);
+  return aTask.mPhase == RunPhase::kRunning &&
+         worker != aShard.mWorkers.end() && !worker->second.mIsUnresponsive;
+}
+
+/// Since when a long-running task that doesn't run has waited.
+TimePoint LongRunningWaitSince(const DispatchShard& aShard,
+                               const DispatchJob& aJob,
+                               const DispatchTask& aTask,
+                               TimePoint aReadyAt)
+{
+  const auto worker = aShard.mWorkers.find(aTask.mWorker);
+  const bool isLost =
+    aTask.mPhase == RunPhase::kRunning && worker != aShard.mWorkers.end();
+  if (isLost) {
+    return worker->second.mLastReportAt;
+  }
+  return std::max({ aReadyAt, aJob.mAddedAt, aTask.mWaitingSince });
+}
+
+/// Sets what a long-running task waits for, and on which worker that depends.
+void ExplainLongRunningWait(const DispatchShard& aShard,
+                            const DispatchTask& aTask,
+                            TimePoint aNow,
+                            LongRunningWait& aWait)
+{
+  const DispatchJob& job = aShard.mJobs.at(aWait.mTask.mJob);
+  const auto own = aShard.mWorkers.find(aTask.mWorker);
+  if (own != aShard.mWorkers.end()) {
+    aWait.mReason = aTask.mPhase == RunPhase::kStarting ? WaitReason::kStarting
+                    : aTask.mPhase == RunPhase::kStopping
+                      ? WaitReason::kStopping
+                      : WaitReason::kSilentWorker;
+    aWait.mWorker = own->first;
+    aWait.mRunsEndIn = RunsEndAt(aShard, own->second, aNow) - aNow;
+    return;
+  }
+  const auto reason = ReasonOfStep(aShard, job, aWait.mTask, aNow);
+  const WaitReason ofTask = IsWaiting(aTask, aNow)
+                              ? WhyNotPlaced(aShard, aWait.mTask, aNow)
+                              : WaitReason::kPaused;
+  aWait.mReason = reason.value_or(ofTask);
+  const auto& unanswered = aShard.mUnansweredWorkers;
+  if (aWait.mReason != WaitReason::kBarrier || unanswered.empty()) {
+    return;
+  }
+  const auto last = std::max_element(unanswered.begin(),
+                                     unanswered.end(),
+                                     [](const auto& aLeft, const auto& aRight) {
+                                       return aLeft.second.mRunsEndAt <
+                                              aRight.second.mRunsEndAt;
+                                     });
+  aWait.mWorker = last->first;
+  aWait.mRunsEndIn = last->second.mRunsEndAt - aNow;
+}
+
+/// Adds the tasks of a long-running step that don't run.
+void AddLongRunningWaits(const DispatchShard& aShard,
+                         const DispatchJob& aJob,
+                         const TaskId& aFirstTask,
+                         TimePoint aNow,
+                         std::int64_t aNowMs,
+                         std::optional<LongRunningWait>& aLongest)
+{
+  const TimePoint readyAt = ReadyAt(aJob, aFirstTask, aNow, aNowMs);
+  const auto& tasks = StepStateOf(aJob, aFirstTask).mTasks;
+  TaskId key = aFirstTask;
+  for (; key.mIndex < tasks.size(); ++key.mIndex) {
+    const DispatchTask& task = tasks[key.mIndex];
+    if (IsKnownToRun(aShard, task)) {
+      continue;
+    }
+    const Duration wait =
+      aNow - LongRunningWaitSince(aShard, aJob, task, readyAt);
+    if (!aLongest) {
+      aLongest.emplace();
+    }
+    const bool isLongest = aLongest->mTasks == 0 || wait > aLongest->mWait;
+    ++aLongest->mTasks;
+    if (isLongest) {
+      aLongest->mTask = key;
+      aLongest->mWait = wait;
+    }
+  }
+}
+
+/// Calls `aVisit` with the first task of each long-running step of a job whose
+/// turn has come.
+template<class Visit>
+void VisitLongRunningSteps(const DispatchShard& aShard,
+                           const DispatchJob& aJob,
+                           std::int64_t aNowMs,
+                           Visit aVisit)
+{
+  const auto& steps = aJob.mRecord.mSpec.mSteps;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    const bool isDue = DueAtMs(aJob.mRecord.mSpec, number) <=
+                       aNowMs + aShard.mBounds.mMaxEarlyStart.count();
+    for (std::uint32_t s = 0; isDue && s < steps.size(); ++s) {
+      if (steps[s].mIsLasting && IsStepReady(aJob, occurrence, s)) {
+        aVisit(TaskId{ aJob.mId, number, s, 0 });
+      }
+    }
+  }
+}
+
 } // namespace
 
 WaitingSummary SummarizeWaiting(const DispatchShard& aShard,
@@ -189,4 +298,24 @@
   return summary;
 }
 
+std::optional<LongRunningWait> FindLongRunningWait(const DispatchShard& aShard,
+                                                   TimePoint aNow,
+                                                   std::int64_t aNowMs)
+{
+  std::optional<LongRunningWait> longest;
+  for (const auto& [id, job] : aShard.mJobs) {
+    if (IsFinal(job.mState)) {
+      continue;
+    }
+    VisitLongRunningSteps(aShard, job, aNowMs, [&](const TaskId& aFirstTask) {
+      AddLongRunningWaits(aShard, job, aFirstTask, aNow, aNowMs, longest);
+    });
+  }
+  if (longest) {
+    const DispatchTask& task = *FindTask(aShard, longest->mTask);
+    ExplainLongRunningWait(aShard, task, aNow, *longest);
+  }
+  return longest;
+}
+
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -8,6 +8,7 @@
 #include "vcErrorTable.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace verbenacroft {
 
@@ -16,6 +17,14 @@
 /// is the last one over all workers, that of the worker that comes nearest.
 enum class WaitReason
 {
+  /// Its worker is silent, and its run there may last.
+  kSilentWorker,
+  /// Its start was ordered and isn't confirmed.
+  kStarting,
+  /// Its last run is being stopped.
+  kStopping,
+  /// It pauses after a refused start, or as a suspect of a crash.
+  kPaused,
   /// The owner may start nothing, or is fenced.
   kStartsForbidden,
   /// The job may run on a worker that an earlier owner used and that hasn't
@@ -49,6 +58,10 @@
 struct EnumTable<WaitReason>
 {
   static constexpr auto kRows = std::to_array<NameRow<WaitReason>>({
+    { WaitReason::kSilentWorker, "silent-worker" },
+    { WaitReason::kStarting, "starting" },
+    { WaitReason::kStopping, "stopping" },
+    { WaitReason::kPaused, "paused" },
     { WaitReason::kStartsForbidden, "starts-forbidden" },
     { WaitReason::kBarrier, "barrier" },
     { WaitReason::kNotExamined, "not-examined" },
@@ -99,4 +112,28 @@
                                  std::int64_t aNowMs,
                                  std::size_t aMaxExamined = kMaxExaminedSteps);
 
+/// The long-running tasks that don't run, as far as this owner knows, and what
+/// keeps the one that has waited for longest.
+struct LongRunningWait
+{
+  std::uint64_t mTasks = 0;
+  /// The task that has waited longest.
+  TaskId mTask;
+  /// Its wait, in ms: since the last report of its silent worker, else since
+  /// its last run of this ownership, else since this owner has known it.
+  Duration mWait{ 0 };
+  WaitReason mReason = WaitReason::kPassedOver;
+  /// The worker that it waits for, on which runs may last: its own, or the last
+  /// one of the barrier. Empty if it waits for something else.
+  std::string mWorker;
+  /// Time until the runs there have ended, in ms; negative if they have.
+  Duration mRunsEndIn{ 0 };
+};
+
+/// The long-running tasks that don't run and are ready to; nothing if all do.
+/// @param aNowMs current time in ms since 1970, for occurrences that are due
+std::optional<LongRunningWait> FindLongRunningWait(const DispatchShard& aShard,
+                                                   TimePoint aNow,
+                                                   std::int64_t aNowMs);
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -225,4 +225,17 @@
   LogSummary({ "shard.idle-jobs", "jobs", "longest_ms" }, aIdle, aNumber);
 }
 
+void LogLongRunningWait(const LongRunningWait& aWait, std::uint32_t aNumber)
+{
+  spdlog::info("shard.long-running-wait shard={} tasks={} longest_ms={} "
+               "example={} reason={} worker={} runs_end_in_ms={}",
+               aNumber,
+               aWait.mTasks,
+               aWait.mWait.count(),
+               Describe(aWait.mTask),
+               NameOf(aWait.mReason),
+               aWait.mWorker,
+               aWait.mRunsEndIn.count());
+}
+
 } // namespace verbenacroft
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -75,6 +75,11 @@
                  const JobsByRuns& aJobs,
                  std::uint32_t aNumber);
 
+/// Logs the long-running tasks that don't run, and what keeps the one that has
+/// waited for longest.
+/// @param aNumber number of the shard
+void LogLongRunningWait(const LongRunningWait& aWait, std::uint32_t aNumber);
+
 /// Logs the shard's idle jobs, one line for each reason.
 /// @param aNumber number of the shard
 void LogIdleJobs(const WaitingSummary& aIdle, std::uint32_t aNumber);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -373,6 +373,11 @@
       this->mIdleJobs =
         SummarizeIdleJobs(this->mShard, loadLoggedAt, WallClockMs());
       LogIdleJobs(this->mIdleJobs, this->mShardNumber);
+      const auto longRunning =
+        FindLongRunningWait(this->mShard, loadLoggedAt, WallClockMs());
+      if (longRunning) {
+        LogLongRunningWait(*longRunning, this->mShardNumber);
+      }
       LogTurnover(this->mShard.mTurnover,
                   CountJobsByRuns(this->mShard, loadLoggedAt, WallClockMs()),
                   this->mShardNumber);
--- a/Tests/Unit/vcWaitingTest.cxx
+++ b/Tests/Unit/vcWaitingTest.cxx
@@ -13,6 +13,8 @@
 constexpr const char* kService = "pool";
 constexpr TimePoint kNow{ 10'000 };
 constexpr std::uint64_t kEpoch = 10;
+/// From the preparation of a row to its question.
+constexpr Duration kLater{ 2'000 };
 /// Longer than a job may be idle.
 constexpr Duration kLongIdle = kMaxIdleTime + Duration(1);
 
@@ -406,4 +408,81 @@
   CHECK(idle == row.mIdleJobs);
 }
 
+TEST_CASE("a long-running task that doesn't run tells what it waits for",
+          "[waiting]")
+{
+  struct Row
+  {
+    const char* mName;
+    void (*mPrepare)(Fixture&);
+    std::optional<WaitReason> mReason;
+    Duration mWait;
+    const char* mWorker;
+  };
+  using F = Fixture;
+  const auto row = GENERATE(values<Row>({
+    { "it has not been started",
+      [](F&) {},
+      WaitReason::kPassedOver,
+      kLater,
+      "" },
+    { "its start isn't answered",
+      [](F& aShard) { aShard.Plan(); },
+      WaitReason::kStarting,
+      kLater,
+      "w1" },
+    { "it runs",
+      [](F& aShard) {
+        aShard.Plan();
+        FindTask(aShard.mShard, { kJob, 0, 0, 0 })->mPhase = RunPhase::kRunning;
+      },
+      std::nullopt,
+      {},
+      "" },
+    { "its worker is silent",
+      [](F& aShard) {
+        aShard.Plan();
+        FindTask(aShard.mShard, { kJob, 0, 0, 0 })->mPhase = RunPhase::kRunning;
+        aShard.Worker().mIsUnresponsive = true;
+        aShard.Worker().mLastReportAt = kNow - Duration(500);
+      },
+      WaitReason::kSilentWorker,
+      kLater + Duration(500),
+      "w1" },
+    { "it may run on the last of several workers",
+      [](F& aShard) {
+        aShard.mShard.mUnansweredWorkers["w2"] = { kNow + 2 * kLater, 90 };
+        aShard.mShard.mUnansweredWorkers["w3"] = { kNow + 3 * kLater, 90 };
+      },
+      WaitReason::kBarrier,
+      kLater,
+      "w3" },
+    { "a start was refused",
+      [](F& aShard) {
+        FindTask(aShard.mShard, { kJob, 0, 0, 0 })->mRetryAt =
+          kNow + 2 * kLater;
+      },
+      WaitReason::kPaused,
+      kLater,
+      "" },
+  }));
+  INFO(row.mName);
+  Fixture fixture;
+  fixture.Step().mIsLasting = true;
+  fixture.Add();
+  fixture.Worker().mLastReportAt = kNow + kLater;
+  OpenReadySteps(fixture.mShard, kNow.count());
+  row.mPrepare(fixture);
+  const TimePoint now = kNow + kLater;
+  const auto wait = FindLongRunningWait(fixture.mShard, now, now.count());
+  REQUIRE(wait.has_value() == row.mReason.has_value());
+  if (!wait) {
+    return;
+  }
+  CHECK(NameOf(wait->mReason) == NameOf(*row.mReason));
+  CHECK(wait->mTasks == 1);
+  CHECK(wait->mWait == row.mWait);
+  CHECK(wait->mWorker == row.mWorker);
+}
+
 } // namespace verbenacroft
