Fleet: Play owners that leave before they have settled

The waits for a worker that is lost are bounded one by one; what planned work adds to them wasn't played. In this play an owner and workers are gone for good, then one to three owners hand the shard over before they have settled, and draining workers leave at those times. Long-running tasks are watched all the while: none may be without a run for 9 s (6 s and less than 3 s), nor for 11 s after the last loss (4 s to catch up, 4 s of calm, 3 s).

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -216,6 +216,8 @@
     this->ScheduleLossOfOwnerAndWorkers();
   } else if (this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries) {
     this->ScheduleOwnersLostInSeries();
+  } else if (this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled) {
+    this->ScheduleLeavesBeforeSettled();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
@@ -262,6 +264,7 @@
   Advance(this->mWorkers, this->mNow);
   this->HandleCrashes();
   this->NoteClaim();
+  this->WatchLasting();
   for (auto& [name, life] : this->mLives) {
     if (!life.mIsPaused) {
       life.mIo->poll();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -59,6 +59,11 @@
   /// after another is lost, each before it has settled. The long-running tasks
   /// of these workers run again in time after the last loss.
   kOwnersLostInSeries,
+  /// An owner and some workers are lost for good. Then one owner after another
+  /// hands its shard over before it has settled, and draining workers leave at
+  /// that time. No long-running task is without a run for longer than a loss
+  /// allows, since all that follows it is planned.
+  kLeavesBeforeSettled,
 };
 
 template<>
@@ -76,6 +81,7 @@
     { FleetPlay::kDeadlyTasks, "deadly-tasks" },
     { FleetPlay::kOwnerAndWorkersLost, "owner-and-workers-lost" },
     { FleetPlay::kOwnersLostInSeries, "owners-lost-in-series" },
+    { FleetPlay::kLeavesBeforeSettled, "leaves-before-settled" },
   });
 };
 
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -123,7 +123,8 @@
   const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
                            aOptions.mPlay == FleetPlay::kLongPartition ||
                            aOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
-                           aOptions.mPlay == FleetPlay::kOwnersLostInSeries;
+                           aOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
+                           aOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
   // Tasks that end in fast succession on each of many workers.
   constexpr std::uint32_t kChokedWorkers = 120;
   constexpr std::uint32_t kChokedJobs = 10;
@@ -135,7 +136,9 @@
   // Enough workers that some are left while others are down.
   constexpr std::uint32_t kManyWorkers = 12;
   const bool hasDeadlyTasks = aOptions.mPlay == FleetPlay::kDeadlyTasks;
-  if (hasDeadlyTasks) {
+  const bool losesMany =
+    hasDeadlyTasks || aOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+  if (losesMany) {
     aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
   }
   // The owner that loses its shard has to be that of all tasks.
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -27,6 +27,8 @@
 /// Longer than the longest task that ends, so that a worker that leaves runs
 /// nothing.
 inline constexpr Duration kDrainTime{ 4'000 };
+/// A worker's entry in the store outlives the worker by this time.
+inline constexpr Duration kEntryOutlives{ 3'300 };
 /// Host and path of the only queue.
 inline constexpr const char* kHost = "desk.example";
 inline constexpr const char* kQueuePath = "/q/";
@@ -150,7 +152,8 @@
     return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
            this->mOptions.mPlay == FleetPlay::kLongPartition ||
            this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
-           this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries;
+           this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
+           this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
   }
 
   // The fleet and its clock.
@@ -228,6 +231,17 @@
   /// Notes a claim of the first shard that has just come.
   void NoteClaim();
   void ScheduleCheckAfterLastClaim();
+
+  // Planned work after losses.
+  void ScheduleLeavesBeforeSettled();
+  /// The workers that the fleet begins with, in a drawn order.
+  std::vector<std::string> ShuffledWorkers();
+  /// An owner hands its shards over, and these workers leave at that time.
+  void ScheduleLeave(TimePoint aAt, const std::vector<std::string>& aLeaving);
+  /// Notes which long-running tasks run, and reports those that have been
+  /// without a run for too long.
+  void WatchLasting();
+
   /// From now on the node reaches only these workers, and only it does.
   void CutOff(const std::string& aNode, const std::set<std::string>& aWorkers);
   /// Ends that.
@@ -307,6 +321,13 @@
   Duration mWaited{ 0 };
   /// True from the loss of the last of them to the claim after it.
   bool mIsClaimAwaited = false;
+  /// When the last loss was that nobody had planned; `kNever` if the fleet
+  /// isn't watched for long-running tasks without a run.
+  TimePoint mLossAt = kNever;
+  /// When each long-running task was last seen to run.
+  std::map<TaskId, TimePoint> mLastRanAt;
+  /// Those that were reported.
+  std::set<TaskId> mMissedTasks;
   /// Number of workers that have returned under a new id.
   int mReplacements = 0;
   /// Jobs that were refused as not run.
--- a/Tests/Fleet/vcFleetTakeovers.cxx
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -16,8 +16,6 @@
 constexpr Duration kTakenOver{ 2'500 };
 /// The same if the owner's lease is revoked at once.
 constexpr Duration kTakenOverAtOnce{ 1'000 };
-/// A worker's entry in the store outlives the worker by this time.
-constexpr Duration kEntryOutlives{ 3'300 };
 /// Calm has returned when nothing has been disturbed for this time.
 constexpr Duration kCalmReturns{ 3'000 };
 /// Long-running tasks that lost their worker run again this soon after that.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -83,6 +83,7 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
+  Tests/Fleet/vcFleetHandOvers.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
@@ -129,6 +130,10 @@
 # one after another, each before it has settled.
 verbenacroft_fleet(owners_lost_in_series
   --play owners-lost-in-series --seeds 1..120)
+# Guards against a wait for lost workers that begins anew with a hand-over, and
+# against lost tasks that wait for a worker which leaves at that time.
+verbenacroft_fleet(leaves_before_settled
+  --play leaves-before-settled --seeds 1..120)
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
