Node: Leave the next owner what a hand-over knows of runs

Cause: what an owner knows of where tasks may run got lost with each change of owner but for the times of silent workers. An owner that handed its shard over left all others as active, so the next one waited for the longest leases of whichever of them didn't answer, most of all of a draining worker that left at that time. And the barrier was one for all tasks: those lost long before waited with it. Hand-overs, drains and leaving workers are planned, so a series of them prolonged the wait for one loss without a bound. The class: a wait that belongs to a task or a worker is kept by the owner, and begins anew with the next one.

Change: the hand-over records until when runs may last on each worker of the set, and which long-running tasks wait and from when no run of theirs can last. The next owner starts them then, whichever workers haven't answered. In the same way a long-running task that was listed to this owner isn't held back later: while it ran there, nobody had started it elsewhere. The record has a key of its own, is written with the removal of the owner's key and holds for the next claim only, so a program that doesn't know it makes it void.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -5,8 +5,6 @@
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchSuccession.h"
-#include "vcDispatchWorkerSet.h"
-#include "vcPlacementCandidates.h"
 #include "vcPlacementRound.h"
 #include "vcProbeStarts.h"
 #include "vcSuspectStarts.h"
@@ -60,7 +58,9 @@
       return;
     }
     const DispatchTask& task = *FindTask(aShard, key);
-    if (!IsWaiting(task, aRound.mNow)) {
+    const bool mayStart = IsWaiting(task, aRound.mNow) &&
+                          !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
+    if (!mayStart) {
       continue;
     }
     DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
@@ -86,13 +86,16 @@
                DispatchActions& aActions)
 {
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
   const auto& tasks = StepStateOf(aShard, aFirstTask).mTasks;
   std::uint32_t run = 0;
   std::string checkpoint;
   for (const auto& task : tasks) {
     // The members of a gang start together, so no suspect among them can start
     // apart.
-    if (!IsStartable(task, aRound.mNow)) {
+    const bool mayStart = IsStartable(task, aRound.mNow) &&
+                          !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
+    if (!mayStart) {
       return;
     }
     if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
@@ -171,7 +174,7 @@
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
   const DispatchStep& state = StepStateOf(aShard, aFirstTask);
   TaskId key = aFirstTask;
-  key.mIndex = FirstWaiting(state, aRound.mNow);
+  key.mIndex = FirstWaiting(job, state, aRound);
   DispatchWorker* worker = FindWorker(aShard, job.mLastRun.mWorker);
   if (worker == nullptr || key.mIndex == state.mTasks.size()) {
     return;
@@ -286,17 +289,14 @@
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return;
   }
-  const HeldRevisions held{ LastHeldRevisionOfLongRunning(aShard, aNow),
-                            LastHeldRevision(aShard, aNow) };
+  Round round = MakeRound(aShard, aNow, aNowMs);
   std::vector<Candidate> steps;
   for (const auto& [id, job] : aShard.mJobs) {
-    const bool isHeld = job.mCreatedAt <= held.mLongRunning;
-    if (!isHeld && !IsFinal(job.mState)) {
-      CollectSteps(aShard, job, held, aNow, aNowMs, steps);
+    if (!IsFinal(job.mState)) {
+      CollectSteps(aShard, job, round.mHeld, aNow, aNowMs, steps);
     }
   }
   std::sort(steps.begin(), steps.end(), ComesBefore);
-  Round round = MakeRound(aShard, aNow, aNowMs);
   StartSuspects(aShard, steps, round, aActions);
   const auto candidates = WithTurns(aShard, steps, round.mKept, aNow, aNowMs);
   for (const auto& candidate : candidates) {
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -181,6 +181,8 @@
     return;
   }
   Assign(aShard, key, aWorker.mEntry.mWorker, aRow.mRun);
+  // Nobody starts a task elsewhere while it runs here.
+  task->mNoUnseenRunAfter = aNow;
   task->mPhase = RunPhase::kRunning;
   task->mStartOrderedAt = aNow;
   task->mConfirmedAt = aNow;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -92,6 +92,10 @@
   /// No start is ordered before this time, after a worker refused one for the
   /// task's own sake.
   TimePoint mRetryAt{ kNever };
+  /// From this time on no run of the task can last that this owner doesn't
+  /// know, whichever workers haven't answered it. Latest possible time: that
+  /// isn't known.
+  TimePoint mNoUnseenRunAfter{ TimePoint::max() };
   /// Reading of the worker's clock, in ms, after which it refuses the start.
   std::int64_t mNotAfter = 0;
   /// When the task last began to wait after a run of this ownership; `kNever`
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -69,20 +69,21 @@
   return longest;
 }
 
-/// The reason that holds for all tasks of a job's step, whatever they need.
-std::optional<WaitReason> ReasonOfStep(const DispatchShard& aShard,
+/// The reason that keeps a task from a start whatever it needs.
+std::optional<WaitReason> ReasonOfTask(const DispatchShard& aShard,
                                        const DispatchJob& aJob,
                                        const TaskId& aTask,
+                                       const HeldRevisions& aHeld,
                                        TimePoint aNow)
 {
   if (!aShard.mMayStart || aShard.mIsFenced) {
     return WaitReason::kStartsForbidden;
   }
-  const std::uint64_t heldUpTo = StepOf(aJob, aTask).mIsLasting
-                                   ? LastHeldRevisionOfLongRunning(aShard, aNow)
-                                   : LastHeldRevision(aShard, aNow);
-  const bool isSafe = aJob.mCreatedAt > heldUpTo;
-  return isSafe ? std::nullopt : std::optional(WaitReason::kBarrier);
+  const DispatchTask& task = StepStateOf(aJob, aTask).mTasks.at(aTask.mIndex);
+  const bool isHeld = StepOf(aJob, aTask).mIsLasting
+                        ? MayRunUnseen(aJob, task, aHeld, aNow)
+                        : aJob.mCreatedAt <= aHeld.mOthers;
+  return isHeld ? std::optional(WaitReason::kBarrier) : std::nullopt;
 }
 
 void Count(WaitingSummary& aSummary,
@@ -185,7 +186,8 @@
     aWait.mRunsEndIn = RunsEndAt(aShard, own->second, aNow) - aNow;
     return;
   }
-  const auto reason = ReasonOfStep(aShard, job, aWait.mTask, aNow);
+  const auto reason =
+    ReasonOfTask(aShard, job, aWait.mTask, HeldRevisionsOf(aShard, aNow), aNow);
   const WaitReason ofTask = IsWaiting(aTask, aNow)
                               ? WhyNotPlaced(aShard, aWait.mTask, aNow)
                               : WaitReason::kPaused;
@@ -261,6 +263,7 @@
                                 std::int64_t aNowMs,
                                 std::size_t aMaxExamined)
 {
+  const HeldRevisions held = HeldRevisionsOf(aShard, aNow);
   WaitingSummary summary;
   std::vector<WaitingStep> steps;
   for (const auto& [id, job] : aShard.mJobs) {
@@ -269,7 +272,7 @@
     }
     for (const auto& firstTask : ReadySteps(aShard, job, aNowMs)) {
       const WaitingStep step = MakeWaitingStep(job, firstTask, aNow, aNowMs);
-      const auto reason = ReasonOfStep(aShard, job, firstTask, aNow);
+      const auto reason = ReasonOfTask(aShard, job, step.mOldest, held, aNow);
       CountOrAdd(summary, steps, reason, aShard, step, aNow);
     }
   }
@@ -282,6 +285,7 @@
                                  std::int64_t aNowMs,
                                  std::size_t aMaxExamined)
 {
+  const HeldRevisions held = HeldRevisionsOf(aShard, aNow);
   WaitingSummary summary;
   std::vector<WaitingStep> steps;
   for (const auto& [id, job] : aShard.mJobs) {
@@ -290,7 +294,7 @@
     }
     const auto step = LongIdleStep(aShard, job, aNow, aNowMs);
     if (step) {
-      const auto reason = ReasonOfStep(aShard, job, step->mOldest, aNow);
+      const auto reason = ReasonOfTask(aShard, job, step->mOldest, held, aNow);
       CountOrAdd(summary, steps, reason, aShard, *step, aNow);
     }
   }
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -235,6 +235,20 @@
   return revision;
 }
 
+TimePoint UnseenRunsEndAt(const DispatchShard& aShard,
+                          const DispatchJob& aJob,
+                          const DispatchTask& aTask,
+                          TimePoint aNow)
+{
+  TimePoint endAt = aNow;
+  for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
+    if (aJob.mCreatedAt <= worker.mNoJobsAfter) {
+      endAt = std::max(endAt, worker.mRunsEndAt);
+    }
+  }
+  return std::max(aNow, std::min(endAt, aTask.mNoUnseenRunAfter));
+}
+
 TimePoint BarrierEndsAt(const DispatchShard& aShard)
 {
   TimePoint endsAt = kNever;
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -103,6 +103,12 @@
 std::uint64_t LastHeldRevisionOfLongRunning(const DispatchShard& aShard,
                                             TimePoint aNow);
 
+/// Time from which no run of a waiting task can last on an unanswered worker.
+TimePoint UnseenRunsEndAt(const DispatchShard& aShard,
+                          const DispatchJob& aJob,
+                          const DispatchTask& aTask,
+                          TimePoint aNow);
+
 /// Latest time until which the answer of an unanswered worker is awaited;
 /// `kNever` if every worker has answered.
 TimePoint BarrierEndsAt(const DispatchShard& aShard);
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -1,6 +1,7 @@
 #include "vcPlacementCandidates.h"
 
 #include "vcDispatchCrashes.h"
+#include "vcDispatchWorkerSet.h"
 
 #include <tuple>
 
@@ -56,6 +57,21 @@
   return aIsScheduled ? Tier::kOnTime : Tier::kLate;
 }
 
+/// True if each waiting task of a long-running step may run on a worker that
+/// hasn't answered.
+bool AreWaitingTasksHeld(const DispatchJob& aJob,
+                         const TaskId& aFirstTask,
+                         const HeldRevisions& aHeld,
+                         TimePoint aNow)
+{
+  const auto& tasks = StepStateOf(aJob, aFirstTask).mTasks;
+  return std::none_of(
+    tasks.begin(), tasks.end(), [&](const DispatchTask& aTask) {
+      return aTask.mPhase == RunPhase::kWaiting &&
+             !MayRunUnseen(aJob, aTask, aHeld, aNow);
+    });
+}
+
 } // namespace
 
 bool IsTurn(Tier aTier)
@@ -80,13 +96,19 @@
   return IsStartable(aTask, aNow) && MayStartBesideOthers(aTask, aNow);
 }
 
-std::uint32_t FirstWaiting(const DispatchStep& aStep, TimePoint aNow)
+HeldRevisions HeldRevisionsOf(const DispatchShard& aShard, TimePoint aNow)
 {
-  const auto first = std::find_if(
-    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
-      return IsWaiting(aTask, aNow);
-    });
-  return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
+  return { LastHeldRevisionOfLongRunning(aShard, aNow),
+           LastHeldRevision(aShard, aNow) };
+}
+
+bool MayRunUnseen(const DispatchJob& aJob,
+                  const DispatchTask& aTask,
+                  const HeldRevisions& aHeld,
+                  TimePoint aNow)
+{
+  return aJob.mCreatedAt <= aHeld.mLongRunning &&
+         aNow < aTask.mNoUnseenRunAfter;
 }
 
 void CollectSteps(const DispatchShard& aShard,
@@ -100,9 +122,10 @@
     const std::int64_t dueAt =
       DueAtMs(aJob.mRecord.mSpec, aFirstTask.mOccurrence);
     const bool isLasting = StepOf(aJob, aFirstTask).mIsLasting;
-    const std::uint64_t heldUpTo =
-      isLasting ? aHeld.mLongRunning : aHeld.mOthers;
-    if (aJob.mCreatedAt <= heldUpTo) {
+    const bool isHeld = isLasting
+                          ? AreWaitingTasksHeld(aJob, aFirstTask, aHeld, aNow)
+                          : aJob.mCreatedAt <= aHeld.mOthers;
+    if (isHeld) {
       return;
     }
     Candidate candidate;
--- a/Source/Dispatch/vcPlacementCandidates.h
+++ b/Source/Dispatch/vcPlacementCandidates.h
@@ -51,10 +51,6 @@
 /// True if a start of the task may be ordered on any worker.
 bool IsWaiting(const DispatchTask& aTask, TimePoint aNow);
 
-/// Index of the first task of a step that waits for a start; the number of its
-/// tasks if none waits.
-std::uint32_t FirstWaiting(const DispatchStep& aStep, TimePoint aNow);
-
 /// Calls `aVisit` with the first task of each step of a job that is ready and
 /// has waiting tasks.
 template<class Visit>
@@ -87,11 +83,23 @@
 /// that haven't answered this owner.
 struct HeldRevisions
 {
+  /// Long-running tasks of these jobs wait only if one of their runs may be
+  /// unknown to this owner; see `MayRunUnseen`.
   std::uint64_t mLongRunning = 0;
   /// Not lower than that of long-running steps.
   std::uint64_t mOthers = 0;
 };
 
+/// These revisions at present.
+HeldRevisions HeldRevisionsOf(const DispatchShard& aShard, TimePoint aNow);
+
+/// True if a run of a long-running task may last on a worker that hasn't
+/// answered this owner.
+bool MayRunUnseen(const DispatchJob& aJob,
+                  const DispatchTask& aTask,
+                  const HeldRevisions& aHeld,
+                  TimePoint aNow);
+
 /// Appends the steps of a job that are ready, aren't held and have waiting
 /// tasks.
 void CollectSteps(const DispatchShard& aShard,
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -133,6 +133,7 @@
   Round round;
   round.mNow = aNow;
   round.mNowMs = aNowMs;
+  round.mHeld = HeldRevisionsOf(aShard, aNow);
   std::map<std::string, std::vector<DispatchWorker*>> quarantined;
   std::map<std::string, std::size_t> isolatedOf;
   const std::set<std::string> isolated = IsolatedWorkers(aShard);
@@ -161,6 +162,18 @@
   return round;
 }
 
+std::uint32_t FirstWaiting(const DispatchJob& aJob,
+                           const DispatchStep& aStep,
+                           const Round& aRound)
+{
+  const auto first = std::find_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
+      return IsWaiting(aTask, aRound.mNow) &&
+             !MayRunUnseen(aJob, aTask, aRound.mHeld, aRound.mNow);
+    });
+  return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
+}
+
 DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey)
 {
   return StepStateOf(aShard.mJobs.at(aKey.mJob), aKey);
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -3,6 +3,7 @@
 /// Round of starts: the usable workers, what was tried in vain, and the start
 /// of a task on the worker that was chosen. Internal to the Dispatch library.
 
+#include "vcPlacementCandidates.h"
 #include "vcPlacementCost.h"
 
 #include <array>
@@ -77,6 +78,7 @@
   TimePoint mNow{ 0 };
   /// The same in ms since 1970.
   std::int64_t mNowMs = 0;
+  HeldRevisions mHeld;
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
   /// Number of workers that suspects may still take in this round, by service.
@@ -98,6 +100,12 @@
 /// before any start.
 Round MakeRound(DispatchShard& aShard, TimePoint aNow, std::int64_t aNowMs);
 
+/// Index of the first task of a job's step that may be started on any worker;
+/// the number of its tasks if there is none.
+std::uint32_t FirstWaiting(const DispatchJob& aJob,
+                           const DispatchStep& aStep,
+                           const Round& aRound);
+
 /// The state of the step of a task, which must exist.
 DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey);
 
--- a/Source/Dispatch/vcProbeStarts.cxx
+++ b/Source/Dispatch/vcProbeStarts.cxx
@@ -31,7 +31,7 @@
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
   needs.mProbeStage = stage;
   TaskId key = aFirstTask;
-  key.mIndex = FirstWaiting(state, aRound.mNow);
+  key.mIndex = FirstWaiting(job, state, aRound);
   const DispatchTask& task = state.mTasks[key.mIndex];
   StepWorkers workers(
     aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
@@ -78,7 +78,7 @@
     const StepSpec& step = StepOf(job, key);
     DispatchStep& state = StepStateOf(aShard, key);
     const bool mayProbe = step.mIsFilling && !step.mIsGang;
-    if (!mayProbe || FirstWaiting(state, now) == state.mTasks.size()) {
+    if (!mayProbe || FirstWaiting(job, state, aRound) == state.mTasks.size()) {
       continue;
     }
     if (state.mStarvedSince == kNever) {
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -87,7 +87,11 @@
       return;
     }
     const DispatchTask* suspect = FindTask(aShard, *at);
-    if (suspect == nullptr || !IsStartable(*suspect, aRound.mNow)) {
+    const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+    const bool mayStart =
+      suspect != nullptr && IsStartable(*suspect, aRound.mNow) &&
+      !MayRunUnseen(job, *suspect, aRound.mHeld, aRound.mNow);
+    if (!mayStart) {
       continue;
     }
     const DispatchTask& task = *suspect;
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -61,7 +61,7 @@
     vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
-  SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFormerOwner.cxx
+  SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFormerOwner.cxx vcHandOver.cxx
     vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
     vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx
     vcShardLog.cxx vcShardRunner.cxx
--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -174,7 +174,7 @@
 }
 
 /// Maximum number of entries that hand one shard over.
-constexpr std::size_t kHandOverEntries = 4;
+constexpr std::size_t kHandOverEntries = 5;
 
 /// Commits the hand-over of some shards, if there are any.
 asio::awaitable<void> CommitHandOver(NodeContext& aNode, KvTransaction aWrite)
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -270,6 +270,8 @@
 std::string WorkerSetKey(std::uint32_t aShard);
 /// Key of the shard's `InactiveWorkersRecord`.
 std::string InactiveWorkersKey(std::uint32_t aShard);
+/// Key of the shard's `HandOverRecord`.
+std::string HandOverKey(std::uint32_t aShard);
 /// Key of the shard's `CrashedTasksRecord`.
 std::string CrashedTasksKey(std::uint32_t aShard);
 /// Prefix of the shard's inbox: jobs and cancellations, written by any node.
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -45,7 +45,8 @@
   asio::awaitable<void> HandOver();
 
   /// Adds the hand-over of the shard to a write, after `HandOver`: the removal
-  /// of the owner's record, and the worker set for the next owner.
+  /// of the owner's record, and the records of the workers and of the waiting
+  /// tasks for the next owner.
   void AddHandOver(KvTransaction& aWrite) const;
 
   /// The runner has stopped and takes no further action.
@@ -99,6 +100,10 @@
   /// Reads the worker set and adds its workers.
   /// @return false if the worker set could not be read
   asio::awaitable<bool> LoadWorkerSet();
+  /// Applies what the owner before has left, if it has handed the shard over.
+  /// The jobs are loaded.
+  /// @return false if that could not be read
+  asio::awaitable<bool> LoadHandOver();
   /// What the recorded worker set says of earlier owners.
   EarlierOwners KnownOfEarlierOwners() const;
   /// Adds the workers of the recorded worker set and the times until which runs
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -72,8 +72,9 @@
       this->ApplyInbox(item);
     }
   }
-  const bool hasCrashes = co_await this->LoadCrashes();
-  if (!hasCrashes) {
+  const bool hasRest =
+    co_await this->LoadHandOver() && co_await this->LoadCrashes();
+  if (!hasRest) {
     co_return false;
   }
   OnInboxRead(this->mInboxReads,
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -1,7 +1,7 @@
 /// The worker set of a shard in the store: read by a new owner, written by the
 /// owner while workers come, fall silent and go.
 
-#include "vcFormerOwner.h"
+#include "vcHandOver.h"
 #include "vcShardRunner.h"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -110,6 +110,18 @@
   co_return true;
 }
 
+asio::awaitable<bool> ShardRunner::LoadHandOver()
+{
+  const auto record = co_await ReadHandOver(this->mNode, this->mShardNumber);
+  if (record) {
+    ApplyHandOver(this->mShard,
+                  *record,
+                  this->mStored.mWorkerSet.mGeneration,
+                  this->mStartedAt);
+  }
+  co_return record.has_value();
+}
+
 EarlierOwners ShardRunner::KnownOfEarlierOwners() const
 {
   const WorkerSetRecord& workerSet = this->mStored.mWorkerSet;
@@ -353,6 +365,9 @@
     }
   }
   AddWorkerSet(aWrite, this->mShardNumber, workerSet, inactive);
+  const HandOverRecord handOver = MakeHandOver(this->mShard, workerSet, now);
+  aWrite.mPuts.push_back(
+    PersistentPut(HandOverKey(this->mShardNumber), Encode(handOver)));
 }
 
 } // namespace verbenacroft
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -141,6 +141,11 @@
   if (losesMany) {
     aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
   }
+  // One node is lost and up to three leave, and one at least is always there.
+  constexpr std::uint32_t kManyNodes = 6;
+  if (aOptions.mPlay == FleetPlay::kLeavesBeforeSettled) {
+    aOptions.mNodes = std::max(aOptions.mNodes, kManyNodes);
+  }
   // The owner that loses its shard has to be that of all tasks.
   const bool needsOneShard = hasManyJobs || isChoked || hasDeadlyTasks ||
                              aOptions.mPlay == FleetPlay::kRelease;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -32,7 +32,7 @@
   Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcIdleBoundsTest.cxx
   Tests/Unit/vcTurnsTest.cxx Tests/Unit/vcConfigConditionTest.cxx
   Tests/Unit/vcOccurrencesTest.cxx Tests/Unit/vcSuccessionTest.cxx
-  Tests/Unit/vcSuccessionBoundsTest.cxx
+  Tests/Unit/vcSuccessionBoundsTest.cxx Tests/Unit/vcHandOverTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
