Dispatch: Reserve room for each long-running task that waits

Cause: room was reserved only for a job that has nothing running. A long-running job has many tasks, so one that is lost had no turn: it needs more than one small task leaves, each hole was taken before it had grown, and the first place in the order of starts doesn't help a task that doesn't fit. The class: a bound that is kept for a job and is owed to each of its tasks.

Change: each task of a long-running step that has waited for 1 s has a worker reserved, at most one worker in five for all of them, apart from the reservations of idle jobs. Nothing but long-running tasks takes such room, also not what is more urgent, since overdue long-running tasks come first already.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -134,36 +134,59 @@
   }
 }
 
-/// Reserves room for a step whose turn found none, or ends its reservation.
+/// Reserves room for a step, or ends its reservations if it needs none.
 void KeepRoom(const DispatchShard& aShard,
-              const TaskId& aFirstTask,
+              const RoomRequest& aRequest,
               Round& aRound)
 {
-  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const TaskId& first = aRequest.mFirstTask;
+  const DispatchJob& job = aShard.mJobs.at(first.mJob);
   const std::string& service = job.mRecord.mTerms.mService;
-  const StepSpec& step = StepOf(job, aFirstTask);
+  const StepSpec& step = StepOf(job, first);
   const auto& workers = aRound.mUsable[service];
-  if (job.mActiveRuns > 0) {
-    EndReservation(aFirstTask, workers);
+  if (aRequest.mWorkers == 0) {
+    EndReservation(first, workers);
     return;
   }
   FailedPlacements& failed = aRound.mFailedReservations;
   if (failed.IsKnownToFail(service, step)) {
     return;
   }
-  const StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  const StepNeeds needs = NeedsOf(aShard, first);
   const auto mayRun = [&](const DispatchWorker& aWorker) {
     return IsAllowed(needs, aWorker);
   };
-  const TimePoint idleSince =
-    IdleSince(job, aFirstTask, aRound.mNow, aRound.mNowMs);
-  const bool canFit = ReserveRoom(
-    aShard, aFirstTask, idleSince, workers, mayRun, aRound.mKept, aRound.mNow);
+  const bool canFit =
+    ReserveRoom(aShard, aRequest, workers, mayRun, aRound.mKept, aRound.mNow);
   if (!canFit && step.mMaxPerWorker == 0) {
     failed.Record(service, step);
   }
 }
 
+/// Room for the tasks of a long-running step that have waited for long, each
+/// for itself: they run all the time, so that others of their job run says
+/// nothing.
+RoomRequest LongRunningRequest(const DispatchShard& aShard,
+                               const TaskId& aFirstTask,
+                               const Round& aRound)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const TimePoint readyAt =
+    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  RoomRequest request{ aFirstTask, aRound.mNow, 0 };
+  for (const auto& task : StepStateOf(job, aFirstTask).mTasks) {
+    const TimePoint since = std::max(readyAt, task.mWaitingSince);
+    const bool isLong = IsWaiting(task, aRound.mNow) &&
+                        aRound.mNow - since >= kTurnAfter &&
+                        !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
+    if (isLong) {
+      ++request.mWorkers;
+      request.mWaitsSince = std::min(request.mWaitsSince, since);
+    }
+  }
+  return request;
+}
+
 /// Starts the step's next task in the room that the job's last run has left, if
 /// it still fits there.
 void StartSuccessor(DispatchShard& aShard,
@@ -226,7 +249,12 @@
   if (aRound.mNow - aTurn.mDueAt >= kTakesKeptRoomAfter) {
     startOne(KeptRoomUse::kTake);
   }
-  KeepRoom(aShard, first, aRound);
+  if (!StepOf(job, first).mIsLasting) {
+    const TimePoint idleSince =
+      IdleSince(job, first, aRound.mNow, aRound.mNowMs);
+    const std::size_t workers = job.mActiveRuns > 0 ? 0 : 1;
+    KeepRoom(aShard, { first, idleSince, workers }, aRound);
+  }
 }
 
 /// Starts the tasks of one candidate.
@@ -247,6 +275,9 @@
                               ? KeptRoomUse::kLeave
                               : KeptRoomUse::kTake;
     StartIndividually(aShard, first, step.mCount, use, aRound, aActions);
+    if (step.mIsLasting) {
+      KeepRoom(aShard, LongRunningRequest(aShard, first, aRound), aRound);
+    }
     return;
   }
   // Another step of the job may have had its turn in this round.
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -72,6 +72,35 @@
   return static_cast<double>(spare);
 }
 
+/// Renews the step's reservations.
+/// @return their number
+std::size_t RenewReservations(const TaskId& aFirstTask,
+                              std::span<DispatchWorker* const> aWorkers,
+                              TimePoint aNow)
+{
+  std::size_t renewed = 0;
+  for (auto* worker : aWorkers) {
+    if (IsReserved(*worker, aNow) && worker->mRoom.mFirstTask == aFirstTask) {
+      worker->mRoom.mUntil = aNow + kReservationTime;
+      ++renewed;
+    }
+  }
+  return renewed;
+}
+
+/// Number of the workers that are reserved for long-running tasks, or for
+/// others, so that neither use up the places of the other.
+std::size_t CountReserved(std::span<DispatchWorker* const> aWorkers,
+                          bool aIsLongRunning,
+                          TimePoint aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aWorkers.begin(), aWorkers.end(), [&](const DispatchWorker* aWorker) {
+      return IsReserved(*aWorker, aNow) &&
+             aWorker->mRoom.mIsLongRunning == aIsLongRunning;
+    }));
+}
+
 } // namespace
 
 bool IsReservedForAnother(const DispatchShard& aShard,
@@ -88,7 +117,8 @@
   if (step.mIsFilling != room.mIsBestEffort) {
     return false;
   }
-  const bool isMoreUrgent = job.mRecord.mTerms.mPriority < room.mPriority;
+  const bool isMoreUrgent =
+    !room.mIsLongRunning && job.mRecord.mTerms.mPriority < room.mPriority;
   return step.mIsFilling || !(step.mIsLasting || isMoreUrgent);
 }
 
@@ -104,29 +134,21 @@
 }
 
 bool ReserveRoom(const DispatchShard& aShard,
-                 const TaskId& aFirstTask,
-                 TimePoint aIdleSince,
+                 const RoomRequest& aRequest,
                  std::span<DispatchWorker* const> aWorkers,
                  const std::function<bool(const DispatchWorker&)>& aMayRun,
                  const KeptRooms& aKept,
                  TimePoint aNow)
 {
-  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-  const StepSpec& step = StepOf(job, aFirstTask);
-  std::size_t reserved = 0;
-  for (auto* worker : aWorkers) {
-    if (!IsReserved(*worker, aNow)) {
-      continue;
-    }
-    ++reserved;
-    if (worker->mRoom.mFirstTask == aFirstTask) {
-      worker->mRoom.mUntil = aNow + kReservationTime;
-      return true;
-    }
-  }
+  const TaskId& first = aRequest.mFirstTask;
+  const DispatchJob& job = aShard.mJobs.at(first.mJob);
+  const StepSpec& step = StepOf(job, first);
+  const std::size_t own = RenewReservations(first, aWorkers, aNow);
   const std::size_t most =
     std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneReserved);
-  if (reserved >= most) {
+  const bool isEnough = own >= aRequest.mWorkers ||
+                        CountReserved(aWorkers, step.mIsLasting, aNow) >= most;
+  if (isEnough) {
     return true;
   }
   using Rank = std::pair<bool, double>;
@@ -154,17 +176,19 @@
   if (best == nullptr) {
     return false;
   }
-  best->mRoom = { aFirstTask,
-                  step.mIsFilling,
-                  job.mRecord.mTerms.mPriority,
-                  aIdleSince,
-                  aNow + kReservationTime };
+  best->mRoom = { .mFirstTask = first,
+                  .mIsBestEffort = step.mIsFilling,
+                  .mIsLongRunning = step.mIsLasting,
+                  .mPriority = job.mRecord.mTerms.mPriority,
+                  .mWaitsSince = aRequest.mWaitsSince,
+                  .mUntil = aNow + kReservationTime };
   spdlog::info("worker.reserved worker={} task={} missing_mcpu={:.0f} "
-               "takes_only_runs={}",
+               "takes_only_runs={} long_running={}",
                best->mEntry.mWorker,
-               Describe(aFirstTask),
+               Describe(first),
                bestRank.second,
-               bestRank.first);
+               bestRank.first,
+               step.mIsLasting);
   return true;
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -253,10 +253,12 @@
   TaskId mFirstTask;
   /// Processors for best-effort tasks are kept, and none for others.
   bool mIsBestEffort = false;
+  /// For a task that is long-running.
+  bool mIsLongRunning = false;
   /// Of the step's queue; a lower value is more urgent.
   std::int32_t mPriority = 0;
-  /// Since when its job has had nothing running.
-  TimePoint mIdleSince{ kNever };
+  /// Since when its job has had nothing running, or the task has waited.
+  TimePoint mWaitsSince{ kNever };
   TimePoint mUntil{ kNever };
 };
 
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// How long a job has had nothing running before one task of it is started
-/// ahead of the usual order. The rest of `kMaxIdleTime` is for starts that are
-/// refused, and for runs that end before they are reported.
-constexpr Duration kTurnAfter{ 1'000 };
-
 /// Groups of candidates that start one after the other, whatever the priority.
 enum class CandidateGroup
 {
--- a/Source/Dispatch/vcPlacementCandidates.h
+++ b/Source/Dispatch/vcPlacementCandidates.h
@@ -10,6 +10,12 @@
 
 namespace verbenacroft {
 
+/// How long a job has had nothing running before one task of it is started
+/// ahead of the usual order, and how long a long-running task has waited before
+/// room is reserved for it. The rest of `kMaxIdleTime` is for starts that are
+/// refused, and for runs that end before they are reported.
+constexpr Duration kTurnAfter{ 1'000 };
+
 /// Tiers of the steps of one priority, in the order in which they start.
 enum class Tier
 {
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -20,11 +20,11 @@
          aEntry.mLabels.end();
 }
 
-/// True if the room is reserved for a job that has been idle for so long that
-/// it may take the room of others' only runs.
+/// True if the room is reserved for a job that has been idle, or a task that
+/// has waited, for so long that it may take the room of others' only runs.
 bool TakesKeptRoom(const RoomReservation& aRoom, TimePoint aNow)
 {
-  return aNow - aRoom.mIdleSince >= kTakesKeptRoomAfter;
+  return aNow - aRoom.mWaitsSince >= kTakesKeptRoomAfter;
 }
 
 } // namespace
--- /dev/null
+++ b/Tests/Unit/vcLongRunningRoomTest.cxx
@@ -0,0 +1,80 @@
+/// Long-running tasks that find no room on workers that are full of others.
+
+#include "vcBoundsModel.h"
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A long-running task that could run doesn't wait for longer.
+constexpr Duration kLongestWait{ 3'000 };
+constexpr const char* kLasting = "00000000000000b1";
+constexpr std::int64_t kSmallMilliCpu = 1'000;
+
+/// Terms of the tasks that fill the workers, and of a long-running step.
+struct RoomCase
+{
+  const char* mName;
+  bool mIsBestEffort;
+  std::int32_t mPriority;
+  std::int64_t mObjectiveMs;
+};
+
+/// Fills a worker but for some processors with small tasks that end one by one,
+/// and adds enough of them to take each place that becomes free.
+void Fill(BoundsModel& aModel, std::uint32_t aPlaces, const RoomCase& aCase)
+{
+  const JobShape none{ 0 };
+  const JobShape one{
+    1, aCase.mObjectiveMs, aCase.mPriority, aCase.mIsBestEffort, ""
+  };
+  for (std::uint32_t i = 0; i < aPlaces; ++i) {
+    aModel.Add(fmt::format("{:016x}", 0xc0 + i), one);
+    aModel.Play(none, aModel.mNow + kRound);
+  }
+  JobShape backlog = one;
+  backlog.mTasks = 1'000;
+  aModel.Add("00000000000000d1", backlog);
+}
+
+} // namespace
+
+// Guards against a task of a long-running job that is never started again: it
+// needs more room than one small task leaves, and since others of its job run,
+// no room is kept for it.
+TEST_CASE("a lost long-running task gets room though others of its job run",
+          "[long-running]")
+{
+  const auto row = GENERATE(values<RoomCase>({
+    { "beside on-time tasks", false, 0, kLongObjectiveMs },
+    { "beside late tasks", false, 0, kLateMs },
+    { "beside more urgent tasks", false, -1, kLongObjectiveMs },
+  }));
+  INFO(row.mName);
+  constexpr std::uint32_t kPlaces = 10;
+  constexpr std::int64_t kLargeMilliCpu = 5'000;
+  BoundsModel model(1, kPlaces * kSmallMilliCpu + kLargeMilliCpu);
+  Fill(model, kPlaces, row);
+  JobShape lasting{ 2, -2 * kLongObjectiveMs, 0, false, "" };
+  lasting.mIsLasting = true;
+  lasting.mMilliCpu = kLargeMilliCpu;
+  lasting.mRunTime = Duration(kLongObjectiveMs);
+  model.Add(kLasting, lasting);
+  const TimePoint since = model.mNow;
+  const auto isAtWork = [&](std::uint32_t aIndex) {
+    const DispatchTask* task =
+      FindTask(model.mShard, { kLasting, 0, 0, aIndex });
+    return task != nullptr && task->mPhase == RunPhase::kRunning;
+  };
+  model.Play({ 0 }, model.mNow + kRound);
+  REQUIRE(isAtWork(0));
+  REQUIRE_FALSE(isAtWork(1));
+  while (!isAtWork(1) && model.mNow - since < kWatched) {
+    model.Play({ 0 }, model.mNow + kRound);
+  }
+  CHECK(model.mNow - since <= kLongestWait);
+}
+
+} // namespace verbenacroft
