--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -216,7 +216,8 @@
     this->ScheduleLossOfOwnerAndWorkers();
   } else if (this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries) {
     this->ScheduleOwnersLostInSeries();
-  } else if (this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled) {
+  } else if (this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled ||
+             this->mOptions.mPlay == FleetPlay::kLossesAndLeaves) {
     this->ScheduleLeavesBeforeSettled();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -64,6 +64,8 @@
   /// that time. No long-running task is without a run for longer than a loss
   /// allows, since all that follows it is planned.
   kLeavesBeforeSettled,
+  /// The same, and some owners are killed, paused or turned away in between.
+  kLossesAndLeaves,
 };
 
 template<>
@@ -82,6 +84,7 @@
     { FleetPlay::kOwnerAndWorkersLost, "owner-and-workers-lost" },
     { FleetPlay::kOwnersLostInSeries, "owners-lost-in-series" },
     { FleetPlay::kLeavesBeforeSettled, "leaves-before-settled" },
+    { FleetPlay::kLossesAndLeaves, "losses-and-leaves" },
   });
 };
 
--- a/Tests/Fleet/vcFleetHandOvers.cxx
+++ b/Tests/Fleet/vcFleetHandOvers.cxx
@@ -47,11 +47,17 @@
   return names;
 }
 
-void Fleet::ScheduleLeave(TimePoint aAt,
-                          const std::vector<std::string>& aLeaving)
+void Fleet::ScheduleLossBesideLeaves(OwnerLoss aLoss,
+                                     TimePoint aAt,
+                                     const std::vector<std::string>& aLeaving)
 {
   const Duration back(this->Draw(kNodeBackMinMs, kNodeBackMaxMs));
-  this->ScheduleOwnerLoss(OwnerLoss::kLeaves, aAt, aAt + back);
+  this->ScheduleOwnerLoss(aLoss, aAt, aAt + back);
+  if (aLoss != OwnerLoss::kLeaves) {
+    this->At(aAt, "nobody planned that", [=, this] {
+      this->mLossAt = std::max(this->mLossAt, aAt + back);
+    });
+  }
   for (const auto& name : aLeaving) {
     const TimePoint leftAt =
       aAt + Duration(this->Draw(-kLeavesBeforeMs, kLeavesAfterMs));
@@ -86,15 +92,21 @@
   this->At(ownerGoneAt, "owner is gone", [this] {
     this->StopNode(this->DrawOwner());
   });
-  this->At(std::min(goneAt, ownerGoneAt),
-           "long-running tasks are watched",
-           [=, this] { this->mLossAt = std::max(goneAt, ownerGoneAt); });
+  this->At(
+    std::min(goneAt, ownerGoneAt), "long-running tasks are watched", [=, this] {
+      this->mLossAt = std::max({ this->mLossAt, goneAt, ownerGoneAt });
+    });
   TimePoint at = ownerGoneAt;
   const int leaves = this->Draw(kFewestLeaves, kMostLeaves);
   for (int i = 0; i < leaves; ++i) {
     at += Duration(this->Draw(kNextLeaveMinMs, kNextLeaveMaxMs));
     const int leaving = this->Draw(1, kMostLeaving);
-    this->ScheduleLeave(at, take(static_cast<std::size_t>(leaving)));
+    const bool isPlanned =
+      this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+    const OwnerLoss loss =
+      isPlanned ? OwnerLoss::kLeaves : this->DrawLossOfOneOwner();
+    this->ScheduleLossBesideLeaves(
+      loss, at, take(static_cast<std::size_t>(leaving)));
   }
   this->mCalmAt = at + kWatchedAfter;
 }
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -118,13 +118,15 @@
 /// Sets what a play prescribes.
 void AdaptToPlay(FleetOptions& aOptions)
 {
+  const bool isLeaves = aOptions.mPlay == FleetPlay::kLeavesBeforeSettled ||
+                        aOptions.mPlay == FleetPlay::kLossesAndLeaves;
   // Enough work that every worker runs some of it.
   constexpr std::uint32_t kManyJobs = 4;
   const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
                            aOptions.mPlay == FleetPlay::kLongPartition ||
                            aOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
                            aOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
-                           aOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+                           isLeaves;
   // Tasks that end in fast succession on each of many workers.
   constexpr std::uint32_t kChokedWorkers = 120;
   constexpr std::uint32_t kChokedJobs = 10;
@@ -136,14 +138,13 @@
   // Enough workers that some are left while others are down.
   constexpr std::uint32_t kManyWorkers = 12;
   const bool hasDeadlyTasks = aOptions.mPlay == FleetPlay::kDeadlyTasks;
-  const bool losesMany =
-    hasDeadlyTasks || aOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+  const bool losesMany = hasDeadlyTasks || isLeaves;
   if (losesMany) {
     aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
   }
   // One node is lost and up to three leave, and one at least is always there.
   constexpr std::uint32_t kManyNodes = 6;
-  if (aOptions.mPlay == FleetPlay::kLeavesBeforeSettled) {
+  if (isLeaves) {
     aOptions.mNodes = std::max(aOptions.mNodes, kManyNodes);
   }
   // The owner that loses its shard has to be that of all tasks.
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -153,7 +153,8 @@
            this->mOptions.mPlay == FleetPlay::kLongPartition ||
            this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
            this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
-           this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+           this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled ||
+           this->mOptions.mPlay == FleetPlay::kLossesAndLeaves;
   }
 
   // The fleet and its clock.
@@ -236,8 +237,10 @@
   void ScheduleLeavesBeforeSettled();
   /// The workers that the fleet begins with, in a drawn order.
   std::vector<std::string> ShuffledWorkers();
-  /// An owner hands its shards over, and these workers leave at that time.
-  void ScheduleLeave(TimePoint aAt, const std::vector<std::string>& aLeaving);
+  /// An owner loses its shards, and these workers leave at that time.
+  void ScheduleLossBesideLeaves(OwnerLoss aLoss,
+                                TimePoint aAt,
+                                const std::vector<std::string>& aLeaving);
   /// Notes which long-running tasks run, and reports those that have been
   /// without a run for too long.
   void WatchLasting();
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -135,6 +135,9 @@
 # against lost tasks that wait for a worker which leaves at that time.
 verbenacroft_fleet(leaves_before_settled
   --play leaves-before-settled --seeds 1..120)
+# The same amid further losses, from the last of which the wait counts.
+verbenacroft_fleet(losses_and_leaves
+  --play losses-and-leaves --seeds 1..120)
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
