Node: Show waiting long-running tasks on the metrics page

The log line alone needs a search; an alert needs a number. Two gauges by shard: how many long-running tasks don't run, and the longest wait of one.

--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -118,6 +118,23 @@
   }
 }
 
+/// Adds the metrics of a shard's long-running tasks that don't run.
+void CollectLongRunningWait(MetricsPage& aPage,
+                            std::uint32_t aShard,
+                            const std::optional<LongRunningWait>& aWait)
+{
+  const MetricLabels labels{ { "shard", std::to_string(aShard) } };
+  const LongRunningWait wait = aWait.value_or(LongRunningWait{});
+  aPage.Gauge("verbenacroft_shard_long_running_waiting",
+              "Long-running tasks that don't run.",
+              static_cast<double>(wait.mTasks),
+              labels);
+  aPage.Gauge("verbenacroft_shard_long_running_longest_wait_ms",
+              "Longest wait of such a task.",
+              static_cast<double>(wait.mWait.count()),
+              labels);
+}
+
 /// Adds the metrics of the calls to the store.
 void CollectStoreCalls(const StoreStats& aStats, MetricsPage& aPage)
 {
@@ -183,6 +200,7 @@
       aPage, shard, runner->WaitingTasksByReason(), kWaitingTasks, kOldestWait);
     CollectWaiting(
       aPage, shard, runner->IdleJobsByReason(), kIdleJobs, kLongestIdle);
+    CollectLongRunningWait(aPage, shard, runner->LongRunningWaits());
     aPage.Gauge(
       "verbenacroft_shard_inbox_age_ms",
       "Time since the inbox was last known to be complete.",
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -373,10 +373,10 @@
       this->mIdleJobs =
         SummarizeIdleJobs(this->mShard, loadLoggedAt, WallClockMs());
       LogIdleJobs(this->mIdleJobs, this->mShardNumber);
-      const auto longRunning =
+      this->mLongRunningWait =
         FindLongRunningWait(this->mShard, loadLoggedAt, WallClockMs());
-      if (longRunning) {
-        LogLongRunningWait(*longRunning, this->mShardNumber);
+      if (this->mLongRunningWait) {
+        LogLongRunningWait(*this->mLongRunningWait, this->mShardNumber);
       }
       LogTurnover(this->mShard.mTurnover,
                   CountJobsByRuns(this->mShard, loadLoggedAt, WallClockMs()),
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -61,6 +61,11 @@
   const WaitingSummary& WaitingTasksByReason() const { return this->mWaiting; }
   /// The jobs that had nothing running for too long at that time.
   const WaitingSummary& IdleJobsByReason() const { return this->mIdleJobs; }
+  /// The long-running tasks that didn't run at that time; nothing if all did.
+  const std::optional<LongRunningWait>& LongRunningWaits() const
+  {
+    return this->mLongRunningWait;
+  }
   /// State of the dispatch core.
   const DispatchShard& State() const { return this->mShard; }
 
@@ -263,6 +268,8 @@
   WaitingSummary mWaiting;
   /// Jobs that had nothing running for too long, at the same time.
   WaitingSummary mIdleJobs;
+  /// Long-running tasks that didn't run, at the same time.
+  std::optional<LongRunningWait> mLongRunningWait;
   /// Why starts are forbidden; nothing while they are allowed.
   std::optional<StartsForbiddenCause> mForbiddenCause;
   /// When starts became forbidden.
