Dispatch: Reserve room for idle gangs

Change: a gang that has been idle for 1 s has as many workers reserved as its members take beside long-running tasks, if that is no more than may be reserved (one worker in five); what becomes free there is kept until all fit. For a wider gang nothing is kept, since it might never start.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -187,6 +187,34 @@
   return request;
 }
 
+/// Room for the members of a gang that has been idle for long. They start
+/// together, so what becomes free on the reserved workers is kept until all of
+/// them fit.
+RoomRequest GangRequest(const DispatchShard& aShard,
+                        const TaskId& aFirstTask,
+                        Round& aRound)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const TimePoint idleSince =
+    IdleSince(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  const bool isLong =
+    job.mActiveRuns == 0 && aRound.mNow - idleSince >= kTurnAfter;
+  if (!isLong) {
+    return { aFirstTask, idleSince, 0 };
+  }
+  const StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  std::vector<DispatchWorker*> allowed;
+  const auto& usable = aRound.mUsable[needs.mService];
+  std::copy_if(
+    usable.begin(),
+    usable.end(),
+    std::back_inserter(allowed),
+    [&](const DispatchWorker* aWorker) { return IsAllowed(needs, *aWorker); });
+  const std::size_t workers =
+    WorkersForGang(needs.mStep, allowed, MaxReserved(usable.size()));
+  return { aFirstTask, idleSince, workers };
+}
+
 /// Starts the step's next task in the room that the job's last run has left, if
 /// it still fits there.
 void StartSuccessor(DispatchShard& aShard,
@@ -268,6 +296,7 @@
   const StepSpec& step = StepOf(job, first);
   if (step.mIsGang) {
     StartGang(aShard, first, aRound, aActions);
+    KeepRoom(aShard, GangRequest(aShard, first, aRound), aRound);
     return;
   }
   if (!IsTurn(aCandidate.mTier)) {
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -72,6 +72,21 @@
   return static_cast<double>(spare);
 }
 
+/// Number of tasks of the step that fit on a worker beside its long-running
+/// tasks.
+std::size_t PlacesOn(const DispatchWorker& aWorker, const StepSpec& aStep)
+{
+  const std::size_t most =
+    aStep.mMaxPerWorker == 0 ? aStep.mCount : aStep.mMaxPerWorker;
+  Resources used = aWorker.mLongRunning;
+  std::size_t places = 0;
+  while (places < most && Fits(used + aStep.mNeeds, aWorker.mEntry.mCapacity)) {
+    used += aStep.mNeeds;
+    ++places;
+  }
+  return places;
+}
+
 /// Renews the step's reservations.
 /// @return their number
 std::size_t RenewReservations(const TaskId& aFirstTask,
@@ -144,10 +159,9 @@
   const DispatchJob& job = aShard.mJobs.at(first.mJob);
   const StepSpec& step = StepOf(job, first);
   const std::size_t own = RenewReservations(first, aWorkers, aNow);
-  const std::size_t most =
-    std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneReserved);
   const bool isEnough = own >= aRequest.mWorkers ||
-                        CountReserved(aWorkers, step.mIsLasting, aNow) >= most;
+                        CountReserved(aWorkers, step.mIsLasting, aNow) >=
+                          MaxReserved(aWorkers.size());
   if (isEnough) {
     return true;
   }
@@ -192,6 +206,30 @@
   return true;
 }
 
+std::size_t MaxReserved(std::size_t aWorkers)
+{
+  return std::max<std::size_t>(1, aWorkers / kWorkersForOneReserved);
+}
+
+std::size_t WorkersForGang(const StepSpec& aStep,
+                           std::span<DispatchWorker* const> aWorkers,
+                           std::size_t aMaxWorkers)
+{
+  std::vector<std::size_t> places;
+  for (const auto* worker : aWorkers) {
+    places.push_back(PlacesOn(*worker, aStep));
+  }
+  std::sort(places.begin(), places.end(), std::greater<>());
+  std::size_t fitting = 0;
+  for (std::size_t i = 0; i < std::min(aMaxWorkers, places.size()); ++i) {
+    fitting += places[i];
+    if (fitting >= aStep.mCount) {
+      return i + 1;
+    }
+  }
+  return 0;
+}
+
 void EndReservation(const TaskId& aFirstTask,
                     std::span<DispatchWorker* const> aWorkers)
 {
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -4,7 +4,8 @@
 /// where smaller ones take each part that becomes free. Once its job has been
 /// idle for long enough, one worker starts no others of its kind until there is
 /// room for it. The same holds for each long-running task that has waited for
-/// long enough, whether others of its job run or not.
+/// long enough, whether others of its job run or not. For a gang as many
+/// workers are reserved as its members take.
 
 #include "vcDispatchSuccession.h"
 
@@ -57,6 +58,18 @@
                  const KeptRooms& aKept,
                  TimePoint aNow);
 
+/// Most workers of so many that are reserved for long-running tasks, and for
+/// others.
+std::size_t MaxReserved(std::size_t aWorkers);
+
+/// Number of workers on which the members of a gang fit together, once only
+/// long-running tasks run there beside them; 0 if these are too many, so that
+/// nothing is kept for a gang that may never start.
+/// @param aWorkers the workers that may run a member
+std::size_t WorkersForGang(const StepSpec& aStep,
+                           std::span<DispatchWorker* const> aWorkers,
+                           std::size_t aMaxWorkers);
+
 /// Ends the step's reservations among these workers.
 void EndReservation(const TaskId& aFirstTask,
                     std::span<DispatchWorker* const> aWorkers);
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -43,7 +43,6 @@
 add_test(NAME unit_idle_crowd COMMAND vcUnitTests "[red-idle-crowd]")
 add_test(NAME unit_idle_late_probes
   COMMAND vcUnitTests "[red-idle-late-probes]")
-add_test(NAME unit_idle_gangs COMMAND vcUnitTests "[red-idle-gangs]")
 add_test(NAME unit_idle_costs COMMAND vcUnitTests "[red-idle-costs]")
 add_test(NAME unit_start_budget COMMAND vcUnitTests "[red-start-budget]")
 
--- a/Tests/Unit/vcIdleBoundsTest.cxx
+++ b/Tests/Unit/vcIdleBoundsTest.cxx
@@ -102,13 +102,47 @@
 }
 
 // Guards against a gang that waits beside a stream of single tasks, which take
-// each part of the room that becomes free. Listed in KNOWN-RED.txt.
-TEST_CASE("no gang is idle for long beside starts of others",
-          "[.][red-idle-gangs]")
+// each part of the room that becomes free.
+TEST_CASE("no gang is idle for long beside starts of others", "[idle]")
 {
   CheckIdle(GENERATE(from_range(GangCases())));
 }
 
+// Guards against room that is kept for ever for a gang that can't start.
+TEST_CASE("room is kept only for a gang that fits into what may be kept",
+          "[idle]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::uint32_t mMembers;
+    std::uint32_t mMaxPerWorker;
+    Resources mLongRunning;
+    std::size_t mWorkers;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "on one worker", 12, 0, {}, 1 },
+    { "on two", 13, 0, {}, 2 },
+    { "on more than may be kept", 25, 0, {}, 0 },
+    { "two on each", 5, 2, {}, 0 },
+    { "beside long-running tasks", 12, 0, { 6'000, 0, 0, 0 }, 2 },
+  }));
+  INFO(row.mName);
+  BoundsModel model(10);
+  std::vector<DispatchWorker*> workers;
+  for (auto& [name, worker] : model.mShard.mWorkers) {
+    worker.mLongRunning = row.mLongRunning;
+    workers.push_back(&worker);
+  }
+  StepSpec step;
+  step.mCount = row.mMembers;
+  step.mMaxPerWorker = row.mMaxPerWorker;
+  step.mNeeds.mMilliCpu = 1'000;
+  const std::size_t most = MaxReserved(workers.size());
+  REQUIRE(most == 2);
+  CHECK(WorkersForGang(step, workers, most) == row.mWorkers);
+}
+
 // Guards against late jobs that take the workers from jobs that can still meet
 // their objective, by one turn after the other. Listed in KNOWN-RED.txt.
 TEST_CASE("a job that isn't late waits for one task of each late one at most",
