--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -313,7 +313,8 @@
                                                    std::int64_t aNowMs)
 {
   std::optional<LongRunningWait> longest;
-  for (const auto& [id, job] : aShard.mJobs) {
+  for (const auto& row : aShard.mJobs) {
+    const DispatchJob& job = row.second;
     if (IsFinal(job.mState)) {
       continue;
     }
