Dispatch: End reservations where no further task can run

Cause: a step's reservation was renewed as long as the step waited, also after its first task, or another long-running one, had taken the room of the worker or the step's places there. It counted as the room of the next task, so no other worker was reserved.

Change: such a reservation ends when it would be renewed, so that another worker is reserved.

--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -42,12 +42,19 @@
   return isOpen && canBeFreed ? std::optional(missing) : std::nullopt;
 }
 
-/// The same for any other task. Long-running tasks don't free their room.
+/// True if a task that isn't best-effort fits beside the long-running ones,
+/// which don't free their room.
+bool CanBecomeFree(const DispatchWorker& aWorker, const StepSpec& aStep)
+{
+  return Fits(aWorker.mLongRunning + aStep.mNeeds, aWorker.mEntry.mCapacity);
+}
+
+/// The same for any other task.
 std::optional<double> MissingRoom(const DispatchWorker& aWorker,
                                   const StepSpec& aStep,
                                   const WorkerRoom& aKept)
 {
-  if (!Fits(aWorker.mLongRunning + aStep.mNeeds, aWorker.mEntry.mCapacity)) {
+  if (!CanBecomeFree(aWorker, aStep)) {
     return std::nullopt;
   }
   const Resources after = aWorker.mUsed + aKept.mCounted + aStep.mNeeds;
@@ -72,17 +79,29 @@
   return static_cast<double>(spare);
 }
 
-/// Renews the step's reservations.
-/// @return their number
-std::size_t RenewReservations(const TaskId& aFirstTask,
-                              std::span<DispatchWorker* const> aWorkers,
-                              TimePoint aNow)
+/// Renews the step's reservations, and ends those of workers where no further
+/// task of it can run: its own tasks, or other long-running ones, have taken
+/// the room or the places there.
+/// @return the number that was renewed
+std::size_t RenewReservations(
+  const TaskId& aFirstTask,
+  const StepSpec& aStep,
+  std::span<DispatchWorker* const> aWorkers,
+  const std::function<bool(const DispatchWorker&)>& aMayRun,
+  TimePoint aNow)
 {
   std::size_t renewed = 0;
   for (auto* worker : aWorkers) {
-    if (IsReserved(*worker, aNow) && worker->mRoom.mFirstTask == aFirstTask) {
+    if (!IsReserved(*worker, aNow) || worker->mRoom.mFirstTask != aFirstTask) {
+      continue;
+    }
+    const bool isOfUse =
+      aMayRun(*worker) && (aStep.mIsFilling || CanBecomeFree(*worker, aStep));
+    if (isOfUse) {
       worker->mRoom.mUntil = aNow + kReservationTime;
       ++renewed;
+    } else {
+      worker->mRoom = {};
     }
   }
   return renewed;
@@ -143,7 +162,8 @@
   const TaskId& first = aRequest.mFirstTask;
   const DispatchJob& job = aShard.mJobs.at(first.mJob);
   const StepSpec& step = StepOf(job, first);
-  const std::size_t own = RenewReservations(first, aWorkers, aNow);
+  const std::size_t own =
+    RenewReservations(first, step, aWorkers, aMayRun, aNow);
   const std::size_t most =
     std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneReserved);
   const bool isEnough = own >= aRequest.mWorkers ||
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -41,8 +41,9 @@
   std::size_t mWorkers = 1;
 };
 
-/// Renews the step's reservations and, while it has too few, reserves the
-/// worker that lacks the least room for a task of it, one in each round.
+/// Renews the step's reservations but for those where no further task of it can
+/// run and, while it has too few, reserves the worker that lacks the least room
+/// for a task of it, one in each round.
 /// Workers where runs of jobs that have several leave enough are preferred.
 /// Does nothing if only long-running tasks are in the way, or if too many of
 /// the workers are reserved.
--- a/Tests/Unit/vcBoundsModel.h
+++ b/Tests/Unit/vcBoundsModel.h
@@ -42,6 +42,7 @@
   Duration mRunTime = kRunTime;
   /// Each step follows the one before it.
   bool mIsChain = false;
+  std::uint32_t mMaxPerWorker = 0;
 };
 
 /// Workers with one calm serving image, a stream of jobs, and watched jobs.
@@ -90,6 +91,7 @@
     step.mIsFilling = aShape.mIsBestEffort;
     step.mIsGang = aShape.mIsGang;
     step.mIsLasting = aShape.mIsLasting;
+    step.mMaxPerWorker = aShape.mMaxPerWorker;
     record.mSpec.mSteps.assign(aShape.mSteps, step);
     for (std::uint32_t i = 1; aShape.mIsChain && i < aShape.mSteps; ++i) {
       record.mSpec.mSteps[i].mAfter = { i - 1 };
--- a/Tests/Unit/vcLongRunningRoomTest.cxx
+++ b/Tests/Unit/vcLongRunningRoomTest.cxx
@@ -77,4 +77,51 @@
   CHECK(model.mNow - since <= kLongestWait);
 }
 
+// Guards against a reservation that is kept where no further task of the step
+// can ever run, since the ones before have taken the room or the limit of the
+// worker is reached, while the rest wait without a bound.
+TEST_CASE("each of several lost long-running tasks gets room in turn",
+          "[long-running]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::int64_t mLargeMilliCpu;
+    std::uint32_t mMaxPerWorker;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "no second one fits on a worker", 6'000, 0 },
+    { "one on each worker", 4'000, 1 },
+  }));
+  INFO(row.mName);
+  constexpr std::uint32_t kWorkers = 4;
+  constexpr std::uint32_t kPlaces = 10;
+  constexpr std::uint32_t kTasks = 3;
+  BoundsModel model(kWorkers, kPlaces * kSmallMilliCpu);
+  JobShape small{ kWorkers, kLongObjectiveMs, 0, false, "" };
+  for (std::uint32_t i = 0; i < kPlaces; ++i) {
+    model.Add(fmt::format("{:016x}", 0xc0 + i), small);
+    model.Play({ 0 }, model.mNow + kRound);
+  }
+  small.mTasks = 5'000;
+  model.Add("00000000000000d1", small);
+  JobShape lasting{ kTasks, -2 * kLongObjectiveMs, 0, false, "" };
+  lasting.mIsLasting = true;
+  lasting.mMilliCpu = row.mLargeMilliCpu;
+  lasting.mMaxPerWorker = row.mMaxPerWorker;
+  lasting.mRunTime = Duration(kLongObjectiveMs);
+  model.Add(kLasting, lasting);
+  const auto countAtWork = [&] {
+    std::uint32_t atWork = 0;
+    for (std::uint32_t i = 0; i < kTasks; ++i) {
+      const DispatchTask* task = FindTask(model.mShard, { kLasting, 0, 0, i });
+      atWork += task->mPhase == RunPhase::kRunning ? 1 : 0;
+    }
+    return atWork;
+  };
+  // Each waits for as long as one does that waits alone, after those before.
+  model.Play({ 0 }, model.mNow + kTasks * kLongestWait);
+  CHECK(countAtWork() == kTasks);
+}
+
 } // namespace verbenacroft
