Tests: Name the plays whose work lasts in one place

Cause: the list of the plays with much lasting work stood twice, in the program (number of jobs, one shard) and in the fleet (part of the jobs that last). A new play had to be added to both.

Change: one function of the play, beside the list of plays. No change of behaviour.

--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -85,6 +85,17 @@
   });
 };
 
+/// True if much of the work of the play lasts, so that most workers run some of
+/// it.
+constexpr bool HasManyLastingJobs(FleetPlay aPlay)
+{
+  return aPlay == FleetPlay::kSuccessiveTakeovers ||
+         aPlay == FleetPlay::kLongPartition ||
+         aPlay == FleetPlay::kOwnerAndWorkersLost ||
+         aPlay == FleetPlay::kOwnersLostInSeries ||
+         aPlay == FleetPlay::kLeavesBeforeSettled;
+}
+
 struct FleetOptions
 {
   FleetPlay mPlay = FleetPlay::kFaults;
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -23,7 +23,7 @@
 BatchSpec Fleet::DrawJob(const JobId& aId)
 {
   BatchSpec spec;
-  const int atOnce = this->HasManyLastingJobs()
+  const int atOnce = HasManyLastingJobs(this->mOptions.mPlay)
                        ? 1
                        : static_cast<int>(this->mOptions.mJobsAtOnce);
   const bool isLasting = this->Toss(std::max(1, kLastingPercent / atOnce));
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -120,11 +120,7 @@
 {
   // Enough work that every worker runs some of it.
   constexpr std::uint32_t kManyJobs = 4;
-  const bool hasManyJobs = aOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
-                           aOptions.mPlay == FleetPlay::kLongPartition ||
-                           aOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
-                           aOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
-                           aOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
+  const bool hasManyJobs = HasManyLastingJobs(aOptions.mPlay);
   // Tasks that end in fast succession on each of many workers.
   constexpr std::uint32_t kChokedWorkers = 120;
   constexpr std::uint32_t kChokedJobs = 10;
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -146,15 +146,6 @@
   std::string DrawOwner();
   /// Some of the workers that the fleet begins with, but not all.
   std::set<std::string> DrawWorkers(int aMost);
-  /// True if much of the work lasts, so that most workers run some of it.
-  bool HasManyLastingJobs() const
-  {
-    return this->mOptions.mPlay == FleetPlay::kSuccessiveTakeovers ||
-           this->mOptions.mPlay == FleetPlay::kLongPartition ||
-           this->mOptions.mPlay == FleetPlay::kOwnerAndWorkersLost ||
-           this->mOptions.mPlay == FleetPlay::kOwnersLostInSeries ||
-           this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled;
-  }
 
   // The fleet and its clock.
   void DrawSizes();
