Router: Pass on what has no slot, and leave refused keys free

Cause: process_graceful: a request slower than hedgeAfter is sent twice, and the hedges hold slots that the last of eight requests need; these wait 0.5 s and get 503. process_outage: without local targets a keyed request is forwarded to one router after another; the claim of the first is refused as not run, but the next is told that the key was used; or the answer comes just at the deadline.

Change: a request without a slot is forwarded, within the retry budget. A refused claim leaves its key to the next.

--- a/Source/Requests/vcRequests.cxx
+++ b/Source/Requests/vcRequests.cxx
@@ -1,12 +1,11 @@
 #include "vcRequests.h"
 
+#include <algorithm>
+
 namespace verbenacroft {
 
 namespace {
 
-/// A claim whose key is not journaled within this time is answered
-/// "unavailable".
-constexpr Duration kClaimWriteTimeout{ 1'000 };
 /// Prefix of the routes of store replies that belong to the journal of a slot.
 constexpr std::string_view kJournalRoute = "journal/keys/";
 
@@ -110,6 +109,27 @@
   return records;
 }
 
+/// Marks the key of a claim that is past its deadline as refused, unless the
+/// same request has claimed it again and still waits.
+void MarkRefused(IdempotencyState& aState,
+                 std::uint64_t aTicket,
+                 const PendingClaim& aPending)
+{
+  const auto& claim = aPending.mClaim;
+  const bool isClaimedAgain = std::any_of(
+    aState.mPending.begin(), aState.mPending.end(), [&](const auto& aEntry) {
+      const auto& other = aEntry.second.mClaim;
+      return aEntry.first != aTicket && other.mKey == claim.mKey &&
+             other.mNonce == claim.mNonce;
+    });
+  auto& entries = aState.mSlots.at(aPending.mSlot).mEntries;
+  const auto found = entries.find(claim.mKey);
+  if (!isClaimedAgain && found != entries.end() &&
+      found->second.mRecord.mNonce == claim.mNonce) {
+    found->second.mIsRefused = true;
+  }
+}
+
 /// Grants the claims whose key is journaled. Claims that are past their
 /// deadline or whose slot is not usable any more are answered "unavailable".
 void FinishClaims(IdempotencyState& aState, TimePoint aNow)
@@ -123,6 +143,9 @@
       return true;
     }
     if (!isUsable || aNow >= pending.mDeadline) {
+      if (isUsable) {
+        MarkRefused(aState, aEntry.first, pending);
+      }
       QueueReply(
         aState, aEntry.first, { KeyVerdict::kUnavailable, std::nullopt });
       return true;
@@ -169,7 +192,8 @@
 
 std::uint64_t ClaimKey(IdempotencyState& aState,
                        KeyClaim aClaim,
-                       TimePoint aNow)
+                       TimePoint aNow,
+                       Duration aMaxWait)
 {
   const auto ticket = aState.mNextTicket++;
   const std::string slotName = FindKeySlot(aClaim.mKey);
@@ -180,22 +204,27 @@
   auto& slot = aState.mSlots.at(slotName);
   PendingClaim pending;
   pending.mSlot = slotName;
-  pending.mDeadline = aNow + kClaimWriteTimeout;
+  pending.mDeadline = aNow + aMaxWait;
   const auto found = slot.mEntries.find(aClaim.mKey);
-  if (found != slot.mEntries.end()) {
+  const bool isClaimed = found != slot.mEntries.end();
+  if (isClaimed) {
     const auto& record = found->second.mRecord;
     if (record.mFingerprint != aClaim.mFingerprint) {
       QueueReply(aState, ticket, { KeyVerdict::kMismatch, std::nullopt });
       return ticket;
     }
-    if (record.mNonce != aClaim.mNonce) {
+    if (record.mNonce != aClaim.mNonce && !found->second.mIsRefused) {
       QueueReply(
         aState, ticket, { KeyVerdict::kDuplicate, found->second.mAnswer });
       return ticket;
     }
+  }
+  if (isClaimed && found->second.mRecord.mNonce == aClaim.mNonce) {
+    found->second.mIsRefused = false;
     pending.mSequence = found->second.mSequence;
   } else {
     const KeyRecord record{ aClaim.mKey, aClaim.mFingerprint, aClaim.mNonce };
+    slot.mEntries.erase(aClaim.mKey);
     AddRecord(slot, record, aNow);
     pending.mSequence = Append(slot.mJournal, EncodeValue(record));
     slot.mEntries[aClaim.mKey].mSequence = pending.mSequence;
--- a/Source/Requests/vcRequests.h
+++ b/Source/Requests/vcRequests.h
@@ -107,6 +107,9 @@
   TimePoint mRecordedAt{ 0 };
   /// Held in memory only, so it is lost when the slot changes its owner.
   std::optional<StoredAnswer> mAnswer;
+  /// The claim was answered "unavailable", so its request has not run. A later
+  /// claim with the same fingerprint takes the key.
+  bool mIsRefused = false;
 };
 
 /// A slot that this router owns.
@@ -164,12 +167,18 @@
 std::string FindSlotOwnerAddress(const IdempotencyState& aState,
                                  const std::string& aSlot);
 
+/// A claim whose key is not journaled within this time is answered
+/// "unavailable".
+constexpr Duration kClaimWriteTimeout{ 1'000 };
+
 /// Claims a key from this router as the owner of the slot. Returns the ticket
 /// under which the answer appears in `mReplies`. If this router does not own
-/// the slot or has not read its journal yet, the answer is `kUnavailable`.
+/// the slot or has not read its journal yet, the answer is `kUnavailable`, as
+/// it is if the key is not journaled within `aMaxWait`.
 std::uint64_t ClaimKey(IdempotencyState& aState,
                        KeyClaim aClaim,
-                       TimePoint aNow);
+                       TimePoint aNow,
+                       Duration aMaxWait = kClaimWriteTimeout);
 
 /// Stores the answer to a request whose key was granted, if it is small enough
 /// and its nonce is that of the claim.
--- a/Source/Router/vcRequestRouter.cxx
+++ b/Source/Router/vcRequestRouter.cxx
@@ -15,6 +15,10 @@
 /// A request waits for a free slot for at most its remaining time divided by
 /// this number.
 constexpr std::int64_t kSlotWaitDivisor = 4;
+/// Part of the time that a forwarded request has left, kept for the way of the
+/// answer: an answer at the deadline would come too late, and a request that
+/// was not run would count as one that may have been.
+constexpr Duration kPeerAnswerTime{ 150 };
 
 bool IsIdempotentMethod(std::string_view aMethod)
 {
@@ -378,10 +382,12 @@
       request.mHeaders.push_back(header);
     }
     request.mHeaders.push_back({ std::string(kForwardedHeader), "1" });
-    request.mHeaders.push_back({ std::string(kDeadlineHeader),
-                                 std::to_string(aCall.TimeLeft().count()) });
+    const Duration left = aCall.TimeLeft();
+    const Duration peerTime = left - std::min(kPeerAnswerTime, left / 4);
+    request.mHeaders.push_back(
+      { std::string(kDeadlineHeader), std::to_string(peerTime.count()) });
     HttpCallOptions options;
-    options.mTimeout = aCall.TimeLeft();
+    options.mTimeout = std::max(left, Duration{ 1 });
     HttpResult result = co_await this->mHttp.Call(
       *endpoint, std::move(request), std::move(options));
     if (!result.mError) {
@@ -415,13 +421,16 @@
   constexpr int kMaxClaimAttempts = 2;
   const std::string slot = FindKeySlot(aClaim.mKey);
   for (int i = 0; i < kMaxClaimAttempts; ++i) {
+    const Duration left = aDeadline - MonotonicNow();
     const std::string address = FindSlotOwnerAddress(this->mState.mKeys, slot);
     if (address == this->mState.mKeys.mOwnership.mSelf.mPeerAddress) {
-      const auto ticket = ClaimKey(this->mState.mKeys, aClaim, MonotonicNow());
+      const auto ticket = ClaimKey(this->mState.mKeys,
+                                   aClaim,
+                                   MonotonicNow(),
+                                   std::min(left, kClaimWriteTimeout));
       asio::post(this->mContext, [this] { this->DeliverKeyReplies(); });
       co_return co_await this->mKeyTickets.Wait(ticket);
     }
-    const Duration left = aDeadline - MonotonicNow();
     if (address.empty() || left <= Duration{ 0 }) {
       break;
     }
@@ -536,7 +545,21 @@
   if (isKeyed) {
     co_return co_await this->ServeWithIdempotencyKey(aCall);
   }
-  co_return co_await this->SendWithRetries(aCall);
+  HttpResponse response = co_await this->SendWithRetries(aCall);
+  // Hedges may hold slots that later requests need, so a request that found
+  // none is passed on. The retry budget bounds this in an overload.
+  const bool isNotRun =
+    FindHeader(response.mHeaders, kOutcomeHeader) == "not-run";
+  const bool mayForward = isNotRun && !aCall.mIsForwarded &&
+                          !aCall.mMayHaveRun &&
+                          aCall.TimeLeft() > Duration{ 0 };
+  if (mayForward && TakeRetryToken(this->mState.mRetries)) {
+    HttpResponse other = co_await this->Forward(aCall);
+    if (FindHeader(other.mHeaders, kOutcomeHeader) != "not-run") {
+      co_return other;
+    }
+  }
+  co_return response;
 }
 
 asio::awaitable<HttpResponse> RequestRouter::Serve(const HttpRequest& aRequest,
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -33,7 +33,7 @@
   Tests/Unit/vcTurnsTest.cxx Tests/Unit/vcConfigConditionTest.cxx
   Tests/Unit/vcOccurrencesTest.cxx Tests/Unit/vcSuccessionTest.cxx
   Tests/Unit/vcSuccessionBoundsTest.cxx Tests/Unit/vcHandOverTest.cxx
-  Tests/Unit/vcLongRunningRoomTest.cxx
+  Tests/Unit/vcLongRunningRoomTest.cxx Tests/Unit/vcKeyClaimTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -153,7 +153,7 @@
 target_link_libraries(vcLoad PRIVATE vcHttp)
 
 # Scenarios with the shipped programs as processes.
-foreach(scenario settings kill freeze outage graceful requests)
+foreach(scenario settings kill freeze outage graceful requests forward)
   add_test(NAME process_${scenario}
     COMMAND ${CMAKE_SOURCE_DIR}/Tests/Processes/${scenario}.sh
       ${CMAKE_BINARY_DIR}/bin)
