--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -39,7 +39,10 @@
 LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
-  return { aKey, IsSeenAtWork(task), task.mStartOrderedAt };
+  // A worker that was down before the start is silent; one that the task
+  // crashes at once closes its connections.
+  const bool hasBegun = task.mFirstSeenClock != 0 || task.mIsStartBroken;
+  return { aKey, hasBegun, IsSeenAtWork(task), task.mStartOrderedAt };
 }
 
 /// Runs that may have caused a crash of the worker.
@@ -74,23 +77,35 @@
          static_cast<double>(together) >= part;
 }
 
+/// True if so many workers may have crashed under the task that it is given up.
+/// @param aMaxCrashes number of them that suffices if all had begun it
+bool IsToBeGivenUp(const CrashHistory& aHistory, std::uint32_t aMaxCrashes)
+{
+  return aHistory.mCrashes >= aMaxCrashes ||
+         aHistory.mCrashes + aHistory.mUnconfirmed >= kMaxPossibleCrashes;
+}
+
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
-            std::uint32_t aCrashes,
+            const CrashHistory& aHistory,
             TimePoint aNow,
             std::int64_t aNowMs)
 {
-  spdlog::warn("task.given-up task={} crashes={}", Describe(aKey), aCrashes);
+  spdlog::warn("task.given-up task={} crashes={} unconfirmed={}",
+               Describe(aKey),
+               aHistory.mCrashes,
+               aHistory.mUnconfirmed);
   FailJob(aShard, aKey.mJob, aNow, aNowMs);
 }
 
 /// Counts a crash against a task.
 /// @param aRanFor longest time for which the run may have lasted
 void CountCrash(DispatchShard& aShard,
-                const TaskId& aKey,
+                const LostRun& aRun,
                 Duration aRanFor,
                 TimePoint aNow)
 {
+  const TaskId& aKey = aRun.mTask;
   DispatchTask* task = FindTask(aShard, aKey);
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
@@ -103,15 +118,16 @@
     return;
   }
   CrashHistory& history = task->mCrashHistory;
-  ++history.mCrashes;
+  ++(aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed);
   history.mLongestRun = std::max(history.mLongestRun, aRanFor);
   history.mIsStored = false;
   history.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   ++aShard.mSuspectsVersion;
-  spdlog::info("task.suspected task={} crashes={} ran_ms={}",
+  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={}",
                Describe(aKey),
                history.mCrashes,
+               history.mUnconfirmed,
                aRanFor.count());
 }
 
@@ -127,7 +143,8 @@
 
 bool IsSuspect(const DispatchTask& aTask)
 {
-  return aTask.mCrashHistory.mCrashes > 0;
+  const CrashHistory& history = aTask.mCrashHistory;
+  return history.mCrashes > 0 || history.mUnconfirmed > 0;
 }
 
 bool IsSeenAtWork(const DispatchTask& aTask)
@@ -186,7 +203,7 @@
   for (const auto& run : runs) {
     const Duration ranFor =
       std::max(silentSince - run.mStartOrderedAt, Duration(0));
-    CountCrash(aShard, run.mTask, ranFor, aNow);
+    CountCrash(aShard, run, ranFor, aNow);
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
@@ -194,8 +211,8 @@
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
   for (const auto& run : runs) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
-    if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
-      GiveUp(aShard, run.mTask, task->mCrashHistory.mCrashes, aNow, aNowMs);
+    if (task != nullptr && IsToBeGivenUp(task->mCrashHistory, most)) {
+      GiveUp(aShard, run.mTask, task->mCrashHistory, aNow, aNowMs);
     }
   }
 }
@@ -209,29 +226,36 @@
 
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       std::uint32_t aCrashes,
-                       Duration aLongestRun,
+                       const CrashHistory& aStored,
                        TimePoint aNow,
                        std::int64_t aNowMs)
 {
   DispatchTask* task = OpenTask(aShard, aKey);
-  if (task == nullptr || task->mPhase == RunPhase::kDone || aCrashes == 0) {
+  const bool hasCrashes = aStored.mCrashes + aStored.mUnconfirmed > 0;
+  if (task == nullptr || task->mPhase == RunPhase::kDone || !hasCrashes) {
     return;
   }
-  task->mCrashHistory = { aCrashes, aLongestRun, true, aNow };
+  task->mCrashHistory = aStored;
+  task->mCrashHistory.mIsStored = true;
+  task->mCrashHistory.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
-  if (aCrashes >= kMaxCrashes) {
-    GiveUp(aShard, aKey, aCrashes, aNow, aNowMs);
+  if (IsToBeGivenUp(aStored, kMaxCrashes)) {
+    GiveUp(aShard, aKey, aStored, aNow, aNowMs);
   }
 }
 
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            std::uint32_t aCrashes)
+                            const CrashHistory& aStored)
 {
   DispatchTask* task = FindTask(aShard, aKey);
-  if (task != nullptr && task->mCrashHistory.mCrashes == aCrashes) {
-    task->mCrashHistory.mIsStored = true;
+  if (task == nullptr) {
+    return;
+  }
+  CrashHistory& history = task->mCrashHistory;
+  if (history.mCrashes == aStored.mCrashes &&
+      history.mUnconfirmed == aStored.mUnconfirmed) {
+    history.mIsStored = true;
   }
 }
 
