--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -39,10 +39,7 @@
 LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
-  // A worker that was down before the start is silent; one that the task
-  // crashes at once closes its connections.
-  const bool hasBegun = task.mFirstSeenClock != 0 || task.mIsStartBroken;
-  return { aKey, hasBegun, IsSeenAtWork(task), task.mStartOrderedAt };
+  return { aKey, IsSeenAtWork(task), task.mStartOrderedAt };
 }
 
 /// Runs that may have caused a crash of the worker.
@@ -77,35 +74,23 @@
          static_cast<double>(together) >= part;
 }
 
-/// True if so many workers may have crashed under the task that it is given up.
-/// @param aMaxCrashes number of them that suffices if all had begun it
-bool IsToBeGivenUp(const CrashHistory& aHistory, std::uint32_t aMaxCrashes)
-{
-  return aHistory.mCrashes >= aMaxCrashes ||
-         aHistory.mCrashes + aHistory.mUnconfirmed >= kMaxPossibleCrashes;
-}
-
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
-            const CrashHistory& aHistory,
+            std::uint32_t aCrashes,
             TimePoint aNow,
             std::int64_t aNowMs)
 {
-  spdlog::warn("task.given-up task={} crashes={} unconfirmed={}",
-               Describe(aKey),
-               aHistory.mCrashes,
-               aHistory.mUnconfirmed);
+  spdlog::warn("task.given-up task={} crashes={}", Describe(aKey), aCrashes);
   FailJob(aShard, aKey.mJob, aNow, aNowMs);
 }
 
 /// Counts a crash against a task.
 /// @param aRanFor longest time for which the run may have lasted
 void CountCrash(DispatchShard& aShard,
-                const LostRun& aRun,
+                const TaskId& aKey,
                 Duration aRanFor,
                 TimePoint aNow)
 {
-  const TaskId& aKey = aRun.mTask;
   DispatchTask* task = FindTask(aShard, aKey);
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
@@ -118,16 +103,15 @@
     return;
   }
   CrashHistory& history = task->mCrashHistory;
-  ++(aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed);
+  ++history.mCrashes;
   history.mLongestRun = std::max(history.mLongestRun, aRanFor);
   history.mIsStored = false;
   history.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   ++aShard.mSuspectsVersion;
-  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={}",
+  spdlog::info("task.suspected task={} crashes={} ran_ms={}",
                Describe(aKey),
                history.mCrashes,
-               history.mUnconfirmed,
                aRanFor.count());
 }
 
@@ -143,8 +127,7 @@
 
 bool IsSuspect(const DispatchTask& aTask)
 {
-  const CrashHistory& history = aTask.mCrashHistory;
-  return history.mCrashes > 0 || history.mUnconfirmed > 0;
+  return aTask.mCrashHistory.mCrashes > 0;
 }
 
 bool IsSeenAtWork(const DispatchTask& aTask)
@@ -203,7 +186,7 @@
   for (const auto& run : runs) {
     const Duration ranFor =
       std::max(silentSince - run.mStartOrderedAt, Duration(0));
-    CountCrash(aShard, run, ranFor, aNow);
+    CountCrash(aShard, run.mTask, ranFor, aNow);
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
@@ -211,8 +194,8 @@
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
   for (const auto& run : runs) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
-    if (task != nullptr && IsToBeGivenUp(task->mCrashHistory, most)) {
-      GiveUp(aShard, run.mTask, task->mCrashHistory, aNow, aNowMs);
+    if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
+      GiveUp(aShard, run.mTask, task->mCrashHistory.mCrashes, aNow, aNowMs);
     }
   }
 }
@@ -226,36 +209,29 @@
 
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       const CrashHistory& aStored,
+                       std::uint32_t aCrashes,
+                       Duration aLongestRun,
                        TimePoint aNow,
                        std::int64_t aNowMs)
 {
   DispatchTask* task = OpenTask(aShard, aKey);
-  const bool hasCrashes = aStored.mCrashes + aStored.mUnconfirmed > 0;
-  if (task == nullptr || task->mPhase == RunPhase::kDone || !hasCrashes) {
+  if (task == nullptr || task->mPhase == RunPhase::kDone || aCrashes == 0) {
     return;
   }
-  task->mCrashHistory = aStored;
-  task->mCrashHistory.mIsStored = true;
-  task->mCrashHistory.mCountedAt = aNow;
+  task->mCrashHistory = { aCrashes, aLongestRun, true, aNow };
   aShard.mSuspects.insert(aKey);
-  if (IsToBeGivenUp(aStored, kMaxCrashes)) {
-    GiveUp(aShard, aKey, aStored, aNow, aNowMs);
+  if (aCrashes >= kMaxCrashes) {
+    GiveUp(aShard, aKey, aCrashes, aNow, aNowMs);
   }
 }
 
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            const CrashHistory& aStored)
+                            std::uint32_t aCrashes)
 {
   DispatchTask* task = FindTask(aShard, aKey);
-  if (task == nullptr) {
-    return;
-  }
-  CrashHistory& history = task->mCrashHistory;
-  if (history.mCrashes == aStored.mCrashes &&
-      history.mUnconfirmed == aStored.mUnconfirmed) {
-    history.mIsStored = true;
+  if (task != nullptr && task->mCrashHistory.mCrashes == aCrashes) {
+    task->mCrashHistory.mIsStored = true;
   }
 }
 
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -16,10 +16,6 @@
 
 /// A task is not started again once this many workers have crashed under it.
 constexpr std::uint32_t kMaxCrashes = 3;
-/// The same if only some of them, or none, are known to have begun it. A worker
-/// that is down when it is told to start a task looks the same as one that the
-/// task crashes at once, so a few of them are no proof.
-constexpr std::uint32_t kMaxPossibleCrashes = 5;
 
 /// Counts a crash of the worker against the tasks that may have caused it, and
 /// gives up those that have used up their crashes. The runs aren't released. A
@@ -38,18 +34,17 @@
 
 /// Restores the crash history that an earlier owner stored for a task. Does
 /// nothing if the shard doesn't have the task.
-/// @param aStored its numbers of crashes and its longest run
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       const CrashHistory& aStored,
+                       std::uint32_t aCrashes,
+                       Duration aLongestRun,
                        TimePoint aNow,
                        std::int64_t aNowMs);
 
-/// Notes that the store has the history of a suspect with these numbers of
-/// crashes.
+/// Notes that the store has the history of a suspect with this many crashes.
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            const CrashHistory& aStored);
+                            std::uint32_t aCrashes);
 
 /// Forgets the suspects that are done, have run for long enough, or whose job
 /// has ended for good.
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -144,7 +144,6 @@
   task.mThrottledAt = kNever;
   task.mIsProbe = false;
   task.mIsStartUncertain = false;
-  task.mIsStartBroken = false;
   task.mStopSentAt = kNever;
   task.mFirstSeenClock = 0;
   task.mSeenAtWorkFor = Duration(0);
@@ -171,7 +170,6 @@
   }
   task.mWorker.clear();
   task.mIsStartUncertain = false;
-  task.mIsStartBroken = false;
   task.mPhase = aPhase;
 }
 
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -325,9 +325,7 @@
   // A worker that carries out no start keeps its free capacity, and would be
   // chosen again.
   task->mAvoidedWorker = aWorker;
-  const bool isBroken = aReply.mOutcome == OrderOutcome::kBroken;
-  if (isBroken || aReply.mOutcome == OrderOutcome::kUnknown) {
-    task->mIsStartBroken = isBroken;
+  if (aReply.mOutcome == OrderOutcome::kUnknown) {
     // A start that is being stopped stays as uncertain as it is: the stop may
     // have been answered already.
     task->mIsStartUncertain =
--- a/Source/Dispatch/vcWorkerOrders.h
+++ b/Source/Dispatch/vcWorkerOrders.h
@@ -94,10 +94,6 @@
   kOtherIncarnation,
   /// Nothing was sent.
   kNotSent,
-  /// The connection broke before the answer: the order may have been executed.
-  /// The worker was up when it was called, or the break would not have reached
-  /// the caller.
-  kBroken,
   /// No answer: the order may have been executed, or may still be.
   kUnknown,
 };
@@ -116,7 +112,6 @@
     { OrderOutcome::kMalformed, "malformed" },
     { OrderOutcome::kOtherIncarnation, "other-lifetime" },
     { OrderOutcome::kNotSent, "not-sent" },
-    { OrderOutcome::kBroken, "broken" },
     { OrderOutcome::kUnknown, "unknown" },
   });
 };
@@ -125,7 +120,6 @@
 constexpr bool IsAnswer(OrderOutcome aOutcome)
 {
   return aOutcome != OrderOutcome::kNotSent &&
-         aOutcome != OrderOutcome::kBroken &&
          aOutcome != OrderOutcome::kUnknown;
 }
 
--- a/Source/Node/vcCrashRecords.cxx
+++ b/Source/Node/vcCrashRecords.cxx
@@ -4,19 +4,6 @@
 
 namespace verbenacroft {
 
-namespace {
-
-CrashHistory HistoryOf(const CrashedTask& aRow)
-{
-  CrashHistory history;
-  history.mCrashes = aRow.mCrashes;
-  history.mUnconfirmed = aRow.mUnconfirmed;
-  history.mLongestRun = Duration(aRow.mLongestRunMs);
-  return history;
-}
-
-} // namespace
-
 CrashedTasksRecord CrashedTasksOf(const DispatchShard& aShard)
 {
   CrashedTasksRecord record;
@@ -25,8 +12,7 @@
     if (task != nullptr && IsSuspect(*task)) {
       record.mTasks.push_back({ Describe(key),
                                 task->mCrashHistory.mCrashes,
-                                task->mCrashHistory.mLongestRun.count(),
-                                task->mCrashHistory.mUnconfirmed });
+                                task->mCrashHistory.mLongestRun.count() });
     }
   }
   return record;
@@ -43,7 +29,8 @@
       spdlog::error("task.crashes-unreadable task={}", row.mTask);
       continue;
     }
-    ApplyCrashHistory(aShard, *key, HistoryOf(row), aNow, aNowMs);
+    ApplyCrashHistory(
+      aShard, *key, row.mCrashes, Duration(row.mLongestRunMs), aNow, aNowMs);
   }
 }
 
@@ -52,7 +39,7 @@
   for (const auto& row : aRecord.mTasks) {
     const auto key = ParseTaskId(row.mTask);
     if (key) {
-      MarkCrashHistoryStored(aShard, *key, HistoryOf(row));
+      MarkCrashHistoryStored(aShard, *key, row.mCrashes);
     }
   }
 }
--- a/Source/Node/vcCrashRecords.h
+++ b/Source/Node/vcCrashRecords.h
@@ -17,12 +17,8 @@
   std::uint32_t mCrashes = 0;
   /// Longest time in ms for which it may have run before such a crash.
   std::int64_t mLongestRunMs = 0;
-  /// Number of workers that have crashed without having confirmed its start.
-  std::uint32_t mUnconfirmed = 0;
 };
-BOOST_DESCRIBE_STRUCT(CrashedTask,
-                      (),
-                      (mTask, mCrashes, mLongestRunMs, mUnconfirmed))
+BOOST_DESCRIBE_STRUCT(CrashedTask, (), (mTask, mCrashes, mLongestRunMs))
 
 /// Record of these tasks.
 struct CrashedTasksRecord
