--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -36,7 +36,10 @@
 void Fleet::DrawSizes()
 {
   const auto nodes = static_cast<int>(this->mOptions.mNodes);
-  const int small = this->HasSmallNodes() ? this->DrawSize(1, nodes - 1) : 0;
+  int small = this->HasSmallNodes() ? this->DrawSize(1, nodes - 1) : 0;
+  if (this->mOptions.mPlay == FleetPlay::kLateClaims) {
+    small = nodes - 1;
+  }
   for (int i = 1; i <= nodes; ++i) {
     const double size =
       i <= small ? this->DrawSize(10, 90) / 100.0 : kLargeNode;
@@ -219,6 +222,8 @@
   } else if (this->mOptions.mPlay == FleetPlay::kLeavesBeforeSettled ||
              this->mOptions.mPlay == FleetPlay::kLossesAndLeaves) {
     this->ScheduleLeavesBeforeSettled();
+  } else if (this->mOptions.mPlay == FleetPlay::kLateClaims) {
+    this->ScheduleLateClaims();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -66,6 +66,10 @@
   kLeavesBeforeSettled,
   /// The same, and some owners are killed, paused or turned away in between.
   kLossesAndLeaves,
+  /// An owner and some workers are lost for good at the same moment, and the
+  /// nodes that are left claim the shard late: all but the owner are small. The
+  /// long-running tasks of these workers run again in time.
+  kLateClaims,
 };
 
 template<>
@@ -85,6 +89,7 @@
     { FleetPlay::kOwnersLostInSeries, "owners-lost-in-series" },
     { FleetPlay::kLeavesBeforeSettled, "leaves-before-settled" },
     { FleetPlay::kLossesAndLeaves, "losses-and-leaves" },
+    { FleetPlay::kLateClaims, "late-claims" },
   });
 };
 
@@ -97,7 +102,8 @@
          aPlay == FleetPlay::kOwnerAndWorkersLost ||
          aPlay == FleetPlay::kOwnersLostInSeries ||
          aPlay == FleetPlay::kLeavesBeforeSettled ||
-         aPlay == FleetPlay::kLossesAndLeaves;
+         aPlay == FleetPlay::kLossesAndLeaves ||
+         aPlay == FleetPlay::kLateClaims;
 }
 
 struct FleetOptions
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -72,6 +72,31 @@
   });
 };
 
+/// What happens to the nodes that are left when an owner is lost, so that they
+/// claim its shard late.
+enum class ClaimDelay
+{
+  /// The store is away and forgets all leases.
+  kLeasesForgotten,
+  /// The nodes are killed too, and are back some time later.
+  kAllRestarted,
+  /// The same, and the owner is back first.
+  kOwnerRestarted,
+  /// The store turns them away for longer than their leases last.
+  kTurnedAway,
+};
+
+template<>
+struct EnumTable<ClaimDelay>
+{
+  static constexpr auto kRows = std::to_array<NameRow<ClaimDelay>>({
+    { ClaimDelay::kLeasesForgotten, "owner lost, leases forgotten" },
+    { ClaimDelay::kAllRestarted, "owner lost, the others restarted" },
+    { ClaimDelay::kOwnerRestarted, "all killed, the owner is back first" },
+    { ClaimDelay::kTurnedAway, "owner lost, the others turned away" },
+  });
+};
+
 /// What limits the calls of a node to its workers.
 enum class CallLimit
 {
@@ -223,6 +248,13 @@
   void NoteClaim();
   void ScheduleCheckAfterLastClaim();
 
+  // Late claims.
+  void ScheduleLateClaims();
+  /// Loses the owner of the shard and delays the next claim.
+  void DelayClaim(ClaimDelay aDelay, const std::string& aOwner);
+  /// Ends that.
+  void EndClaimDelay(ClaimDelay aDelay, const std::string& aOwner);
+
   // Planned work after losses.
   void ScheduleLeavesBeforeSettled();
   /// The workers that the fleet begins with, in a drawn order.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -83,7 +83,7 @@
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
-  Tests/Fleet/vcFleetHandOvers.cxx
+  Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
@@ -137,6 +137,9 @@
 # The same amid further losses, from the last of which the wait counts.
 verbenacroft_fleet(losses_and_leaves
   --play losses-and-leaves --seeds 1..120)
+# Guards against a wait for lost workers that begins only with the claim, though
+# the shard has had no owner for some time.
+verbenacroft_fleet(late_claims --play late-claims --seeds 1..120)
 # Guards against two runs of a task when an owner without a lease goes on
 # renewing the workers that only it reaches.
 verbenacroft_fleet(long_partition --play long-partition --seeds 1..40)
