Claims: Log for how long a shard had no owner before its claim

Change: nodes note since when they know that a shard has no owner, and shard.claim tells that time as unowned_ms. It counts only if nobody has claimed the shard in between, which the revision of the worker set shows.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace verbenacroft {
@@ -88,6 +89,14 @@
   }
 }
 
+/// Applies an event of the watch. The events come in the order of their
+/// revisions.
+void ApplySystemEvent(NodeContext& aNode, const KvItem& aItem)
+{
+  ApplySystemItem(aNode, aItem);
+  aNode.mSystemRevision = std::max(aNode.mSystemRevision, aItem.mRevision);
+}
+
 /// Stops all shards of the node, since other nodes may claim them from now on.
 void OnLeaseLost(NodeContext& aNode)
 {
@@ -344,11 +353,12 @@
       ApplySystemItem(aNode, item);
     }
     aNode.mSystemCompleteAt = sentAt;
+    aNode.mSystemRevision = std::max(aNode.mSystemRevision, all.mRevision);
     const KvWatch watch{ kSystemPrefix, all.mRevision, kSystemWatchWait };
     co_await ApplyWatchEvents(aNode,
                               watch,
                               SuspendAwareNow() + kFullReadInterval,
-                              ApplySystemItem,
+                              ApplySystemEvent,
                               aNode.mSystemCompleteAt);
   }
 }
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -95,6 +95,9 @@
   std::uint32_t mGeneration = 0;
   /// Everything that owners before it had started was accounted for.
   bool mIsSettled = false;
+  /// From this time until the claim the shard had no owner; nothing if that
+  /// isn't known.
+  std::optional<TimePoint> mUnownedSince = std::nullopt;
 };
 
 /// What this node knew of a shard's workers when it stopped to run the shard.
@@ -188,6 +191,8 @@
   /// Whatever was written to the system records (nodes, owners and the number
   /// of shards) before this time has been applied.
   TimePoint mSystemCompleteAt{ kNever };
+  /// All system records up to this revision of the store have been applied.
+  std::uint64_t mSystemRevision = 0;
   /// Empty until the record is read, or while there is none.
   NodeSizeRecord mNodeSize;
   /// Revision of that record; 0 if there is none.
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -31,11 +31,22 @@
 /// Interval of the attempts to write the size of the fleet's nodes.
 constexpr Duration kNodeSizeInterval{ 500 };
 
+/// A shard that has no owner according to the table of owners.
+struct UnownedShard
+{
+  /// When that was seen first.
+  TimePoint mSince{ kNever };
+  /// `NodeContext::mSystemRevision` at that time.
+  std::uint64_t mSystemRevision = 0;
+};
+
 /// What a node remembers from one check for ownerless shards to the next.
 struct ClaimState
 {
-  /// First time at which each shard was seen without an owner.
+  /// Since when the turns of the nodes to claim a shard count, by shard.
   std::map<std::uint32_t, TimePoint> mOwnerlessSince;
+  /// The shards without an owner, whether the node may claim them or not.
+  std::map<std::uint32_t, UnownedShard> mUnowned;
   /// Lease that was valid at the last check.
   std::optional<LeaseId> mLease;
   /// Time since which the node has held it and the store has answered.
@@ -56,6 +67,19 @@
   }
 }
 
+/// Notes which shards have no owner and since when.
+void NoteUnowned(const NodeContext& aNode, ClaimState& aState, TimePoint aNow)
+{
+  for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
+    if (aNode.mOwners.contains(shard)) {
+      aState.mUnowned.erase(shard);
+    } else {
+      aState.mUnowned.try_emplace(shard,
+                                  UnownedShard{ aNow, aNode.mSystemRevision });
+    }
+  }
+}
+
 /// True if the node has more processors than the fleet's record says, and no
 /// other node of the table has to write that first.
 bool MustWriteNodeSize(const NodeContext& aNode)
@@ -218,6 +242,19 @@
   co_return records;
 }
 
+/// Time since which the shard has had no owner, if nobody has claimed it after
+/// that. Each claim writes the worker set, so a revision of the set up to which
+/// the table of owners was complete shows that.
+std::optional<TimePoint> UnownedSince(const ClaimState& aState,
+                                      std::uint32_t aShard,
+                                      const ClaimedRecords& aRecords)
+{
+  const auto unowned = aState.mUnowned.find(aShard);
+  const bool isKnown = unowned != aState.mUnowned.end() &&
+                       aRecords.mRevision <= unowned->second.mSystemRevision;
+  return isKnown ? std::optional(unowned->second.mSince) : std::nullopt;
+}
+
 /// The write that claims a shard.
 KvTransaction MakeClaim(const NodeContext& aNode,
                         std::uint32_t aShard,
@@ -245,6 +282,7 @@
 /// Claims a shard under `aLease`, the lease that the node held when it decided
 /// to claim. Does nothing if the node has lost that lease meanwhile.
 asio::awaitable<void> Claim(NodeContext& aNode,
+                            const ClaimState& aState,
                             std::uint32_t aShard,
                             LeaseId aLease)
 {
@@ -255,16 +293,21 @@
   ShardOwnerRecord owner{ aNode.mSettings.mName,
                           PeerAddressOf(aNode.mSettings) };
   KvTransaction write = MakeClaim(aNode, aShard, aLease, owner, *records);
+  FormerOwner former = FormerOwnerOf(records->mWorkerSet);
+  former.mUnownedSince = UnownedSince(aState, aShard, *records);
   const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
   UpdateStoreHealth(aNode, reply);
-  spdlog::info("shard.claim shard={} lease={} outcome={} revision={}",
+  const TimePoint now = SuspendAwareNow();
+  spdlog::info("shard.claim shard={} lease={} outcome={} revision={} "
+               "unowned_ms={}",
                aShard,
                aLease.Number(),
                NameOf(reply.mStatus),
-               reply.mRevision);
+               reply.mRevision,
+               (now - former.mUnownedSince.value_or(now)).count());
   if (reply.mStatus == KvStatus::kOk) {
     aNode.mOwners[aShard] = { owner, reply.mRevision, aLease };
-    aNode.mFormerOwners[aShard] = FormerOwnerOf(records->mWorkerSet);
+    aNode.mFormerOwners[aShard] = former;
   } else if (!IsTurnedDown(reply.mStatus)) {
     // After a conflict or a lost reply, the record shows who owns the shard.
     co_await ReadOwner(aNode, aShard);
@@ -370,7 +413,7 @@
     if (!lease || aNode.mIsLeaseInDoubt) {
       co_return;
     }
-    co_await Claim(aNode, shard, *lease);
+    co_await Claim(aNode, aState, shard, *lease);
   }
 }
 
@@ -441,6 +484,7 @@
     // stall.
     lastTick = now;
     UpdateLeaseHeldSince(aNode, state, now);
+    NoteUnowned(aNode, state, now);
     if (!aNode.mLease || aNode.mIsLeaseInDoubt) {
       continue;
     }
