Claims: Count the wait for lost workers from the end of the ownership

Seen by callers: a long-running task whose worker and owner are lost runs again later than it has to, by the time for which the shard had no owner. Cause: a new owner waits 8.5 s from its claim for workers that don't answer. No owner before can have proved its ownership after its record had gone, so what passes until the claim (ranks, the 2.3 s of small nodes, a new lease, slow calls, a restart) was waited for twice. And the reply to a claim may be lost; the former owner wasn't asked then. Change: the wait counts from when the claimant has known the shard to be without an owner, if the revision of the worker set shows that nobody claimed it since. If the last owner had settled and was an earlier process of this node, its leases end by the longest lease after this process began. Listed workers are still asked for a while after the claim before tasks that may be done start elsewhere. The former owner is noted before the claim is written. Why it holds: the store answers no renewal of a lease after the keys of the lease have gone, and each claim writes the worker set.

--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -421,6 +421,8 @@
   TimePoint mRunsEndAt{ kNever };
   /// They belong to jobs that were accepted up to this revision of the store.
   std::uint64_t mNoJobsAfter = 0;
+  /// If the worker may be well, its answer is awaited until this time at least.
+  TimePoint mAskedUntil{ kNever };
 };
 
 /// State of a shard as its owner keeps it.
@@ -430,6 +432,8 @@
   /// Fencing token of every order: the store's revision at which the shard was
   /// acquired.
   std::uint64_t mEpoch = 0;
+  /// When this owner knew of its claim and began to ask the workers.
+  TimePoint mClaimedAt{ kNever };
   /// Run numbers of this ownership start above this, and so above those of
   /// earlier owners.
   std::uint32_t mRunBase = 0;
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -54,7 +54,9 @@
   const auto known = aShard.mWorkers.find(aName);
   const bool mayBeWell =
     known != aShard.mWorkers.end() && known->second.mIsListed;
-  return aWorker.mRunsEndAt + (mayBeWell ? kUnheardEndsWait : Duration(0));
+  return mayBeWell ? std::max(aWorker.mRunsEndAt + kUnheardEndsWait,
+                              aWorker.mAskedUntil)
+                   : aWorker.mRunsEndAt;
 }
 
 /// True if no run on an unanswered worker lasts any more.
@@ -168,7 +170,7 @@
 void AddActiveWorker(DispatchShard& aShard,
                      const std::string& aName,
                      const EarlierOwners& aEarlier,
-                     TimePoint aClaimedAt)
+                     TimePoint aUnownedSince)
 {
   const DispatchBounds& bounds = aShard.mBounds;
   const Duration gracePeriod =
@@ -176,7 +178,9 @@
   const Duration longest = gracePeriod + LongestLease(bounds);
   const Duration endsIn =
     std::min(longest, aEarlier.mLeaseLimit.value_or(longest));
-  aShard.mUnansweredWorkers[aName] = { aClaimedAt + endsIn, aShard.mEpoch };
+  aShard.mUnansweredWorkers[aName] = { aUnownedSince + endsIn,
+                                       aShard.mEpoch,
+                                       aShard.mClaimedAt + kUnheardEndsWait };
   aShard.mWorkers[aName].mIsRecorded = true;
 }
 
@@ -184,9 +188,11 @@
                        const std::string& aName,
                        Duration aRunsEndIn,
                        std::uint64_t aNoJobsAfter,
-                       TimePoint aNow)
+                       TimePoint aUnownedSince)
 {
-  aShard.mUnansweredWorkers[aName] = { aNow + aRunsEndIn, aNoJobsAfter };
+  aShard.mUnansweredWorkers[aName] = { aUnownedSince + aRunsEndIn,
+                                       aNoJobsAfter,
+                                       aShard.mClaimedAt + kLeastAskedFor };
   DispatchWorker& worker = aShard.mWorkers[aName];
   worker.mIsInactive = true;
   worker.mNoJobsAfter = aNoJobsAfter;
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -22,6 +22,10 @@
 /// this long before such tasks are started elsewhere.
 constexpr Duration kUnheardEndsWait{ 6'000 };
 
+/// A worker that an owner before has found silent is asked for at least this
+/// long, since this owner may reach it.
+constexpr Duration kLeastAskedFor{ 1'000 };
+
 /// True if the worker set in the store has to contain the worker: because tasks
 /// may be started there, or because the next owner has to ask it what runs
 /// there. A worker isn't contained any more once nothing can run there: it is
@@ -66,21 +70,23 @@
 
 /// Adds a worker of the recorded worker set that was active when this owner
 /// claimed the shard.
-/// @param aClaimedAt no earlier owner can prove its ownership after this time
+/// @param aUnownedSince no earlier owner can have proved its ownership after
+/// this time
 void AddActiveWorker(DispatchShard& aShard,
                      const std::string& aName,
                      const EarlierOwners& aEarlier,
-                     TimePoint aClaimedAt);
+                     TimePoint aUnownedSince);
 
 /// Adds a worker that was recorded as inactive.
-/// @param aRunsEndIn time from `aNow` by which all runs there have ended
+/// @param aRunsEndIn time from `aUnownedSince` by which all runs there have
+/// ended
 /// @param aNoJobsAfter earlier owners started no job there that was accepted
 /// after this revision of the store
 void AddInactiveWorker(DispatchShard& aShard,
                        const std::string& aName,
                        Duration aRunsEndIn,
                        std::uint64_t aNoJobsAfter,
-                       TimePoint aNow);
+                       TimePoint aUnownedSince);
 
 /// Handles an answer of a worker that was unanswered so far, if it was. The
 /// runs that it reports keep the leases of earlier owners until they are
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -95,8 +95,8 @@
   std::uint32_t mGeneration = 0;
   /// Everything that owners before it had started was accounted for.
   bool mIsSettled = false;
-  /// From this time until the claim the shard had no owner; nothing if that
-  /// isn't known.
+  /// No owner can have proved its ownership from this time until the claim;
+  /// nothing if that isn't known.
   std::optional<TimePoint> mUnownedSince = std::nullopt;
 };
 
@@ -159,6 +159,8 @@
 
   asio::io_context& mIo;
   NodeSettings mSettings;
+  /// When this process began.
+  TimePoint mStartedAt = SuspendAwareNow();
   HttpClient mHttp;
   KeyValueStore mStore;
   WorkerPort mWorkers;
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -242,13 +242,31 @@
   co_return records;
 }
 
-/// Time since which the shard has had no owner, if nobody has claimed it after
-/// that. Each claim writes the worker set, so a revision of the set up to which
-/// the table of owners was complete shows that.
-std::optional<TimePoint> UnownedSince(const ClaimState& aState,
+/// True if the former owner was an earlier process of this node, and all owners
+/// before that had been accounted for.
+bool WasEarlierProcess(const NodeContext& aNode,
+                       std::uint32_t aShard,
+                       const FormerOwner& aFormer)
+{
+  const auto lastEpoch = aNode.mLastEpochs.find(aShard);
+  const bool hasRun =
+    lastEpoch != aNode.mLastEpochs.end() && lastEpoch->second > 0;
+  return !hasRun && aFormer.mIsSettled &&
+         aFormer.mNode == aNode.mSettings.mName;
+}
+
+/// Time since which no owner can have proved its ownership of the shard, if
+/// that is known. Each claim writes the worker set, so nobody has claimed the
+/// shard since the table of owners was complete up to the set's revision.
+std::optional<TimePoint> UnownedSince(const NodeContext& aNode,
+                                      const ClaimState& aState,
                                       std::uint32_t aShard,
                                       const ClaimedRecords& aRecords)
 {
+  const FormerOwner former = FormerOwnerOf(aRecords.mWorkerSet);
+  if (WasEarlierProcess(aNode, aShard, former)) {
+    return aNode.mStartedAt;
+  }
   const auto unowned = aState.mUnowned.find(aShard);
   const bool isKnown = unowned != aState.mUnowned.end() &&
                        aRecords.mRevision <= unowned->second.mSystemRevision;
@@ -294,7 +312,9 @@
                           PeerAddressOf(aNode.mSettings) };
   KvTransaction write = MakeClaim(aNode, aShard, aLease, owner, *records);
   FormerOwner former = FormerOwnerOf(records->mWorkerSet);
-  former.mUnownedSince = UnownedSince(aState, aShard, *records);
+  former.mUnownedSince = UnownedSince(aNode, aState, aShard, *records);
+  // Before the write, since it may be carried out although its reply is lost.
+  aNode.mFormerOwners[aShard] = former;
   const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
   UpdateStoreHealth(aNode, reply);
   const TimePoint now = SuspendAwareNow();
@@ -307,7 +327,6 @@
                (now - former.mUnownedSince.value_or(now)).count());
   if (reply.mStatus == KvStatus::kOk) {
     aNode.mOwners[aShard] = { owner, reply.mRevision, aLease };
-    aNode.mFormerOwners[aShard] = former;
   } else if (!IsTurnedDown(reply.mStatus)) {
     // After a conflict or a lost reply, the record shows who owns the shard.
     co_await ReadOwner(aNode, aShard);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -81,7 +81,7 @@
 
 void ShardRunner::Start()
 {
-  this->mStartedAt = SuspendAwareNow();
+  this->mShard.mClaimedAt = SuspendAwareNow();
   this->Spawn("run", [self = this->shared_from_this()] { return self->Run(); });
 }
 
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -111,6 +111,9 @@
   asio::awaitable<bool> LoadHandOver();
   /// What the recorded worker set says of earlier owners.
   EarlierOwners KnownOfEarlierOwners() const;
+  /// No owner before this one can have proved its ownership after this time.
+  /// The claim at the latest, however long it takes to load the shard.
+  TimePoint UnownedSince() const;
   /// Adds the workers of the recorded worker set and the times until which runs
   /// of earlier owners may last there.
   void AddStoredWorkers(TimePoint aNow);
@@ -247,9 +250,6 @@
   std::uint64_t mCrashesRevision = 0;
   /// `DispatchShard::mSuspectsVersion` of that record.
   std::uint64_t mStoredSuspectsVersion = 0;
-  /// When the claim of the shard was known. Earlier owners stop counting from
-  /// the claim, however long it takes to load the shard.
-  TimePoint mStartedAt{ kNever };
   /// A write of the worker set is running.
   bool mIsRecordingWorkerSet = false;
   /// Orders to send, by worker.
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -50,8 +50,7 @@
 /// may reach a worker that this owner doesn't.
 std::int64_t RecordedTimeUntil(TimePoint aEndAt, TimePoint aNow)
 {
-  constexpr Duration kLeastWait{ 1'000 };
-  return std::max(aEndAt - aNow, kLeastWait - kUnheardEndsWait).count();
+  return std::max(aEndAt - aNow, kLeastAskedFor - kUnheardEndsWait).count();
 }
 
 /// Takes the current revisions of the records from a failed write.
@@ -117,11 +116,22 @@
     ApplyHandOver(this->mShard,
                   *record,
                   this->mStored.mWorkerSet.mGeneration,
-                  this->mStartedAt);
+                  this->UnownedSince());
   }
   co_return record.has_value();
 }
 
+TimePoint ShardRunner::UnownedSince() const
+{
+  const auto former = this->mNode.mFormerOwners.find(this->mShardNumber);
+  const bool isKnown =
+    former != this->mNode.mFormerOwners.end() && former->second.mUnownedSince &&
+    former->second.mGeneration + 1 == this->mStored.mWorkerSet.mGeneration;
+  const TimePoint claimedAt = this->mShard.mClaimedAt;
+  return isKnown ? std::min(*former->second.mUnownedSince, claimedAt)
+                 : claimedAt;
+}
+
 EarlierOwners ShardRunner::KnownOfEarlierOwners() const
 {
   const WorkerSetRecord& workerSet = this->mStored.mWorkerSet;
@@ -161,13 +171,13 @@
       AddActiveWorker(this->mShard,
                       member.mWorker,
                       this->KnownOfEarlierOwners(),
-                      this->mStartedAt);
+                      this->UnownedSince());
     } else {
       AddInactiveWorker(this->mShard,
                         member.mWorker,
                         Duration(row->second.mRunsEndInMs),
                         row->second.mNoJobsAfter,
-                        this->mStartedAt);
+                        this->UnownedSince());
     }
   }
 }
--- /dev/null
+++ b/Tests/Unit/vcClaimWaitTest.cxx
@@ -0,0 +1,235 @@
+/// From when a new owner counts the wait for workers that don't answer it: the
+/// end of the ownership before, not its own claim.
+
+#include "vcFleetStore.h"
+
+#include "vcMembership.h"
+#include "vcShardClaims.h"
+#include "vcShardRunner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace verbenacroft {
+
+namespace {
+
+constexpr TimePoint kBegin{ 1'000'000 };
+constexpr Duration kStep{ 5 };
+constexpr std::uint32_t kGeneration = 4;
+
+/// A node that joins a fleet whose only shard has lost its owner, on a clock of
+/// the test's own. The shard's only worker, `w1`, doesn't answer.
+struct ClaimFixture
+{
+  ClaimFixture()
+  {
+    UseManualTime(this->mNow);
+    this->mNode.emplace(this->mIo, NodeSettings{});
+    this->mNode->mSettings.mName = "node-1";
+    this->mNode->mSettings.mInternalIp = "127.0.0.1";
+    this->mNode->mSettings.mInternalPorts = { 1, 2 };
+    this->mNode->mOperators.emplace();
+    this->mNode->mCodec.mDiscoveryPrefix = "servers/";
+    this->mNode->mCodec.mDecodeWorker =
+      [](std::string_view, std::string_view, Faults&) {
+        WorkerEntry entry;
+        entry.mWorker = "w1";
+        entry.mService = "pool";
+        entry.mAddress = "127.0.0.1:9000";
+        return std::optional(entry);
+      };
+    this->mNode->mStore = MakeMemoryStore(this->mStore, "node-1");
+    this->mNode->mWorkers.mRenew =
+      [](const WorkerAddress&, RenewOrder) -> asio::awaitable<WorkerReport> {
+      co_await Sleep(Duration(100));
+      co_return WorkerReport{};
+    };
+    this->Put(kLayoutKey, Encode(LayoutRecord{ 1 }));
+    this->Put("servers/w1", "{}");
+  }
+  ~ClaimFixture()
+  {
+    this->mNode->mRunners.clear();
+    UseManualTime(std::nullopt);
+  }
+  ClaimFixture(const ClaimFixture&) = delete;
+  ClaimFixture& operator=(const ClaimFixture&) = delete;
+
+  void Put(const std::string& aKey, std::string aValue)
+  {
+    KvTransaction write;
+    write.mPuts.push_back(PersistentPut(aKey, std::move(aValue)));
+    CommitNow(this->mStore, write);
+  }
+
+  /// The records that an owner leaves.
+  void PutRecords(const std::string& aOwner, bool aIsSettled)
+  {
+    WorkerSetRecord workerSet;
+    workerSet.mGeneration = kGeneration;
+    workerSet.mWorkers = { { "w1", "127.0.0.1:9000" } };
+    workerSet.mOwner = aOwner;
+    workerSet.mIsSettled = aIsSettled;
+    InactiveWorkersRecord inactive;
+    inactive.mGeneration = kGeneration;
+    inactive.mLeaseLimitMs = DispatchBounds{}.mLeaseLimit.count();
+    KvTransaction write;
+    AddWorkerSet(write, 0, workerSet, inactive);
+    CommitNow(this->mStore, write);
+  }
+
+  void StartNode()
+  {
+    NodeContext& node = *this->mNode;
+    node.mStartedAt = this->mNow;
+    SpawnWithRestart(
+      node, "system", [&node] { return WatchSystemRecords(node); });
+    SpawnWithRestart(node, "claims", [&node] { return ClaimShards(node); });
+  }
+
+  void GetLease()
+  {
+    NodeContext& node = *this->mNode;
+    SpawnWithRestart(node, "lease", [&node] { return KeepLease(node); });
+  }
+
+  void Run(Duration aTime)
+  {
+    const TimePoint until = this->mNow + aTime;
+    while (this->mNow < until) {
+      this->mNow += kStep;
+      UseManualTime(this->mNow);
+      Advance(this->mStore, this->mNow);
+      this->mIo.restart();
+      this->mIo.poll();
+    }
+  }
+
+  /// Time from the node's start by which runs on the worker have ended.
+  Duration RunsEndIn() const
+  {
+    const DispatchShard& shard = this->mNode->mRunners.at(0)->State();
+    return shard.mUnansweredWorkers.at("w1").mRunsEndAt -
+           this->mNode->mStartedAt;
+  }
+
+  TimePoint mNow = kBegin;
+  MemoryStore mStore;
+  asio::io_context mIo{ 1 };
+  std::optional<NodeContext> mNode;
+};
+
+/// Time without an owner, for example since no node has a lease.
+constexpr Duration kUnowned{ 3'000 };
+/// Until the node has read the records, or has claimed the shard.
+constexpr Duration kStoreCalls{ 200 };
+
+} // namespace
+
+// Guards against lost tasks that wait for as long again as the shard has had no
+// owner, and against two runs of one that an owner in between has renewed.
+TEST_CASE("the wait for a lost worker counts from the end of the ownership",
+          "[claims]")
+{
+  struct Row
+  {
+    const char* mName;
+    const char* mOwner;
+    bool mIsSettled;
+    bool mIsClaimedInBetween;
+    Duration mLeast;
+    Duration mMost;
+  };
+  const Duration limit = DispatchBounds{}.mLeaseLimit;
+  const Duration longest = LongestLease(DispatchBounds{});
+  const auto row = GENERATE_COPY(values<Row>({
+    { "another node owned it",
+      "node-2",
+      true,
+      false,
+      limit,
+      limit + kStoreCalls },
+    { "another node, which hadn't settled",
+      "node-2",
+      false,
+      false,
+      limit,
+      limit + kStoreCalls },
+    { "an owner came and went unseen",
+      "node-2",
+      true,
+      true,
+      kUnowned + limit,
+      kUnowned + limit + kStoreCalls },
+    { "an earlier process of the node owned it",
+      "node-1",
+      true,
+      false,
+      longest,
+      longest },
+    { "an earlier process of the node, which hadn't settled",
+      "node-1",
+      false,
+      false,
+      limit,
+      limit + kStoreCalls },
+  }));
+  CAPTURE(row.mName);
+  ClaimFixture fixture;
+  fixture.PutRecords(row.mOwner, row.mIsSettled);
+  fixture.StartNode();
+  fixture.Run(kUnowned);
+  if (row.mIsClaimedInBetween) {
+    fixture.PutRecords(row.mOwner, row.mIsSettled);
+  }
+  fixture.GetLease();
+  fixture.Run(kStoreCalls);
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  CHECK(fixture.RunsEndIn() >= row.mLeast);
+  CHECK(fixture.RunsEndIn() <= row.mMost);
+}
+
+// Guards against tasks that are started again without a question to the worker
+// that may list them as done, when the claim comes long after the leases.
+TEST_CASE("a worker that may be well is asked however late the claim comes",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.PutRecords("node-2", true);
+  fixture.StartNode();
+  fixture.Run(Duration(20'000));
+  const TimePoint claimedAt = fixture.mNow;
+  fixture.GetLease();
+  fixture.Run(kStoreCalls);
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt < claimedAt);
+  CHECK_FALSE(IsBarrierClear(shard, claimedAt + kUnheardEndsWait));
+}
+
+// Guards against a former owner that isn't asked, and a wait that counts from
+// the claim, since the reply to the claim was lost.
+TEST_CASE("the former owner is known though the claim's reply was lost",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.PutRecords("node-2", true);
+  fixture.StartNode();
+  fixture.Run(kUnowned);
+  fixture.GetLease();
+  // Until the node has its lease and its record.
+  fixture.Run(Duration(20));
+  fixture.mStore.mLostShare = 1;
+  fixture.Run(Duration(3'000));
+  fixture.mStore.mLostShare = 0;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  REQUIRE(fixture.mNode->mFormerOwners.contains(0));
+  CHECK(fixture.mNode->mFormerOwners.at(0).mNode == "node-2");
+  CHECK(fixture.RunsEndIn() <= DispatchBounds{}.mLeaseLimit + kStoreCalls);
+}
+
+} // namespace verbenacroft
