Tests: Split the tests of dispatch decisions by duty

Change: pure moves. Takeovers and the recorded worker set go to vcDispatchTakeoverTest.cxx, sharing to vcDispatchSharingTest.cxx, and the fixture to vcDispatchFixture.h, where it is named DispatchFixture.

--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -22,6 +22,7 @@
   Tests/Unit/vcTestMain.cxx Tests/Unit/vcCodecTest.cxx
   Tests/Unit/vcJournalTest.cxx Tests/Unit/vcHttpTest.cxx
   Tests/Unit/vcDecisionTest.cxx Tests/Unit/vcDispatchTest.cxx
+  Tests/Unit/vcDispatchTakeoverTest.cxx Tests/Unit/vcDispatchSharingTest.cxx
   Tests/Unit/vcDispatchWaitTest.cxx Tests/Unit/vcWorkerSetTest.cxx
   Tests/Unit/vcMembershipTest.cxx Tests/Unit/vcOwnerPacingTest.cxx
   Tests/Unit/vcSitePlatformTest.cxx
