Node: Read records of the store by one function

Cause: the worker set, its inactive workers and the hand-over were read by four copies of one logic, each with an error line of its own. No change of behaviour but that a claim is tried again if the store answers a read without an item.

--- a/Source/Node/vcHandOver.cxx
+++ b/Source/Node/vcHandOver.cxx
@@ -116,24 +116,4 @@
   }
 }
 
-asio::awaitable<std::optional<HandOverRecord>> ReadHandOver(
-  NodeContext& aNode,
-  std::uint32_t aShard)
-{
-  const KvReply read = co_await aNode.mStore.mRead(HandOverKey(aShard));
-  UpdateStoreHealth(aNode, read);
-  if (read.mStatus == KvStatus::kNotFound) {
-    co_return HandOverRecord{};
-  }
-  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
-    co_return std::nullopt;
-  }
-  auto record = TryDecode<HandOverRecord>(read.mItems[0].mValue);
-  if (!record) {
-    spdlog::error("shard.hand-over-unreadable shard={}", aShard);
-    co_return HandOverRecord{};
-  }
-  co_return record;
-}
-
 } // namespace verbenacroft
--- a/Source/Node/vcHandOver.h
+++ b/Source/Node/vcHandOver.h
@@ -51,11 +51,4 @@
                    std::uint32_t aGeneration,
                    TimePoint aClaimedAt);
 
-/// Reads the record of the last hand-over of a shard. A record that can't be
-/// decoded counts as empty, so that the longest leases are assumed.
-/// @return nothing if the store could not be read
-asio::awaitable<std::optional<HandOverRecord>> ReadHandOver(
-  NodeContext& aNode,
-  std::uint32_t aShard);
-
 } // namespace verbenacroft
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -3,6 +3,7 @@
 #include "vcFormerOwner.h"
 #include "vcMembership.h"
 #include "vcShardRunner.h"
+#include "vcStoredRecord.h"
 
 #include <spdlog/spdlog.h>
 
@@ -206,9 +207,8 @@
 /// Records of a shard that a claim replaces.
 struct ClaimedRecords
 {
-  WorkerSetRecord mWorkerSet;
-  std::uint64_t mRevision = 0;
-  StoredInactiveWorkers mInactive;
+  StoredRecord<WorkerSetRecord> mWorkerSet;
+  StoredRecord<InactiveWorkersRecord> mInactive;
 };
 
 /// Reads the records that the claim of a shard replaces.
@@ -217,29 +217,17 @@
   NodeContext& aNode,
   std::uint32_t aShard)
 {
-  const KvReply read = co_await aNode.mStore.mRead(WorkerSetKey(aShard));
-  UpdateStoreHealth(aNode, read);
-  const bool isRead =
-    read.mStatus == KvStatus::kOk || read.mStatus == KvStatus::kNotFound;
-  if (!isRead) {
+  auto workerSet =
+    co_await ReadRecord<WorkerSetRecord>(aNode, WorkerSetKey(aShard));
+  if (!workerSet) {
     co_return std::nullopt;
   }
-  const auto inactive = co_await ReadInactiveWorkers(aNode, aShard);
+  auto inactive = co_await ReadRecord<InactiveWorkersRecord>(
+    aNode, InactiveWorkersKey(aShard));
   if (!inactive) {
     co_return std::nullopt;
   }
-  ClaimedRecords records;
-  records.mInactive = *inactive;
-  if (!read.mItems.empty()) {
-    records.mRevision = read.mItems[0].mRevision;
-    auto workerSet = TryDecode<WorkerSetRecord>(read.mItems[0].mValue);
-    if (workerSet) {
-      records.mWorkerSet = std::move(*workerSet);
-    } else {
-      spdlog::error("shard.worker-set-unreadable shard={}", aShard);
-    }
-  }
-  co_return records;
+  co_return ClaimedRecords{ std::move(*workerSet), std::move(*inactive) };
 }
 
 /// True if the former owner was an earlier process of this node, and all owners
@@ -263,13 +251,14 @@
                                       std::uint32_t aShard,
                                       const ClaimedRecords& aRecords)
 {
-  const FormerOwner former = FormerOwnerOf(aRecords.mWorkerSet);
+  const FormerOwner former = FormerOwnerOf(aRecords.mWorkerSet.mRecord);
   if (WasEarlierProcess(aNode, aShard, former)) {
     return aNode.mStartedAt;
   }
   const auto unowned = aState.mUnowned.find(aShard);
-  const bool isKnown = unowned != aState.mUnowned.end() &&
-                       aRecords.mRevision <= unowned->second.mSystemRevision;
+  const bool isKnown =
+    unowned != aState.mUnowned.end() &&
+    aRecords.mWorkerSet.mRevision <= unowned->second.mSystemRevision;
   return isKnown ? std::optional(unowned->second.mSince) : std::nullopt;
 }
 
@@ -282,7 +271,8 @@
 {
   KvTransaction write;
   write.mConditions.push_back({ OwnerKey(aShard), 0 });
-  write.mConditions.push_back({ WorkerSetKey(aShard), aRecords.mRevision });
+  write.mConditions.push_back(
+    { WorkerSetKey(aShard), aRecords.mWorkerSet.mRevision });
   write.mConditions.push_back(
     { InactiveWorkersKey(aShard), aRecords.mInactive.mRevision });
   write.mPuts.push_back(LeasedPut(OwnerKey(aShard), Encode(aOwner), aLease));
@@ -290,9 +280,9 @@
   AddWorkerSet(
     write,
     aShard,
-    NextWorkerSet(aRecords.mWorkerSet, aNode.mSettings.mName),
+    NextWorkerSet(aRecords.mWorkerSet.mRecord, aNode.mSettings.mName),
     NextInactiveWorkers(aRecords.mInactive.mRecord,
-                        aRecords.mWorkerSet,
+                        aRecords.mWorkerSet.mRecord,
                         DispatchBoundsOf(aNode.mSettings).mLeaseLimit));
   return write;
 }
@@ -311,7 +301,7 @@
   ShardOwnerRecord owner{ aNode.mSettings.mName,
                           PeerAddressOf(aNode.mSettings) };
   KvTransaction write = MakeClaim(aNode, aShard, aLease, owner, *records);
-  FormerOwner former = FormerOwnerOf(records->mWorkerSet);
+  FormerOwner former = FormerOwnerOf(records->mWorkerSet.mRecord);
   former.mUnownedSince = UnownedSince(aNode, aState, aShard, *records);
   // Before the write, since it may be carried out although its reply is lost.
   aNode.mFormerOwners[aShard] = former;
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -3,6 +3,7 @@
 
 #include "vcHandOver.h"
 #include "vcShardRunner.h"
+#include "vcStoredRecord.h"
 
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
@@ -85,36 +86,34 @@
 
 asio::awaitable<bool> ShardRunner::LoadWorkerSet()
 {
-  const KvReply read =
-    co_await this->mNode.mStore.mRead(WorkerSetKey(this->mShardNumber));
-  UpdateStoreHealth(this->mNode, read);
-  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
+  const auto workerSet = co_await ReadRecord<WorkerSetRecord>(
+    this->mNode, WorkerSetKey(this->mShardNumber));
+  // The claim has written the record, so an empty one couldn't be decoded.
+  if (!workerSet || workerSet->mRecord.mGeneration == 0) {
     co_return false;
   }
-  const auto workerSet = TryDecode<WorkerSetRecord>(read.mItems[0].mValue);
-  if (!workerSet) {
-    spdlog::error("shard.worker-set-unreadable shard={}", this->mShardNumber);
-    co_return false;
-  }
-  const auto inactive =
-    co_await ReadInactiveWorkers(this->mNode, this->mShardNumber);
+  const auto inactive = co_await ReadRecord<InactiveWorkersRecord>(
+    this->mNode, InactiveWorkersKey(this->mShardNumber));
   if (!inactive) {
     co_return false;
   }
-  this->mStored = {
-    *workerSet, read.mItems[0].mRevision, inactive->mRecord, inactive->mRevision
-  };
-  this->mShard.mRunBase = (workerSet->mGeneration - 1) * kRunsPerOwnership;
+  this->mStored = { workerSet->mRecord,
+                    workerSet->mRevision,
+                    inactive->mRecord,
+                    inactive->mRevision };
+  this->mShard.mRunBase =
+    (workerSet->mRecord.mGeneration - 1) * kRunsPerOwnership;
   this->AddStoredWorkers(SuspendAwareNow());
   co_return true;
 }
 
 asio::awaitable<bool> ShardRunner::LoadHandOver()
 {
-  const auto record = co_await ReadHandOver(this->mNode, this->mShardNumber);
+  const auto record = co_await ReadRecord<HandOverRecord>(
+    this->mNode, HandOverKey(this->mShardNumber));
   if (record) {
     ApplyHandOver(this->mShard,
-                  *record,
+                  record->mRecord,
                   this->mStored.mWorkerSet.mGeneration,
                   this->UnownedSince());
   }
--- a/Source/Node/vcWorkerSetRecords.cxx
+++ b/Source/Node/vcWorkerSetRecords.cxx
@@ -1,7 +1,5 @@
 #include "vcWorkerSetRecords.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
 namespace verbenacroft {
@@ -62,27 +60,4 @@
     PersistentPut(InactiveWorkersKey(aShard), Encode(aInactive)));
 }
 
-asio::awaitable<std::optional<StoredInactiveWorkers>> ReadInactiveWorkers(
-  NodeContext& aNode,
-  std::uint32_t aShard)
-{
-  const KvReply read = co_await aNode.mStore.mRead(InactiveWorkersKey(aShard));
-  UpdateStoreHealth(aNode, read);
-  if (read.mStatus == KvStatus::kNotFound) {
-    co_return StoredInactiveWorkers{};
-  }
-  if (read.mStatus != KvStatus::kOk || read.mItems.empty()) {
-    co_return std::nullopt;
-  }
-  StoredInactiveWorkers stored;
-  stored.mRevision = read.mItems[0].mRevision;
-  auto record = TryDecode<InactiveWorkersRecord>(read.mItems[0].mValue);
-  if (record) {
-    stored.mRecord = std::move(*record);
-  } else {
-    spdlog::error("shard.inactive-workers-unreadable shard={}", aShard);
-  }
-  co_return stored;
-}
-
 } // namespace verbenacroft
--- a/Source/Node/vcWorkerSetRecords.h
+++ b/Source/Node/vcWorkerSetRecords.h
@@ -99,19 +99,4 @@
                   const WorkerSetRecord& aWorkerSet,
                   const InactiveWorkersRecord& aInactive);
 
-/// The record of inactive workers as read from the store.
-struct StoredInactiveWorkers
-{
-  InactiveWorkersRecord mRecord;
-  /// Revision of the record; 0 if there is none.
-  std::uint64_t mRevision = 0;
-};
-
-/// Reads the record of inactive workers. A record that can't be decoded counts
-/// as empty, so that all workers count as active.
-/// @return nothing if the store could not be read
-asio::awaitable<std::optional<StoredInactiveWorkers>> ReadInactiveWorkers(
-  NodeContext& aNode,
-  std::uint32_t aShard);
-
 } // namespace verbenacroft
