Node: Give the fleet's layout a module of its own

Change: pure moves of the number of shards and the nodes' size to vcFleetLayout. Measured: all unit tests pass (208 cases, 90,260 assertions).

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -61,8 +61,8 @@
     vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
-  SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFormerOwner.cxx vcHandOver.cxx
-    vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
+  SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
+    vcFormerOwner.cxx vcHandOver.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
     vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx
     vcShardLog.cxx vcShardRunner.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
--- a/Source/Node/vcNode.h
+++ b/Source/Node/vcNode.h
@@ -4,6 +4,7 @@
 /// accepts callers' jobs and owns shards of jobs and workers.
 
 #include "vcCallerRequests.h"
+#include "vcFleetLayout.h"
 #include "vcMembership.h"
 #include "vcNodeProgram.h"
 #include "vcNodeSettings.h"
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -1,5 +1,6 @@
 #include "vcShardClaims.h"
 
+#include "vcFleetLayout.h"
 #include "vcFormerOwner.h"
 #include "vcMembership.h"
 #include "vcShardRunner.h"
@@ -21,12 +22,6 @@
 /// Additional delay per shard that the node owns already, so that nodes without
 /// shards claim first.
 constexpr Duration kOwnedShardDelay{ 60 };
-/// The size of the fleet counts as stable once no worker has been added for
-/// this time.
-constexpr Duration kFleetStableAfter{ 1'000 };
-/// Longest time to wait for that, since no job is run before the number of
-/// shards is known.
-constexpr Duration kMaxFleetStartup{ 4'500 };
 /// Interval of the counts of workers until the number of shards is known.
 constexpr Duration kCountInterval{ 500 };
 /// Interval of the attempts to write the size of the fleet's nodes.
@@ -81,36 +76,6 @@
   }
 }
 
-/// True if the node has more processors than the fleet's record says, and no
-/// other node of the table has to write that first.
-bool MustWriteNodeSize(const NodeContext& aNode)
-{
-  const bool isLarger =
-    aNode.mSettings.mProcessors > aNode.mNodeSize.mMostProcessors;
-  return isLarger && ClaimRank(aNode.mNodes, aNode.mSettings.mName, 0) == 0;
-}
-
-/// Writes this node's processors into the record of the fleet's node size,
-/// unless the record was changed meanwhile.
-asio::awaitable<void> WriteNodeSize(NodeContext& aNode)
-{
-  const NodeSizeRecord record{ aNode.mSettings.mProcessors };
-  KvTransaction write;
-  write.mConditions.push_back({ kNodeSizeKey, aNode.mNodeSizeRevision });
-  write.mPuts.push_back(PersistentPut(kNodeSizeKey, Encode(record)));
-  const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(aNode, reply);
-  spdlog::info("node-size.raised processors={} outcome={}",
-               record.mMostProcessors,
-               NameOf(reply.mStatus));
-  const bool isNewest =
-    reply.mStatus == KvStatus::kOk && reply.mRevision > aNode.mNodeSizeRevision;
-  if (isNewest) {
-    aNode.mNodeSize = record;
-    aNode.mNodeSizeRevision = reply.mRevision;
-  }
-}
-
 /// Reads the owner of a shard from the store into the table of owners.
 asio::awaitable<void> ReadOwner(NodeContext& aNode, std::uint32_t aShard)
 {
@@ -163,47 +128,6 @@
   co_await ReadOwner(aNode, aShard);
 }
 
-/// True if no other known node has more processors.
-bool IsLargest(const NodeContext& aNode)
-{
-  return std::none_of(
-    aNode.mNodes.begin(), aNode.mNodes.end(), [&](const auto& aRow) {
-      return aRow.second.mProcessors > aNode.mSettings.mProcessors;
-    });
-}
-
-/// Writes the number of shards once the size of the fleet is stable.
-asio::awaitable<void> WriteLayoutOnceStable(NodeContext& aNode,
-                                            FleetSizeTracker& aTracker)
-{
-  const KvReply listed =
-    co_await ReadAllPages(aNode, aNode.mCodec.mDiscoveryPrefix);
-  const auto workers = static_cast<std::uint32_t>(listed.mItems.size());
-  const bool isCounted = listed.mStatus == KvStatus::kOk && workers > 0;
-  const TimePoint now = SuspendAwareNow();
-  if (!isCounted || !IsFleetSizeStable(aTracker, workers, now)) {
-    co_return;
-  }
-  // The largest nodes claim the shards, so their links decide.
-  const bool mayDecide =
-    IsLargest(aNode) || now - aTracker.mFirstCountAt >= kMaxFleetStartup;
-  if (!mayDecide) {
-    co_return;
-  }
-  const std::uint32_t each = WorkersPerShardOf(aNode.mSettings);
-  LayoutRecord layout;
-  layout.mShards = std::max<std::uint32_t>(1, (workers + each / 2) / each);
-  KvTransaction write;
-  write.mConditions.push_back({ kLayoutKey, 0 });
-  write.mPuts.push_back(PersistentPut(kLayoutKey, Encode(layout)));
-  const KvReply reply = co_await aNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(aNode, reply);
-  spdlog::info("layout.decided shards={} workers={} outcome={}",
-               layout.mShards,
-               workers,
-               NameOf(reply.mStatus));
-}
-
 /// Records of a shard that a claim replaces.
 struct ClaimedRecords
 {
@@ -458,21 +382,6 @@
   return turnsFrom + kRankDelay * aStanding.mRank + kOwnedShardDelay * owned;
 }
 
-bool IsFleetSizeStable(FleetSizeTracker& aTracker,
-                       std::uint32_t aWorkers,
-                       TimePoint aNow)
-{
-  if (aTracker.mFirstCountAt == kNever) {
-    aTracker.mFirstCountAt = aNow;
-  }
-  if (aWorkers > aTracker.mWorkers) {
-    aTracker.mWorkers = aWorkers;
-    aTracker.mLastGrowthAt = aNow;
-  }
-  return aNow - aTracker.mLastGrowthAt >= kFleetStableAfter ||
-         aNow - aTracker.mFirstCountAt >= kMaxFleetStartup;
-}
-
 asio::awaitable<void> ClaimShards(NodeContext& aNode)
 {
   TimePoint lastTick = SuspendAwareNow();
--- a/Source/Node/vcShardClaims.h
+++ b/Source/Node/vcShardClaims.h
@@ -1,7 +1,6 @@
 #pragma once
 
 /// Claims of shards that have no owner: which node claims first, and when.
-/// Also the number of shards, which is determined before the first claim.
 
 #include "vcNodeContext.h"
 
@@ -12,24 +11,6 @@
 /// done so yet.
 asio::awaitable<void> ClaimShards(NodeContext& aNode);
 
-/// Growth of the number of workers while the fleet starts up.
-struct FleetSizeTracker
-{
-  /// Highest count so far.
-  std::uint32_t mWorkers = 0;
-  /// Time of the first count.
-  TimePoint mFirstCountAt = kNever;
-  /// Time of the last count that was higher than all before it.
-  TimePoint mLastGrowthAt = kNever;
-};
-
-/// Adds a count of workers.
-/// @return true once the size of the fleet is stable, or has been observed for
-/// so long that the number of shards is determined anyway
-bool IsFleetSizeStable(FleetSizeTracker& aTracker,
-                       std::uint32_t aWorkers,
-                       TimePoint aNow);
-
 /// Position of `aNode`, from 0, in the order in which nodes may claim `aShard`.
 /// Nodes with more processors come first; a hash of node and shard decides
 /// between equal ones.
