--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -62,9 +62,9 @@
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
-    vcFormerOwner.cxx vcHandOver.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
-    vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx
-    vcShardLog.cxx vcShardRunner.cxx
+    vcFormerOwner.cxx vcHandOver.cxx vcMembership.cxx vcNodeContext.cxx
+    vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx
+    vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx vcShardRunner.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
     vcStoreMonitor.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
