Claims: Count from the stop of a node's own earlier ownership

Seen by callers: two runs of a task, if a node that has lost its lease claims its own shard again and a worker is lost just then. Cause: since the wait counts from when the record of the owner is seen to go. The owner itself goes on renewing workers until its next renewal of the lease is turned down, 0.5 s later or more, and then counts only the longest lease, since it has stopped. It counted that from before it had stopped. Change: a shard counts as unowned only while this node doesn't run it.

--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -31,7 +31,8 @@
 /// Interval of the attempts to write the size of the fleet's nodes.
 constexpr Duration kNodeSizeInterval{ 500 };
 
-/// A shard that has no owner according to the table of owners.
+/// A shard that has no owner according to the table of owners, and that this
+/// node doesn't run.
 struct UnownedShard
 {
   /// When that was seen first.
@@ -67,11 +68,19 @@
   }
 }
 
+/// True if this node still acts as the owner of the shard. Its record may be
+/// gone already, which the node notices with the next renewal of its lease.
+bool IsRunning(const NodeContext& aNode, std::uint32_t aShard)
+{
+  const auto runner = aNode.mRunners.find(aShard);
+  return runner != aNode.mRunners.end() && !runner->second->IsStopped();
+}
+
 /// Notes which shards have no owner and since when.
 void NoteUnowned(const NodeContext& aNode, ClaimState& aState, TimePoint aNow)
 {
   for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
-    if (aNode.mOwners.contains(shard)) {
+    if (aNode.mOwners.contains(shard) || IsRunning(aNode, shard)) {
       aState.mUnowned.erase(shard);
     } else {
       aState.mUnowned.try_emplace(shard,
--- a/Tests/Unit/vcClaimWaitTest.cxx
+++ b/Tests/Unit/vcClaimWaitTest.cxx
@@ -12,6 +12,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace verbenacroft {
 
 namespace {
@@ -21,7 +24,7 @@
 constexpr std::uint32_t kGeneration = 4;
 
 /// A node that joins a fleet whose only shard has lost its owner, on a clock of
-/// the test's own. The shard's only worker, `w1`, doesn't answer.
+/// the test's own. The shard's only worker, `w1`, doesn't answer at first.
 struct ClaimFixture
 {
   ClaimFixture()
@@ -43,9 +46,17 @@
       };
     this->mNode->mStore = MakeMemoryStore(this->mStore, "node-1");
     this->mNode->mWorkers.mRenew =
-      [](const WorkerAddress&, RenewOrder) -> asio::awaitable<WorkerReport> {
+      [this](const WorkerAddress&,
+             RenewOrder aOrder) -> asio::awaitable<WorkerReport> {
+      this->NoteLease(aOrder);
       co_await Sleep(Duration(100));
-      co_return WorkerReport{};
+      WorkerReport report;
+      if (this->mIsAnswering) {
+        report.mOutcome = OrderOutcome::kDone;
+        report.mClock = this->WorkerClock();
+        report.mIncarnation = 1;
+      }
+      co_return report;
     };
     this->Put(kLayoutKey, Encode(LayoutRecord{ 1 }));
     this->Put("servers/w1", "{}");
@@ -81,6 +92,23 @@
     CommitNow(this->mStore, write);
   }
 
+  /// The worker's clock is as slow as one may be.
+  std::int64_t WorkerClock() const
+  {
+    return static_cast<std::int64_t>(
+      std::floor(static_cast<double>(this->mNow.count()) * kMinClockRate));
+  }
+
+  /// Notes until when a renewal lets runs last on the worker.
+  void NoteLease(const RenewOrder& aOrder)
+  {
+    const double endAt =
+      static_cast<double>(aOrder.mLeaseUntil) / kMinClockRate;
+    this->mLeasedUntil =
+      std::max(this->mLeasedUntil,
+               TimePoint(static_cast<std::int64_t>(std::floor(endAt))));
+  }
+
   void StartNode()
   {
     NodeContext& node = *this->mNode;
@@ -117,6 +145,8 @@
   }
 
   TimePoint mNow = kBegin;
+  bool mIsAnswering = false;
+  TimePoint mLeasedUntil{ 0 };
   MemoryStore mStore;
   asio::io_context mIo{ 1 };
   std::optional<NodeContext> mNode;
@@ -232,4 +262,34 @@
   CHECK(fixture.RunsEndIn() <= DispatchBounds{}.mLeaseLimit + kStoreCalls);
 }
 
+// Guards against two runs of a task: a node that claims its own shard again has
+// renewed the worker until it noticed that its lease was lost.
+TEST_CASE("the wait counts from the end of the node's own earlier ownership",
+          "[claims]")
+{
+  // Between two renewals of the lease.
+  const Duration phase =
+    GENERATE(Duration(0), Duration(120), Duration(240), Duration(360));
+  CAPTURE(phase.count());
+  ClaimFixture fixture;
+  fixture.mIsAnswering = true;
+  fixture.PutRecords("node-1", true);
+  fixture.StartNode();
+  fixture.GetLease();
+  fixture.Run(Duration(3'000) + phase);
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const std::shared_ptr<ShardRunner> first = fixture.mNode->mRunners.at(0);
+  REQUIRE(IsBarrierClear(first->State(), fixture.mNow));
+  ForgetLeases(fixture.mStore);
+  while (!first->IsStopped()) {
+    fixture.Run(kStep);
+  }
+  fixture.mIsAnswering = false;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  REQUIRE(fixture.mNode->mRunners.at(0) != first);
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >= fixture.mLeasedUntil);
+}
+
 } // namespace verbenacroft
