Claims: Keep an owner that was seen after a read was sent

Seen by callers: two runs of a task, if a slow reply from before a claim arrives after it and the new owner loses its shard within the next seconds. Cause: a reply that the record isn't there names no revision and was taken as current, so an owner seen meanwhile was dropped from the table. Change: such a reply removes only an owner that was known when the read was sent. The records of a fixture's claim are written in one transaction, as nodes do.

--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -119,23 +119,29 @@
   }
 }
 
+/// Epoch of a shard's owner according to the table of owners; 0 if it has none.
+std::uint64_t KnownEpoch(const NodeContext& aNode, std::uint32_t aShard)
+{
+  const auto known = aNode.mOwners.find(aShard);
+  return known == aNode.mOwners.end() ? 0 : known->second.mEpoch;
+}
+
 /// Reads the owner of a shard from the store into the table of owners.
 asio::awaitable<void> ReadOwner(NodeContext& aNode, std::uint32_t aShard)
 {
+  const std::uint64_t epochBefore = KnownEpoch(aNode, aShard);
   const KvReply read = co_await aNode.mStore.mRead(OwnerKey(aShard));
   UpdateStoreHealth(aNode, read);
   for (const auto& item : read.mItems) {
     ApplyOwner(aNode, item);
   }
-  const auto known = aNode.mOwners.find(aShard);
-  // A reply without a revision can't be compared with the known owner, and is
-  // taken as current. At worst a newer owner is dropped from the table until
-  // its watch event arrives.
-  const bool isRemoved =
-    read.mStatus == KvStatus::kNotFound && known != aNode.mOwners.end() &&
-    (read.mRevision == 0 || known->second.mEpoch <= read.mRevision);
+  // A reply without a revision can't be compared with an owner that was seen
+  // after the read was sent.
+  const std::uint64_t epoch = KnownEpoch(aNode, aShard);
+  const bool isRemoved = read.mStatus == KvStatus::kNotFound &&
+                         (epoch == epochBefore || epoch <= read.mRevision);
   if (isRemoved) {
-    aNode.mOwners.erase(known);
+    aNode.mOwners.erase(aShard);
   }
 }
 
--- a/Tests/Unit/vcClaimWaitTest.cxx
+++ b/Tests/Unit/vcClaimWaitTest.cxx
@@ -22,6 +22,7 @@
 constexpr TimePoint kBegin{ 1'000'000 };
 constexpr Duration kStep{ 5 };
 constexpr std::uint32_t kGeneration = 4;
+constexpr Duration kLongLease{ 60'000 };
 
 /// A node that joins a fleet whose only shard has lost its owner, on a clock of
 /// the test's own. The shard's only worker, `w1`, doesn't answer at first.
@@ -76,8 +77,10 @@
     CommitNow(this->mStore, write);
   }
 
-  /// The records that an owner leaves.
-  void PutRecords(const std::string& aOwner, bool aIsSettled)
+  /// Adds the records that an owner leaves.
+  static void AddRecords(KvTransaction& aWrite,
+                         const std::string& aOwner,
+                         bool aIsSettled)
   {
     WorkerSetRecord workerSet;
     workerSet.mGeneration = kGeneration;
@@ -87,11 +90,40 @@
     InactiveWorkersRecord inactive;
     inactive.mGeneration = kGeneration;
     inactive.mLeaseLimitMs = DispatchBounds{}.mLeaseLimit.count();
+    AddWorkerSet(aWrite, 0, workerSet, inactive);
+  }
+
+  void PutRecords(const std::string& aOwner, bool aIsSettled)
+  {
     KvTransaction write;
-    AddWorkerSet(write, 0, workerSet, inactive);
+    AddRecords(write, aOwner, aIsSettled);
     CommitNow(this->mStore, write);
   }
 
+  /// Claims the shard for a node under the lease `aLease`, which lasts.
+  void PutOwner(const std::string& aName, std::uint64_t aLease)
+  {
+    this->mStore.mLeases[aLease] = { kLongLease, this->mNow + kLongLease };
+    KvTransaction write;
+    write.mPuts.push_back(LeasedPut(OwnerKey(0),
+                                    Encode(ShardOwnerRecord{ aName, "" }),
+                                    *LeaseId::Of(aLease)));
+    AddRecords(write, aName, false);
+    CommitNow(this->mStore, write);
+  }
+
+  /// From now on the replies to reads of the owner's record are slow.
+  void DelayOwnerReads(Duration aDelay)
+  {
+    auto& read = this->mNode->mStore.mRead;
+    read = [fast = read, aDelay](std::string aKey) -> asio::awaitable<KvReply> {
+      const Duration delay = aKey == OwnerKey(0) ? aDelay : Duration(0);
+      KvReply reply = co_await fast(std::move(aKey));
+      co_await Sleep(delay);
+      co_return reply;
+    };
+  }
+
   /// The worker's clock is as slow as one may be.
   std::int64_t WorkerClock() const
   {
@@ -292,4 +324,32 @@
   CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >= fixture.mLeasedUntil);
 }
 
+// Guards against two runs of a task: a slow reply from before a claim drops the
+// new owner from the table, and the wait counts from then.
+TEST_CASE("the wait doesn't count from a reply older than the owner",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.Put(kNodeSizeKey, Encode(NodeSizeRecord{ 64 }));
+  fixture.PutOwner("node-1", 901);
+  fixture.DelayOwnerReads(Duration(500));
+  fixture.StartNode();
+  fixture.GetLease();
+  // The node revokes the lease of its earlier process and reads the record.
+  while (fixture.mStore.mItems.contains(OwnerKey(0))) {
+    fixture.Run(kStep);
+  }
+  fixture.Run(Duration(50));
+  fixture.PutOwner("node-2", 902);
+  fixture.Run(Duration(1'500));
+  REQUIRE(fixture.mStore.mItems.contains(OwnerKey(0)));
+  ForgetLeaseOf(fixture.mStore, OwnerKey(0));
+  const TimePoint endedAt = fixture.mNow;
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >=
+        endedAt + DispatchBounds{}.mLeaseLimit);
+}
+
 } // namespace verbenacroft
