Claims: Count an unreadable owner's record as an owner

Seen by callers: two runs of a task, if the owner's record can't be decoded, for instance since a release writes it in another way, and that owner is lost. Cause: such a record was left out of the table of owners. The other nodes claimed the shard every 70 ms, in vain, and since counted the wait for lost workers from the owner's claim. Change: the shard has an owner whose name isn't known. It is claimed once the record is gone. Measured: the new test [claims] failed before (the wait ended 2,945 ms too early) and passes.

--- a/Source/Node/vcMembership.cxx
+++ b/Source/Node/vcMembership.cxx
@@ -217,16 +217,17 @@
     aNode.mOwners.erase(*shard);
     return;
   }
-  const auto record = TryDecode<ShardOwnerRecord>(aItem.mValue);
-  if (!record) {
+  const auto read = TryDecode<ShardOwnerRecord>(aItem.mValue);
+  if (!read) {
     spdlog::error("owner.unreadable key={}", aItem.mKey);
-    return;
   }
+  // The shard has an owner, also if it can't be told which node that is.
+  const ShardOwnerRecord record = read.value_or(ShardOwnerRecord{});
   spdlog::info("owner.seen shard={} node={} epoch={}",
                *shard,
-               record->mNode,
+               record.mNode,
                aItem.mCreateRevision);
-  aNode.mOwners[*shard] = { *record,
+  aNode.mOwners[*shard] = { record,
                             aItem.mCreateRevision,
                             LeaseId::Of(aItem.mLease) };
 }
--- a/Tests/Unit/vcClaimWaitTest.cxx
+++ b/Tests/Unit/vcClaimWaitTest.cxx
@@ -102,12 +102,18 @@
 
   /// Claims the shard for a node under the lease `aLease`, which lasts.
   void PutOwner(const std::string& aName, std::uint64_t aLease)
+  {
+    this->PutOwnerRecord(aName, Encode(ShardOwnerRecord{ aName, "" }), aLease);
+  }
+
+  void PutOwnerRecord(const std::string& aName,
+                      std::string aRecord,
+                      std::uint64_t aLease)
   {
     this->mStore.mLeases[aLease] = { kLongLease, this->mNow + kLongLease };
     KvTransaction write;
-    write.mPuts.push_back(LeasedPut(OwnerKey(0),
-                                    Encode(ShardOwnerRecord{ aName, "" }),
-                                    *LeaseId::Of(aLease)));
+    write.mPuts.push_back(
+      LeasedPut(OwnerKey(0), std::move(aRecord), *LeaseId::Of(aLease)));
     AddRecords(write, aName, false);
     CommitNow(this->mStore, write);
   }
@@ -352,4 +358,24 @@
         endedAt + DispatchBounds{}.mLeaseLimit);
 }
 
+// Guards against two runs of a task: an owner whose record another release has
+// written in its own way isn't noticed, and the wait counts from its claim.
+TEST_CASE("the wait doesn't count from an owner's unreadable record",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.PutOwnerRecord("node-2", "[]", 902);
+  fixture.StartNode();
+  fixture.GetLease();
+  fixture.Run(Duration(3'000));
+  REQUIRE(fixture.mNode->mRunners.empty());
+  ForgetLeaseOf(fixture.mStore, OwnerKey(0));
+  const TimePoint endedAt = fixture.mNow;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >=
+        endedAt + DispatchBounds{}.mLeaseLimit);
+}
+
 } // namespace verbenacroft
