--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -27,7 +27,8 @@
 /// Interval of the attempts to write the size of the fleet's nodes.
 constexpr Duration kNodeSizeInterval{ 500 };
 
-/// A shard that has no owner according to the table of owners.
+/// A shard that has no owner according to the table of owners, and that this
+/// node doesn't run.
 struct UnownedShard
 {
   /// When that was seen first.
@@ -63,11 +64,19 @@
   }
 }
 
+/// True if this node still acts as the owner of the shard. Its record may be
+/// gone already, which the node notices with the next renewal of its lease.
+bool IsRunning(const NodeContext& aNode, std::uint32_t aShard)
+{
+  const auto runner = aNode.mRunners.find(aShard);
+  return runner != aNode.mRunners.end() && !runner->second->IsStopped();
+}
+
 /// Notes which shards have no owner and since when.
 void NoteUnowned(const NodeContext& aNode, ClaimState& aState, TimePoint aNow)
 {
   for (std::uint32_t shard = 0; shard < aNode.mShards; ++shard) {
-    if (aNode.mOwners.contains(shard)) {
+    if (aNode.mOwners.contains(shard) || IsRunning(aNode, shard)) {
       aState.mUnowned.erase(shard);
     } else {
       aState.mUnowned.try_emplace(shard,
@@ -76,23 +85,29 @@
   }
 }
 
+/// Epoch of a shard's owner according to the table of owners; 0 if it has none.
+std::uint64_t KnownEpoch(const NodeContext& aNode, std::uint32_t aShard)
+{
+  const auto known = aNode.mOwners.find(aShard);
+  return known == aNode.mOwners.end() ? 0 : known->second.mEpoch;
+}
+
 /// Reads the owner of a shard from the store into the table of owners.
 asio::awaitable<void> ReadOwner(NodeContext& aNode, std::uint32_t aShard)
 {
+  const std::uint64_t epochBefore = KnownEpoch(aNode, aShard);
   const KvReply read = co_await aNode.mStore.mRead(OwnerKey(aShard));
   UpdateStoreHealth(aNode, read);
   for (const auto& item : read.mItems) {
     ApplyOwner(aNode, item);
   }
-  const auto known = aNode.mOwners.find(aShard);
-  // A reply without a revision can't be compared with the known owner, and is
-  // taken as current. At worst a newer owner is dropped from the table until
-  // its watch event arrives.
-  const bool isRemoved =
-    read.mStatus == KvStatus::kNotFound && known != aNode.mOwners.end() &&
-    (read.mRevision == 0 || known->second.mEpoch <= read.mRevision);
+  // A reply without a revision can't be compared with an owner that was seen
+  // after the read was sent.
+  const std::uint64_t epoch = KnownEpoch(aNode, aShard);
+  const bool isRemoved = read.mStatus == KvStatus::kNotFound &&
+                         (epoch == epochBefore || epoch <= read.mRevision);
   if (isRemoved) {
-    aNode.mOwners.erase(known);
+    aNode.mOwners.erase(aShard);
   }
 }
 
--- a/Tests/Unit/vcClaimWaitTest.cxx
+++ b/Tests/Unit/vcClaimWaitTest.cxx
@@ -12,6 +12,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace verbenacroft {
 
 namespace {
@@ -19,9 +22,10 @@
 constexpr TimePoint kBegin{ 1'000'000 };
 constexpr Duration kStep{ 5 };
 constexpr std::uint32_t kGeneration = 4;
+constexpr Duration kLongLease{ 60'000 };
 
 /// A node that joins a fleet whose only shard has lost its owner, on a clock of
-/// the test's own. The shard's only worker, `w1`, doesn't answer.
+/// the test's own. The shard's only worker, `w1`, doesn't answer at first.
 struct ClaimFixture
 {
   ClaimFixture()
@@ -43,9 +47,17 @@
       };
     this->mNode->mStore = MakeMemoryStore(this->mStore, "node-1");
     this->mNode->mWorkers.mRenew =
-      [](const WorkerAddress&, RenewOrder) -> asio::awaitable<WorkerReport> {
+      [this](const WorkerAddress&,
+             RenewOrder aOrder) -> asio::awaitable<WorkerReport> {
+      this->NoteLease(aOrder);
       co_await Sleep(Duration(100));
-      co_return WorkerReport{};
+      WorkerReport report;
+      if (this->mIsAnswering) {
+        report.mOutcome = OrderOutcome::kDone;
+        report.mClock = this->WorkerClock();
+        report.mIncarnation = 1;
+      }
+      co_return report;
     };
     this->Put(kLayoutKey, Encode(LayoutRecord{ 1 }));
     this->Put("servers/w1", "{}");
@@ -65,8 +77,10 @@
     CommitNow(this->mStore, write);
   }
 
-  /// The records that an owner leaves.
-  void PutRecords(const std::string& aOwner, bool aIsSettled)
+  /// Adds the records that an owner leaves.
+  static void AddRecords(KvTransaction& aWrite,
+                         const std::string& aOwner,
+                         bool aIsSettled)
   {
     WorkerSetRecord workerSet;
     workerSet.mGeneration = kGeneration;
@@ -76,11 +90,63 @@
     InactiveWorkersRecord inactive;
     inactive.mGeneration = kGeneration;
     inactive.mLeaseLimitMs = DispatchBounds{}.mLeaseLimit.count();
+    AddWorkerSet(aWrite, 0, workerSet, inactive);
+  }
+
+  void PutRecords(const std::string& aOwner, bool aIsSettled)
+  {
     KvTransaction write;
-    AddWorkerSet(write, 0, workerSet, inactive);
+    AddRecords(write, aOwner, aIsSettled);
     CommitNow(this->mStore, write);
   }
 
+  /// Claims the shard for a node under the lease `aLease`, which lasts.
+  void PutOwner(const std::string& aName, std::uint64_t aLease)
+  {
+    this->PutOwnerRecord(aName, Encode(ShardOwnerRecord{ aName, "" }), aLease);
+  }
+
+  void PutOwnerRecord(const std::string& aName,
+                      std::string aRecord,
+                      std::uint64_t aLease)
+  {
+    this->mStore.mLeases[aLease] = { kLongLease, this->mNow + kLongLease };
+    KvTransaction write;
+    write.mPuts.push_back(
+      LeasedPut(OwnerKey(0), std::move(aRecord), *LeaseId::Of(aLease)));
+    AddRecords(write, aName, false);
+    CommitNow(this->mStore, write);
+  }
+
+  /// From now on the replies to reads of the owner's record are slow.
+  void DelayOwnerReads(Duration aDelay)
+  {
+    auto& read = this->mNode->mStore.mRead;
+    read = [fast = read, aDelay](std::string aKey) -> asio::awaitable<KvReply> {
+      const Duration delay = aKey == OwnerKey(0) ? aDelay : Duration(0);
+      KvReply reply = co_await fast(std::move(aKey));
+      co_await Sleep(delay);
+      co_return reply;
+    };
+  }
+
+  /// The worker's clock is as slow as one may be.
+  std::int64_t WorkerClock() const
+  {
+    return static_cast<std::int64_t>(
+      std::floor(static_cast<double>(this->mNow.count()) * kMinClockRate));
+  }
+
+  /// Notes until when a renewal lets runs last on the worker.
+  void NoteLease(const RenewOrder& aOrder)
+  {
+    const double endAt =
+      static_cast<double>(aOrder.mLeaseUntil) / kMinClockRate;
+    this->mLeasedUntil =
+      std::max(this->mLeasedUntil,
+               TimePoint(static_cast<std::int64_t>(std::floor(endAt))));
+  }
+
   void StartNode()
   {
     NodeContext& node = *this->mNode;
@@ -117,6 +183,8 @@
   }
 
   TimePoint mNow = kBegin;
+  bool mIsAnswering = false;
+  TimePoint mLeasedUntil{ 0 };
   MemoryStore mStore;
   asio::io_context mIo{ 1 };
   std::optional<NodeContext> mNode;
@@ -232,4 +300,82 @@
   CHECK(fixture.RunsEndIn() <= DispatchBounds{}.mLeaseLimit + kStoreCalls);
 }
 
+// Guards against two runs of a task: a node that claims its own shard again has
+// renewed the worker until it noticed that its lease was lost.
+TEST_CASE("the wait counts from the end of the node's own earlier ownership",
+          "[claims]")
+{
+  // Between two renewals of the lease.
+  const Duration phase =
+    GENERATE(Duration(0), Duration(120), Duration(240), Duration(360));
+  CAPTURE(phase.count());
+  ClaimFixture fixture;
+  fixture.mIsAnswering = true;
+  fixture.PutRecords("node-1", true);
+  fixture.StartNode();
+  fixture.GetLease();
+  fixture.Run(Duration(3'000) + phase);
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const std::shared_ptr<ShardRunner> first = fixture.mNode->mRunners.at(0);
+  REQUIRE(IsBarrierClear(first->State(), fixture.mNow));
+  ForgetLeases(fixture.mStore);
+  while (!first->IsStopped()) {
+    fixture.Run(kStep);
+  }
+  fixture.mIsAnswering = false;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  REQUIRE(fixture.mNode->mRunners.at(0) != first);
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >= fixture.mLeasedUntil);
+}
+
+// Guards against two runs of a task: a slow reply from before a claim drops the
+// new owner from the table, and the wait counts from then.
+TEST_CASE("the wait doesn't count from a reply older than the owner",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.Put(kNodeSizeKey, Encode(NodeSizeRecord{ 64 }));
+  fixture.PutOwner("node-1", 901);
+  fixture.DelayOwnerReads(Duration(500));
+  fixture.StartNode();
+  fixture.GetLease();
+  // The node revokes the lease of its earlier process and reads the record.
+  while (fixture.mStore.mItems.contains(OwnerKey(0))) {
+    fixture.Run(kStep);
+  }
+  fixture.Run(Duration(50));
+  fixture.PutOwner("node-2", 902);
+  fixture.Run(Duration(1'500));
+  REQUIRE(fixture.mStore.mItems.contains(OwnerKey(0)));
+  ForgetLeaseOf(fixture.mStore, OwnerKey(0));
+  const TimePoint endedAt = fixture.mNow;
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >=
+        endedAt + DispatchBounds{}.mLeaseLimit);
+}
+
+// Guards against two runs of a task: an owner whose record another release has
+// written in its own way isn't noticed, and the wait counts from its claim.
+TEST_CASE("the wait doesn't count from an owner's unreadable record",
+          "[claims]")
+{
+  ClaimFixture fixture;
+  fixture.PutOwnerRecord("node-2", "[]", 902);
+  fixture.StartNode();
+  fixture.GetLease();
+  fixture.Run(Duration(3'000));
+  REQUIRE(fixture.mNode->mRunners.empty());
+  ForgetLeaseOf(fixture.mStore, OwnerKey(0));
+  const TimePoint endedAt = fixture.mNow;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.mNode->mRunners.contains(0));
+  const DispatchShard& shard = fixture.mNode->mRunners.at(0)->State();
+  CHECK(shard.mUnansweredWorkers.at("w1").mRunsEndAt >=
+        endedAt + DispatchBounds{}.mLeaseLimit);
+}
+
 } // namespace verbenacroft
