Dispatch: Log the room for a long-running task that waits

The line on such a task gave the reason of the worker that comes nearest, not whether reservations, quarantine, the memory of best-effort tasks, the start budget or long-running tasks keep it out. The new line shard.long-running-room does; a worker that has room but is in quarantine or kept for a suspect has a reason of its own, set-aside, that was shown as passed-over before.

--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -198,6 +198,9 @@
                               ? WhyNotPlaced(aShard, aWait.mTask, aNow)
                               : WaitReason::kPaused;
   aWait.mReason = reason.value_or(ofTask);
+  if (!reason) {
+    aWait.mRoom = RoomOfLongRunning(aShard, aWait.mTask, aNow);
+  }
   const auto& unanswered = aShard.mUnansweredWorkers;
   if (aWait.mReason != WaitReason::kBarrier || unanswered.empty()) {
     return;
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -6,6 +6,7 @@
 
 #include "vcDispatchState.h"
 #include "vcErrorTable.h"
+#include "vcLongRunningRoom.h"
 
 #include <cstddef>
 #include <optional>
@@ -48,6 +49,9 @@
   /// A best-effort task would raise the predicted load of a serving image over
   /// its limit.
   kBestEffortDisturbs,
+  /// A worker has room, but it is in quarantine, or reserved for a task that is
+  /// suspected of a crash.
+  kSetAside,
   /// A worker has room for one task, but the tasks of a gang start together.
   kGang,
   /// A worker has room, but the last round of starts didn't start the task.
@@ -72,6 +76,7 @@
     { WaitReason::kBestEffortCpu, "best-effort-cpu" },
     { WaitReason::kBestEffortPaused, "best-effort-paused" },
     { WaitReason::kBestEffortDisturbs, "best-effort-disturbs" },
+    { WaitReason::kSetAside, "set-aside" },
     { WaitReason::kGang, "gang" },
     { WaitReason::kPassedOver, "passed-over" },
   });
@@ -128,6 +133,8 @@
   std::string mWorker;
   /// Time until the runs there have ended, in ms; negative if they have.
   Duration mRunsEndIn{ 0 };
+  /// Room for the task, unless its reason says that it may not start anyhow.
+  std::optional<LongRunningRoom> mRoom;
 };
 
 /// The long-running tasks that don't run and are ready to; nothing if all do.
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -64,6 +64,11 @@
          !aShard.mEvacuated.contains(aWorker.mEntry.mDataCentre);
 }
 
+bool IsSetAside(const DispatchWorker& aWorker, TimePoint aNow)
+{
+  return aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mReservedUntil;
+}
+
 bool IsAllowed(const StepNeeds& aNeeds, const DispatchWorker& aWorker)
 {
   const StepSpec& step = aNeeds.mStep;
@@ -169,6 +174,9 @@
   if (refusal != nullptr) {
     return *refusal;
   }
+  if (IsSetAside(aWorker, aNow)) {
+    return WaitReason::kSetAside;
+  }
   return aNeeds.mStep.mIsGang ? WaitReason::kGang : WaitReason::kPassedOver;
 }
 
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -55,7 +55,7 @@
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
-    vcDispatchWorkerSet.cxx
+    vcDispatchWorkerSet.cxx vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcPlacementRound.cxx vcProbeStarts.cxx vcSuspectStarts.cxx
     vcWorkerCalls.cxx
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -225,7 +225,9 @@
   LogSummary({ "shard.idle-jobs", "jobs", "longest_ms" }, aIdle, aNumber);
 }
 
-void LogLongRunningWait(const LongRunningWait& aWait, std::uint32_t aNumber)
+void LogLongRunningWait(const LongRunningWait& aWait,
+                        std::uint32_t aNumber,
+                        double aStartBudget)
 {
   spdlog::info("shard.long-running-wait shard={} tasks={} longest_ms={} "
                "example={} reason={} worker={} runs_end_in_ms={}",
@@ -236,6 +238,32 @@
                NameOf(aWait.mReason),
                aWait.mWorker,
                aWait.mRunsEndIn.count());
+  if (!aWait.mRoom) {
+    return;
+  }
+  const LongRunningRoom& room = *aWait.mRoom;
+  spdlog::info("shard.long-running-room shard={} example={} need_mcpu={} "
+               "need_mb={} workers={} places={} set_aside={} "
+               "without_best_effort={} beside_long_running={} reserved={} "
+               "reserved_in_all={} start_budget={:.0f} nearest={} free_mcpu={} "
+               "free_mb={} long_running_mcpu={} best_effort_mb={}",
+               aNumber,
+               Describe(aWait.mTask),
+               room.mNeeds.mMilliCpu,
+               room.mNeeds.mMemoryMb,
+               room.mWorkers,
+               room.mPlaces,
+               room.mSetAside,
+               room.mWithoutBestEffort,
+               room.mBesideLongRunning,
+               room.mReserved,
+               room.mReservedInAll,
+               aStartBudget,
+               room.mNearest,
+               room.mFree.mMilliCpu,
+               room.mFree.mMemoryMb,
+               room.mLongRunning.mMilliCpu,
+               room.mBestEffort.mMemoryMb);
 }
 
 } // namespace verbenacroft
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -75,10 +75,13 @@
                  const JobsByRuns& aJobs,
                  std::uint32_t aNumber);
 
-/// Logs the long-running tasks that don't run, and what keeps the one that has
-/// waited for longest.
+/// Logs the long-running tasks that don't run, what keeps the one that has
+/// waited for longest, and where there is room for it.
 /// @param aNumber number of the shard
-void LogLongRunningWait(const LongRunningWait& aWait, std::uint32_t aNumber);
+/// @param aStartBudget what the last round of starts left of its budget
+void LogLongRunningWait(const LongRunningWait& aWait,
+                        std::uint32_t aNumber,
+                        double aStartBudget);
 
 /// Logs the shard's idle jobs, one line for each reason.
 /// @param aNumber number of the shard
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -376,7 +376,9 @@
       this->mLongRunningWait =
         FindLongRunningWait(this->mShard, loadLoggedAt, WallClockMs());
       if (this->mLongRunningWait) {
-        LogLongRunningWait(*this->mLongRunningWait, this->mShardNumber);
+        LogLongRunningWait(*this->mLongRunningWait,
+                           this->mShardNumber,
+                           this->mShard.mStartBudget);
       }
       LogTurnover(this->mShard.mTurnover,
                   CountJobsByRuns(this->mShard, loadLoggedAt, WallClockMs()),
