Dispatch: Put the barrier into the checks of a task's start

Five places asked whether a task may start and then, apart, whether a run of it may be unseen. A new place that forgets the second would start a task twice.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -58,9 +58,7 @@
       return;
     }
     const DispatchTask& task = *FindTask(aShard, key);
-    const bool mayStart = IsWaiting(task, aRound.mNow) &&
-                          !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
-    if (!mayStart) {
+    if (!IsWaiting(job, task, aRound.mHeld, aRound.mNow)) {
       continue;
     }
     DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
@@ -93,9 +91,7 @@
   for (const auto& task : tasks) {
     // The members of a gang start together, so no suspect among them can start
     // apart.
-    const bool mayStart = IsStartable(task, aRound.mNow) &&
-                          !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
-    if (!mayStart) {
+    if (!IsStartable(job, task, aRound.mHeld, aRound.mNow)) {
       return;
     }
     if (task.mHighestRun >= run && !task.mCheckpoint.empty()) {
@@ -176,9 +172,8 @@
   RoomRequest request{ aFirstTask, aRound.mNow, 0 };
   for (const auto& task : StepStateOf(job, aFirstTask).mTasks) {
     const TimePoint since = std::max(readyAt, task.mWaitingSince);
-    const bool isLong = IsWaiting(task, aRound.mNow) &&
-                        aRound.mNow - since >= kTurnAfter &&
-                        !MayRunUnseen(job, task, aRound.mHeld, aRound.mNow);
+    const bool isLong = IsWaiting(job, task, aRound.mHeld, aRound.mNow) &&
+                        aRound.mNow - since >= kTurnAfter;
     if (isLong) {
       ++request.mWorkers;
       request.mWaitsSince = std::min(request.mWaitsSince, since);
--- a/Source/Dispatch/vcDispatchWaiting.cxx
+++ b/Source/Dispatch/vcDispatchWaiting.cxx
@@ -192,9 +192,9 @@
     aWait.mRunsEndIn = RunsEndAt(aShard, own->second, aNow) - aNow;
     return;
   }
-  const auto reason =
-    ReasonOfTask(aShard, job, aWait.mTask, HeldRevisionsOf(aShard, aNow), aNow);
-  const WaitReason ofTask = IsWaiting(aTask, aNow)
+  const HeldRevisions held = HeldRevisionsOf(aShard, aNow);
+  const auto reason = ReasonOfTask(aShard, job, aWait.mTask, held, aNow);
+  const WaitReason ofTask = IsWaiting(job, aTask, held, aNow)
                               ? WhyNotPlaced(aShard, aWait.mTask, aNow)
                               : WaitReason::kPaused;
   aWait.mReason = reason.value_or(ofTask);
--- a/Source/Dispatch/vcLongRunningRoom.cxx
+++ b/Source/Dispatch/vcLongRunningRoom.cxx
@@ -29,12 +29,10 @@
 {
   const StepSpec& step = aNeeds.mStep;
   const auto there = aNeeds.mOnWorker.find(aWorker.mEntry.mWorker);
-  const std::uint32_t own =
-    there == aNeeds.mOnWorker.end() ? 0 : there->second;
-  const std::size_t most = step.mMaxPerWorker == 0 ? step.mCount
-                           : own < step.mMaxPerWorker
-                             ? step.mMaxPerWorker - own
-                             : 0;
+  const std::uint32_t own = there == aNeeds.mOnWorker.end() ? 0 : there->second;
+  const std::size_t most = step.mMaxPerWorker == 0    ? step.mCount
+                           : own < step.mMaxPerWorker ? step.mMaxPerWorker - own
+                                                      : 0;
   std::size_t places = 0;
   for (; places < most; ++places) {
     aUsed += aNeeds.mCounted;
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -80,17 +80,6 @@
   return RankOf(aLeft) < RankOf(aRight);
 }
 
-bool IsStartable(const DispatchTask& aTask, TimePoint aNow)
-{
-  return aTask.mPhase == RunPhase::kWaiting && aNow >= aTask.mRetryAt &&
-         IsCrashHistorySafe(aTask);
-}
-
-bool IsWaiting(const DispatchTask& aTask, TimePoint aNow)
-{
-  return IsStartable(aTask, aNow) && MayStartBesideOthers(aTask, aNow);
-}
-
 HeldRevisions HeldRevisionsOf(const DispatchShard& aShard, TimePoint aNow)
 {
   return { LastHeldRevisionOfLongRunning(aShard, aNow),
@@ -106,6 +95,24 @@
          aNow < aTask.mNoUnseenRunAfter;
 }
 
+bool IsStartable(const DispatchJob& aJob,
+                 const DispatchTask& aTask,
+                 const HeldRevisions& aHeld,
+                 TimePoint aNow)
+{
+  return aTask.mPhase == RunPhase::kWaiting && aNow >= aTask.mRetryAt &&
+         IsCrashHistorySafe(aTask) && !MayRunUnseen(aJob, aTask, aHeld, aNow);
+}
+
+bool IsWaiting(const DispatchJob& aJob,
+               const DispatchTask& aTask,
+               const HeldRevisions& aHeld,
+               TimePoint aNow)
+{
+  return IsStartable(aJob, aTask, aHeld, aNow) &&
+         MayStartBesideOthers(aTask, aNow);
+}
+
 void CollectSteps(const DispatchShard& aShard,
                   const DispatchJob& aJob,
                   const HeldRevisions& aHeld,
--- a/Source/Dispatch/vcPlacementCandidates.h
+++ b/Source/Dispatch/vcPlacementCandidates.h
@@ -51,12 +51,6 @@
 /// The order in which candidates start.
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight);
 
-/// True if a start of the task may be ordered, at least on some workers.
-bool IsStartable(const DispatchTask& aTask, TimePoint aNow);
-
-/// True if a start of the task may be ordered on any worker.
-bool IsWaiting(const DispatchTask& aTask, TimePoint aNow);
-
 /// Calls `aVisit` with the first task of each step of a job that is ready and
 /// has waiting tasks.
 template<class Visit>
@@ -106,6 +100,18 @@
                   const HeldRevisions& aHeld,
                   TimePoint aNow);
 
+/// True if a start of the task may be ordered, at least on some workers.
+bool IsStartable(const DispatchJob& aJob,
+                 const DispatchTask& aTask,
+                 const HeldRevisions& aHeld,
+                 TimePoint aNow);
+
+/// True if a start of the task may be ordered on any worker.
+bool IsWaiting(const DispatchJob& aJob,
+               const DispatchTask& aTask,
+               const HeldRevisions& aHeld,
+               TimePoint aNow);
+
 /// Appends the steps of a job that are ready, aren't held and have waiting
 /// tasks.
 void CollectSteps(const DispatchShard& aShard,
--- a/Source/Dispatch/vcPlacementCost.h
+++ b/Source/Dispatch/vcPlacementCost.h
@@ -43,8 +43,8 @@
               const DispatchWorker& aWorker,
               TimePoint aNow);
 
-/// True if tasks start on the worker only in exceptions: it is in quarantine, or
-/// reserved for a task that is suspected of a crash.
+/// True if tasks start on the worker only in exceptions: it is in quarantine,
+/// or reserved for a task that is suspected of a crash.
 bool IsSetAside(const DispatchWorker& aWorker, TimePoint aNow);
 
 /// True if the worker is one of the service and the label and the limit of the
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -168,8 +168,7 @@
 {
   const auto first = std::find_if(
     aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
-      return IsWaiting(aTask, aRound.mNow) &&
-             !MayRunUnseen(aJob, aTask, aRound.mHeld, aRound.mNow);
+      return IsWaiting(aJob, aTask, aRound.mHeld, aRound.mNow);
     });
   return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
 }
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -88,9 +88,8 @@
     }
     const DispatchTask* suspect = FindTask(aShard, *at);
     const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-    const bool mayStart =
-      suspect != nullptr && IsStartable(*suspect, aRound.mNow) &&
-      !MayRunUnseen(job, *suspect, aRound.mHeld, aRound.mNow);
+    const bool mayStart = suspect != nullptr &&
+                          IsStartable(job, *suspect, aRound.mHeld, aRound.mNow);
     if (!mayStart) {
       continue;
     }
