Dispatch: Try long-running steps where smaller others were refused

A long-running task that can still meet its objective was passed over beside free room for as long as a smaller task waited that a reservation refused there. A round remembers needs that found no worker, for all steps of a service and label; but long-running steps may take room that is reserved from others. They are remembered apart now. The unit test "a long-running task takes room that is reserved from others" failed before (no run in 3 s) and passes.

--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -125,7 +125,8 @@
   return { aService,
            aStep.mRequiredLabel,
            aStep.mIsFilling ? aStep.mImage : std::string(),
-           aStep.mIsFilling };
+           aStep.mIsFilling,
+           aStep.mIsLasting };
 }
 
 Round MakeRound(DispatchShard& aShard, TimePoint aNow, std::int64_t aNowMs)
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -64,8 +64,9 @@
 
 private:
   /// Service, required label, image of a best-effort step (such images differ
-  /// in the workers that they fit on), and whether the step is best-effort.
-  using Key = std::tuple<std::string, std::string, std::string, bool>;
+  /// in the workers that they fit on), whether the step is best-effort, and
+  /// whether it is long-running, since these may take room that is reserved.
+  using Key = std::tuple<std::string, std::string, std::string, bool, bool>;
 
   static Key KeyOf(const std::string& aService, const StepSpec& aStep);
 
--- a/Tests/Unit/vcLongRunningRoomTest.cxx
+++ b/Tests/Unit/vcLongRunningRoomTest.cxx
@@ -124,4 +124,35 @@
   CHECK(countAtWork() == kTasks);
 }
 
+// Guards against a long-running task that is passed over beside room that only
+// it may take, since a smaller task of another kind was refused there.
+TEST_CASE("a long-running task takes room that is reserved from others",
+          "[long-running]")
+{
+  constexpr std::uint32_t kPlaces = 7;
+  BoundsModel model(1);
+  JobShape one{ 1, kLongObjectiveMs, 0, false, "" };
+  one.mRunTime = Duration(kLongObjectiveMs);
+  for (std::uint32_t i = 0; i < kPlaces; ++i) {
+    model.Add(fmt::format("{:016x}", 0xc0 + i), one);
+  }
+  JobShape large = one;
+  large.mMilliCpu = 8 * kSmallMilliCpu;
+  model.Add("00000000000000d1", large);
+  model.Play({ 0 }, model.mNow + kLongestWait);
+  REQUIRE(model.mShard.mWorkers.at("w00").mRoom.mFirstTask.mJob ==
+          "00000000000000d1");
+  model.Add("00000000000000d2", one);
+  JobShape lasting{ 1, 2 * kLongObjectiveMs, 0, false, "" };
+  lasting.mIsLasting = true;
+  lasting.mMilliCpu = 4 * kSmallMilliCpu;
+  lasting.mRunTime = Duration(kLongObjectiveMs);
+  // Its turn comes after that of the smaller job.
+  constexpr const char* kLast = "00000000000000e1";
+  model.Add(kLast, lasting);
+  model.Play({ 0 }, model.mNow + kLongestWait);
+  CHECK(FindTask(model.mShard, { kLast, 0, 0, 0 })->mPhase ==
+        RunPhase::kRunning);
+}
+
 } // namespace verbenacroft
