Dispatch: Reserve for long-running tasks where others hold all

Where few workers suit a long-running task, a series of jobs with nothing running could hold the reservation of each of them, one after the other: the task had none, and small tasks took each place that became free, for as long as the series lasted. If there is no other worker, a long-running step now takes the reservation of one that isn't; it may use that room already. The unit test "a long-running task keeps its reservation beside turns of others" failed before (no run in 3 s) and passes.

--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 namespace verbenacroft {
 
@@ -22,6 +23,19 @@
   return aNow < aWorker.mRoom.mUntil;
 }
 
+/// True if the step may reserve the worker. One that is long-running may also
+/// take the reservation of one that is neither that nor best-effort: where few
+/// workers suit, a series of those would leave it none.
+bool CanBeReserved(const DispatchWorker& aWorker,
+                   const StepSpec& aStep,
+                   TimePoint aNow)
+{
+  const RoomReservation& room = aWorker.mRoom;
+  const bool givesWay =
+    aStep.mIsLasting && !room.mIsLongRunning && !room.mIsBestEffort;
+  return !IsReserved(aWorker, aNow) || givesWay;
+}
+
 /// Room that a best-effort task lacks, in thousandths of a processor; nothing
 /// if another limit keeps it from the worker.
 std::optional<double> MissingBestEffortRoom(const DispatchShard& aShard,
@@ -185,11 +199,12 @@
   if (isEnough) {
     return true;
   }
-  using Rank = std::pair<bool, double>;
+  // Whether it is reserved for another step, or only takes jobs' only runs.
+  using Rank = std::tuple<bool, bool, double>;
   DispatchWorker* best = nullptr;
   Rank bestRank;
   for (auto* worker : aWorkers) {
-    if (IsReserved(*worker, aNow) || !aMayRun(*worker)) {
+    if (!CanBeReserved(*worker, step, aNow) || !aMayRun(*worker)) {
       continue;
     }
     const WorkerRoom kept = aKept.KeptFrom(job, *worker);
@@ -201,7 +216,7 @@
     }
     const bool takesOnlyRuns =
       *missing > SpareCpu(aShard, *worker, step.mIsFilling);
-    const Rank rank{ takesOnlyRuns, *missing };
+    const Rank rank{ IsReserved(*worker, aNow), takesOnlyRuns, *missing };
     if (best == nullptr || rank < bestRank) {
       best = worker;
       bestRank = rank;
@@ -220,8 +235,8 @@
                "takes_only_runs={} long_running={}",
                best->mEntry.mWorker,
                Describe(first),
-               bestRank.second,
-               bestRank.first,
+               std::get<2>(bestRank),
+               std::get<1>(bestRank),
                step.mIsLasting);
   return true;
 }
--- a/Source/Dispatch/vcDispatchReservations.h
+++ b/Source/Dispatch/vcDispatchReservations.h
@@ -45,7 +45,9 @@
 /// Renews the step's reservations but for those where no further task of it can
 /// run and, while it has too few, reserves the worker that lacks the least room
 /// for a task of it, one in each round.
-/// Workers where runs of jobs that have several leave enough are preferred.
+/// Workers where runs of jobs that have several leave enough are preferred. A
+/// long-running step takes the worker that is reserved for another kind of step
+/// if there is no other.
 /// Does nothing if only long-running tasks are in the way, or if too many of
 /// the workers are reserved.
 /// @param aKept room that is free for others only
--- a/Tests/Unit/vcLongRunningRoomTest.cxx
+++ b/Tests/Unit/vcLongRunningRoomTest.cxx
@@ -155,4 +155,27 @@
         RunPhase::kRunning);
 }
 
+// Guards against a reservation that lapses since a smaller step, whose turn
+// comes first, finds no worker to reserve.
+TEST_CASE("a long-running task keeps its reservation beside turns of others",
+          "[long-running]")
+{
+  constexpr std::uint32_t kPlaces = 10;
+  BoundsModel model(1, kPlaces * kSmallMilliCpu);
+  Fill(model, kPlaces, { "", false, 0, kLongObjectiveMs });
+  constexpr std::uint32_t kIdleJobs = 300;
+  for (std::uint32_t i = 0; i < kIdleJobs; ++i) {
+    model.Add(fmt::format("{:016x}", 0xe000 + i),
+              { 1, kLongObjectiveMs, 0, false, "" });
+  }
+  JobShape lasting{ 1, 2 * kLongObjectiveMs, 0, false, "" };
+  lasting.mIsLasting = true;
+  lasting.mMilliCpu = 5 * kSmallMilliCpu;
+  lasting.mRunTime = Duration(kLongObjectiveMs);
+  model.Add(kLasting, lasting);
+  model.Play({ 0 }, model.mNow + kLongestWait);
+  CHECK(FindTask(model.mShard, { kLasting, 0, 0, 0 })->mPhase ==
+        RunPhase::kRunning);
+}
+
 } // namespace verbenacroft
