Dispatch: Let long-running tasks start in quarantine after 1.5 s

A long-running task waited beside free room on a worker in quarantine (two jobs' runs had failed there in a row: 3 s, again with each further failure; 6 s where starts are not carried out). A quarantine is a preference; a failed try costs less than no run. One that has waited for 1.5 s may start there if no other worker has room. The unit test "a long-running task that has waited takes a worker in quarantine" failed before (no run in 3 s) and passes.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -76,6 +76,42 @@
   }
 }
 
+/// Starts the tasks of a long-running step that have found no room for long on
+/// workers in quarantine: a failure there costs less than no run at all.
+void StartInQuarantine(DispatchShard& aShard,
+                       const TaskId& aFirstTask,
+                       Round& aRound,
+                       DispatchActions& aActions)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const auto& quarantined = aRound.mQuarantined[job.mRecord.mTerms.mService];
+  if (quarantined.empty()) {
+    return;
+  }
+  StepNeeds needs = NeedsOf(aShard, aFirstTask);
+  StepWorkers workers(aShard, needs, quarantined, aRound.mNow);
+  const TimePoint readyAt =
+    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  TaskId key = aFirstTask;
+  for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
+    const DispatchTask& task = *FindTask(aShard, key);
+    const TimePoint since = std::max(readyAt, task.mWaitingSince);
+    const bool mayStart = aShard.mStartBudget > 0 &&
+                          IsWaiting(job, task, aRound.mHeld, aRound.mNow) &&
+                          aRound.mNow - since >= kTakesKeptRoomAfter;
+    if (!mayStart) {
+      continue;
+    }
+    DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
+    if (worker == nullptr) {
+      return;
+    }
+    ++needs.mOnWorker[worker->mEntry.mWorker];
+    StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+    workers.PutBack(*worker);
+  }
+}
+
 /// Starts all tasks of a gang, or none of them. All get the same run number and
 /// the same checkpoint.
 void StartGang(DispatchShard& aShard,
@@ -300,6 +336,7 @@
                               : KeptRoomUse::kTake;
     StartIndividually(aShard, first, step.mCount, use, aRound, aActions);
     if (step.mIsLasting) {
+      StartInQuarantine(aShard, first, aRound, aActions);
       KeepRoom(aShard, LongRunningRequest(aShard, first, aRound), aRound);
     }
     return;
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -135,7 +135,6 @@
   round.mNow = aNow;
   round.mNowMs = aNowMs;
   round.mHeld = HeldRevisionsOf(aShard, aNow);
-  std::map<std::string, std::vector<DispatchWorker*>> quarantined;
   std::map<std::string, std::size_t> isolatedOf;
   const std::set<std::string> isolated = IsolatedWorkers(aShard);
   for (auto& [name, worker] : aShard.mWorkers) {
@@ -147,17 +146,18 @@
       continue;
     }
     const bool isQuarantined = aNow < worker.mQuarantinedUntil;
-    auto& workers = isQuarantined ? quarantined : round.mUsable;
+    auto& workers = isQuarantined ? round.mQuarantined : round.mUsable;
     workers[worker.mEntry.mService].push_back(&worker);
   }
   for (const auto& [service, workers] : round.mUsable) {
     round.mPlacesForSuspects[service] =
       PlacesForSuspects(workers.size(), isolatedOf[service]);
   }
-  for (const auto& [service, workers] : quarantined) {
+  for (auto& [service, workers] : round.mQuarantined) {
     auto& usable = round.mUsable[service];
     if (AreMost(workers.size(), usable.size())) {
       usable.insert(usable.end(), workers.begin(), workers.end());
+      workers.clear();
     }
   }
   return round;
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -82,6 +82,8 @@
   HeldRevisions mHeld;
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
+  /// Workers in quarantine beside others that aren't, by service.
+  std::map<std::string, std::vector<DispatchWorker*>> mQuarantined;
   /// Number of workers that suspects may still take in this round, by service.
   std::map<std::string, std::size_t> mPlacesForSuspects;
   /// Reserved workers for which a suspect already waits in this round.
--- a/Tests/Unit/vcLongRunningRoomTest.cxx
+++ b/Tests/Unit/vcLongRunningRoomTest.cxx
@@ -124,6 +124,31 @@
   CHECK(countAtWork() == kTasks);
 }
 
+// Guards against a long-running task that waits beside an empty worker, since
+// tasks have failed there and no other has room.
+TEST_CASE("a long-running task that has waited takes a worker in quarantine",
+          "[long-running]")
+{
+  BoundsModel model(2);
+  JobShape lasting{ 1, kLongObjectiveMs, 0, false, "" };
+  lasting.mIsLasting = true;
+  lasting.mMilliCpu = kWorkerMilliCpu;
+  lasting.mRunTime = Duration(kLongObjectiveMs);
+  model.Add("00000000000000c1", lasting);
+  model.Play({ 0 }, model.mNow + kRound);
+  for (auto& [name, worker] : model.mShard.mWorkers) {
+    worker.mQuarantinedUntil = worker.mTasks.empty() ? kWatched : kNever;
+  }
+  const auto objective = GENERATE(kLongObjectiveMs, kLateMs);
+  CAPTURE(objective);
+  lasting.mObjectiveMs = objective;
+  lasting.mMilliCpu = kSmallMilliCpu;
+  model.Add(kLasting, lasting);
+  model.Play({ 0 }, model.mNow + kLongestWait);
+  CHECK(FindTask(model.mShard, { kLasting, 0, 0, 0 })->mPhase ==
+        RunPhase::kRunning);
+}
+
 // Guards against a long-running task that is passed over beside room that only
 // it may take, since a smaller task of another kind was refused there.
 TEST_CASE("a long-running task takes room that is reserved from others",
