--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -64,8 +64,9 @@
 
 private:
   /// Service, required label, image of a best-effort step (such images differ
-  /// in the workers that they fit on), and whether the step is best-effort.
-  using Key = std::tuple<std::string, std::string, std::string, bool>;
+  /// in the workers that they fit on), whether the step is best-effort, and
+  /// whether it is long-running, since these may take room that is reserved.
+  using Key = std::tuple<std::string, std::string, std::string, bool, bool>;
 
   static Key KeyOf(const std::string& aService, const StepSpec& aStep);
 
@@ -81,6 +82,8 @@
   HeldRevisions mHeld;
   /// Workers on which tasks may be started, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
+  /// Workers in quarantine beside others that aren't, by service.
+  std::map<std::string, std::vector<DispatchWorker*>> mQuarantined;
   /// Number of workers that suspects may still take in this round, by service.
   std::map<std::string, std::size_t> mPlacesForSuspects;
   /// Reserved workers for which a suspect already waits in this round.
