Tests: Let no late start take effect where no process is

A fault that ended a cut also made such a worker reachable again.

A worker that has left or crashed is now gone until it returns: it answers nobody and no late order takes effect.

--- a/Tests/Fleet/vcFleetDeadlyTasks.cxx
+++ b/Tests/Fleet/vcFleetDeadlyTasks.cxx
@@ -75,6 +75,7 @@
 {
   MemoryWorker& worker = this->mWorkers.mWorkers.at(aName);
   worker.mCutFrom.erase("*");
+  worker.mIsGone = false;
   if (this->Toss(50)) {
     return;
   }
--- a/Tests/Fleet/vcFleetReleases.cxx
+++ b/Tests/Fleet/vcFleetReleases.cxx
@@ -40,7 +40,9 @@
 void Fleet::LoseWorker(const std::string& aName)
 {
   Restart(this->mWorkers, aName, this->mNow);
-  this->mWorkers.mWorkers.at(aName).mCutFrom.insert("*");
+  MemoryWorker& worker = this->mWorkers.mWorkers.at(aName);
+  worker.mCutFrom.insert("*");
+  worker.mIsGone = true;
 }
 
 void Fleet::RemoveEntry(const std::string& aName)
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -171,7 +171,8 @@
 
 bool IsReached(const MemoryWorker& aWorker, const std::string& aCaller)
 {
-  return !aWorker.mCutFrom.contains("*") && !aWorker.mCutFrom.contains(aCaller);
+  return !aWorker.mIsGone && !aWorker.mCutFrom.contains("*") &&
+         !aWorker.mCutFrom.contains(aCaller);
 }
 
 bool IsLate(MemoryFleet& aFleet, const MemoryWorker& aWorker)
@@ -500,6 +501,7 @@
   for (const auto& name : aFleet.mCrashed) {
     Restart(aFleet, name, aNow);
     aFleet.mWorkers.at(name).mCutFrom.insert("*");
+    aFleet.mWorkers.at(name).mIsGone = true;
   }
 }
 
@@ -517,7 +519,10 @@
   });
   for (const auto& row : due) {
     MemoryWorker& worker = aFleet.mWorkers.at(row.mWorker);
-    StartRun(aFleet, worker, row.mOrder, aNow);
+    // No process is there, or one with another id, which refuses it.
+    if (!worker.mIsGone && !worker.mIsReplaced) {
+      StartRun(aFleet, worker, row.mOrder, aNow);
+    }
   }
   for (auto& [name, worker] : aFleet.mWorkers) {
     AdvanceWorker(aFleet, worker, aNow);
@@ -544,6 +549,7 @@
   fresh.mIncarnation = worker.mIncarnation + 1;
   fresh.mClockStart = aNow;
   fresh.mCutFrom = worker.mCutFrom;
+  fresh.mIsGone = worker.mIsGone;
   worker = std::move(fresh);
 }
 
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -49,6 +49,8 @@
   bool mIsMalformedNext = false;
   /// Another worker, with an id of its own, answers at the address.
   bool mIsReplaced = false;
+  /// Its process has ended and hasn't started again.
+  bool mIsGone = false;
 };
 
 /// A start that reaches its worker late.
