Dispatch: Hold an unanswered start on a draining worker until it can't arrive

A start had no answer; its worker drained, answered the stop or reported past the deadline without the run, and the task started elsewhere. The worker restarted under its id, and there the first start took effect, 5 to 7 s after it was sent: the next incarnation has seen neither stop nor epoch, and its clock is before the deadline.

Elsewhere nothing changes: no ordinary start waits for longer.

Rows of two older tests change: they demanded that a draining worker's unanswered start is given up after the stop's answer or after 1.5 s, which is the fault; they now demand that it isn't before 8.5 s and is after.

Still open: a worker that crashes unannounced and is back under its id within seconds of an unanswered start, a drain that begins after the task was started elsewhere, and a new owner before it has asked the new incarnation.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -202,7 +202,7 @@
 
 /// Marks runs as lost that are assigned to the worker but missing in its
 /// report. A run counts only if it was confirmed before the renewal was sent,
-/// or if it was uncertain and its start would now be refused as late.
+/// or if it was uncertain and its start can't take effect any more.
 void OnMissingTasks(DispatchShard& aShard,
                     DispatchWorker& aWorker,
                     const WorkerReport& aReport,
@@ -220,8 +220,9 @@
       continue;
     }
     const DispatchTask& task = *FindTask(aShard, key);
-    const bool isStartExpired =
-      task.mIsStartUncertain && aReport.mClock > task.mNotAfter;
+    const bool isStartExpired = task.mIsStartUncertain &&
+                                aReport.mClock > task.mNotAfter &&
+                                !MayStartInNextIncarnation(aWorker, task, aNow);
     const bool isLost = !task.mIsStartUncertain &&
                         task.mPhase != RunPhase::kStarting &&
                         task.mConfirmedAt < aSentAt;
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A call that isn't answered takes effect within this time, if at all.
+constexpr Duration kLateCallTime{ 8'500 };
 /// A worker that has answered no renewal for this long is recorded as inactive.
 /// Some renewals fit into it, so that one lost reply doesn't count.
 constexpr Duration kInactiveAfter{ 1'000 };
@@ -105,6 +107,14 @@
   return Stretched(aBounds.mMaxLease);
 }
 
+bool MayStartInNextIncarnation(const DispatchWorker& aWorker,
+                               const DispatchTask& aTask,
+                               TimePoint aNow)
+{
+  return aTask.mIsStartUncertain && aWorker.mEntry.mIsDraining &&
+         aNow < aTask.mStartOrderedAt + kLateCallTime;
+}
+
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
 {
   return aWorker.mClock == 0 ||
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -52,6 +52,14 @@
                     const DispatchWorker& aWorker,
                     TimePoint aNow);
 
+/// True if the task's start, which wasn't answered, may still take effect in
+/// the next incarnation of its draining worker. That may have the same id, has
+/// seen neither the start's stop nor an epoch, and its clock starts anew, so it
+/// doesn't refuse the start as late.
+bool MayStartInNextIncarnation(const DispatchWorker& aWorker,
+                               const DispatchTask& aTask,
+                               TimePoint aNow);
+
 /// True if the worker's lease has certainly ended on its own clock.
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow);
 
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -375,7 +375,8 @@
   // If the run had started, a report lists it as stopped. If its start has not
   // arrived, the worker refuses it from now on, and the next report shows that
   // the run is missing.
-  if (task->mIsStartUncertain) {
+  if (task->mIsStartUncertain &&
+      !MayStartInNextIncarnation(*worker, *task, aNow)) {
     task->mIsStartUncertain = false;
     task->mConfirmedAt = aNow;
   }
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -466,6 +466,13 @@
         aShard.mNow += Duration(1'501);
         aShard.Report("w1", {}, {});
       },
+      true },
+    { "an unanswered start that can't take effect any more",
+      [](Fixture& aShard, const StartOrder& aStart) {
+        OnStartReply(aShard.mShard, "w1", aStart, {}, aShard.mNow);
+        aShard.mNow += Duration(8'501);
+        aShard.Report("w1", {}, {});
+      },
       false },
     { "a start in flight of a task that is done elsewhere",
       [](Fixture& aShard, const StartOrder&) {
@@ -796,10 +803,14 @@
   };
   const auto row = GENERATE(values<Row>({
     { true, kBorn, false, 1'400, false },
-    { true, kBorn, false, 1'600, true },
-    { true, kBorn, true, 100, true },
+    { true, kBorn, false, 8'400, false },
+    { true, kBorn, false, 8'600, true },
+    { true, kBorn, true, 100, false },
+    { true, kBorn, true, 8'400, false },
+    { true, kBorn, true, 8'600, true },
     { false, kBorn + 1, false, 100, false },
     { false, kBorn + 1, true, 100, true },
+    { true, kBorn + 1, true, 100, false },
   }));
   Fixture shard({ "w1" });
   BatchRecord record = MakeRecord(1);
@@ -820,6 +831,54 @@
   CHECK((shard.Task().mPhase == RunPhase::kWaiting) == row.mIsWaiting);
 }
 
+// Guards against two runs at once: an unanswered start took effect in the next
+// incarnation, which had the same id, after its task was started elsewhere.
+TEST_CASE("an unanswered start on a draining worker blocks its task for longer",
+          "[dispatch]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsDraining;
+    std::int64_t mAfterMs;
+    bool mIsWaiting;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "before its deadline", false, 1'400, false },
+    { "past its deadline", false, 1'600, true },
+    { "past it on a draining worker", true, 1'600, false },
+    { "when it may still arrive", true, 8'400, false },
+    { "when it can't arrive any more", true, 8'600, true },
+  }));
+  CAPTURE(row.mName);
+  Fixture shard({ "w1" });
+  shard.Add(1);
+  const auto start = shard.Plan().mStarts.at(0).mOrder;
+  OnStartReply(shard.mShard, "w1", start, {}, shard.mNow);
+  shard.SetDraining(row.mIsDraining);
+  shard.mNow += Duration(row.mAfterMs);
+  shard.Report("w1", {}, {});
+  CHECK((shard.Task().mPhase == RunPhase::kWaiting) == row.mIsWaiting);
+}
+
+// Guards against a task that is held by its draining worker until the end of
+// the wait though the worker goes on.
+TEST_CASE("a worker that is ready again gives an unanswered start up",
+          "[dispatch]")
+{
+  Fixture shard({ "w1" });
+  shard.Add(1);
+  const auto start = shard.Plan().mStarts.at(0).mOrder;
+  OnStartReply(shard.mShard, "w1", start, {}, shard.mNow);
+  shard.SetDraining(true);
+  shard.mNow += Duration(2'000);
+  shard.Report("w1", {}, {});
+  REQUIRE(shard.Task().mPhase != RunPhase::kWaiting);
+  shard.SetDraining(false);
+  shard.Report("w1", {}, {});
+  CHECK(shard.Task().mPhase == RunPhase::kWaiting);
+}
+
 TEST_CASE("nothing starts where it must not", "[dispatch]")
 {
   using Spoil = void (*)(DispatchShard&);
