Tests: Wait for a killed process before its successor starts

process_outage failed in the first of 20 runs (two at a time, load 4 to 18): "north-1-config: can't listen: Address already in use", so the restarted process wasn't there. The script killed the process and started the next one at once, while the kernel was still ending the first.

Shown by killing and restarting the process 60 times with the script's own functions, on two processors beside three busy loops: 7 and 7 of 60 restarts found the port in use; with a wait for the killed process none of 120. On eight processors at load 14 it didn't show in 120 restarts.

kill_one kills a process and waits until it has ended, as whatever restarts a process on a machine does. outage.sh and requests.sh, which restart at once, use it; what they check is the same.

--- a/Tests/Processes/outage.sh
+++ b/Tests/Processes/outage.sh
@@ -6,7 +6,7 @@
 bring_up
 job first 4 9000
 platform '{"store":{"isDown":true}}' >/dev/null
-kill -KILL "${PIDS[north-1-config]}"
+kill_one north-1-config
 start north-1-config verbenacroft-config
 for i in $(seq 30); do
   for dc in north middle south; do
--- a/Tests/Processes/requests.sh
+++ b/Tests/Processes/requests.sh
@@ -19,7 +19,7 @@
   wait "$one" "$two" || true
   post middle 0 "$i" >>"$RUN/answers.$i"
   if [ $((i % 10)) = 0 ]; then
-    kill -KILL "${PIDS[south-0-router]}"
+    kill_one south-0-router
     start south-0-router verbenacroft-router
     await 10 is_ready south 0 router
   fi
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -188,6 +188,14 @@
   PIDS=()
 }
 
+# kill_one KEY: kills one program. It has ended afterwards, so that its ports
+# are free for the next process.
+kill_one() {
+  kill -KILL "${PIDS[$1]}"
+  wait "${PIDS[$1]}" 2>/dev/null || true
+  unset "PIDS[$1]"
+}
+
 # stop KEY: asks one program to end and gives its exit code.
 stop() {
   kill -TERM "${PIDS[$1]}"
