--- a/Tests/Unit/vcDispatchTakeoverTest.cxx
+++ b/Tests/Unit/vcDispatchTakeoverTest.cxx
@@ -205,6 +205,13 @@
         aShard.mNow += Duration(1'501);
         aShard.Report("w1", {}, {});
       },
+      true },
+    { "an unanswered start that can't take effect any more",
+      [](DispatchFixture& aShard, const StartOrder& aStart) {
+        OnStartReply(aShard.mShard, "w1", aStart, {}, aShard.mNow);
+        aShard.mNow += Duration(8'501);
+        aShard.Report("w1", {}, {});
+      },
       false },
     { "a start in flight of a task that is done elsewhere",
       [](DispatchFixture& aShard, const StartOrder&) {
