Leases: Add a module that extends leases by confirmations, without a caller

What callers see: nothing yet. Change: Source/Node/vcLeaseExtension, free of time and network: an owner's leases end by a short limit after the last proof, which is a renewal or a round that all members have confirmed, and by a long one after the last renewal. A claimant counts the short limit only if it is certain that the owner counts it as a member and the replaced claim is bounded, else the long one. Tests: [extension], odd messages, limits and settings (40 assertions). [extension-check] follows all orders of messages, losses, lapses, restarts, late claims and clock steps in eleven worlds of three or four nodes: no fault with all steps, a fault with any one of fifteen steps left out. The check found a hole in a draft: a node whose claim was carried out, lost and replaced before it heard of it went on confirming the older epoch. OnClaimSent closes it.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -62,7 +62,7 @@
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFormerOwner.cxx vcHandOver.cxx
-    vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
+    vcLeaseExtension.cxx vcMembership.cxx vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx
     vcOperatorWatch.cxx vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx
     vcShardLog.cxx vcShardRunner.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -34,7 +34,8 @@
   Tests/Unit/vcOccurrencesTest.cxx Tests/Unit/vcSuccessionTest.cxx
   Tests/Unit/vcSuccessionBoundsTest.cxx Tests/Unit/vcHandOverTest.cxx
   Tests/Unit/vcLongRunningRoomTest.cxx Tests/Unit/vcKeyClaimTest.cxx
-  Tests/Unit/vcClaimWaitTest.cxx
+  Tests/Unit/vcClaimWaitTest.cxx Tests/Unit/vcLeaseExtensionTest.cxx
+  Tests/Unit/vcLeaseExtensionCheckTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
