--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -54,17 +54,18 @@
     vcDispatchOccurrences.cxx vcDispatchPlacement.cxx
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
-    vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx vcDispatchWorkers.cxx
-    vcDispatchWorkerSet.cxx vcLongRunningRoom.cxx
+    vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx
+    vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcPlacementRound.cxx vcProbeStarts.cxx vcSuspectStarts.cxx
     vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
-    vcFormerOwner.cxx vcHandOver.cxx vcMembership.cxx vcNodeContext.cxx
-    vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx vcPeers.cxx
-    vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx vcShardRunner.cxx
+    vcFormerOwner.cxx vcHandOver.cxx vcLeaseExtension.cxx vcMembership.cxx
+    vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx
+    vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx
+    vcShardRunner.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
     vcStoreMonitor.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
