Crashes: Record the runs in doubt on silent workers

Cause: a crash is heard 3.1 to 3.5 s after it, when the machine is back. What ran on the worker was known to the owner alone and lost with it, so the next owner counted nothing.

Change: soon after a worker fell silent, its owner records the runs there that a crash would be counted against, with the worker's incarnation (vc/crashes/SHARD/silent). The next owner counts them if it meets another incarnation, and drops them if the worker answers. Counts and runs in doubt are one transaction, so no crash is counted twice.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -57,6 +57,9 @@
 /// True if many workers fell silent together with this one.
 bool HasOutsideCause(const DispatchShard& aShard, const DispatchWorker& aWorker)
 {
+  if (aWorker.mWasLostTogether) {
+    return true;
+  }
   // A worker that has restarted at once wasn't silent.
   if (!aWorker.mIsUnresponsive) {
     return false;
@@ -74,6 +77,38 @@
          static_cast<double>(together) >= part;
 }
 
+bool IsSilent(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
+}
+
+/// Runs that a crash of the worker is counted against.
+CrashSuspects SuspectsOf(const DispatchShard& aShard,
+                         const DispatchWorker& aWorker,
+                         TimePoint aNow)
+{
+  CrashSuspects suspects;
+  suspects.mRuns = RunsOf(aShard, aWorker);
+  suspects.mAll = suspects.mRuns.size();
+  suspects.mUnseen = static_cast<std::size_t>(std::count_if(
+    suspects.mRuns.begin(), suspects.mRuns.end(), [](const LostRun& aRun) {
+      return !aRun.mIsSeenAtWork;
+    }));
+  suspects.mHasOutsideCause = HasOutsideCause(aShard, aWorker);
+  suspects.mSilentSince =
+    IsSilent(aWorker) ? std::min(aWorker.mSilentSince, aNow) : aNow;
+  if (suspects.mHasOutsideCause) {
+    std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
+      return aRun.mIsSeenAtWork ||
+             suspects.mSilentSince - aRun.mStartOrderedAt > kFreshRun;
+    });
+  } else if (suspects.mUnseen > 0) {
+    std::erase_if(suspects.mRuns,
+                  [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
+  }
+  return suspects;
+}
+
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
             std::uint32_t aCrashes,
@@ -152,6 +187,48 @@
          (IsCrashHistorySafe(aTask) && aNow - since > kMaxApartWait);
 }
 
+Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun)
+{
+  return std::max(aSuspects.mSilentSince - aRun.mStartOrderedAt, Duration(0));
+}
+
+CrashSuspects RunsInDoubt(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
+                          TimePoint aNow)
+{
+  const bool mayCount =
+    IsSilent(aWorker) && !aWorker.mIsReplaced && !aWorker.mEntry.mIsDraining;
+  CrashSuspects suspects;
+  if (mayCount) {
+    suspects = SuspectsOf(aShard, aWorker, aNow);
+  }
+  if (suspects.mUnseen == 0) {
+    suspects.mRuns.clear();
+  }
+  return suspects;
+}
+
+void InheritRunsInDoubt(DispatchShard& aShard, const InheritedSilence& aSilence)
+{
+  DispatchWorker* worker = FindWorker(aShard, aSilence.mWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->mIncarnation = aSilence.mIncarnation;
+  worker->mWasLostTogether = aSilence.mHasOutsideCause;
+  for (const auto& [key, ranFor] : aSilence.mRuns) {
+    const DispatchTask* task = OpenTask(aShard, key);
+    if (task != nullptr && task->mPhase != RunPhase::kDone) {
+      worker->mLostRuns.push_back(
+        { key, false, worker->mSilentSince - ranFor });
+    }
+  }
+  spdlog::info("worker.runs-in-doubt worker={} tasks={} outside_cause={}",
+               aSilence.mWorker,
+               worker->mLostRuns.size(),
+               aSilence.mHasOutsideCause);
+}
+
 void OnWorkerCrashed(DispatchShard& aShard,
                      DispatchWorker& aWorker,
                      TimePoint aNow,
@@ -160,39 +237,23 @@
   if (aWorker.mEntry.mIsDraining) {
     return;
   }
-  std::vector<LostRun> runs = RunsOf(aShard, aWorker);
+  const CrashSuspects suspects = SuspectsOf(aShard, aWorker, aNow);
   aWorker.mLostRuns.clear();
-  const auto all = runs.size();
-  const auto unseen = static_cast<std::size_t>(
-    std::count_if(runs.begin(), runs.end(), [](const LostRun& aRun) {
-      return !aRun.mIsSeenAtWork;
-    }));
-  const bool hasOutsideCause = HasOutsideCause(aShard, aWorker);
-  const TimePoint silentSince =
-    aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
-  if (hasOutsideCause) {
-    std::erase_if(runs, [&](const LostRun& aRun) {
-      return aRun.mIsSeenAtWork ||
-             silentSince - aRun.mStartOrderedAt > kFreshRun;
-    });
-  } else if (unseen > 0) {
-    std::erase_if(runs, [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
-  }
+  aWorker.mWasLostTogether = false;
+  ++aShard.mSilenceVersion;
   spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={}",
                aWorker.mEntry.mWorker,
-               all,
-               runs.size(),
-               hasOutsideCause);
-  for (const auto& run : runs) {
-    const Duration ranFor =
-      std::max(silentSince - run.mStartOrderedAt, Duration(0));
-    CountCrash(aShard, run.mTask, ranFor, aNow);
+               suspects.mAll,
+               suspects.mRuns.size(),
+               suspects.mHasOutsideCause);
+  for (const auto& run : suspects.mRuns) {
+    CountCrash(aShard, run.mTask, RanFor(suspects, run), aNow);
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
-  const bool isNamed = unseen == 1 && !hasOutsideCause;
+  const bool isNamed = suspects.mUnseen == 1 && !suspects.mHasOutsideCause;
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
-  for (const auto& run : runs) {
+  for (const auto& run : suspects.mRuns) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
     if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
       GiveUp(aShard, run.mTask, task->mCrashHistory.mCrashes, aNow, aNowMs);
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -17,6 +17,47 @@
 /// A task is not started again once this many workers have crashed under it.
 constexpr std::uint32_t kMaxCrashes = 3;
 
+/// Runs that a crash of a worker is counted against.
+struct CrashSuspects
+{
+  std::vector<LostRun> mRuns;
+  /// Number of all runs that the worker had, and of those that weren't seen at
+  /// work.
+  std::size_t mAll = 0;
+  std::size_t mUnseen = 0;
+  /// Many workers fell silent together with this one.
+  bool mHasOutsideCause = false;
+  /// When the worker fell silent; the present time if it isn't silent.
+  TimePoint mSilentSince{ kNever };
+};
+
+/// Longest time for which the run may have lasted.
+Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun);
+
+/// Runs that are in doubt while a worker is silent: those not seen at work that
+/// a crash is counted against, should the worker turn out to have crashed. None
+/// if it isn't silent, its crash was counted, or it was draining.
+CrashSuspects RunsInDoubt(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
+                          TimePoint aNow);
+
+/// A worker that was silent under the owner before, and its runs in doubt.
+struct InheritedSilence
+{
+  std::string mWorker;
+  /// Incarnation that fell silent.
+  std::int64_t mIncarnation = 0;
+  bool mHasOutsideCause = false;
+  /// The tasks, and the longest time for which each may have run.
+  std::vector<std::pair<TaskId, Duration>> mRuns;
+};
+
+/// Takes over the runs that were in doubt under the owner before, before any
+/// worker has answered this one. Does nothing if the shard doesn't have the
+/// worker.
+void InheritRunsInDoubt(DispatchShard& aShard,
+                        const InheritedSilence& aSilence);
+
 /// Counts a crash of the worker against the tasks that may have caused it, and
 /// gives up those that have used up their crashes. The runs aren't released. A
 /// worker that was draining has left and didn't crash.
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -236,12 +236,15 @@
   }
 }
 
-void SetUnresponsive(DispatchWorker& aWorker, TimePoint aNow)
+void SetUnresponsive(DispatchShard& aShard,
+                     DispatchWorker& aWorker,
+                     TimePoint aNow)
 {
   const bool isFirst = !aWorker.mIsUnresponsive && aWorker.mHasAnswered;
   if (isFirst) {
     aWorker.mSilentSince = aNow;
   }
+  aShard.mSilenceVersion += aWorker.mIsUnresponsive ? 0 : 1;
   aWorker.mIsUnresponsive = true;
 }
 
@@ -295,7 +298,7 @@
     OnNewIncarnation(aShard, *worker, aNow, aNowMs);
     worker->mIsReplaced = true;
     aShard.mUnansweredWorkers.erase(aWorker);
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(aShard, *worker, aNow);
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
@@ -306,7 +309,7 @@
         NameOf(aReport.mOutcome),
         (aNow - worker->mLastReportAt).count());
     }
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(aShard, *worker, aNow);
     return;
   }
   const bool isNewIncarnation =
@@ -319,9 +322,12 @@
                  aWorker,
                  aReport.mIncarnation);
   }
+  const bool wasSilent = worker->mIsUnresponsive || !worker->mHasAnswered;
+  aShard.mSilenceVersion += wasSilent ? 1 : 0;
   worker->mIsUnresponsive = false;
   worker->mIsReplaced = false;
   worker->mLostRuns.clear();
+  worker->mWasLostTogether = false;
   worker->mHasAnswered = true;
   worker->mIncarnation = aReport.mIncarnation;
   worker->mClock = aReport.mClock;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -167,6 +167,7 @@
   if (worker != nullptr && worker->mTasks.erase(aKey) > 0) {
     CountNeeds(*worker, StepOf(job, aKey), -1);
     --job.mActiveRuns;
+    aShard.mSilenceVersion += worker->mIsUnresponsive ? 1 : 0;
   }
   task.mWorker.clear();
   task.mIsStartUncertain = false;
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -363,8 +363,12 @@
   TimePoint mOverTargetSince{ kNever };
   /// Another incarnation answers at the worker's address.
   bool mIsReplaced = false;
-  /// Runs that were given up in the present silence.
+  /// Runs that were given up in the present silence, or that an owner before
+  /// had there when the worker fell silent.
   std::vector<LostRun> mLostRuns;
+  /// In that silence, an owner before found that many workers had fallen silent
+  /// together with this one.
+  bool mWasLostTogether = false;
   RoomReservation mRoom;
   /// The job whose only run has ended here, until the next start; empty if
   /// there is none.
@@ -451,6 +455,8 @@
   std::set<TaskId> mSuspects;
   /// Number of changes of the suspects and of their histories.
   std::uint64_t mSuspectsVersion = 0;
+  /// Number of changes of the silent workers and of the runs there.
+  std::uint64_t mSilenceVersion = 0;
   std::map<std::string, DispatchWorker> mWorkers;
   /// Data centres where nothing is started.
   std::set<std::string> mEvacuated;
--- a/Source/Node/vcCrashRecords.h
+++ b/Source/Node/vcCrashRecords.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Record of the tasks of a shard under which workers have crashed, so that a
-/// next owner goes on counting.
+/// Records of the tasks of a shard under which workers have crashed, or may
+/// have, so that a next owner goes on counting.
 
 #include "vcDispatch.h"
 #include "vcNodeContext.h"
@@ -27,6 +27,56 @@
 };
 BOOST_DESCRIBE_STRUCT(CrashedTasksRecord, (), (mTasks))
 
+/// A run that its worker had begun only just when it fell silent.
+struct SilentRun
+{
+  /// The task's identifier as text.
+  std::string mTask;
+  /// Longest time in ms for which it may have run.
+  std::int64_t mRanForMs = 0;
+
+  bool operator==(const SilentRun&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SilentRun, (), (mTask, mRanForMs))
+
+/// A silent worker that may have crashed under one of its runs.
+struct SilentWorker
+{
+  /// Name of the worker.
+  std::string mWorker;
+  /// Start of the incarnation that fell silent, in ms since 1970.
+  std::int64_t mIncarnation = 0;
+  /// Many workers fell silent together with it.
+  bool mHasOutsideCause = false;
+  /// The runs that the crash would be counted against.
+  std::vector<SilentRun> mRuns;
+
+  bool operator==(const SilentWorker&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SilentWorker,
+                      (),
+                      (mWorker, mIncarnation, mHasOutsideCause, mRuns))
+
+/// Record of these workers. A key of its own, since a program that doesn't know
+/// it then can still read the counts. It holds only together with the counts of
+/// the same write: a crash that was counted is no longer in it.
+struct SilentWorkersRecord
+{
+  std::vector<SilentWorker> mWorkers;
+
+  bool operator==(const SilentWorkersRecord&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SilentWorkersRecord, (), (mWorkers))
+
+/// The record of a shard's silent workers, up to a maximum number of runs.
+SilentWorkersRecord SilentWorkersOf(const DispatchShard& aShard,
+                                    TimePoint aNow);
+
+/// Applies the record of an earlier owner, once the workers, the jobs and their
+/// progress are loaded.
+void ApplySilentWorkers(DispatchShard& aShard,
+                        const SilentWorkersRecord& aRecord);
+
 /// The record of a shard's present suspects.
 CrashedTasksRecord CrashedTasksOf(const DispatchShard& aShard);
 
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -143,6 +143,11 @@
   return fmt::format("vc/crashes/{:04}", aShard);
 }
 
+std::string SilentWorkersKey(std::uint32_t aShard)
+{
+  return CrashedTasksKey(aShard) + "/silent";
+}
+
 std::string InboxPrefix(std::uint32_t aShard)
 {
   return fmt::format("vc/in/{:04}/", aShard);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -281,6 +281,9 @@
 std::string HandOverKey(std::uint32_t aShard);
 /// Key of the shard's `CrashedTasksRecord`.
 std::string CrashedTasksKey(std::uint32_t aShard);
+/// Key of the shard's `SilentWorkersRecord`; it begins with that of the
+/// `CrashedTasksRecord`.
+std::string SilentWorkersKey(std::uint32_t aShard);
 /// Prefix of the shard's inbox: jobs and cancellations, written by any node.
 std::string InboxPrefix(std::uint32_t aShard);
 /// Key of a job in the inbox of its shard.
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -4,6 +4,7 @@
 /// to the workers, records its state in the store, and passes the replies of
 /// both back to the core.
 
+#include "vcCrashRecords.h"
 #include "vcMembership.h"
 #include "vcNodeContext.h"
 #include "vcShardLog.h"
@@ -173,12 +174,16 @@
   asio::awaitable<bool> RecordWorkerSet();
   /// Records workers as inactive soon after they have fallen silent.
   asio::awaitable<void> RecordSilentWorkers();
-  /// Reads the record of the tasks under which workers have crashed. A record
-  /// that can't be decoded counts as empty.
-  /// @return false if it could not be read
+  /// Reads the records of the tasks under which workers have crashed, and of
+  /// the silent workers. A record that can't be decoded counts as empty.
+  /// @return false if they could not be read
   asio::awaitable<bool> LoadCrashes();
-  /// Writes that record when it changes, until the runner stops.
+  /// Applies the record of the silent workers. The counts have been read.
+  void ApplySilentWorkersItem(const KvItem& aItem);
+  /// Writes these records when they change, until the runner stops.
   asio::awaitable<void> RecordCrashes();
+  /// True if the record of the silent workers has to be written.
+  bool MustRecordSilentWorkers(TimePoint aNow);
   /// The write of `RecordCrashes`.
   /// @return false if it failed
   asio::awaitable<bool> WriteCrashes();
@@ -250,6 +255,14 @@
   std::uint64_t mCrashesRevision = 0;
   /// `DispatchShard::mSuspectsVersion` of that record.
   std::uint64_t mStoredSuspectsVersion = 0;
+  /// Revision of the record of the silent workers; 0 if there is none.
+  std::uint64_t mSilentWorkersRevision = 0;
+  /// That record; nothing if it isn't known or doesn't hold.
+  std::optional<SilentWorkersRecord> mStoredSilentWorkers;
+  /// `DispatchShard::mSilenceVersion` of that record.
+  std::uint64_t mStoredSilenceVersion = 0;
+  /// When that record was last written.
+  TimePoint mSilentWorkersWrittenAt{ kNever };
   /// A write of the worker set is running.
   bool mIsRecordingWorkerSet = false;
   /// Orders to send, by worker.
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -1,6 +1,7 @@
 /// Tasks that crash their workers: what an owner counts, whom it suspects, and
 /// when it gives a task up.
 
+#include "vcCrashRecords.h"
 #include "vcDispatch.h"
 
 #include <catch2/catch.hpp>
@@ -63,6 +64,7 @@
     step.mEstimateMs = 1'000;
     step.mIsLasting = aIsLasting;
     record.mSpec.mSteps.push_back(step);
+    this->mRecords[aId] = record;
     verbenacroft::AddJob(
       this->mShard, aId, record, 20, this->mNow, this->mNow.count());
   }
@@ -96,11 +98,48 @@
     }
   }
 
+  /// From now on each crash also ends the owner, while the worker is silent.
+  void LoseOwners() { this->mAreOwnersLost = true; }
+
+  /// Another owner loads what the present one has recorded.
+  void TakeOver()
+  {
+    const CrashedTasksRecord counts = CrashedTasksOf(this->mShard);
+    const SilentWorkersRecord silent =
+      SilentWorkersOf(this->mShard, this->mNow);
+    DispatchShard next;
+    next.mEpoch = this->mShard.mEpoch + 10;
+    next.mClaimedAt = this->mNow;
+    for (const auto& [name, worker] : this->mShard.mWorkers) {
+      DispatchWorker& added = next.mWorkers[name];
+      added.mEntry = worker.mEntry;
+      added.mEndpoint = worker.mEndpoint;
+      added.mSilentSince = this->mNow;
+      AddActiveWorker(next, name, {}, this->mNow);
+    }
+    for (const auto& [id, record] : this->mRecords) {
+      verbenacroft::AddJob(next, id, record, 5, this->mNow, this->mNow.count());
+    }
+    this->mShard = std::move(next);
+    ApplyCrashedTasks(this->mShard, counts, this->mNow, this->mNow.count());
+    ApplySilentWorkers(this->mShard, silent);
+    this->Discover();
+  }
+
+  /// The worker doesn't answer once.
+  void FallSilent(const std::string& aWorker)
+  {
+    this->Answer(aWorker, WorkerReport{});
+  }
+
   /// The worker is silent for some seconds and then known to have crashed.
   void Crash(const std::string& aWorker, CrashSign aSign)
   {
     this->mRuns[aWorker].clear();
-    this->Answer(aWorker, WorkerReport{});
+    this->FallSilent(aWorker);
+    if (this->mAreOwnersLost) {
+      this->TakeOver();
+    }
     this->mNow += kDownTime;
     std::erase(this->mNames, aWorker);
     this->Report();
@@ -239,6 +278,8 @@
   std::map<std::string, std::vector<RunningTask>> mRuns;
   std::map<std::string, int> mBorn;
   std::map<TaskId, int> mStarts;
+  std::map<JobId, BatchRecord> mRecords;
+  bool mAreOwnersLost = false;
 };
 
 /// Lets the fleet work until no crash comes for some rounds.
@@ -277,6 +318,55 @@
   CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
 }
 
+// Guards against a task that crashes one worker after another, since each owner
+// is lost before it hears of the crash.
+TEST_CASE("crashes that are heard by the next owner count", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int workers = GENERATE(2, 6);
+  CAPTURE(NameOf(sign), workers);
+  CrashFleet fleet(workers);
+  fleet.LoseOwners();
+  fleet.AddJob(kSoundJob, 4, true);
+  fleet.Start();
+  fleet.Run(Duration(2'000));
+  fleet.AddJob(kDeadlyJob, 1);
+  constexpr int kMostCrashes = 12;
+  CHECK(CrashUntilCalm(fleet, sign, kMostCrashes) <= 3);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+  CHECK_FALSE(IsFinal(fleet.StateOf(kSoundJob)));
+}
+
+// Guards against a crash that is counted by two owners, and against a count for
+// a worker that was only silent for a while.
+TEST_CASE("a next owner counts a crash once, and silence not at all", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const bool isCrash = GENERATE(false, true);
+  CAPTURE(NameOf(sign), isCrash);
+  const TaskId task{ kDeadlyJob, 0, 0, 0 };
+  CrashFleet fleet(6);
+  fleet.LoseOwners();
+  fleet.AddJob(kDeadlyJob, 1);
+  const auto workers = fleet.Start();
+  REQUIRE(workers.size() == 1);
+  if (isCrash) {
+    fleet.Crash(workers[0], sign);
+  } else {
+    fleet.FallSilent(workers[0]);
+    fleet.TakeOver();
+    fleet.Report();
+  }
+  constexpr int kMoreOwners = 3;
+  for (int i = 0; i < kMoreOwners; ++i) {
+    fleet.TakeOver();
+    fleet.Report();
+  }
+  CHECK(fleet.Shard().mSuspects.size() == (isCrash ? 1 : 0));
+  CHECK(FindTask(fleet.Shard(), task)->mCrashHistory.mCrashes ==
+        (isCrash ? 1 : 0));
+}
+
 // Guards against jobs that end as failed because they were started beside a
 // task that crashes its workers.
 TEST_CASE("a task that is started beside a deadly one isn't given up",
