Dispatch: Count a broken connection as a start that was received

Cause: a crash counted against each run that wasn't seen at work, also against starts that no worker had received.

Crashes after starts that stayed without an answer are counted apart; an order whose connection breaks (OrderOutcome::kBroken) counts as received, since a worker that a task crashes closes its connections. Five crashes of either kind give a task up.

Changed tests: MarkCrashHistoryStored and ApplyCrashHistory take a CrashHistory, so vcTurnsTest.cxx and CrashFleet pass one; their checks are the same.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -39,7 +39,10 @@
 LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
-  return { aKey, IsSeenAtWork(task), task.mStartOrderedAt };
+  // A worker that was down before the start is silent; one that the task
+  // crashes at once closes its connections.
+  const bool hasBegun = task.mFirstSeenClock != 0 || task.mIsStartBroken;
+  return { aKey, hasBegun, IsSeenAtWork(task), task.mStartOrderedAt };
 }
 
 /// Runs that may have caused a crash of the worker.
@@ -109,23 +112,36 @@
   return suspects;
 }
 
+/// True if so many workers may have crashed under the task that it is given
+/// up.
+/// @param aMaxCrashes number of them that suffices if all had begun it
+bool IsToBeGivenUp(const CrashHistory& aHistory, std::uint32_t aMaxCrashes)
+{
+  return aHistory.mCrashes >= aMaxCrashes ||
+         aHistory.mCrashes + aHistory.mUnconfirmed >= kMaxPossibleCrashes;
+}
+
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
-            std::uint32_t aCrashes,
+            const CrashHistory& aHistory,
             TimePoint aNow,
             std::int64_t aNowMs)
 {
-  spdlog::warn("task.given-up task={} crashes={}", Describe(aKey), aCrashes);
+  spdlog::warn("task.given-up task={} crashes={} unconfirmed={}",
+               Describe(aKey),
+               aHistory.mCrashes,
+               aHistory.mUnconfirmed);
   FailJob(aShard, aKey.mJob, aNow, aNowMs);
 }
 
 /// Counts a crash against a task.
 /// @param aRanFor longest time for which the run may have lasted
 void CountCrash(DispatchShard& aShard,
-                const TaskId& aKey,
+                const LostRun& aRun,
                 Duration aRanFor,
                 TimePoint aNow)
 {
+  const TaskId& aKey = aRun.mTask;
   DispatchTask* task = FindTask(aShard, aKey);
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
@@ -138,19 +154,21 @@
     return;
   }
   CrashHistory& history = task->mCrashHistory;
-  ++history.mCrashes;
+  ++(aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed);
   history.mLongestRun = std::max(history.mLongestRun, aRanFor);
   history.mIsStored = false;
   history.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   ++aShard.mSuspectsVersion;
-  spdlog::info("task.suspected task={} crashes={} ran_ms={}",
+  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={}",
                Describe(aKey),
                history.mCrashes,
+               history.mUnconfirmed,
                aRanFor.count());
 }
 
-/// True if the task's run lasts so long that the task isn't suspected any more.
+/// True if the task's run lasts so long that the task isn't suspected any
+/// more.
 bool IsCleared(const DispatchTask& aTask)
 {
   const Duration needed =
@@ -162,7 +180,8 @@
 
 bool IsSuspect(const DispatchTask& aTask)
 {
-  return aTask.mCrashHistory.mCrashes > 0;
+  const CrashHistory& history = aTask.mCrashHistory;
+  return history.mCrashes > 0 || history.mUnconfirmed > 0;
 }
 
 bool IsSeenAtWork(const DispatchTask& aTask)
@@ -216,11 +235,13 @@
   }
   worker->mIncarnation = aSilence.mIncarnation;
   worker->mWasLostTogether = aSilence.mHasOutsideCause;
-  for (const auto& [key, ranFor] : aSilence.mRuns) {
-    const DispatchTask* task = OpenTask(aShard, key);
+  for (const auto& run : aSilence.mRuns) {
+    const DispatchTask* task = OpenTask(aShard, run.mTask);
     if (task != nullptr && task->mPhase != RunPhase::kDone) {
-      worker->mLostRuns.push_back(
-        { key, false, worker->mSilentSince - ranFor });
+      worker->mLostRuns.push_back({ run.mTask,
+                                    run.mHasBegun,
+                                    false,
+                                    worker->mSilentSince - run.mRanFor });
     }
   }
   spdlog::info("worker.runs-in-doubt worker={} tasks={} outside_cause={}",
@@ -247,7 +268,7 @@
                suspects.mRuns.size(),
                suspects.mHasOutsideCause);
   for (const auto& run : suspects.mRuns) {
-    CountCrash(aShard, run.mTask, RanFor(suspects, run), aNow);
+    CountCrash(aShard, run, RanFor(suspects, run), aNow);
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
@@ -255,8 +276,8 @@
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
   for (const auto& run : suspects.mRuns) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
-    if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
-      GiveUp(aShard, run.mTask, task->mCrashHistory.mCrashes, aNow, aNowMs);
+    if (task != nullptr && IsToBeGivenUp(task->mCrashHistory, most)) {
+      GiveUp(aShard, run.mTask, task->mCrashHistory, aNow, aNowMs);
     }
   }
 }
@@ -270,29 +291,36 @@
 
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       std::uint32_t aCrashes,
-                       Duration aLongestRun,
+                       const CrashHistory& aStored,
                        TimePoint aNow,
                        std::int64_t aNowMs)
 {
   DispatchTask* task = OpenTask(aShard, aKey);
-  if (task == nullptr || task->mPhase == RunPhase::kDone || aCrashes == 0) {
+  const bool hasCrashes = aStored.mCrashes + aStored.mUnconfirmed > 0;
+  if (task == nullptr || task->mPhase == RunPhase::kDone || !hasCrashes) {
     return;
   }
-  task->mCrashHistory = { aCrashes, aLongestRun, true, aNow };
+  task->mCrashHistory = aStored;
+  task->mCrashHistory.mIsStored = true;
+  task->mCrashHistory.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
-  if (aCrashes >= kMaxCrashes) {
-    GiveUp(aShard, aKey, aCrashes, aNow, aNowMs);
+  if (IsToBeGivenUp(aStored, kMaxCrashes)) {
+    GiveUp(aShard, aKey, aStored, aNow, aNowMs);
   }
 }
 
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            std::uint32_t aCrashes)
+                            const CrashHistory& aStored)
 {
   DispatchTask* task = FindTask(aShard, aKey);
-  if (task != nullptr && task->mCrashHistory.mCrashes == aCrashes) {
-    task->mCrashHistory.mIsStored = true;
+  if (task == nullptr) {
+    return;
+  }
+  CrashHistory& history = task->mCrashHistory;
+  if (history.mCrashes == aStored.mCrashes &&
+      history.mUnconfirmed == aStored.mUnconfirmed) {
+    history.mIsStored = true;
   }
 }
 
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -16,6 +16,10 @@
 
 /// A task is not started again once this many workers have crashed under it.
 constexpr std::uint32_t kMaxCrashes = 3;
+/// The same if only some of them, or none, are known to have begun it. A worker
+/// that is down when it is told to start a task looks the same as one that the
+/// task crashes at once, so a few of them are no proof.
+constexpr std::uint32_t kMaxPossibleCrashes = 5;
 
 /// Runs that a crash of a worker is counted against.
 struct CrashSuspects
@@ -41,6 +45,16 @@
                           const DispatchWorker& aWorker,
                           TimePoint aNow);
 
+/// A run that was in doubt under the owner before.
+struct InheritedRun
+{
+  TaskId mTask;
+  /// Longest time for which it may have run.
+  Duration mRanFor{ 0 };
+  /// The worker was up when it was told to start the run.
+  bool mHasBegun = false;
+};
+
 /// A worker that was silent under the owner before, and its runs in doubt.
 struct InheritedSilence
 {
@@ -48,8 +62,7 @@
   /// Incarnation that fell silent.
   std::int64_t mIncarnation = 0;
   bool mHasOutsideCause = false;
-  /// The tasks, and the longest time for which each may have run.
-  std::vector<std::pair<TaskId, Duration>> mRuns;
+  std::vector<InheritedRun> mRuns;
 };
 
 /// Takes over the runs that were in doubt under the owner before, before any
@@ -75,17 +88,18 @@
 
 /// Restores the crash history that an earlier owner stored for a task. Does
 /// nothing if the shard doesn't have the task.
+/// @param aStored its numbers of crashes and its longest run
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       std::uint32_t aCrashes,
-                       Duration aLongestRun,
+                       const CrashHistory& aStored,
                        TimePoint aNow,
                        std::int64_t aNowMs);
 
-/// Notes that the store has the history of a suspect with this many crashes.
+/// Notes that the store has the history of a suspect with these numbers of
+/// crashes.
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            std::uint32_t aCrashes);
+                            const CrashHistory& aStored);
 
 /// Forgets the suspects that are done, have run for long enough, or whose job
 /// has ended for good.
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -59,6 +59,9 @@
 {
   /// Number of workers that crashed while they ran the task, or may have.
   std::uint32_t mCrashes = 0;
+  /// Number of workers that crashed after they were told to start the task,
+  /// without having confirmed it: they may have been down before.
+  std::uint32_t mUnconfirmed = 0;
   /// Longest time for which the task may have run before such a crash.
   Duration mLongestRun{ 0 };
   /// The store has this history.
@@ -116,6 +119,8 @@
   /// The start order was not answered: it may have been executed, or may still
   /// be.
   bool mIsStartUncertain = false;
+  /// The connection broke when the start was ordered: the worker was up then.
+  bool mIsStartBroken = false;
   /// Throttle percent that was last ordered: the share of its full speed that
   /// the task may use.
   std::int64_t mOrderedThrottlePercent = 100;
@@ -243,6 +248,8 @@
 struct LostRun
 {
   TaskId mTask;
+  /// The worker has confirmed that the run had begun.
+  bool mHasBegun = false;
   bool mIsSeenAtWork = false;
   TimePoint mStartOrderedAt{ kNever };
 };
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -325,7 +325,10 @@
   // A worker that carries out no start keeps its free capacity, and would be
   // chosen again.
   task->mAvoidedWorker = aWorker;
-  if (aReply.mOutcome == OrderOutcome::kUnknown) {
+  const bool isBroken = aReply.mOutcome == OrderOutcome::kBroken;
+  if (isBroken || aReply.mOutcome == OrderOutcome::kUnknown) {
+    task->mIsStartBroken = isBroken;
+    ++aShard.mSilenceVersion;
     // A start that is being stopped stays as uncertain as it is: the stop may
     // have been answered already.
     task->mIsStartUncertain =
--- a/Source/Dispatch/vcWorkerOrders.h
+++ b/Source/Dispatch/vcWorkerOrders.h
@@ -94,6 +94,10 @@
   kOtherIncarnation,
   /// Nothing was sent.
   kNotSent,
+  /// The connection broke before the answer: the order may have been executed.
+  /// The worker was up when it was called, or the break would not have reached
+  /// the caller.
+  kBroken,
   /// No answer: the order may have been executed, or may still be.
   kUnknown,
 };
@@ -112,6 +116,7 @@
     { OrderOutcome::kMalformed, "malformed" },
     { OrderOutcome::kOtherIncarnation, "other-lifetime" },
     { OrderOutcome::kNotSent, "not-sent" },
+    { OrderOutcome::kBroken, "broken" },
     { OrderOutcome::kUnknown, "unknown" },
   });
 };
@@ -120,6 +125,7 @@
 constexpr bool IsAnswer(OrderOutcome aOutcome)
 {
   return aOutcome != OrderOutcome::kNotSent &&
+         aOutcome != OrderOutcome::kBroken &&
          aOutcome != OrderOutcome::kUnknown;
 }
 
--- a/Source/Node/vcCrashRecords.cxx
+++ b/Source/Node/vcCrashRecords.cxx
@@ -10,6 +10,15 @@
 /// small when many workers fall silent at once.
 constexpr std::size_t kMaxSilentRuns = 200;
 
+CrashHistory HistoryOf(const CrashedTask& aRow)
+{
+  CrashHistory history;
+  history.mCrashes = aRow.mCrashes;
+  history.mUnconfirmed = aRow.mUnconfirmed;
+  history.mLongestRun = Duration(aRow.mLongestRunMs);
+  return history;
+}
+
 } // namespace
 
 SilentWorkersRecord SilentWorkersOf(const DispatchShard& aShard, TimePoint aNow)
@@ -32,7 +41,7 @@
     };
     for (const auto& run : suspects.mRuns) {
       row.mRuns.push_back(
-        { Describe(run.mTask), RanFor(suspects, run).count() });
+        { Describe(run.mTask), RanFor(suspects, run).count(), run.mHasBegun });
     }
     record.mWorkers.push_back(std::move(row));
   }
@@ -54,7 +63,8 @@
     for (const auto& run : row.mRuns) {
       const auto key = ParseTaskId(run.mTask);
       if (key) {
-        silence.mRuns.emplace_back(*key, Duration(run.mRanForMs));
+        silence.mRuns.push_back(
+          { *key, Duration(run.mRanForMs), run.mHasBegun });
       } else {
         spdlog::error("task.silent-run-unreadable task={}", run.mTask);
       }
@@ -71,7 +81,8 @@
     if (task != nullptr && IsSuspect(*task)) {
       record.mTasks.push_back({ Describe(key),
                                 task->mCrashHistory.mCrashes,
-                                task->mCrashHistory.mLongestRun.count() });
+                                task->mCrashHistory.mLongestRun.count(),
+                                task->mCrashHistory.mUnconfirmed });
     }
   }
   return record;
@@ -88,8 +99,7 @@
       spdlog::error("task.crashes-unreadable task={}", row.mTask);
       continue;
     }
-    ApplyCrashHistory(
-      aShard, *key, row.mCrashes, Duration(row.mLongestRunMs), aNow, aNowMs);
+    ApplyCrashHistory(aShard, *key, HistoryOf(row), aNow, aNowMs);
   }
 }
 
@@ -98,7 +108,7 @@
   for (const auto& row : aRecord.mTasks) {
     const auto key = ParseTaskId(row.mTask);
     if (key) {
-      MarkCrashHistoryStored(aShard, *key, row.mCrashes);
+      MarkCrashHistoryStored(aShard, *key, HistoryOf(row));
     }
   }
 }
--- a/Source/Node/vcCrashRecords.h
+++ b/Source/Node/vcCrashRecords.h
@@ -17,8 +17,12 @@
   std::uint32_t mCrashes = 0;
   /// Longest time in ms for which it may have run before such a crash.
   std::int64_t mLongestRunMs = 0;
+  /// Number of workers that have crashed without having confirmed its start.
+  std::uint32_t mUnconfirmed = 0;
 };
-BOOST_DESCRIBE_STRUCT(CrashedTask, (), (mTask, mCrashes, mLongestRunMs))
+BOOST_DESCRIBE_STRUCT(CrashedTask,
+                      (),
+                      (mTask, mCrashes, mLongestRunMs, mUnconfirmed))
 
 /// Record of these tasks.
 struct CrashedTasksRecord
@@ -34,10 +38,12 @@
   std::string mTask;
   /// Longest time in ms for which it may have run.
   std::int64_t mRanForMs = 0;
+  /// The worker was up when it was told to start the run.
+  bool mHasBegun = false;
 
   bool operator==(const SilentRun&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(SilentRun, (), (mTask, mRanForMs))
+BOOST_DESCRIBE_STRUCT(SilentRun, (), (mTask, mRanForMs, mHasBegun))
 
 /// A silent worker that may have crashed under one of its runs.
 struct SilentWorker
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -69,6 +69,34 @@
       this->mShard, aId, record, 20, this->mNow, this->mNow.count());
   }
 
+  /// Waits until starts are planned, which get no answer.
+  /// @return the workers that they were sent to
+  std::vector<std::string> StartInVain(OrderOutcome aOutcome)
+  {
+    std::vector<std::string> workers;
+    for (const auto& [worker, order] : this->AwaitStarts()) {
+      const OrderReply none{ aOutcome, 0 };
+      OnStartReply(this->mShard, worker, order, none, this->mNow);
+      workers.push_back(worker);
+    }
+    return workers;
+  }
+
+  /// Waits until the deadly job is started and crashes its worker.
+  /// @return the worker; empty if the job isn't started
+  std::string StartUntilCrash()
+  {
+    constexpr int kMostRounds = 100;
+    for (int i = 0; i < kMostRounds; ++i) {
+      const auto crashed = this->Start();
+      if (!crashed.empty()) {
+        return crashed[0];
+      }
+      this->RunAndReap();
+    }
+    return {};
+  }
+
   /// Plans and carries out the starts.
   /// @return the workers that the deadly job has crashed
   std::vector<std::string> Start()
@@ -90,6 +118,19 @@
     return crashed;
   }
 
+  std::vector<AddressedOrder<StartOrder>> AwaitStarts()
+  {
+    constexpr int kMostRounds = 100;
+    DispatchActions actions;
+    for (int i = 0; i < kMostRounds && actions.mStarts.empty(); ++i) {
+      PlanStarts(this->mShard, this->mNow, this->mNow.count(), actions);
+      if (actions.mStarts.empty()) {
+        this->RunAndReap();
+      }
+    }
+    return actions.mStarts;
+  }
+
   /// Every worker that isn't down reports.
   void Report()
   {
@@ -193,6 +234,14 @@
     }
   }
 
+  /// Runs for a moment, and gives up what is certainly lost.
+  void RunAndReap()
+  {
+    this->Run(Duration(250));
+    ReapWorkers(this->mShard, this->mNow);
+    this->Record();
+  }
+
   void SetDraining(const std::string& aWorker)
   {
     this->mDraining.insert(aWorker);
@@ -205,9 +254,7 @@
     ForgetClearedSuspects(this->mShard);
     for (const auto& task : this->mShard.mSuspects) {
       MarkCrashHistoryStored(
-        this->mShard,
-        task,
-        FindTask(this->mShard, task)->mCrashHistory.mCrashes);
+        this->mShard, task, FindTask(this->mShard, task)->mCrashHistory);
     }
   }
 
@@ -388,6 +435,56 @@
   }
 }
 
+// Guards against a job that is shown as failed after one crash under its task:
+// starts that were sent to workers that were down counted like crashes.
+TEST_CASE("a start that isn't confirmed is no proof against its task",
+          "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int unconfirmed = GENERATE(1, 3);
+  CAPTURE(NameOf(sign), unconfirmed);
+  CrashFleet fleet(6);
+  fleet.AddJob(kDeadlyJob, 1);
+  for (int i = 0; i < unconfirmed; ++i) {
+    const auto workers = fleet.StartInVain(OrderOutcome::kUnknown);
+    REQUIRE(workers.size() == 1);
+    fleet.Crash(workers[0], sign);
+    fleet.Record();
+  }
+  const std::string crashed = fleet.StartUntilCrash();
+  REQUIRE_FALSE(crashed.empty());
+  fleet.Crash(crashed, sign);
+  fleet.Record();
+  CHECK_FALSE(IsFinal(fleet.StateOf(kDeadlyJob)));
+  CHECK_FALSE(fleet.StartUntilCrash().empty());
+}
+
+// Guards against a task that crashes its workers before any of them can confirm
+// its start, one after another for ever.
+TEST_CASE("a task whose starts are never confirmed is given up", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  // Of a task that has crashed three workers, two more starts are allowed. A
+  // connection that breaks shows that the worker was up, as an answer does.
+  const auto [outcome, most] = GENERATE(table<OrderOutcome, int>({
+    { OrderOutcome::kUnknown, 5 },
+    { OrderOutcome::kBroken, 2 },
+  }));
+  CAPTURE(NameOf(sign), NameOf(outcome));
+  CrashFleet fleet(6);
+  fleet.AddJob(kDeadlyJob, 1);
+  int starts = 0;
+  while (!IsFinal(fleet.StateOf(kDeadlyJob)) && starts <= most) {
+    const auto workers = fleet.StartInVain(outcome);
+    REQUIRE(workers.size() == 1);
+    ++starts;
+    fleet.Crash(workers[0], sign);
+    fleet.Record();
+  }
+  CHECK(starts <= most);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+}
+
 // Guards against jobs that end as failed because their workers were lost with a
 // rack or a release, again and again.
 TEST_CASE("tasks aren't blamed for workers that crash together", "[crash]")
--- a/Tests/Unit/vcTurnsTest.cxx
+++ b/Tests/Unit/vcTurnsTest.cxx
@@ -258,11 +258,13 @@
   constexpr const char* kSuspectsJob = "00000000000000c1";
   TurnsFleet fleet(4);
   fleet.Add(kSuspectsJob, { kSuspects, 100, true });
+  CrashHistory history;
+  history.mCrashes = 1;
+  history.mLongestRun = Duration(10'000);
   for (std::uint32_t i = 0; i < kSuspects; ++i) {
     ApplyCrashHistory(fleet.mShard,
                       { kSuspectsJob, 0, 0, i },
-                      1,
-                      Duration(10'000),
+                      history,
                       fleet.mNow,
                       fleet.mNow.count());
   }
