--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -39,7 +39,10 @@
 LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
-  return { aKey, IsSeenAtWork(task), task.mStartOrderedAt };
+  // A worker that was down before the start is silent; one that the task
+  // crashes at once closes its connections.
+  const bool hasBegun = task.mFirstSeenClock != 0 || task.mIsStartBroken;
+  return { aKey, hasBegun, IsSeenAtWork(task), task.mStartOrderedAt };
 }
 
 /// Runs that may have caused a crash of the worker.
@@ -57,6 +60,9 @@
 /// True if many workers fell silent together with this one.
 bool HasOutsideCause(const DispatchShard& aShard, const DispatchWorker& aWorker)
 {
+  if (aWorker.mWasLostTogether) {
+    return true;
+  }
   // A worker that has restarted at once wasn't silent.
   if (!aWorker.mIsUnresponsive) {
     return false;
@@ -74,23 +80,68 @@
          static_cast<double>(together) >= part;
 }
 
+bool IsSilent(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
+}
+
+/// Runs that a crash of the worker is counted against.
+CrashSuspects SuspectsOf(const DispatchShard& aShard,
+                         const DispatchWorker& aWorker,
+                         TimePoint aNow)
+{
+  CrashSuspects suspects;
+  suspects.mRuns = RunsOf(aShard, aWorker);
+  suspects.mAll = suspects.mRuns.size();
+  suspects.mUnseen = static_cast<std::size_t>(std::count_if(
+    suspects.mRuns.begin(), suspects.mRuns.end(), [](const LostRun& aRun) {
+      return !aRun.mIsSeenAtWork;
+    }));
+  suspects.mHasOutsideCause = HasOutsideCause(aShard, aWorker);
+  suspects.mSilentSince =
+    IsSilent(aWorker) ? std::min(aWorker.mSilentSince, aNow) : aNow;
+  if (suspects.mHasOutsideCause) {
+    std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
+      return aRun.mIsSeenAtWork ||
+             suspects.mSilentSince - aRun.mStartOrderedAt > kFreshRun;
+    });
+  } else if (suspects.mUnseen > 0) {
+    std::erase_if(suspects.mRuns,
+                  [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
+  }
+  return suspects;
+}
+
+/// True if so many workers may have crashed under the task that it is given
+/// up.
+/// @param aMaxCrashes number of them that suffices if all had begun it
+bool IsToBeGivenUp(const CrashHistory& aHistory, std::uint32_t aMaxCrashes)
+{
+  return aHistory.mCrashes >= aMaxCrashes ||
+         aHistory.mCrashes + aHistory.mUnconfirmed >= kMaxPossibleCrashes;
+}
+
 void GiveUp(DispatchShard& aShard,
             const TaskId& aKey,
-            std::uint32_t aCrashes,
+            const CrashHistory& aHistory,
             TimePoint aNow,
             std::int64_t aNowMs)
 {
-  spdlog::warn("task.given-up task={} crashes={}", Describe(aKey), aCrashes);
+  spdlog::warn("task.given-up task={} crashes={} unconfirmed={}",
+               Describe(aKey),
+               aHistory.mCrashes,
+               aHistory.mUnconfirmed);
   FailJob(aShard, aKey.mJob, aNow, aNowMs);
 }
 
 /// Counts a crash against a task.
 /// @param aRanFor longest time for which the run may have lasted
 void CountCrash(DispatchShard& aShard,
-                const TaskId& aKey,
+                const LostRun& aRun,
                 Duration aRanFor,
                 TimePoint aNow)
 {
+  const TaskId& aKey = aRun.mTask;
   DispatchTask* task = FindTask(aShard, aKey);
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
@@ -103,19 +154,21 @@
     return;
   }
   CrashHistory& history = task->mCrashHistory;
-  ++history.mCrashes;
+  ++(aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed);
   history.mLongestRun = std::max(history.mLongestRun, aRanFor);
   history.mIsStored = false;
   history.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   ++aShard.mSuspectsVersion;
-  spdlog::info("task.suspected task={} crashes={} ran_ms={}",
+  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={}",
                Describe(aKey),
                history.mCrashes,
+               history.mUnconfirmed,
                aRanFor.count());
 }
 
-/// True if the task's run lasts so long that the task isn't suspected any more.
+/// True if the task's run lasts so long that the task isn't suspected any
+/// more.
 bool IsCleared(const DispatchTask& aTask)
 {
   const Duration needed =
@@ -127,7 +180,8 @@
 
 bool IsSuspect(const DispatchTask& aTask)
 {
-  return aTask.mCrashHistory.mCrashes > 0;
+  const CrashHistory& history = aTask.mCrashHistory;
+  return history.mCrashes > 0 || history.mUnconfirmed > 0;
 }
 
 bool IsSeenAtWork(const DispatchTask& aTask)
@@ -152,6 +206,50 @@
          (IsCrashHistorySafe(aTask) && aNow - since > kMaxApartWait);
 }
 
+Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun)
+{
+  return std::max(aSuspects.mSilentSince - aRun.mStartOrderedAt, Duration(0));
+}
+
+CrashSuspects RunsInDoubt(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
+                          TimePoint aNow)
+{
+  const bool mayCount =
+    IsSilent(aWorker) && !aWorker.mIsReplaced && !aWorker.mEntry.mIsDraining;
+  CrashSuspects suspects;
+  if (mayCount) {
+    suspects = SuspectsOf(aShard, aWorker, aNow);
+  }
+  if (suspects.mUnseen == 0) {
+    suspects.mRuns.clear();
+  }
+  return suspects;
+}
+
+void InheritRunsInDoubt(DispatchShard& aShard, const InheritedSilence& aSilence)
+{
+  DispatchWorker* worker = FindWorker(aShard, aSilence.mWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->mIncarnation = aSilence.mIncarnation;
+  worker->mWasLostTogether = aSilence.mHasOutsideCause;
+  for (const auto& run : aSilence.mRuns) {
+    const DispatchTask* task = OpenTask(aShard, run.mTask);
+    if (task != nullptr && task->mPhase != RunPhase::kDone) {
+      worker->mLostRuns.push_back({ run.mTask,
+                                    run.mHasBegun,
+                                    false,
+                                    worker->mSilentSince - run.mRanFor });
+    }
+  }
+  spdlog::info("worker.runs-in-doubt worker={} tasks={} outside_cause={}",
+               aSilence.mWorker,
+               worker->mLostRuns.size(),
+               aSilence.mHasOutsideCause);
+}
+
 void OnWorkerCrashed(DispatchShard& aShard,
                      DispatchWorker& aWorker,
                      TimePoint aNow,
@@ -160,42 +258,26 @@
   if (aWorker.mEntry.mIsDraining) {
     return;
   }
-  std::vector<LostRun> runs = RunsOf(aShard, aWorker);
+  const CrashSuspects suspects = SuspectsOf(aShard, aWorker, aNow);
   aWorker.mLostRuns.clear();
-  const auto all = runs.size();
-  const auto unseen = static_cast<std::size_t>(
-    std::count_if(runs.begin(), runs.end(), [](const LostRun& aRun) {
-      return !aRun.mIsSeenAtWork;
-    }));
-  const bool hasOutsideCause = HasOutsideCause(aShard, aWorker);
-  const TimePoint silentSince =
-    aWorker.mIsUnresponsive ? std::min(aWorker.mSilentSince, aNow) : aNow;
-  if (hasOutsideCause) {
-    std::erase_if(runs, [&](const LostRun& aRun) {
-      return aRun.mIsSeenAtWork ||
-             silentSince - aRun.mStartOrderedAt > kFreshRun;
-    });
-  } else if (unseen > 0) {
-    std::erase_if(runs, [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
-  }
+  aWorker.mWasLostTogether = false;
+  ++aShard.mSilenceVersion;
   spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={}",
                aWorker.mEntry.mWorker,
-               all,
-               runs.size(),
-               hasOutsideCause);
-  for (const auto& run : runs) {
-    const Duration ranFor =
-      std::max(silentSince - run.mStartOrderedAt, Duration(0));
-    CountCrash(aShard, run.mTask, ranFor, aNow);
+               suspects.mAll,
+               suspects.mRuns.size(),
+               suspects.mHasOutsideCause);
+  for (const auto& run : suspects.mRuns) {
+    CountCrash(aShard, run, RanFor(suspects, run), aNow);
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
-  const bool isNamed = unseen == 1 && !hasOutsideCause;
+  const bool isNamed = suspects.mUnseen == 1 && !suspects.mHasOutsideCause;
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
-  for (const auto& run : runs) {
+  for (const auto& run : suspects.mRuns) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
-    if (task != nullptr && task->mCrashHistory.mCrashes >= most) {
-      GiveUp(aShard, run.mTask, task->mCrashHistory.mCrashes, aNow, aNowMs);
+    if (task != nullptr && IsToBeGivenUp(task->mCrashHistory, most)) {
+      GiveUp(aShard, run.mTask, task->mCrashHistory, aNow, aNowMs);
     }
   }
 }
@@ -209,29 +291,36 @@
 
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       std::uint32_t aCrashes,
-                       Duration aLongestRun,
+                       const CrashHistory& aStored,
                        TimePoint aNow,
                        std::int64_t aNowMs)
 {
   DispatchTask* task = OpenTask(aShard, aKey);
-  if (task == nullptr || task->mPhase == RunPhase::kDone || aCrashes == 0) {
+  const bool hasCrashes = aStored.mCrashes + aStored.mUnconfirmed > 0;
+  if (task == nullptr || task->mPhase == RunPhase::kDone || !hasCrashes) {
     return;
   }
-  task->mCrashHistory = { aCrashes, aLongestRun, true, aNow };
+  task->mCrashHistory = aStored;
+  task->mCrashHistory.mIsStored = true;
+  task->mCrashHistory.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
-  if (aCrashes >= kMaxCrashes) {
-    GiveUp(aShard, aKey, aCrashes, aNow, aNowMs);
+  if (IsToBeGivenUp(aStored, kMaxCrashes)) {
+    GiveUp(aShard, aKey, aStored, aNow, aNowMs);
   }
 }
 
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            std::uint32_t aCrashes)
+                            const CrashHistory& aStored)
 {
   DispatchTask* task = FindTask(aShard, aKey);
-  if (task != nullptr && task->mCrashHistory.mCrashes == aCrashes) {
-    task->mCrashHistory.mIsStored = true;
+  if (task == nullptr) {
+    return;
+  }
+  CrashHistory& history = task->mCrashHistory;
+  if (history.mCrashes == aStored.mCrashes &&
+      history.mUnconfirmed == aStored.mUnconfirmed) {
+    history.mIsStored = true;
   }
 }
 
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -16,6 +16,60 @@
 
 /// A task is not started again once this many workers have crashed under it.
 constexpr std::uint32_t kMaxCrashes = 3;
+/// The same if only some of them, or none, are known to have begun it. A worker
+/// that is down when it is told to start a task looks the same as one that the
+/// task crashes at once, so a few of them are no proof.
+constexpr std::uint32_t kMaxPossibleCrashes = 5;
+
+/// Runs that a crash of a worker is counted against.
+struct CrashSuspects
+{
+  std::vector<LostRun> mRuns;
+  /// Number of all runs that the worker had, and of those that weren't seen at
+  /// work.
+  std::size_t mAll = 0;
+  std::size_t mUnseen = 0;
+  /// Many workers fell silent together with this one.
+  bool mHasOutsideCause = false;
+  /// When the worker fell silent; the present time if it isn't silent.
+  TimePoint mSilentSince{ kNever };
+};
+
+/// Longest time for which the run may have lasted.
+Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun);
+
+/// Runs that are in doubt while a worker is silent: those not seen at work that
+/// a crash is counted against, should the worker turn out to have crashed. None
+/// if it isn't silent, its crash was counted, or it was draining.
+CrashSuspects RunsInDoubt(const DispatchShard& aShard,
+                          const DispatchWorker& aWorker,
+                          TimePoint aNow);
+
+/// A run that was in doubt under the owner before.
+struct InheritedRun
+{
+  TaskId mTask;
+  /// Longest time for which it may have run.
+  Duration mRanFor{ 0 };
+  /// The worker was up when it was told to start the run.
+  bool mHasBegun = false;
+};
+
+/// A worker that was silent under the owner before, and its runs in doubt.
+struct InheritedSilence
+{
+  std::string mWorker;
+  /// Incarnation that fell silent.
+  std::int64_t mIncarnation = 0;
+  bool mHasOutsideCause = false;
+  std::vector<InheritedRun> mRuns;
+};
+
+/// Takes over the runs that were in doubt under the owner before, before any
+/// worker has answered this one. Does nothing if the shard doesn't have the
+/// worker.
+void InheritRunsInDoubt(DispatchShard& aShard,
+                        const InheritedSilence& aSilence);
 
 /// Counts a crash of the worker against the tasks that may have caused it, and
 /// gives up those that have used up their crashes. The runs aren't released. A
@@ -34,17 +88,18 @@
 
 /// Restores the crash history that an earlier owner stored for a task. Does
 /// nothing if the shard doesn't have the task.
+/// @param aStored its numbers of crashes and its longest run
 void ApplyCrashHistory(DispatchShard& aShard,
                        const TaskId& aKey,
-                       std::uint32_t aCrashes,
-                       Duration aLongestRun,
+                       const CrashHistory& aStored,
                        TimePoint aNow,
                        std::int64_t aNowMs);
 
-/// Notes that the store has the history of a suspect with this many crashes.
+/// Notes that the store has the history of a suspect with these numbers of
+/// crashes.
 void MarkCrashHistoryStored(DispatchShard& aShard,
                             const TaskId& aKey,
-                            std::uint32_t aCrashes);
+                            const CrashHistory& aStored);
 
 /// Forgets the suspects that are done, have run for long enough, or whose job
 /// has ended for good.
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -237,12 +237,15 @@
   }
 }
 
-void SetUnresponsive(DispatchWorker& aWorker, TimePoint aNow)
+void SetUnresponsive(DispatchShard& aShard,
+                     DispatchWorker& aWorker,
+                     TimePoint aNow)
 {
   const bool isFirst = !aWorker.mIsUnresponsive && aWorker.mHasAnswered;
   if (isFirst) {
     aWorker.mSilentSince = aNow;
   }
+  aShard.mSilenceVersion += aWorker.mIsUnresponsive ? 0 : 1;
   aWorker.mIsUnresponsive = true;
 }
 
@@ -296,7 +299,7 @@
     OnNewIncarnation(aShard, *worker, aNow, aNowMs);
     worker->mIsReplaced = true;
     aShard.mUnansweredWorkers.erase(aWorker);
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(aShard, *worker, aNow);
     return;
   }
   if (aReport.mOutcome != OrderOutcome::kDone) {
@@ -307,7 +310,7 @@
         NameOf(aReport.mOutcome),
         (aNow - worker->mLastReportAt).count());
     }
-    SetUnresponsive(*worker, aNow);
+    SetUnresponsive(aShard, *worker, aNow);
     return;
   }
   const bool isNewIncarnation =
@@ -320,9 +323,12 @@
                  aWorker,
                  aReport.mIncarnation);
   }
+  const bool wasSilent = worker->mIsUnresponsive || !worker->mHasAnswered;
+  aShard.mSilenceVersion += wasSilent ? 1 : 0;
   worker->mIsUnresponsive = false;
   worker->mIsReplaced = false;
   worker->mLostRuns.clear();
+  worker->mWasLostTogether = false;
   worker->mHasAnswered = true;
   worker->mIncarnation = aReport.mIncarnation;
   worker->mClock = aReport.mClock;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -144,6 +144,7 @@
   task.mThrottledAt = kNever;
   task.mIsProbe = false;
   task.mIsStartUncertain = false;
+  task.mIsStartBroken = false;
   task.mStopSentAt = kNever;
   task.mFirstSeenClock = 0;
   task.mSeenAtWorkFor = Duration(0);
@@ -167,9 +168,11 @@
   if (worker != nullptr && worker->mTasks.erase(aKey) > 0) {
     CountNeeds(*worker, StepOf(job, aKey), -1);
     --job.mActiveRuns;
+    aShard.mSilenceVersion += worker->mIsUnresponsive ? 1 : 0;
   }
   task.mWorker.clear();
   task.mIsStartUncertain = false;
+  task.mIsStartBroken = false;
   task.mPhase = aPhase;
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -59,6 +59,9 @@
 {
   /// Number of workers that crashed while they ran the task, or may have.
   std::uint32_t mCrashes = 0;
+  /// Number of workers that crashed after they were told to start the task,
+  /// without having confirmed it: they may have been down before.
+  std::uint32_t mUnconfirmed = 0;
   /// Longest time for which the task may have run before such a crash.
   Duration mLongestRun{ 0 };
   /// The store has this history.
@@ -116,6 +119,8 @@
   /// The start order was not answered: it may have been executed, or may still
   /// be.
   bool mIsStartUncertain = false;
+  /// The connection broke when the start was ordered: the worker was up then.
+  bool mIsStartBroken = false;
   /// Throttle percent that was last ordered: the share of its full speed that
   /// the task may use.
   std::int64_t mOrderedThrottlePercent = 100;
@@ -243,6 +248,8 @@
 struct LostRun
 {
   TaskId mTask;
+  /// The worker has confirmed that the run had begun.
+  bool mHasBegun = false;
   bool mIsSeenAtWork = false;
   TimePoint mStartOrderedAt{ kNever };
 };
@@ -363,8 +370,12 @@
   TimePoint mOverTargetSince{ kNever };
   /// Another incarnation answers at the worker's address.
   bool mIsReplaced = false;
-  /// Runs that were given up in the present silence.
+  /// Runs that were given up in the present silence, or that an owner before
+  /// had there when the worker fell silent.
   std::vector<LostRun> mLostRuns;
+  /// In that silence, an owner before found that many workers had fallen silent
+  /// together with this one.
+  bool mWasLostTogether = false;
   RoomReservation mRoom;
   /// The job whose only run has ended here, until the next start; empty if
   /// there is none.
@@ -451,6 +462,8 @@
   std::set<TaskId> mSuspects;
   /// Number of changes of the suspects and of their histories.
   std::uint64_t mSuspectsVersion = 0;
+  /// Number of changes of the silent workers and of the runs there.
+  std::uint64_t mSilenceVersion = 0;
   std::map<std::string, DispatchWorker> mWorkers;
   /// Data centres where nothing is started.
   std::set<std::string> mEvacuated;
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -1,6 +1,7 @@
 /// Tasks that crash their workers: what an owner counts, whom it suspects, and
 /// when it gives a task up.
 
+#include "vcCrashRecords.h"
 #include "vcDispatch.h"
 
 #include <catch2/catch.hpp>
@@ -63,10 +64,39 @@
     step.mEstimateMs = 1'000;
     step.mIsLasting = aIsLasting;
     record.mSpec.mSteps.push_back(step);
+    this->mRecords[aId] = record;
     verbenacroft::AddJob(
       this->mShard, aId, record, 20, this->mNow, this->mNow.count());
   }
 
+  /// Waits until starts are planned, which get no answer.
+  /// @return the workers that they were sent to
+  std::vector<std::string> StartInVain(OrderOutcome aOutcome)
+  {
+    std::vector<std::string> workers;
+    for (const auto& [worker, order] : this->AwaitStarts()) {
+      const OrderReply none{ aOutcome, 0 };
+      OnStartReply(this->mShard, worker, order, none, this->mNow);
+      workers.push_back(worker);
+    }
+    return workers;
+  }
+
+  /// Waits until the deadly job is started and crashes its worker.
+  /// @return the worker; empty if the job isn't started
+  std::string StartUntilCrash()
+  {
+    constexpr int kMostRounds = 100;
+    for (int i = 0; i < kMostRounds; ++i) {
+      const auto crashed = this->Start();
+      if (!crashed.empty()) {
+        return crashed[0];
+      }
+      this->RunAndReap();
+    }
+    return {};
+  }
+
   /// Plans and carries out the starts.
   /// @return the workers that the deadly job has crashed
   std::vector<std::string> Start()
@@ -88,6 +118,19 @@
     return crashed;
   }
 
+  std::vector<AddressedOrder<StartOrder>> AwaitStarts()
+  {
+    constexpr int kMostRounds = 100;
+    DispatchActions actions;
+    for (int i = 0; i < kMostRounds && actions.mStarts.empty(); ++i) {
+      PlanStarts(this->mShard, this->mNow, this->mNow.count(), actions);
+      if (actions.mStarts.empty()) {
+        this->RunAndReap();
+      }
+    }
+    return actions.mStarts;
+  }
+
   /// Every worker that isn't down reports.
   void Report()
   {
@@ -96,11 +139,48 @@
     }
   }
 
+  /// From now on each crash also ends the owner, while the worker is silent.
+  void LoseOwners() { this->mAreOwnersLost = true; }
+
+  /// Another owner loads what the present one has recorded.
+  void TakeOver()
+  {
+    const CrashedTasksRecord counts = CrashedTasksOf(this->mShard);
+    const SilentWorkersRecord silent =
+      SilentWorkersOf(this->mShard, this->mNow);
+    DispatchShard next;
+    next.mEpoch = this->mShard.mEpoch + 10;
+    next.mClaimedAt = this->mNow;
+    for (const auto& [name, worker] : this->mShard.mWorkers) {
+      DispatchWorker& added = next.mWorkers[name];
+      added.mEntry = worker.mEntry;
+      added.mEndpoint = worker.mEndpoint;
+      added.mSilentSince = this->mNow;
+      AddActiveWorker(next, name, {}, this->mNow);
+    }
+    for (const auto& [id, record] : this->mRecords) {
+      verbenacroft::AddJob(next, id, record, 5, this->mNow, this->mNow.count());
+    }
+    this->mShard = std::move(next);
+    ApplyCrashedTasks(this->mShard, counts, this->mNow, this->mNow.count());
+    ApplySilentWorkers(this->mShard, silent);
+    this->Discover();
+  }
+
+  /// The worker doesn't answer once.
+  void FallSilent(const std::string& aWorker)
+  {
+    this->Answer(aWorker, WorkerReport{});
+  }
+
   /// The worker is silent for some seconds and then known to have crashed.
   void Crash(const std::string& aWorker, CrashSign aSign)
   {
     this->mRuns[aWorker].clear();
-    this->Answer(aWorker, WorkerReport{});
+    this->FallSilent(aWorker);
+    if (this->mAreOwnersLost) {
+      this->TakeOver();
+    }
     this->mNow += kDownTime;
     std::erase(this->mNames, aWorker);
     this->Report();
@@ -154,6 +234,14 @@
     }
   }
 
+  /// Runs for a moment, and gives up what is certainly lost.
+  void RunAndReap()
+  {
+    this->Run(Duration(250));
+    ReapWorkers(this->mShard, this->mNow);
+    this->Record();
+  }
+
   void SetDraining(const std::string& aWorker)
   {
     this->mDraining.insert(aWorker);
@@ -166,9 +254,7 @@
     ForgetClearedSuspects(this->mShard);
     for (const auto& task : this->mShard.mSuspects) {
       MarkCrashHistoryStored(
-        this->mShard,
-        task,
-        FindTask(this->mShard, task)->mCrashHistory.mCrashes);
+        this->mShard, task, FindTask(this->mShard, task)->mCrashHistory);
     }
   }
 
@@ -239,6 +325,8 @@
   std::map<std::string, std::vector<RunningTask>> mRuns;
   std::map<std::string, int> mBorn;
   std::map<TaskId, int> mStarts;
+  std::map<JobId, BatchRecord> mRecords;
+  bool mAreOwnersLost = false;
 };
 
 /// Lets the fleet work until no crash comes for some rounds.
@@ -277,6 +365,55 @@
   CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
 }
 
+// Guards against a task that crashes one worker after another, since each owner
+// is lost before it hears of the crash.
+TEST_CASE("crashes that are heard by the next owner count", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int workers = GENERATE(2, 6);
+  CAPTURE(NameOf(sign), workers);
+  CrashFleet fleet(workers);
+  fleet.LoseOwners();
+  fleet.AddJob(kSoundJob, 4, true);
+  fleet.Start();
+  fleet.Run(Duration(2'000));
+  fleet.AddJob(kDeadlyJob, 1);
+  constexpr int kMostCrashes = 12;
+  CHECK(CrashUntilCalm(fleet, sign, kMostCrashes) <= 3);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+  CHECK_FALSE(IsFinal(fleet.StateOf(kSoundJob)));
+}
+
+// Guards against a crash that is counted by two owners, and against a count for
+// a worker that was only silent for a while.
+TEST_CASE("a next owner counts a crash once, and silence not at all", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const bool isCrash = GENERATE(false, true);
+  CAPTURE(NameOf(sign), isCrash);
+  const TaskId task{ kDeadlyJob, 0, 0, 0 };
+  CrashFleet fleet(6);
+  fleet.LoseOwners();
+  fleet.AddJob(kDeadlyJob, 1);
+  const auto workers = fleet.Start();
+  REQUIRE(workers.size() == 1);
+  if (isCrash) {
+    fleet.Crash(workers[0], sign);
+  } else {
+    fleet.FallSilent(workers[0]);
+    fleet.TakeOver();
+    fleet.Report();
+  }
+  constexpr int kMoreOwners = 3;
+  for (int i = 0; i < kMoreOwners; ++i) {
+    fleet.TakeOver();
+    fleet.Report();
+  }
+  CHECK(fleet.Shard().mSuspects.size() == (isCrash ? 1 : 0));
+  CHECK(FindTask(fleet.Shard(), task)->mCrashHistory.mCrashes ==
+        (isCrash ? 1 : 0));
+}
+
 // Guards against jobs that end as failed because they were started beside a
 // task that crashes its workers.
 TEST_CASE("a task that is started beside a deadly one isn't given up",
@@ -298,6 +435,56 @@
   }
 }
 
+// Guards against a job that is shown as failed after one crash under its task:
+// starts that were sent to workers that were down counted like crashes.
+TEST_CASE("a start that isn't confirmed is no proof against its task",
+          "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const int unconfirmed = GENERATE(1, 3);
+  CAPTURE(NameOf(sign), unconfirmed);
+  CrashFleet fleet(6);
+  fleet.AddJob(kDeadlyJob, 1);
+  for (int i = 0; i < unconfirmed; ++i) {
+    const auto workers = fleet.StartInVain(OrderOutcome::kUnknown);
+    REQUIRE(workers.size() == 1);
+    fleet.Crash(workers[0], sign);
+    fleet.Record();
+  }
+  const std::string crashed = fleet.StartUntilCrash();
+  REQUIRE_FALSE(crashed.empty());
+  fleet.Crash(crashed, sign);
+  fleet.Record();
+  CHECK_FALSE(IsFinal(fleet.StateOf(kDeadlyJob)));
+  CHECK_FALSE(fleet.StartUntilCrash().empty());
+}
+
+// Guards against a task that crashes its workers before any of them can confirm
+// its start, one after another for ever.
+TEST_CASE("a task whose starts are never confirmed is given up", "[crash]")
+{
+  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  // Of a task that has crashed three workers, two more starts are allowed. A
+  // connection that breaks shows that the worker was up, as an answer does.
+  const auto [outcome, most] = GENERATE(table<OrderOutcome, int>({
+    { OrderOutcome::kUnknown, 5 },
+    { OrderOutcome::kBroken, 2 },
+  }));
+  CAPTURE(NameOf(sign), NameOf(outcome));
+  CrashFleet fleet(6);
+  fleet.AddJob(kDeadlyJob, 1);
+  int starts = 0;
+  while (!IsFinal(fleet.StateOf(kDeadlyJob)) && starts <= most) {
+    const auto workers = fleet.StartInVain(outcome);
+    REQUIRE(workers.size() == 1);
+    ++starts;
+    fleet.Crash(workers[0], sign);
+    fleet.Record();
+  }
+  CHECK(starts <= most);
+  CHECK(fleet.StateOf(kDeadlyJob) == BatchState::kFailed);
+}
+
 // Guards against jobs that end as failed because their workers were lost with a
 // rack or a release, again and again.
 TEST_CASE("tasks aren't blamed for workers that crash together", "[crash]")
