--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -248,7 +248,7 @@
 struct LostRun
 {
   TaskId mTask;
-  /// The worker has confirmed that the run had begun.
+  /// The worker has confirmed the run, or was up when it was told to start it.
   bool mHasBegun = false;
   bool mIsSeenAtWork = false;
   TimePoint mStartOrderedAt{ kNever };
