--- a/Source/Node/vcHandOver.cxx
+++ b/Source/Node/vcHandOver.cxx
@@ -55,18 +55,18 @@
 
 void ShortenWorker(DispatchShard& aShard,
                    const WorkerRunsEnd& aRow,
-                   TimePoint aClaimedAt)
+                   TimePoint aUnownedSince)
 {
   const auto worker = aShard.mUnansweredWorkers.find(aRow.mWorker);
   if (worker != aShard.mUnansweredWorkers.end()) {
     TimePoint& endAt = worker->second.mRunsEndAt;
-    endAt = std::min(endAt, aClaimedAt + Duration(aRow.mEndInMs));
+    endAt = std::min(endAt, aUnownedSince + Duration(aRow.mEndInMs));
   }
 }
 
 void ShortenTask(DispatchShard& aShard,
                  const WaitingTask& aRow,
-                 TimePoint aClaimedAt)
+                 TimePoint aUnownedSince)
 {
   const auto key = ParseTaskId(aRow.mTask);
   if (!key) {
@@ -77,7 +77,7 @@
   DispatchTask* task = OpenTask(aShard, *key);
   if (task != nullptr) {
     task->mNoUnseenRunAfter = std::min(
-      task->mNoUnseenRunAfter, aClaimedAt + Duration(aRow.mRunsEndInMs));
+      task->mNoUnseenRunAfter, aUnownedSince + Duration(aRow.mRunsEndInMs));
   }
 }
 
@@ -103,16 +103,16 @@
 void ApplyHandOver(DispatchShard& aShard,
                    const HandOverRecord& aRecord,
                    std::uint32_t aGeneration,
-                   TimePoint aClaimedAt)
+                   TimePoint aUnownedSince)
 {
   if (aRecord.mGeneration + 1 != aGeneration) {
     return;
   }
   for (const auto& row : aRecord.mWorkers) {
-    ShortenWorker(aShard, row, aClaimedAt);
+    ShortenWorker(aShard, row, aUnownedSince);
   }
   for (const auto& row : aRecord.mWaiting) {
-    ShortenTask(aShard, row, aClaimedAt);
+    ShortenTask(aShard, row, aUnownedSince);
   }
 }
 
--- a/Source/Node/vcHandOver.h
+++ b/Source/Node/vcHandOver.h
@@ -45,10 +45,10 @@
 /// Shortens the waits of a new owner to what the record says, if the owner
 /// before it has written the record. The shard's workers and jobs are loaded.
 /// @param aGeneration generation of the new owner's worker set
-/// @param aClaimedAt time from which the times of the record count
+/// @param aUnownedSince time from which the times of the record count
 void ApplyHandOver(DispatchShard& aShard,
                    const HandOverRecord& aRecord,
                    std::uint32_t aGeneration,
-                   TimePoint aClaimedAt);
+                   TimePoint aUnownedSince);
 
 } // namespace verbenacroft
