Dispatch: Fence off calls for earlier incarnations of a worker

Cause: a call that was meant for the former incarnation of a worker takes effect in the new one. The owner forgot all leases when it met the new incarnation. Class: a bound that is counted for one incarnation and held against another.

Change: once an owner meets a new incarnation, it asks it with a fencing token that it hasn't used for the worker: the revision of a write of its own, above its epoch and below that of any next owner. From the answer on the worker refuses every call for an earlier incarnation; unanswered starts are settled by that answer, and earlier leases end at most the longest lease later. Until a next owner's wait covers that, the worker is recorded as inactive and not used. The incarnations of the workers are recorded, so that a next owner that finds a later one counts the longer time.

Three rows of existing tests expected a restarted worker to be used, settled or left out of the record before the fence; they now expect that afterwards, and the opposite before it.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -20,6 +20,7 @@
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcIncarnationFence.h"
 #include "vcOwnerPacing.h"
 #include "vcWorkerCalls.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -113,7 +113,7 @@
   task->mThrottledAt = aNow;
   aActions.mThrottleOrders.push_back(
     { aWorker,
-      { aOrder.mTask, aOrder.mRun, aShard.mEpoch, kProbeStartPercent } });
+      { aOrder.mTask, aOrder.mRun, aOrder.mEpoch, kProbeStartPercent } });
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -4,6 +4,7 @@
 #include "vcDispatchJobs.h"
 #include "vcDispatchOccurrences.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
 
@@ -79,14 +80,29 @@
     aWorker, isClosed ? ElementwiseMax(used, aWorker.mEntry.mCapacity) : used);
 }
 
+/// Runs that a report lists as running or as ended.
+std::set<RunKey> ListedRuns(const WorkerReport& aReport)
+{
+  std::set<RunKey> runs;
+  for (const auto& row : aReport.mRunning) {
+    runs.insert({ row.mTask, row.mRun });
+  }
+  for (const auto& end : aReport.mEnded) {
+    runs.insert({ end.mTask, end.mRun });
+  }
+  return runs;
+}
+
 /// Handles a restarted worker. The new incarnation runs nothing that ran
 /// before. A start that was not answered, or not yet, may still reach it, and
-/// is stopped there.
+/// is stopped there unless the report lists it already.
 void OnNewIncarnation(DispatchShard& aShard,
                       DispatchWorker& aWorker,
+                      const WorkerReport& aReport,
                       TimePoint aNow,
                       std::int64_t aNowMs)
 {
+  const std::set<RunKey> listed = ListedRuns(aReport);
   const std::set<TaskId> tasks = aWorker.mTasks;
   // Another incarnation at the address is met with each renewal.
   if (!aWorker.mIsReplaced) {
@@ -104,6 +120,11 @@
   SetUsedByRunsToStop(aWorker, {});
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
+    task.mFirstSeenClock = 0;
+    task.mSeenAtWorkFor = Duration(0);
+    if (listed.contains({ key, task.mRun })) {
+      continue;
+    }
     if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
       task.mIsStartUncertain = true;
       task.mPhase = RunPhase::kStopping;
@@ -203,10 +224,13 @@
 /// Marks runs as lost that are assigned to the worker but missing in its
 /// report. A run counts only if it was confirmed before the renewal was sent,
 /// or if it was uncertain and its start can't take effect any more.
+/// @param aIsFirstFenced the report is the first one from which on the worker
+/// refuses all starts that were meant for an earlier incarnation
 void OnMissingTasks(DispatchShard& aShard,
                     DispatchWorker& aWorker,
                     const WorkerReport& aReport,
                     const std::set<TaskId>& aListed,
+                    bool aIsFirstFenced,
                     TimePoint aSentAt,
                     TimePoint aNow)
 {
@@ -220,9 +244,11 @@
       continue;
     }
     const DispatchTask& task = *FindTask(aShard, key);
-    const bool isStartExpired = task.mIsStartUncertain &&
+    const bool isPastDeadline = !IsFencePending(aWorker) &&
                                 aReport.mClock > task.mNotAfter &&
                                 !MayStartInNextIncarnation(aWorker, task, aNow);
+    const bool isStartExpired =
+      task.mIsStartUncertain && (aIsFirstFenced || isPastDeadline);
     const bool isLost = !task.mIsStartUncertain &&
                         task.mPhase != RunPhase::kStarting &&
                         task.mConfirmedAt < aSentAt;
@@ -252,6 +278,7 @@
 void ApplyReport(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const WorkerReport& aReport,
+                 bool aIsFirstFenced,
                  TimePoint aSentAt,
                  TimePoint aNow,
                  std::int64_t aNowMs)
@@ -274,7 +301,8 @@
   for (const auto& row : aReport.mRunning) {
     OnRunningTask(aShard, aWorker, row, aNow);
   }
-  OnMissingTasks(aShard, aWorker, aReport, listed, aSentAt, aNow);
+  OnMissingTasks(
+    aShard, aWorker, aReport, listed, aIsFirstFenced, aSentAt, aNow);
   CountRunsToStop(aShard, aWorker, aReport, aNow);
 }
 
@@ -296,7 +324,7 @@
     return;
   }
   if (aReport.mOutcome == OrderOutcome::kOtherIncarnation) {
-    OnNewIncarnation(aShard, *worker, aNow, aNowMs);
+    OnNewIncarnation(aShard, *worker, aReport, aNow, aNowMs);
     worker->mIsReplaced = true;
     aShard.mUnansweredWorkers.erase(aWorker);
     SetUnresponsive(aShard, *worker, aNow);
@@ -316,7 +344,8 @@
   const bool isNewIncarnation =
     worker->mIncarnation != 0 && aReport.mIncarnation != worker->mIncarnation;
   if (isNewIncarnation) {
-    OnNewIncarnation(aShard, *worker, aNow, aNowMs);
+    OnNewIncarnation(aShard, *worker, aReport, aNow, aNowMs);
+    OnRestart(aShard, *worker, aNow);
   }
   if (worker->mIsUnresponsive) {
     spdlog::info("worker.responsive worker={} incarnation={}",
@@ -334,8 +363,11 @@
   worker->mClock = aReport.mClock;
   worker->mClockReadAt = aNow;
   worker->mLastReportAt = aNow;
+  worker->mRestartListedAt = kNever;
   OnFirstAnswer(aShard, *worker, aNow);
-  ApplyReport(aShard, *worker, aReport, aSentAt, aNow, aNowMs);
+  const bool isFirstFenced =
+    !isNewIncarnation && CompleteFence(aShard, *worker, aNow);
+  ApplyReport(aShard, *worker, aReport, isFirstFenced, aSentAt, aNow, aNowMs);
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -278,6 +278,18 @@
   TimePoint mStopSentAt{ kNever };
 };
 
+/// How far the calls for earlier incarnations of a worker are fenced off
+/// (vcIncarnationFence.h).
+enum class FenceStage
+{
+  /// The worker refuses them.
+  kInForce,
+  /// No fencing token is known that is new for the worker.
+  kNeedsToken,
+  /// The worker is asked with a new token and hasn't answered.
+  kAsked,
+};
+
 /// A worker of the shard, what it last reported, and what runs on it.
 struct DispatchWorker
 {
@@ -300,6 +312,24 @@
   bool mHasAnswered = false;
   /// Start of the worker's incarnation, in ms since 1970; 0 if not known yet.
   std::int64_t mIncarnation = 0;
+  /// Incarnation that the store's record of the worker set names; 0 if it
+  /// names none.
+  std::int64_t mRecordedIncarnation = 0;
+  FenceStage mFenceStage = FenceStage::kInForce;
+  /// Fencing token of the orders to this incarnation, if it is higher than the
+  /// shard's epoch.
+  std::uint64_t mFencingToken = 0;
+  /// Fencing token of the last renewal.
+  std::uint64_t mRenewalToken = 0;
+  /// While the fence is pending: runs that calls for an earlier incarnation
+  /// start may last until this time. Else `kNever`.
+  TimePoint mLateRunsUntil{ kNever };
+  /// Leases that such calls were granted before the fence was in force may last
+  /// until this time. `kNever` if the worker hasn't restarted.
+  TimePoint mRestartLeasesUntil{ kNever };
+  /// When discovery first listed an incarnation that hasn't answered yet;
+  /// `kNever` if it doesn't.
+  TimePoint mRestartListedAt{ kNever };
   /// Last reading of the worker's clock in ms, and the latest time on this
   /// process's clock at which it can have been taken.
   std::int64_t mClock = 0;
@@ -434,15 +464,21 @@
   std::uint64_t mNoJobsAfter = 0;
   /// If the worker may be well, its answer is awaited until this time at least.
   TimePoint mAskedUntil{ kNever };
+  /// Discovery lists a later incarnation than earlier owners knew: runs that
+  /// their calls started there end by this time. Else `kNever`.
+  TimePoint mRestartRunsEndAt{ kNever };
 };
 
 /// State of a shard as its owner keeps it.
 struct DispatchShard
 {
   DispatchBounds mBounds;
-  /// Fencing token of every order: the store's revision at which the shard was
-  /// acquired.
+  /// The store's revision at which the shard was acquired. It is the fencing
+  /// token of the orders to a worker until that restarts.
   std::uint64_t mEpoch = 0;
+  /// Revision of the latest write that this owner made on the condition of its
+  /// ownership; 0 if there is none.
+  std::uint64_t mLatestOwnWrite = 0;
   /// When this owner knew of its claim and began to ask the workers.
   TimePoint mClaimedAt{ kNever };
   /// Run numbers of this ownership start above this, and so above those of
--- a/Source/Dispatch/vcDispatchThrottling.cxx
+++ b/Source/Dispatch/vcDispatchThrottling.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchProbes.h"
 #include "vcDispatchSharing.h"
+#include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
 
@@ -224,9 +225,11 @@
                aWorker.mServingCpuUsage.mCurrentCpu);
   task.mOrderedThrottlePercent = percent;
   task.mThrottledAt = aNow;
-  aActions.mThrottleOrders.push_back(
-    { aWorker.mEntry.mWorker,
-      { aTask.mRow->mTask, aTask.mRow->mRun, aShard.mEpoch, percent } });
+  aActions.mThrottleOrders.push_back({ aWorker.mEntry.mWorker,
+                                       { aTask.mRow->mTask,
+                                         aTask.mRow->mRun,
+                                         FencingTokenOf(aShard, aWorker),
+                                         percent } });
 }
 
 /// Minimum throttle percent of a best-effort task at the worst latency ratio on
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -1,5 +1,7 @@
 #include "vcDispatchWorkerSet.h"
 
+#include "vcIncarnationFence.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -9,8 +11,6 @@
 
 namespace {
 
-/// A call that isn't answered takes effect within this time, if at all.
-constexpr Duration kLateCallTime{ 8'500 };
 /// A worker that has answered no renewal for this long is recorded as inactive.
 /// Some renewals fit into it, so that one lost reply doesn't count.
 constexpr Duration kInactiveAfter{ 1'000 };
@@ -43,11 +43,17 @@
 /// clock is behind the deadlines of starts that may still reach it.
 bool IsVacated(const DispatchWorker& aWorker)
 {
-  return aWorker.mIsReportedIdle && aWorker.mTasks.empty() &&
-         aWorker.mClock > aWorker.mStartsUntil &&
+  return !IsFencePending(aWorker) && aWorker.mIsReportedIdle &&
+         aWorker.mTasks.empty() && aWorker.mClock > aWorker.mStartsUntil &&
          aWorker.mAckIndex >= aWorker.mSeenIndex;
 }
 
+/// Time by which all runs on an unanswered worker have ended.
+TimePoint EndOfRuns(const UnansweredWorker& aWorker)
+{
+  return std::max(aWorker.mRunsEndAt, aWorker.mRestartRunsEndAt);
+}
+
 /// Time until which the answer of an unanswered worker is awaited.
 TimePoint AwaitedUntil(const DispatchShard& aShard,
                        const std::string& aName,
@@ -56,9 +62,9 @@
   const auto known = aShard.mWorkers.find(aName);
   const bool mayBeWell =
     known != aShard.mWorkers.end() && known->second.mIsListed;
-  return mayBeWell ? std::max(aWorker.mRunsEndAt + kUnheardEndsWait,
-                              aWorker.mAskedUntil)
-                   : aWorker.mRunsEndAt;
+  const TimePoint endAt = EndOfRuns(aWorker);
+  return mayBeWell ? std::max(endAt + kUnheardEndsWait, aWorker.mAskedUntil)
+                   : endAt;
 }
 
 /// True if no run on an unanswered worker lasts any more.
@@ -66,7 +72,7 @@
                    const UnansweredWorker& aWorker,
                    TimePoint aNow)
 {
-  return aShard.mIsLeaseProved && aNow >= aWorker.mRunsEndAt;
+  return aShard.mIsLeaseProved && aNow >= EndOfRuns(aWorker);
 }
 
 bool IsOver(const DispatchShard& aShard,
@@ -95,7 +101,7 @@
                  const DispatchWorker& aWorker,
                  TimePoint aNow)
 {
-  return MustBeInactive(aWorker, aNow) && aWorker.mTasks.empty() &&
+  return MustBeInactive(aShard, aWorker, aNow) && aWorker.mTasks.empty() &&
          aShard.mIsLeaseProved && aNow > RunsEndAt(aShard, aWorker, aNow) &&
          !IsAwaited(aShard, aWorker, aNow);
 }
@@ -118,7 +124,8 @@
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
 {
   return aWorker.mClock == 0 ||
-         (aNow > aWorker.mEarlierLeasesUntil &&
+         (aNow > aWorker.mEarlierLeasesUntil && aNow > aWorker.mLateRunsUntil &&
+          aNow > aWorker.mRestartLeasesUntil &&
           aNow > LatestTimeOf(aWorker, aWorker.mLeaseUntil));
 }
 
@@ -129,7 +136,7 @@
   const auto unanswered =
     aShard.mUnansweredWorkers.find(aWorker.mEntry.mWorker);
   if (unanswered != aShard.mUnansweredWorkers.end()) {
-    return unanswered->second.mRunsEndAt;
+    return EndOfRuns(unanswered->second);
   }
   if (aWorker.mClock == 0) {
     return kNever;
@@ -138,7 +145,9 @@
     std::max(aWorker.mLeaseUntil, aWorker.mStartsUntil);
   const TimePoint ownEnd =
     std::min(LatestTimeOf(aWorker, until), aNow + LongestLease(aShard.mBounds));
-  return std::max(ownEnd, aWorker.mEarlierLeasesUntil);
+  return std::max({ ownEnd,
+                    aWorker.mEarlierLeasesUntil,
+                    RestartRunsEndAt(aShard, aWorker, aNow) });
 }
 
 bool MustBeRecorded(const DispatchShard& aShard,
@@ -149,16 +158,20 @@
   if (!isInRecord) {
     // Nothing starts on a worker that isn't recorded, so nothing runs there.
     return aWorker.mIsListed && !aWorker.mEntry.mIsDraining &&
-           !MustBeInactive(aWorker, aNow);
+           !MustBeInactive(aShard, aWorker, aNow);
   }
   const bool isVacated = aWorker.mEntry.mIsDraining && IsVacated(aWorker);
   return !isVacated && !IsAbandoned(aShard, aWorker, aNow);
 }
 
-bool MustBeInactive(const DispatchWorker& aWorker, TimePoint aNow)
+bool MustBeInactive(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow)
 {
-  return IsSilent(aWorker) &&
-         (aWorker.mIsInactive || aNow - aWorker.mSilentSince >= kInactiveAfter);
+  const bool isSilentForLong =
+    IsSilent(aWorker) &&
+    (aWorker.mIsInactive || aNow - aWorker.mSilentSince >= kInactiveAfter);
+  return isSilentForLong || MayOutlastNextWait(aShard, aWorker);
 }
 
 void Deactivate(const DispatchShard& aShard,
@@ -259,7 +272,7 @@
   TimePoint endAt = aNow;
   for (const auto& [name, worker] : aShard.mUnansweredWorkers) {
     if (aJob.mCreatedAt <= worker.mNoJobsAfter) {
-      endAt = std::max(endAt, worker.mRunsEndAt);
+      endAt = std::max(endAt, EndOfRuns(worker));
     }
   }
   return std::max(aNow, std::min(endAt, aTask.mNoUnseenRunAfter));
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -35,8 +35,11 @@
                     TimePoint aNow);
 
 /// True if a recorded worker has to be recorded as inactive: it has been silent
-/// for a while, or it was inactive and hasn't answered since.
-bool MustBeInactive(const DispatchWorker& aWorker, TimePoint aNow);
+/// for a while, it was inactive and hasn't answered since, or it has restarted
+/// and runs there may last for longer than a next owner awaits.
+bool MustBeInactive(const DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow);
 
 /// Stops the use of a worker that is about to be recorded as inactive.
 /// @param aLatestRevision no job that was accepted after this revision of the
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -3,6 +3,7 @@
 #include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
 
@@ -81,6 +82,25 @@
                quarantine.count());
 }
 
+/// True if the worker refuses this owner's present token, so it has seen that
+/// of a next owner. Orders to an earlier incarnation have a lower one.
+bool IsRefusedForNextOwner(const DispatchShard& aShard,
+                           const DispatchWorker* aWorker,
+                           std::uint64_t aToken,
+                           OrderOutcome aOutcome)
+{
+  return aOutcome == OrderOutcome::kStaleEpoch &&
+         (aWorker == nullptr || aToken >= FencingTokenOf(aShard, *aWorker));
+}
+
+/// True if the reply's clock is behind an earlier reading: the worker has
+/// restarted since. A reading that has overtaken the reply looks the same.
+bool IsFromLaterIncarnation(const DispatchWorker& aWorker,
+                            const OrderReply& aReply)
+{
+  return aReply.mClock != 0 && aReply.mClock < aWorker.mClock;
+}
+
 /// True if discovery lists the worker as draining and it may leave within the
 /// stop timeout plus the margin.
 bool IsAboutToLeave(const DispatchShard& aShard, const DispatchWorker& aWorker)
@@ -199,7 +219,10 @@
   const std::set<TaskId> tasks = aWorker.mTasks;
   std::size_t released = 0;
   for (const auto& key : tasks) {
-    if (!MayBeDoneUnheard(aShard, aWorker, key, aNow)) {
+    const DispatchTask& task = *FindTask(aShard, key);
+    const bool isHeld = MayBeDoneUnheard(aShard, aWorker, key, aNow) ||
+                        MayRunInListedIncarnation(aShard, aWorker, task, aNow);
+    if (!isHeld) {
       NoteLostRun(aShard, aWorker, key);
       OnRunLost(aShard, key, aNow);
       ++released;
@@ -233,6 +256,8 @@
     auto [at, isNew] = aShard.mWorkers.try_emplace(entry.mWorker);
     DispatchWorker& worker = at->second;
     if (isNew) {
+      // This owner may have used it before, with a higher token than its epoch.
+      worker.mFencingToken = aShard.mLatestOwnWrite;
       worker.mLastReportAt = aNow;
       worker.mSilentSince = aNow;
       spdlog::info("worker.found worker={} data_centre={} address={}",
@@ -247,6 +272,12 @@
     worker.mEntry = entry;
     worker.mEndpoint = *endpoint;
     worker.mIsListed = true;
+    const bool isSilent = worker.mIsUnresponsive || !worker.mHasAnswered;
+    const bool hasRestarted =
+      worker.mIncarnation != 0 && entry.mIncarnation > worker.mIncarnation;
+    if (isSilent && hasRestarted) {
+      OnRestartListed(aShard, worker, aNow);
+    }
   }
 }
 
@@ -256,7 +287,7 @@
                        TimePoint aNow)
 {
   RenewOrder order;
-  order.mEpoch = aShard.mEpoch;
+  order.mEpoch = TokenOfNextRenewal(aShard, aWorker);
   // A worker that was unresponsive may be a new incarnation, which would
   // discard ends that were never processed here.
   order.mAckIndex = aWorker.mIsUnresponsive ? 0 : aWorker.mAckIndex;
@@ -264,7 +295,9 @@
   // An unresponsive worker is only asked for a report. A renewal that it
   // received but did not answer would extend its lease, and its tasks could
   // never be declared lost.
-  if (clock == 0 || aWorker.mIsUnresponsive) {
+  const bool isOnlyAsked =
+    clock == 0 || aWorker.mIsUnresponsive || IsFencePending(aWorker);
+  if (isOnlyAsked) {
     return order;
   }
   // An inactive worker is asked again soon, since it is used once it is
@@ -274,7 +307,8 @@
   const std::int64_t leaseUntil =
     std::min(clock + aShard.mBounds.mMaxLease.count(),
              ClockReachedBy(aWorker, aShard.mLeasesEndBy));
-  if (aWorker.mIsRecorded && leaseUntil > clock) {
+  const bool mayRenew = aWorker.mIsRecorded && !IsHeldBack(aShard, aWorker);
+  if (mayRenew && leaseUntil > clock) {
     order.mLeaseUntil = leaseUntil;
     aWorker.mLeaseUntil = std::max(aWorker.mLeaseUntil, order.mLeaseUntil);
   }
@@ -301,7 +335,7 @@
   DispatchTask* task = FindTask(aShard, key);
   const bool isCurrent = worker != nullptr && task != nullptr &&
                          task->mWorker == aWorker && task->mRun == aOrder.mRun;
-  if (aReply.mOutcome == OrderOutcome::kStaleEpoch) {
+  if (IsRefusedForNextOwner(aShard, worker, aOrder.mEpoch, aReply.mOutcome)) {
     aShard.mIsFenced = true;
   }
   if (!isCurrent) {
@@ -310,6 +344,10 @@
   if (aReply.mOutcome == OrderOutcome::kDone) {
     worker->mFailedStarts = 0;
     MarkStarted(aShard.mJobs.at(key.mJob));
+    if (IsFromLaterIncarnation(*worker, aReply)) {
+      task->mIsStartUncertain = true;
+      return;
+    }
     if (task->mPhase == RunPhase::kStarting) {
       task->mPhase = RunPhase::kRunning;
       task->mConfirmedAt = aNow;
@@ -364,7 +402,7 @@
   const TaskId key = aOrder.mTask;
   DispatchWorker* worker = FindWorker(aShard, aWorker);
   DispatchTask* task = FindTask(aShard, key);
-  if (aReply.mOutcome == OrderOutcome::kStaleEpoch) {
+  if (IsRefusedForNextOwner(aShard, worker, aOrder.mEpoch, aReply.mOutcome)) {
     aShard.mIsFenced = true;
   }
   if (worker == nullptr || aReply.mOutcome != OrderOutcome::kDone) {
@@ -372,7 +410,10 @@
   }
   const bool isCurrent =
     task != nullptr && task->mWorker == aWorker && task->mRun == aOrder.mRun;
-  if (!isCurrent) {
+  // The next incarnation knows nothing of a stop that this one has answered.
+  const bool isForEarlierIncarnation =
+    IsFencePending(*worker) || aOrder.mEpoch < FencingTokenOf(aShard, *worker);
+  if (!isCurrent || isForEarlierIncarnation) {
     return;
   }
   // If the run had started, a report lists it as stopped. If its start has not
@@ -416,11 +457,11 @@
     if (worker.mIsUnresponsive) {
       continue;
     }
+    const std::uint64_t token = FencingTokenOf(aShard, worker);
     for (auto& [run, stop] : worker.mRunsToStop) {
       if (aNow - stop.mStopSentAt >= kStopRetryInterval) {
         stop.mStopSentAt = aNow;
-        aActions.mStops.push_back(
-          { name, { run.first, run.second, aShard.mEpoch } });
+        aActions.mStops.push_back({ name, { run.first, run.second, token } });
       }
     }
     for (const auto& key : worker.mTasks) {
@@ -446,7 +487,7 @@
         task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
       task.mPhase = RunPhase::kStopping;
       task.mStopSentAt = aNow;
-      aActions.mStops.push_back({ name, { key, task.mRun, aShard.mEpoch } });
+      aActions.mStops.push_back({ name, { key, task.mRun, token } });
     }
   }
 }
--- /dev/null
+++ b/Source/Dispatch/vcIncarnationFence.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/// Incarnation fence: keeps calls that were meant for an earlier incarnation of
+/// a worker from taking effect in the present one.
+///
+/// A worker that restarts under its id takes such a call for its own. The
+/// deadline of the call is a reading of the earlier clock, which is far ahead
+/// of the new one. So a start isn't refused as late, and a lease lasts for the
+/// maximum from the arrival of the call. But a worker refuses fencing tokens
+/// that are lower than the highest that it has seen. An owner that meets a new
+/// incarnation therefore asks it with a token that it hasn't used for the
+/// worker yet. It uses the worker again once that was answered, and once the
+/// leases that were granted before don't outlast what a next owner awaits.
+///
+/// The tokens are revisions of the store at which a write of the owner was
+/// carried out on the condition of its ownership. They are higher than its
+/// epoch and lower than the epoch of the next owner.
+
+#include "vcDispatchState.h"
+
+namespace verbenacroft {
+
+/// A call that isn't answered takes effect within this time, if at all.
+constexpr Duration kLateCallTime{ 8'500 };
+
+/// Fencing token of the orders to the worker.
+std::uint64_t FencingTokenOf(const DispatchShard& aShard,
+                             const DispatchWorker& aWorker);
+
+/// Notes that a write of this owner was carried out at this revision, on the
+/// condition of its ownership.
+void NoteOwnWrite(DispatchShard& aShard, std::uint64_t aRevision);
+
+/// Notes that the worker has restarted under its id. If this owner has used the
+/// earlier incarnation, its calls have to be fenced off; those of earlier
+/// owners are, by the epoch.
+void OnRestart(const DispatchShard& aShard,
+               DispatchWorker& aWorker,
+               TimePoint aNow);
+
+/// Notes that discovery lists another incarnation of a worker that doesn't
+/// answer.
+void OnRestartListed(DispatchShard& aShard,
+                     DispatchWorker& aWorker,
+                     TimePoint aNow);
+
+/// True while calls that were meant for an earlier incarnation may take effect.
+bool IsFencePending(const DispatchWorker& aWorker);
+
+/// Chooses the fencing token of the worker's next renewal.
+std::uint64_t TokenOfNextRenewal(const DispatchShard& aShard,
+                                 DispatchWorker& aWorker);
+
+/// Handles an answer of the present incarnation to the last renewal.
+/// @return true if the calls for earlier incarnations are fenced off from this
+/// answer on
+bool CompleteFence(const DispatchShard& aShard,
+                   DispatchWorker& aWorker,
+                   TimePoint aNow);
+
+/// True if runs that calls for an earlier incarnation have started or renewed
+/// may outlast what a next owner awaits of an active worker.
+bool MayOutlastNextWait(const DispatchShard& aShard,
+                        const DispatchWorker& aWorker);
+
+/// True if nothing may be started on the worker and no lease renewed, since it
+/// has restarted: its earlier calls still matter, or the store names another
+/// incarnation of it.
+bool IsHeldBack(const DispatchShard& aShard, const DispatchWorker& aWorker);
+
+/// True if the task's start, which wasn't answered, may have taken effect in an
+/// incarnation that discovery lists and that hasn't answered yet.
+bool MayRunInListedIncarnation(const DispatchShard& aShard,
+                               const DispatchWorker& aWorker,
+                               const DispatchTask& aTask,
+                               TimePoint aNow);
+
+/// Time by which all runs have ended that calls for an earlier incarnation
+/// started or renewed; `kNever` if there can't be any.
+TimePoint RestartRunsEndAt(const DispatchShard& aShard,
+                           const DispatchWorker& aWorker,
+                           TimePoint aNow);
+
+} // namespace verbenacroft
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -1,6 +1,7 @@
 #include "vcPlacementCost.h"
 
 #include "vcDispatchReservations.h"
+#include "vcIncarnationFence.h"
 
 #include <algorithm>
 
@@ -59,7 +60,7 @@
 {
   return aWorker.mIsListed && aWorker.mIsRecorded && aWorker.mHasAnswered &&
          !aWorker.mIsUnresponsive && !aWorker.mEntry.mIsDraining &&
-         aNow >= aWorker.mAvoidedUntil &&
+         !IsHeldBack(aShard, aWorker) && aNow >= aWorker.mAvoidedUntil &&
          aNow - aWorker.mLastReportAt < kMaxReportAge &&
          !aShard.mEvacuated.contains(aWorker.mEntry.mDataCentre);
 }
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -3,6 +3,7 @@
 #include "vcDispatchCrashes.h"
 #include "vcDispatchPlacement.h"
 #include "vcDispatchTurnover.h"
+#include "vcIncarnationFence.h"
 #include "vcOwnerPacing.h"
 
 #include <spdlog/spdlog.h>
@@ -204,7 +205,7 @@
   order.mRun = aRun;
   order.mText = job.mRecord.mSpec.mText;
   order.mCheckpoint = task.mCheckpoint;
-  order.mEpoch = aShard.mEpoch;
+  order.mEpoch = FencingTokenOf(aShard, aWorker);
   order.mNotAfter = task.mNotAfter;
   const StepSpec& step = StepOf(job, aKey);
   if (step.mIsFilling) {
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -55,7 +55,8 @@
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx
-    vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcLongRunningRoom.cxx
+    vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcIncarnationFence.cxx
+    vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcPlacementRound.cxx vcProbeStarts.cxx vcSuspectStarts.cxx
     vcWorkerCalls.cxx
--- a/Source/Node/vcNodeContext.cxx
+++ b/Source/Node/vcNodeContext.cxx
@@ -133,6 +133,11 @@
   return fmt::format("vc/inactive/{:04}", aShard);
 }
 
+std::string IncarnationsKey(std::uint32_t aShard)
+{
+  return fmt::format("vc/incarnations/{:04}", aShard);
+}
+
 std::string HandOverKey(std::uint32_t aShard)
 {
   return fmt::format("vc/hand-over/{:04}", aShard);
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -277,6 +277,8 @@
 std::string WorkerSetKey(std::uint32_t aShard);
 /// Key of the shard's `InactiveWorkersRecord`.
 std::string InactiveWorkersKey(std::uint32_t aShard);
+/// Key of the shard's `IncarnationsRecord`.
+std::string IncarnationsKey(std::uint32_t aShard);
 /// Key of the shard's `HandOverRecord`.
 std::string HandOverKey(std::uint32_t aShard);
 /// Key of the shard's `CrashedTasksRecord`.
--- a/Source/Node/vcShardClaims.cxx
+++ b/Source/Node/vcShardClaims.cxx
@@ -148,6 +148,7 @@
 {
   StoredRecord<WorkerSetRecord> mWorkerSet;
   StoredRecord<InactiveWorkersRecord> mInactive;
+  StoredRecord<IncarnationsRecord> mIncarnations;
 };
 
 /// Reads the records that the claim of a shard replaces.
@@ -166,7 +167,14 @@
   if (!inactive) {
     co_return std::nullopt;
   }
-  co_return ClaimedRecords{ std::move(*workerSet), std::move(*inactive) };
+  auto incarnations =
+    co_await ReadRecord<IncarnationsRecord>(aNode, IncarnationsKey(aShard));
+  if (!incarnations) {
+    co_return std::nullopt;
+  }
+  co_return ClaimedRecords{ std::move(*workerSet),
+                            std::move(*inactive),
+                            std::move(*incarnations) };
 }
 
 /// True if the former owner was an earlier process of this node, and all owners
@@ -223,6 +231,11 @@
     NextInactiveWorkers(aRecords.mInactive.mRecord,
                         aRecords.mWorkerSet.mRecord,
                         DispatchBoundsOf(aNode.mSettings).mLeaseLimit));
+  // Always written together with the worker set, whose condition holds for it.
+  write.mPuts.push_back(
+    PersistentPut(IncarnationsKey(aShard),
+                  Encode(NextIncarnations(aRecords.mIncarnations.mRecord,
+                                          aRecords.mWorkerSet.mRecord))));
   return write;
 }
 
--- a/Source/Node/vcShardCrashes.cxx
+++ b/Source/Node/vcShardCrashes.cxx
@@ -119,15 +119,13 @@
   const std::string key = CrashedTasksKey(this->mShardNumber);
   const std::string silentKey = SilentWorkersKey(this->mShardNumber);
   KvTransaction write;
-  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
   write.mConditions.push_back({ key, this->mCrashesRevision });
   write.mConditions.push_back({ silentKey, this->mSilentWorkersRevision });
   write.mPuts.push_back(PersistentPut(key, Encode(record)));
   write.mPuts.push_back(PersistentPut(silentKey, Encode(silent)));
   this->mStoredSilentWorkers.reset();
   this->mSilentWorkersWrittenAt = now;
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(this->mNode, reply);
+  const KvReply reply = co_await this->CommitAsOwner(std::move(write));
   if (reply.mStatus == KvStatus::kOk) {
     this->mCrashesRevision = reply.mRevision;
     this->mSilentWorkersRevision = reply.mRevision;
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -198,7 +198,7 @@
       this->EnqueueOrders(actions);
       this->SchedulePlanning();
     }
-    co_await this->ReactivateIfNeeded(aWorker);
+    co_await this->RecordAnswered(aWorker);
     co_await Sleep(this->PauseBeforeNextRenewal(aWorker, isGood));
   }
   this->mPolledWorkers.erase(aWorker);
@@ -232,6 +232,9 @@
     return kFailedRenewalPause;
   }
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
+  if (worker != nullptr && IsFencePending(*worker)) {
+    return kReportPause;
+  }
   if (worker != nullptr && worker->mIsInactive) {
     return kReactivationPause;
   }
@@ -240,11 +243,13 @@
   return hasUnrecordedEnds ? kUnrecordedPause : kReportPause;
 }
 
-asio::awaitable<void> ShardRunner::ReactivateIfNeeded(std::string aWorker)
+asio::awaitable<void> ShardRunner::RecordAnswered(std::string aWorker)
 {
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
   const bool isNeeded =
-    worker != nullptr && worker->mIsInactive && !worker->mIsUnresponsive;
+    worker != nullptr && !worker->mIsUnresponsive &&
+    (worker->mIsInactive ||
+     (worker->mIsRecorded && IsHeldBack(this->mShard, *worker)));
   const bool mayWrite =
     !this->mIsStopped && !IsStoreDown(this->mNode, SuspendAwareNow());
   if (isNeeded && mayWrite) {
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -22,6 +22,7 @@
   InactiveWorkersRecord mInactive;
   /// Revision of the record of inactive workers; 0 if there is none.
   std::uint64_t mInactiveRevision = 0;
+  IncarnationsRecord mIncarnations;
   /// A later write failed. It may have been carried out, so the store need not
   /// contain these records.
   bool mIsInDoubt = false;
@@ -139,9 +140,9 @@
   /// Renews the lease of a worker and evaluates its reports, for as long as the
   /// shard uses the worker.
   asio::awaitable<void> PollWorker(std::string aWorker);
-  /// Records a worker as active at once if it is inactive and has answered,
-  /// since its lease isn't renewed before.
-  asio::awaitable<void> ReactivateIfNeeded(std::string aWorker);
+  /// Records a worker that has answered at once if its lease isn't renewed
+  /// before: it is inactive, or has restarted.
+  asio::awaitable<void> RecordAnswered(std::string aWorker);
   /// Waits until the owner's link has room for the worker's next report.
   asio::awaitable<void> WaitForLink(std::string aWorker);
   /// Counts a call to a worker that has ended.
@@ -192,10 +193,15 @@
   asio::awaitable<void> LearnFromFormerOwner();
   /// The write of `RecordWorkerSet`.
   asio::awaitable<bool> WriteWorkerSet();
+  /// Commits a write on the condition that this runner's node still owns the
+  /// shard in its epoch.
+  asio::awaitable<KvReply> CommitAsOwner(KvTransaction aWrite);
   /// Chooses the worker set that has to be recorded, and forbids starts on all
   /// workers that aren't active in it.
   void ChooseWorkerSet(WorkerSetRecord& aWorkerSet,
                        InactiveWorkersRecord& aInactive);
+  /// The present incarnations of the workers in the set.
+  IncarnationsRecord IncarnationsOf(const WorkerSetRecord& aWorkerSet) const;
   /// Stops the use of a silent worker.
   /// @return what has to be recorded of it
   InactiveWorker MakeInactive(DispatchWorker& aWorker, TimePoint aNow);
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -20,9 +20,10 @@
 constexpr Duration kUrgentRecordInterval{ 25 };
 /// Interval of writes otherwise. Task ends within it are recorded together.
 constexpr Duration kRecordInterval{ 200 };
-/// Maximum number of jobs whose records are removed in one transaction, which
-/// has one condition.
-constexpr std::size_t kMaxJobsRemoved = kMaxKvTransactionEntries - 1;
+/// Maximum number of entries of a transaction; `CommitAsOwner` adds one.
+constexpr std::size_t kMaxEntries = kMaxKvTransactionEntries - 1;
+/// Maximum number of jobs whose records are removed in one transaction.
+constexpr std::size_t kMaxJobsRemoved = kMaxEntries;
 /// Maximum number of such transactions in a row, which delay the writes of
 /// progress. Together they remove about 100 jobs per second, more than a shard
 /// ends.
@@ -167,7 +168,6 @@
 {
   ProgressWrite progress;
   KvTransaction& write = progress.mWrite;
-  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
   for (; !aJobs.empty(); aJobs.pop_front()) {
     const JobId& id = aJobs.front();
     DispatchJob* job = FindJob(this->mShard, id);
@@ -179,8 +179,7 @@
       break;
     }
     // A job may have ended since the pass began, and then needs more entries.
-    if (EntriesOf(write) + TransactionEntriesFor(*job) >
-        kMaxKvTransactionEntries) {
+    if (EntriesOf(write) + TransactionEntriesFor(*job) > kMaxEntries) {
       break;
     }
     job->mIsDirty = false;
@@ -201,8 +200,7 @@
     co_return KvStatus::kOk;
   }
   const KvReply reply =
-    co_await this->mNode.mStore.mCommit(std::move(aProgress.mWrite));
-  UpdateStoreHealth(this->mNode, reply);
+    co_await this->CommitAsOwner(std::move(aProgress.mWrite));
   if (reply.mStatus == KvStatus::kOk) {
     this->OnProgressRecorded(jobs, reply.mRevision);
     co_return reply.mStatus;
@@ -298,7 +296,6 @@
 {
   const std::int64_t nowMs = WallClockMs();
   KvTransaction write;
-  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
   std::vector<JobId> removed;
   const std::int64_t keptMs = 2 * this->mShard.mBounds.mStatus.count();
   for (const auto& [id, ended] : this->mShard.mEndedJobs) {
@@ -312,8 +309,7 @@
   if (removed.empty()) {
     co_return false;
   }
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(this->mNode, reply);
+  const KvReply reply = co_await this->CommitAsOwner(std::move(write));
   if (reply.mStatus != KvStatus::kOk) {
     co_return false;
   }
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -68,6 +68,14 @@
   }
 }
 
+/// Incarnation of a worker according to the record; 0 if it isn't known.
+std::int64_t RecordedIncarnation(const IncarnationsRecord& aRecord,
+                                 const std::string& aWorker)
+{
+  const auto found = aRecord.mWorkers.find(aWorker);
+  return found == aRecord.mWorkers.end() ? 0 : found->second;
+}
+
 /// Removes the workers on which nothing can run any more. They may still be in
 /// the set that was stored last, and the next owner would take them for active
 /// and wait for them in full.
@@ -97,10 +105,20 @@
   if (!inactive) {
     co_return false;
   }
+  const auto incarnations = co_await ReadRecord<IncarnationsRecord>(
+    this->mNode, IncarnationsKey(this->mShardNumber));
+  if (!incarnations) {
+    co_return false;
+  }
   this->mStored = { workerSet->mRecord,
                     workerSet->mRevision,
                     inactive->mRecord,
-                    inactive->mRevision };
+                    inactive->mRevision,
+                    incarnations->mRecord };
+  // A release that doesn't know this record has claimed the shard since.
+  if (incarnations->mRecord.mGeneration != workerSet->mRecord.mGeneration) {
+    this->mStored.mIncarnations = {};
+  }
   this->mShard.mRunBase =
     (workerSet->mRecord.mGeneration - 1) * kRunsPerOwnership;
   this->AddStoredWorkers(SuspendAwareNow());
@@ -163,6 +181,9 @@
     worker.mEndpoint = *endpoint;
     worker.mLastReportAt = aNow;
     worker.mSilentSince = aNow;
+    worker.mRecordedIncarnation =
+      RecordedIncarnation(this->mStored.mIncarnations, member.mWorker);
+    worker.mIncarnation = worker.mRecordedIncarnation;
     // Until discovery is read.
     worker.mIsListed = true;
     const auto row = inactive.find(member.mWorker);
@@ -215,7 +236,7 @@
   for (auto& [name, worker] : this->mShard.mWorkers) {
     if (MustBeRecorded(this->mShard, worker, now)) {
       aWorkerSet.mWorkers.push_back({ name, worker.mEntry.mAddress });
-      if (MustBeInactive(worker, now)) {
+      if (MustBeInactive(this->mShard, worker, now)) {
         aInactive.mWorkers.push_back(this->MakeInactive(worker, now));
       }
       continue;
@@ -233,6 +254,34 @@
   }
 }
 
+IncarnationsRecord ShardRunner::IncarnationsOf(
+  const WorkerSetRecord& aWorkerSet) const
+{
+  IncarnationsRecord record;
+  record.mGeneration = aWorkerSet.mGeneration;
+  for (const auto& member : aWorkerSet.mWorkers) {
+    const DispatchWorker& worker = this->mShard.mWorkers.at(member.mWorker);
+    const std::int64_t incarnation = worker.mIncarnation != 0
+                                       ? worker.mIncarnation
+                                       : worker.mEntry.mIncarnation;
+    if (incarnation != 0) {
+      record.mWorkers[member.mWorker] = incarnation;
+    }
+  }
+  return record;
+}
+
+asio::awaitable<KvReply> ShardRunner::CommitAsOwner(KvTransaction aWrite)
+{
+  aWrite.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(aWrite));
+  UpdateStoreHealth(this->mNode, reply);
+  if (reply.mStatus == KvStatus::kOk) {
+    NoteOwnWrite(this->mShard, reply.mRevision);
+  }
+  co_return reply;
+}
+
 asio::awaitable<bool> ShardRunner::RecordWorkerSet()
 {
   if (this->mIsRecordingWorkerSet) {
@@ -253,7 +302,7 @@
     const bool isNeeded =
       std::any_of(workers.begin(), workers.end(), [&](const auto& aWorker) {
         return aWorker.second.mIsRecorded &&
-               MustBeInactive(aWorker.second, now);
+               MustBeInactive(this->mShard, aWorker.second, now);
       });
     // A worker whose silence can't be recorded stays active, so that its tasks
     // are renewed when it answers again.
@@ -302,25 +351,30 @@
   WorkerSetRecord workerSet;
   InactiveWorkersRecord inactive;
   this->ChooseWorkerSet(workerSet, inactive);
+  IncarnationsRecord incarnations = this->IncarnationsOf(workerSet);
   const WorkerSetRecord& stored = this->mStored.mWorkerSet;
   const bool isCurrent = !this->mStored.mIsInDoubt &&
                          workerSet.mIsSettled == stored.mIsSettled &&
                          workerSet.mWorkers == stored.mWorkers &&
+                         incarnations == this->mStored.mIncarnations &&
                          IsUpToDate(this->mStored.mInactive, inactive);
   if (isCurrent) {
     this->MarkRecordedWorkers();
     co_return true;
   }
   KvTransaction write;
-  write.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
   write.mConditions.push_back(
     { WorkerSetKey(this->mShardNumber), this->mStored.mRevision });
   write.mConditions.push_back({ InactiveWorkersKey(this->mShardNumber),
                                 this->mStored.mInactiveRevision });
   AddWorkerSet(write, this->mShardNumber, workerSet, inactive);
+  const bool areNew = incarnations != this->mStored.mIncarnations;
+  if (areNew || this->mStored.mIsInDoubt) {
+    write.mPuts.push_back(
+      PersistentPut(IncarnationsKey(this->mShardNumber), Encode(incarnations)));
+  }
   this->mStored.mIsInDoubt = true;
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(write));
-  UpdateStoreHealth(this->mNode, reply);
+  const KvReply reply = co_await this->CommitAsOwner(std::move(write));
   if (reply.mStatus == KvStatus::kConflict) {
     TakeRevisions(reply, this->mShardNumber, this->mStored);
     this->OnProgressConflict(reply);
@@ -331,9 +385,11 @@
                  NameOf(reply.mStatus));
     co_return false;
   }
-  this->mStored = {
-    std::move(workerSet), reply.mRevision, std::move(inactive), reply.mRevision
-  };
+  this->mStored = { std::move(workerSet),
+                    reply.mRevision,
+                    std::move(inactive),
+                    reply.mRevision,
+                    std::move(incarnations) };
   this->MarkRecordedWorkers();
   co_return true;
 }
@@ -344,7 +400,12 @@
     InactiveMembers(this->mStored.mInactive, this->mStored.mWorkerSet);
   for (const auto& member : this->mStored.mWorkerSet.mWorkers) {
     DispatchWorker* worker = FindWorker(this->mShard, member.mWorker);
-    if (worker != nullptr && !inactive.contains(member.mWorker)) {
+    if (worker == nullptr) {
+      continue;
+    }
+    worker->mRecordedIncarnation =
+      RecordedIncarnation(this->mStored.mIncarnations, member.mWorker);
+    if (!inactive.contains(member.mWorker)) {
       worker->mIsRecorded = true;
       worker->mIsInactive = false;
     }
--- a/Source/Node/vcWorkerSetRecords.cxx
+++ b/Source/Node/vcWorkerSetRecords.cxx
@@ -36,6 +36,17 @@
   return next;
 }
 
+IncarnationsRecord NextIncarnations(const IncarnationsRecord& aRecorded,
+                                    const WorkerSetRecord& aEarlier)
+{
+  IncarnationsRecord next;
+  next.mGeneration = aEarlier.mGeneration + 1;
+  if (aRecorded.mGeneration == aEarlier.mGeneration) {
+    next.mWorkers = aRecorded.mWorkers;
+  }
+  return next;
+}
+
 std::map<std::string, InactiveWorker> InactiveMembers(
   const InactiveWorkersRecord& aRecorded,
   const WorkerSetRecord& aWorkerSet)
--- a/Source/Node/vcWorkerSetRecords.h
+++ b/Source/Node/vcWorkerSetRecords.h
@@ -72,6 +72,21 @@
                       (),
                       (mGeneration, mWorkers, mLeaseLimitMs))
 
+/// Record of the incarnations of a shard's workers, from which the next owner
+/// learns which of them have restarted. A record of its own, for the same
+/// reason.
+struct IncarnationsRecord
+{
+  /// Generation of the worker set that the record belongs to.
+  std::uint32_t mGeneration = 0;
+  /// Start of the incarnation in ms since 1970, by name of the worker. Its
+  /// owner has used no other one without writing this record again.
+  std::map<std::string, std::int64_t> mWorkers;
+
+  bool operator==(const IncarnationsRecord&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(IncarnationsRecord, (), (mGeneration, mWorkers))
+
 /// The record that `aNode` writes when it claims a shard.
 /// @param aEarlier record of the previous owner
 WorkerSetRecord NextWorkerSet(const WorkerSetRecord& aEarlier,
@@ -87,6 +102,13 @@
   const WorkerSetRecord& aEarlier,
   Duration aLeaseLimit);
 
+/// The incarnations that go with `NextWorkerSet`: those that the previous owner
+/// knew.
+/// @param aRecorded the record in the store
+/// @param aEarlier worker set of the previous owner
+IncarnationsRecord NextIncarnations(const IncarnationsRecord& aRecorded,
+                                    const WorkerSetRecord& aEarlier);
+
 /// Inactive members of the worker set according to the record in the store, by
 /// name; none if the record belongs to an earlier claim.
 std::map<std::string, InactiveWorker> InactiveMembers(
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -43,7 +43,7 @@
 public:
   explicit CrashFleet(int aWorkers)
   {
-    this->mShard.mEpoch = 10;
+    this->mShard.mEpoch = ++this->mRevision;
     for (int i = 0; i < aWorkers; ++i) {
       this->AddWorker();
     }
@@ -149,7 +149,7 @@
     const SilentWorkersRecord silent =
       SilentWorkersOf(this->mShard, this->mNow);
     DispatchShard next;
-    next.mEpoch = this->mShard.mEpoch + 10;
+    next.mEpoch = ++this->mRevision;
     next.mClaimedAt = this->mNow;
     for (const auto& [name, worker] : this->mShard.mWorkers) {
       DispatchWorker& added = next.mWorkers[name];
@@ -251,6 +251,7 @@
   /// The store takes the numbers of crashes.
   void Record()
   {
+    NoteOwnWrite(this->mShard, ++this->mRevision);
     ForgetClearedSuspects(this->mShard);
     for (const auto& task : this->mShard.mSuspects) {
       MarkCrashHistoryStored(
@@ -299,6 +300,7 @@
 
   void Report(const std::string& aWorker)
   {
+    TokenOfNextRenewal(this->mShard, this->mShard.mWorkers.at(aWorker));
     WorkerReport report;
     report.mOutcome = OrderOutcome::kDone;
     report.mClock = this->Clock();
@@ -319,6 +321,8 @@
 
   TimePoint mNow{ 0 };
   DispatchShard mShard;
+  /// Latest revision of the store.
+  std::uint64_t mRevision = 10;
   int mLastWorker = 0;
   std::vector<std::string> mNames;
   std::set<std::string> mDraining;
--- a/Tests/Unit/vcDispatchFixture.h
+++ b/Tests/Unit/vcDispatchFixture.h
@@ -83,6 +83,19 @@
              this->mNow.count());
   }
 
+  /// A write of the owner is carried out, and the worker's present incarnation
+  /// reports what it runs to a renewal with a new fencing token.
+  void FenceOff(const std::string& aWorker,
+                std::int64_t aBorn,
+                std::vector<RunningTask> aRunning = {},
+                std::vector<EndedRun> aEnded = {})
+  {
+    DispatchWorker& worker = this->mShard.mWorkers.at(aWorker);
+    NoteOwnWrite(this->mShard, FencingTokenOf(this->mShard, worker) + 1);
+    MakeRenewal(this->mShard, worker, Duration(0), this->mNow);
+    this->Report(aWorker, std::move(aRunning), std::move(aEnded), aBorn);
+  }
+
   void Silence(const std::string& aWorker)
   {
     OnReport(this->mShard,
--- a/Tests/Unit/vcDispatchTakeoverTest.cxx
+++ b/Tests/Unit/vcDispatchTakeoverTest.cxx
@@ -152,8 +152,14 @@
         aShard.Worker().mAckIndex = 500;
       },
       true },
-    { "a new incarnation that hasn't started anything",
+    { "a new incarnation that may start what was sent to the earlier one",
       [](DispatchFixture& aShard) { aShard.Report("w1", {}, {}, kBorn + 1); },
+      true },
+    { "a new incarnation that hasn't started anything and refuses that",
+      [](DispatchFixture& aShard) {
+        aShard.Report("w1", {}, {}, kBorn + 1);
+        aShard.FenceOff("w1", kBorn + 1);
+      },
       false },
     { "another incarnation answered",
       [](DispatchFixture& aShard) {
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -26,6 +26,7 @@
   };
   const auto restart = [](DispatchFixture& aShard, const RunningTask&) {
     aShard.Report("w1", {}, {}, kBorn + 1);
+    aShard.FenceOff("w1", kBorn + 1);
   };
   const auto row = GENERATE_COPY(values<Row>({
     { "its task runs elsewhere", kJob, end },
@@ -358,7 +359,8 @@
     { true, kBorn, true, 8'400, false },
     { true, kBorn, true, 8'600, true },
     { false, kBorn + 1, false, 100, false },
-    { false, kBorn + 1, true, 100, true },
+    // The earlier incarnation may have answered the stop.
+    { false, kBorn + 1, true, 100, false },
     { true, kBorn + 1, true, 100, false },
   }));
   DispatchFixture shard({ "w1" });
--- a/Tests/Unit/vcWorkerSetTest.cxx
+++ b/Tests/Unit/vcWorkerSetTest.cxx
@@ -58,7 +58,10 @@
     return MustBeRecorded(this->mShard, this->Worker(), this->mNow);
   }
 
-  bool IsInactive() { return MustBeInactive(this->Worker(), this->mNow); }
+  bool IsInactive()
+  {
+    return MustBeInactive(this->mShard, this->Worker(), this->mNow);
+  }
 
   DispatchWorker& Worker() { return this->mShard.mWorkers.at("w1"); }
 
@@ -386,7 +389,7 @@
     worker.mSilentSince = TimePoint(0);
     const TimePoint replacedAt(3'000);
     CHECK(MustBeRecorded(shard, worker, replacedAt));
-    CHECK(MustBeInactive(worker, replacedAt));
+    CHECK(MustBeInactive(shard, worker, replacedAt));
     endIn = RunsEndAt(shard, worker, replacedAt) - replacedAt;
   }
   CHECK(endIn == Duration(13'123 - 4 * 3'000));
