Dispatch: Acknowledge ends only until the worker has answered

Each renewal repeated the index up to which ends may be forgotten. One that was meant for an earlier incarnation and reaches the new one acknowledges ends there that nobody has read; their task is missing in the next report and starts again.

The index is sent until a renewal with it is answered, and not afterwards, so few renewals under way carry one. After the fence none can reach the worker any more; before it a start and a renewal have to arrive late in this order, with the end of the run in between, which remains open.

--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -113,6 +113,7 @@
   }
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
+  aWorker.mAnsweredAckIndex = 0;
   aWorker.mLeaseUntil = 0;
   aWorker.mEarlierLeasesUntil = kNever;
   aWorker.mIsReportedIdle = false;
@@ -346,6 +347,9 @@
   if (isNewIncarnation) {
     OnNewIncarnation(aShard, *worker, aReport, aNow, aNowMs);
     OnRestart(aShard, *worker, aNow);
+  } else {
+    worker->mAnsweredAckIndex =
+      std::max(worker->mAnsweredAckIndex, worker->mSentAckIndex);
   }
   if (worker->mIsUnresponsive) {
     spdlog::info("worker.responsive worker={} incarnation={}",
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -358,6 +358,10 @@
   std::uint64_t mSeenIndex = 0;
   /// Run ends up to this index are in the store; the worker may discard them.
   std::uint64_t mAckIndex = 0;
+  /// Index that the last renewal told the worker to discard up to.
+  std::uint64_t mSentAckIndex = 0;
+  /// Highest such index of a renewal that this incarnation has answered.
+  std::uint64_t mAnsweredAckIndex = 0;
   /// Needs of the tasks here and of the runs to stop; best-effort tasks count
   /// without processors.
   Resources mUsed;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -288,18 +288,21 @@
 {
   RenewOrder order;
   order.mEpoch = TokenOfNextRenewal(aShard, aWorker);
-  // A worker that was unresponsive may be a new incarnation, which would
-  // discard ends that were never processed here.
-  order.mAckIndex = aWorker.mIsUnresponsive ? 0 : aWorker.mAckIndex;
   const std::int64_t clock = EstimateClock(aWorker, aNow);
   // An unresponsive worker is only asked for a report. A renewal that it
   // received but did not answer would extend its lease, and its tasks could
   // never be declared lost.
   const bool isOnlyAsked =
     clock == 0 || aWorker.mIsUnresponsive || IsFencePending(aWorker);
+  aWorker.mSentAckIndex = 0;
   if (isOnlyAsked) {
     return order;
   }
+  // A renewal that reaches a new incarnation would discard ends that were never
+  // processed here, so none says more than this one has to know.
+  const bool mustAck = aWorker.mAckIndex > aWorker.mAnsweredAckIndex;
+  order.mAckIndex = mustAck ? aWorker.mAckIndex : 0;
+  aWorker.mSentAckIndex = order.mAckIndex;
   // An inactive worker is asked again soon, since it is used once it is
   // recorded as active.
   order.mWait = aWorker.mIsInactive ? Duration(0) : aWait;
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -468,6 +468,29 @@
   CHECK(ackIndex() == 0);
 }
 
+// Guards against a task that runs again after its end (TWICE): a renewal that
+// was meant for the earlier incarnation acknowledges ends of the new one, which
+// then are never reported.
+TEST_CASE("a worker isn't told again what it has discarded", "[dispatch]")
+{
+  DispatchFixture shard({ "w1" });
+  DispatchWorker& worker = shard.Worker();
+  const auto ackIndex = [&] {
+    return MakeRenewal(shard.mShard, worker, Duration(0), shard.mNow).mAckIndex;
+  };
+  worker.mAckIndex = 5;
+  CHECK(ackIndex() == 5);
+  shard.Silence("w1");
+  CHECK(ackIndex() == 0);
+  // The renewal with the index wasn't answered.
+  shard.Report("w1", {}, {});
+  CHECK(ackIndex() == 5);
+  shard.Report("w1", {}, {});
+  CHECK(ackIndex() == 0);
+  worker.mAckIndex = 6;
+  CHECK(ackIndex() == 6);
+}
+
 // Load pattern: a queue of steps that no worker can hold, all due before one
 // that fits anywhere, as after a data centre's workers were taken away.
 TEST_CASE("steps without room don't keep back those that need less",
