Dispatch: Mend what the review of the incarnation fence found

Taken over here:

- A silent worker is asked with a new token at once, so that the first answer of its next incarnation is the fence; before, it took a write and one more answer.
- A worker that isn't recorded could wait for a token for ever, since nothing had to be written; now that wait is a reason for a write, and it isn't asked every 15 ms meanwhile.
- The deadlines of starts on the earlier clock were kept after a restart, so a worker that fell silent before the fence was never given up.
- A start that was answered by an incarnation with a clock nearly as old as the earlier one's passed for an answer of that one.
- An answer to a start that shows a restart counts as one when the worker then falls silent.
- Nothing starts on a worker whose entry names a later incarnation.
- The throttle of a probe has the worker's present token.
- A refused order to an unknown worker doesn't end the ownership.
- A hand-over records a worker that waits for the fence as inactive.

--- a/Source/Dispatch/vcDispatchProbes.cxx
+++ b/Source/Dispatch/vcDispatchProbes.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchSharing.h"
+#include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
 
@@ -113,7 +114,10 @@
   task->mThrottledAt = aNow;
   aActions.mThrottleOrders.push_back(
     { aWorker,
-      { aOrder.mTask, aOrder.mRun, aOrder.mEpoch, kProbeStartPercent } });
+      { aOrder.mTask,
+        aOrder.mRun,
+        FencingTokenOf(aShard, aShard.mWorkers.at(aWorker)),
+        kProbeStartPercent } });
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -115,6 +115,7 @@
   aWorker.mAckIndex = 0;
   aWorker.mAnsweredAckIndex = 0;
   aWorker.mLeaseUntil = 0;
+  aWorker.mStartsUntil = 0;
   aWorker.mEarlierLeasesUntil = kNever;
   aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
@@ -344,9 +345,10 @@
   }
   const bool isNewIncarnation =
     worker->mIncarnation != 0 && aReport.mIncarnation != worker->mIncarnation;
+  bool isFirstFenced = false;
   if (isNewIncarnation) {
     OnNewIncarnation(aShard, *worker, aReport, aNow, aNowMs);
-    OnRestart(aShard, *worker, aNow);
+    isFirstFenced = OnRestart(aShard, *worker, aNow);
   } else {
     worker->mAnsweredAckIndex =
       std::max(worker->mAnsweredAckIndex, worker->mSentAckIndex);
@@ -367,10 +369,11 @@
   worker->mClock = aReport.mClock;
   worker->mClockReadAt = aNow;
   worker->mLastReportAt = aNow;
-  worker->mRestartListedAt = kNever;
+  worker->mUnmetRestartAt = kNever;
   OnFirstAnswer(aShard, *worker, aNow);
-  const bool isFirstFenced =
-    !isNewIncarnation && CompleteFence(aShard, *worker, aNow);
+  if (!isNewIncarnation) {
+    isFirstFenced = CompleteFence(aShard, *worker, aNow);
+  }
   ApplyReport(aShard, *worker, aReport, isFirstFenced, aSentAt, aNow, aNowMs);
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -327,9 +327,12 @@
   /// Leases that such calls were granted before the fence was in force may last
   /// until this time. `kNever` if the worker hasn't restarted.
   TimePoint mRestartLeasesUntil{ kNever };
-  /// When discovery first listed an incarnation that hasn't answered yet;
-  /// `kNever` if it doesn't.
-  TimePoint mRestartListedAt{ kNever };
+  /// No start, lease or acknowledgement was sent with the token, so that no
+  /// call for an earlier incarnation has it.
+  bool mIsTokenUnused = true;
+  /// When an incarnation first showed that hasn't reported yet; `kNever` if
+  /// there is none.
+  TimePoint mUnmetRestartAt{ kNever };
   /// Last reading of the worker's clock in ms, and the latest time on this
   /// process's clock at which it can have been taken.
   std::int64_t mClock = 0;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -89,16 +89,18 @@
                            std::uint64_t aToken,
                            OrderOutcome aOutcome)
 {
-  return aOutcome == OrderOutcome::kStaleEpoch &&
-         (aWorker == nullptr || aToken >= FencingTokenOf(aShard, *aWorker));
+  return aOutcome == OrderOutcome::kStaleEpoch && aWorker != nullptr &&
+         aToken >= FencingTokenOf(aShard, *aWorker);
 }
 
-/// True if the reply's clock is behind an earlier reading: the worker has
-/// restarted since. A reading that has overtaken the reply looks the same.
+/// True if the reply's clock is behind what the worker's clock showed when the
+/// start was ordered: the worker has restarted since.
 bool IsFromLaterIncarnation(const DispatchWorker& aWorker,
+                            const DispatchTask& aTask,
                             const OrderReply& aReply)
 {
-  return aReply.mClock != 0 && aReply.mClock < aWorker.mClock;
+  return aReply.mClock != 0 &&
+         aReply.mClock < ClockReachedBy(aWorker, aTask.mStartOrderedAt);
 }
 
 /// True if discovery lists the worker as draining and it may leave within the
@@ -221,7 +223,7 @@
   for (const auto& key : tasks) {
     const DispatchTask& task = *FindTask(aShard, key);
     const bool isHeld = MayBeDoneUnheard(aShard, aWorker, key, aNow) ||
-                        MayRunInListedIncarnation(aShard, aWorker, task, aNow);
+                        MayRunInUnmetIncarnation(aShard, aWorker, task, aNow);
     if (!isHeld) {
       NoteLostRun(aShard, aWorker, key);
       OnRunLost(aShard, key, aNow);
@@ -258,6 +260,7 @@
     if (isNew) {
       // This owner may have used it before, with a higher token than its epoch.
       worker.mFencingToken = aShard.mLatestOwnWrite;
+      worker.mIsTokenUnused = false;
       worker.mLastReportAt = aNow;
       worker.mSilentSince = aNow;
       spdlog::info("worker.found worker={} data_centre={} address={}",
@@ -276,7 +279,7 @@
     const bool hasRestarted =
       worker.mIncarnation != 0 && entry.mIncarnation > worker.mIncarnation;
     if (isSilent && hasRestarted) {
-      OnRestartListed(aShard, worker, aNow);
+      OnUnmetRestart(aShard, worker, aNow);
     }
   }
 }
@@ -298,6 +301,7 @@
   if (isOnlyAsked) {
     return order;
   }
+  aWorker.mIsTokenUnused = false;
   // A renewal that reaches a new incarnation would discard ends that were never
   // processed here, so none says more than this one has to know.
   const bool mustAck = aWorker.mAckIndex > aWorker.mAnsweredAckIndex;
@@ -347,8 +351,9 @@
   if (aReply.mOutcome == OrderOutcome::kDone) {
     worker->mFailedStarts = 0;
     MarkStarted(aShard.mJobs.at(key.mJob));
-    if (IsFromLaterIncarnation(*worker, aReply)) {
+    if (IsFromLaterIncarnation(*worker, *task, aReply)) {
       task->mIsStartUncertain = true;
+      OnUnmetRestart(aShard, *worker, aNow);
       return;
     }
     if (task->mPhase == RunPhase::kStarting) {
--- a/Source/Dispatch/vcIncarnationFence.cxx
+++ b/Source/Dispatch/vcIncarnationFence.cxx
@@ -17,6 +17,20 @@
   return kLateCallTime + LongestLease(aShard.mBounds);
 }
 
+/// The worker's answer has shown that it refuses calls for earlier incarnations
+/// from now on.
+void PutInForce(const DispatchShard& aShard,
+                DispatchWorker& aWorker,
+                TimePoint aNow)
+{
+  aWorker.mFenceStage = FenceStage::kInForce;
+  aWorker.mLateRunsUntil = kNever;
+  aWorker.mRestartLeasesUntil = aNow + LongestLease(aShard.mBounds);
+  spdlog::info("worker.fenced worker={} token={}",
+               aWorker.mEntry.mWorker,
+               FencingTokenOf(aShard, aWorker));
+}
+
 } // namespace
 
 std::uint64_t FencingTokenOf(const DispatchShard& aShard,
@@ -30,32 +44,33 @@
   aShard.mLatestOwnWrite = std::max(aShard.mLatestOwnWrite, aRevision);
 }
 
-void OnRestart(const DispatchShard& aShard,
+bool OnRestart(const DispatchShard& aShard,
                DispatchWorker& aWorker,
                TimePoint aNow)
 {
-  if (!aWorker.mHasAnswered) {
-    aWorker.mRestartLeasesUntil = aNow + LongestLease(aShard.mBounds);
-    return;
+  if (aWorker.mIsTokenUnused) {
+    PutInForce(aShard, aWorker, aNow);
+    return true;
   }
   aWorker.mFenceStage = FenceStage::kNeedsToken;
   aWorker.mLateRunsUntil = aNow + LongestLateRun(aShard);
+  return false;
 }
 
-void OnRestartListed(DispatchShard& aShard,
-                     DispatchWorker& aWorker,
-                     TimePoint aNow)
+void OnUnmetRestart(DispatchShard& aShard,
+                    DispatchWorker& aWorker,
+                    TimePoint aNow)
 {
-  if (aWorker.mRestartListedAt != kNever) {
+  if (aWorker.mUnmetRestartAt != kNever) {
     return;
   }
-  aWorker.mRestartListedAt = aNow;
+  aWorker.mUnmetRestartAt = aNow;
   const std::string& name = aWorker.mEntry.mWorker;
   const auto unanswered = aShard.mUnansweredWorkers.find(name);
   if (unanswered != aShard.mUnansweredWorkers.end()) {
     unanswered->second.mRestartRunsEndAt = aNow + LongestLateRun(aShard);
   }
-  spdlog::info("worker.restart-listed worker={} incarnation={} listed={}",
+  spdlog::info("worker.restart-unmet worker={} incarnation={} listed={}",
                name,
                aWorker.mIncarnation,
                aWorker.mEntry.mIncarnation);
@@ -66,15 +81,28 @@
   return aWorker.mFenceStage != FenceStage::kInForce;
 }
 
+bool NeedsToken(const DispatchShard& aShard)
+{
+  return std::any_of(
+    aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
+      const DispatchWorker& worker = aRow.second;
+      return worker.mFenceStage == FenceStage::kNeedsToken &&
+             aShard.mLatestOwnWrite <= FencingTokenOf(aShard, worker);
+    });
+}
+
 std::uint64_t TokenOfNextRenewal(const DispatchShard& aShard,
                                  DispatchWorker& aWorker)
 {
   const std::uint64_t used = FencingTokenOf(aShard, aWorker);
-  const bool isAvailable = aWorker.mFenceStage == FenceStage::kNeedsToken &&
-                           aShard.mLatestOwnWrite > used;
-  if (isAvailable) {
+  const bool isWanted = aWorker.mFenceStage == FenceStage::kNeedsToken ||
+                        (aWorker.mIsUnresponsive && !aWorker.mIsTokenUnused);
+  if (isWanted && aShard.mLatestOwnWrite > used) {
     aWorker.mFencingToken = aShard.mLatestOwnWrite;
-    aWorker.mFenceStage = FenceStage::kAsked;
+    aWorker.mIsTokenUnused = true;
+    if (IsFencePending(aWorker)) {
+      aWorker.mFenceStage = FenceStage::kAsked;
+    }
   }
   aWorker.mRenewalToken = FencingTokenOf(aShard, aWorker);
   return aWorker.mRenewalToken;
@@ -89,15 +117,7 @@
   if (!isAnswered) {
     return false;
   }
-  aWorker.mFenceStage = FenceStage::kInForce;
-  aWorker.mLateRunsUntil = kNever;
-  // Those starts were refused, or are in the report.
-  aWorker.mStartsUntil = 0;
-  aWorker.mRestartLeasesUntil = aNow + LongestLease(aShard.mBounds);
-  spdlog::info("worker.fenced worker={} incarnation={} token={}",
-               aWorker.mEntry.mWorker,
-               aWorker.mIncarnation,
-               aWorker.mFencingToken);
+  PutInForce(aShard, aWorker, aNow);
   return true;
 }
 
@@ -113,16 +133,19 @@
   const bool isOtherRecorded =
     aWorker.mRecordedIncarnation != 0 && aWorker.mIncarnation != 0 &&
     aWorker.mRecordedIncarnation != aWorker.mIncarnation;
-  return isOtherRecorded || MayOutlastNextWait(aShard, aWorker);
+  const bool isOtherListed = aWorker.mIncarnation != 0 &&
+                             aWorker.mEntry.mIncarnation > aWorker.mIncarnation;
+  return isOtherRecorded || isOtherListed ||
+         MayOutlastNextWait(aShard, aWorker);
 }
 
-bool MayRunInListedIncarnation(const DispatchShard& aShard,
-                               const DispatchWorker& aWorker,
-                               const DispatchTask& aTask,
-                               TimePoint aNow)
+bool MayRunInUnmetIncarnation(const DispatchShard& aShard,
+                              const DispatchWorker& aWorker,
+                              const DispatchTask& aTask,
+                              TimePoint aNow)
 {
-  return aTask.mIsStartUncertain && aWorker.mRestartListedAt != kNever &&
-         aNow < aWorker.mRestartListedAt + LongestLateRun(aShard);
+  return aTask.mIsStartUncertain && aWorker.mUnmetRestartAt != kNever &&
+         aNow < aWorker.mUnmetRestartAt + LongestLateRun(aShard);
 }
 
 TimePoint RestartRunsEndAt(const DispatchShard& aShard,
@@ -133,11 +156,11 @@
     std::max(aWorker.mLateRunsUntil, aWorker.mRestartLeasesUntil);
   const bool mayRun = std::any_of(
     aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      return MayRunInListedIncarnation(
+      return MayRunInUnmetIncarnation(
         aShard, aWorker, *FindTask(aShard, aKey), aNow);
     });
   return mayRun
-           ? std::max(endAt, aWorker.mRestartListedAt + LongestLateRun(aShard))
+           ? std::max(endAt, aWorker.mUnmetRestartAt + LongestLateRun(aShard))
            : endAt;
 }
 
--- a/Source/Dispatch/vcIncarnationFence.h
+++ b/Source/Dispatch/vcIncarnationFence.h
@@ -31,23 +31,29 @@
 /// condition of its ownership.
 void NoteOwnWrite(DispatchShard& aShard, std::uint64_t aRevision);
 
-/// Notes that the worker has restarted under its id. If this owner has used the
-/// earlier incarnation, its calls have to be fenced off; those of earlier
-/// owners are, by the epoch.
-void OnRestart(const DispatchShard& aShard,
+/// Notes that the worker has restarted under its id, as its answer to the last
+/// renewal says. Calls for the earlier incarnation have to be fenced off,
+/// unless that renewal had a token that no start, lease or acknowledgement was
+/// sent with.
+/// @return true if they are fenced off from this answer on
+bool OnRestart(const DispatchShard& aShard,
                DispatchWorker& aWorker,
                TimePoint aNow);
 
-/// Notes that discovery lists another incarnation of a worker that doesn't
-/// answer.
-void OnRestartListed(DispatchShard& aShard,
-                     DispatchWorker& aWorker,
-                     TimePoint aNow);
+/// Notes that a worker has restarted, though no report of the new incarnation
+/// has come: discovery lists it, or an order was answered by it.
+void OnUnmetRestart(DispatchShard& aShard,
+                    DispatchWorker& aWorker,
+                    TimePoint aNow);
 
 /// True while calls that were meant for an earlier incarnation may take effect.
 bool IsFencePending(const DispatchWorker& aWorker);
 
-/// Chooses the fencing token of the worker's next renewal.
+/// True if a worker waits for a token, and the last write has given none.
+bool NeedsToken(const DispatchShard& aShard);
+
+/// Chooses the fencing token of the worker's next renewal. A silent worker is
+/// asked with a new one at once, in case it has restarted.
 std::uint64_t TokenOfNextRenewal(const DispatchShard& aShard,
                                  DispatchWorker& aWorker);
 
@@ -69,11 +75,11 @@
 bool IsHeldBack(const DispatchShard& aShard, const DispatchWorker& aWorker);
 
 /// True if the task's start, which wasn't answered, may have taken effect in an
-/// incarnation that discovery lists and that hasn't answered yet.
-bool MayRunInListedIncarnation(const DispatchShard& aShard,
-                               const DispatchWorker& aWorker,
-                               const DispatchTask& aTask,
-                               TimePoint aNow);
+/// incarnation that is known to be there and that hasn't reported yet.
+bool MayRunInUnmetIncarnation(const DispatchShard& aShard,
+                              const DispatchWorker& aWorker,
+                              const DispatchTask& aTask,
+                              TimePoint aNow);
 
 /// Time by which all runs have ended that calls for an earlier incarnation
 /// started or renewed; `kNever` if there can't be any.
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -206,6 +206,7 @@
   order.mText = job.mRecord.mSpec.mText;
   order.mCheckpoint = task.mCheckpoint;
   order.mEpoch = FencingTokenOf(aShard, aWorker);
+  aWorker.mIsTokenUnused = false;
   order.mNotAfter = task.mNotAfter;
   const StepSpec& step = StepOf(job, aKey);
   if (step.mIsFilling) {
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -232,7 +232,9 @@
     return kFailedRenewalPause;
   }
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
-  if (worker != nullptr && IsFencePending(*worker)) {
+  const bool isFenceAsked =
+    worker != nullptr && worker->mFenceStage == FenceStage::kAsked;
+  if (isFenceAsked) {
     return kReportPause;
   }
   if (worker != nullptr && worker->mIsInactive) {
@@ -249,7 +251,8 @@
   const bool isNeeded =
     worker != nullptr && !worker->mIsUnresponsive &&
     (worker->mIsInactive ||
-     (worker->mIsRecorded && IsHeldBack(this->mShard, *worker)));
+     (worker->mIsRecorded && IsHeldBack(this->mShard, *worker)) ||
+     worker->mFenceStage == FenceStage::kNeedsToken);
   const bool mayWrite =
     !this->mIsStopped && !IsStoreDown(this->mNode, SuspendAwareNow());
   if (isNeeded && mayWrite) {
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -354,6 +354,7 @@
   IncarnationsRecord incarnations = this->IncarnationsOf(workerSet);
   const WorkerSetRecord& stored = this->mStored.mWorkerSet;
   const bool isCurrent = !this->mStored.mIsInDoubt &&
+                         !NeedsToken(this->mShard) &&
                          workerSet.mIsSettled == stored.mIsSettled &&
                          workerSet.mWorkers == stored.mWorkers &&
                          incarnations == this->mStored.mIncarnations &&
@@ -428,7 +429,10 @@
   inactive.mGeneration = workerSet.mGeneration;
   inactive.mLeaseLimitMs = this->mStored.mInactive.mLeaseLimitMs;
   for (const auto& [name, worker] : this->mShard.mWorkers) {
-    if (worker.mIsInactive) {
+    const bool isInactive =
+      worker.mIsInactive ||
+      (worker.mIsRecorded && MayOutlastNextWait(this->mShard, worker));
+    if (isInactive) {
       const TimePoint endAt = RunsEndAt(this->mShard, worker, now);
       inactive.mWorkers.push_back(
         { name, RecordedTimeUntil(endAt, now), worker.mNoJobsAfter });
--- a/Tests/Unit/vcIncarnationFenceTest.cxx
+++ b/Tests/Unit/vcIncarnationFenceTest.cxx
@@ -158,11 +158,11 @@
         aShard.FenceOff("w1", kReborn);
       },
       RunPhase::kWaiting },
-    { "fenced off, and the worker has restarted again",
+    { "fenced off in yet another incarnation",
       [](Restart& aShard, const StartOrder&) {
         aShard.FenceOff("w1", kReborn + 1);
       },
-      RunPhase::kStopping },
+      RunPhase::kWaiting },
   }));
   CAPTURE(row.mName);
   Restart shard;
@@ -174,6 +174,39 @@
   CHECK(shard.Task().mPhase == row.mPhase);
 }
 
+// Guards against a wait for one more answer after each restart: a silent worker
+// is asked with a new token, so the first answer of the next incarnation is the
+// fence.
+TEST_CASE("the first answer of a worker that was silent fences off earlier "
+          "calls",
+          "[incarnation-fence]")
+{
+  Restart shard;
+  shard.Renew();
+  NoteOwnWrite(shard.mShard, FencingTokenOf(shard.mShard, shard.Worker()) + 1);
+  const bool wasSilent = GENERATE(true, false);
+  if (wasSilent) {
+    shard.Silence("w1");
+    shard.Renew();
+  }
+  shard.ReportReborn();
+  CHECK(IsFencePending(shard.Worker()) != wasSilent);
+}
+
+// Guards against a worker that waits for a token for ever, since nothing else
+// has to be written.
+TEST_CASE("a worker that waits for a token needs a write",
+          "[incarnation-fence]")
+{
+  Restart shard;
+  shard.Renew();
+  CHECK_FALSE(NeedsToken(shard.mShard));
+  shard.ReportReborn();
+  CHECK(NeedsToken(shard.mShard));
+  NoteOwnWrite(shard.mShard, FencingTokenOf(shard.mShard, shard.Worker()) + 1);
+  CHECK_FALSE(NeedsToken(shard.mShard));
+}
+
 TEST_CASE("a run that the new incarnation lists goes on", "[incarnation-fence]")
 {
   Restart shard;
