Dispatch: Date crashes by the worker's next incarnation

A crash was dated by when its owner noticed it, up to 1.8 s late. So starts that were sent after the crash counted against their tasks, also those that the next incarnation had carried out and listed in the same report, and those that ran nowhere and whose connection the next incarnation's machine broke. Workers that were noticed one after the other weren't taken for crashes together.

The clock of the next incarnation begins at its start, so the crash came before the report minus that clock. A start that was ordered later, or that the next incarnation lists, can't have caused the crash. A broken connection is proof only if it broke 0.5 s before that start. Crashes together are found by their dates: those already counted, silent workers, and workers that are overdue. A clock that doesn't begin at the start is known by reaching back beyond the last report; then crashes are dated as before.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace verbenacroft {
 
@@ -26,54 +27,148 @@
 /// Maximum number of suspects, so that their record fits into one value of the
 /// store.
 constexpr std::size_t kMaxSuspects = 500;
-/// Workers that fell silent within this time of each other did so together.
+/// Workers that crashed or fell silent within this time of each other did so
+/// together.
 constexpr Duration kTogether{ 1'000 };
 /// If at least this many did, and this part of all workers, the cause is
 /// outside of them, such as their rack or their software.
 constexpr std::size_t kMinTogether = 4;
 constexpr double kMinPartTogether = 0.1;
-/// Then only a run that began this long before its worker fell silent counts,
-/// since a task that crashes its worker mostly does so at its start.
+/// Then only a run that may have begun this long before the crash counts, since
+/// a task that crashes its worker mostly does so at its start.
 constexpr Duration kFreshRun{ 300 };
+/// A worker that has not reported for this long may have crashed. A report may
+/// take a second, as the worker waits for a run to end.
+constexpr Duration kOverdue{ 1'200 };
+/// A connection that breaks so soon before the next incarnation begins, or
+/// later, may be broken by that one's machine.
+constexpr Duration kMinDownTime{ 500 };
+
+/// What a report of the next incarnation shows about the crash of the one
+/// before.
+struct CrashEvidence
+{
+  /// Latest possible start of the next incarnation, if it is known.
+  std::optional<TimePoint> mBornBy;
+  /// Tasks that the next incarnation has started.
+  std::set<TaskId> mStarted;
+};
+
+/// Latest possible start of the incarnation that sent the report. Nothing if
+/// its clock didn't begin at its start, as a reading shows that reaches back
+/// beyond the last report of the incarnation before.
+std::optional<TimePoint> BornBy(const DispatchWorker& aWorker,
+                                const WorkerReport& aReport,
+                                TimePoint aNow)
+{
+  // Without a report to this owner nothing shows whether the clock began at the
+  // start, and the runs of an owner before have no exact times.
+  const bool isDated = aReport.mOutcome == OrderOutcome::kDone &&
+                       aReport.mClock > 0 && aWorker.mHasAnswered;
+  const TimePoint born = aNow - Duration(aReport.mClock);
+  const bool isLater = born > aWorker.mLastReportAt;
+  return isDated && isLater ? std::optional(born) : std::nullopt;
+}
+
+CrashEvidence EvidenceOf(const DispatchWorker& aWorker,
+                         const WorkerReport& aReport,
+                         TimePoint aNow)
+{
+  CrashEvidence evidence{ BornBy(aWorker, aReport, aNow), {} };
+  for (const auto& row : aReport.mRunning) {
+    evidence.mStarted.insert(row.mTask);
+  }
+  for (const auto& end : aReport.mEnded) {
+    evidence.mStarted.insert(end.mTask);
+  }
+  return evidence;
+}
 
 LostRun LostRunOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
-  // A worker that was down before the start is silent; one that the task
-  // crashes at once closes its connections.
-  const bool hasBegun = task.mFirstSeenClock != 0 || task.mIsStartBroken;
-  return { aKey, hasBegun, IsSeenAtWork(task), task.mStartOrderedAt };
+  return { aKey,
+           task.mFirstSeenClock != 0,
+           IsSeenAtWork(task),
+           task.mStartOrderedAt,
+           task.mStartBrokenAt };
+}
+
+/// True if the worker was up when it was told to start the run. One that was
+/// down before the start is silent until the next incarnation breaks the
+/// connection; one that the task crashes at once closes its connections.
+bool HasBegun(const LostRun& aRun, const CrashEvidence& aEvidence)
+{
+  if (aRun.mHasBegun || aRun.mStartBrokenAt == kNever) {
+    return aRun.mHasBegun;
+  }
+  return !aEvidence.mBornBy ||
+         aRun.mStartBrokenAt + kMinDownTime <= *aEvidence.mBornBy;
+}
+
+/// True if the run began after the crash, if at all.
+bool IsAfterCrash(const LostRun& aRun, const CrashEvidence& aEvidence)
+{
+  const bool isOrderedLater =
+    aEvidence.mBornBy && aRun.mStartOrderedAt > *aEvidence.mBornBy;
+  return isOrderedLater || aEvidence.mStarted.contains(aRun.mTask);
 }
 
 /// Runs that may have caused a crash of the worker.
 std::vector<LostRun> RunsOf(const DispatchShard& aShard,
-                            const DispatchWorker& aWorker)
+                            const DispatchWorker& aWorker,
+                            const CrashEvidence& aEvidence)
 {
   std::vector<LostRun> runs;
   for (const auto& key : aWorker.mTasks) {
     runs.push_back(LostRunOf(aShard, key));
   }
   runs.insert(runs.end(), aWorker.mLostRuns.begin(), aWorker.mLostRuns.end());
+  std::erase_if(
+    runs, [&](const LostRun& aRun) { return IsAfterCrash(aRun, aEvidence); });
+  for (auto& run : runs) {
+    run.mHasBegun = HasBegun(run, aEvidence);
+  }
   return runs;
 }
 
-/// True if many workers fell silent together with this one.
-bool HasOutsideCause(const DispatchShard& aShard, const DispatchWorker& aWorker)
+/// True if the worker has crashed or fallen silent at about this time, or may
+/// have.
+bool MayHaveCrashedAt(const DispatchWorker& aWorker,
+                      TimePoint aTime,
+                      TimePoint aNow)
 {
-  if (aWorker.mWasLostTogether) {
+  const auto isNear = [&](TimePoint aOther) {
+    return std::chrono::abs(aOther - aTime) <= kTogether;
+  };
+  if (isNear(aWorker.mCrashedBy)) {
     return true;
   }
-  // A worker that has restarted at once wasn't silent.
-  if (!aWorker.mIsUnresponsive) {
-    return false;
+  const bool wasUpBefore =
+    aWorker.mHasAnswered && aWorker.mLastReportAt <= aTime;
+  if (aWorker.mIsUnresponsive) {
+    return isNear(aWorker.mSilentSince) ||
+           (wasUpBefore && aTime <= aWorker.mSilentSince);
   }
-  const auto together = std::count_if(
+  return wasUpBefore && aNow - aWorker.mLastReportAt > kOverdue;
+}
+
+/// True if many workers crashed together with this one, which crashed by
+/// `aCrashedBy`.
+bool HasOutsideCause(const DispatchShard& aShard,
+                     const DispatchWorker& aWorker,
+                     TimePoint aCrashedBy,
+                     TimePoint aNow)
+{
+  if (aWorker.mWasLostTogether) {
+    return true;
+  }
+  const auto others = std::count_if(
     aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
-      const DispatchWorker& other = aRow.second;
-      const Duration apart =
-        std::chrono::abs(other.mSilentSince - aWorker.mSilentSince);
-      return other.mIsUnresponsive && apart <= kTogether;
+      return &aRow.second != &aWorker &&
+             MayHaveCrashedAt(aRow.second, aCrashedBy, aNow);
     });
+  const std::ptrdiff_t together = others + 1;
   const double part =
     kMinPartTogether * static_cast<double>(aShard.mWorkers.size());
   return together >= static_cast<std::ptrdiff_t>(kMinTogether) &&
@@ -85,25 +180,46 @@
   return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
 }
 
+/// Latest possible time of a crash of the worker.
+TimePoint CrashedBy(const DispatchWorker& aWorker,
+                    const CrashEvidence& aEvidence,
+                    TimePoint aNow)
+{
+  const TimePoint noticed =
+    IsSilent(aWorker) ? std::min(aWorker.mSilentSince, aNow) : aNow;
+  return std::min(noticed, aEvidence.mBornBy.value_or(noticed));
+}
+
+/// True if the run may have begun just before the crash. What an owner before
+/// recorded did.
+bool MayBeFresh(const DispatchWorker& aWorker,
+                const LostRun& aRun,
+                TimePoint aCrashedBy)
+{
+  const TimePoint earliest = std::min(aWorker.mLastReportAt, aCrashedBy);
+  return !aWorker.mHasAnswered || aRun.mStartOrderedAt + kFreshRun >= earliest;
+}
+
 /// Runs that a crash of the worker is counted against.
 CrashSuspects SuspectsOf(const DispatchShard& aShard,
                          const DispatchWorker& aWorker,
+                         const CrashEvidence& aEvidence,
                          TimePoint aNow)
 {
   CrashSuspects suspects;
-  suspects.mRuns = RunsOf(aShard, aWorker);
+  suspects.mRuns = RunsOf(aShard, aWorker, aEvidence);
   suspects.mAll = suspects.mRuns.size();
   suspects.mUnseen = static_cast<std::size_t>(std::count_if(
     suspects.mRuns.begin(), suspects.mRuns.end(), [](const LostRun& aRun) {
       return !aRun.mIsSeenAtWork;
     }));
-  suspects.mHasOutsideCause = HasOutsideCause(aShard, aWorker);
-  suspects.mSilentSince =
-    IsSilent(aWorker) ? std::min(aWorker.mSilentSince, aNow) : aNow;
+  suspects.mCrashedBy = CrashedBy(aWorker, aEvidence, aNow);
+  suspects.mHasOutsideCause =
+    HasOutsideCause(aShard, aWorker, suspects.mCrashedBy, aNow);
   if (suspects.mHasOutsideCause) {
     std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
-      return aRun.mIsSeenAtWork ||
-             suspects.mSilentSince - aRun.mStartOrderedAt > kFreshRun;
+      return aRun.mIsSeenAtWork || !aRun.mHasBegun ||
+             !MayBeFresh(aWorker, aRun, suspects.mCrashedBy);
     });
   } else if (suspects.mUnseen > 0) {
     std::erase_if(suspects.mRuns,
@@ -208,7 +324,7 @@
 
 Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun)
 {
-  return std::max(aSuspects.mSilentSince - aRun.mStartOrderedAt, Duration(0));
+  return std::max(aSuspects.mCrashedBy - aRun.mStartOrderedAt, Duration(0));
 }
 
 CrashSuspects RunsInDoubt(const DispatchShard& aShard,
@@ -219,7 +335,7 @@
     IsSilent(aWorker) && !aWorker.mIsReplaced && !aWorker.mEntry.mIsDraining;
   CrashSuspects suspects;
   if (mayCount) {
-    suspects = SuspectsOf(aShard, aWorker, aNow);
+    suspects = SuspectsOf(aShard, aWorker, CrashEvidence{}, aNow);
   }
   if (suspects.mUnseen == 0) {
     suspects.mRuns.clear();
@@ -252,21 +368,26 @@
 
 void OnWorkerCrashed(DispatchShard& aShard,
                      DispatchWorker& aWorker,
+                     const WorkerReport& aReport,
                      TimePoint aNow,
                      std::int64_t aNowMs)
 {
   if (aWorker.mEntry.mIsDraining) {
     return;
   }
-  const CrashSuspects suspects = SuspectsOf(aShard, aWorker, aNow);
+  const CrashEvidence evidence = EvidenceOf(aWorker, aReport, aNow);
+  const CrashSuspects suspects = SuspectsOf(aShard, aWorker, evidence, aNow);
+  aWorker.mCrashedBy = suspects.mCrashedBy;
   aWorker.mLostRuns.clear();
   aWorker.mWasLostTogether = false;
   ++aShard.mSilenceVersion;
-  spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={}",
+  spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={} "
+               "at_least_ms_ago={}",
                aWorker.mEntry.mWorker,
                suspects.mAll,
                suspects.mRuns.size(),
-               suspects.mHasOutsideCause);
+               suspects.mHasOutsideCause,
+               (aNow - suspects.mCrashedBy).count());
   for (const auto& run : suspects.mRuns) {
     CountCrash(aShard, run, RanFor(suspects, run), aNow);
   }
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -9,6 +9,11 @@
 /// A suspect is started apart from others that weren't seen at work yet, so
 /// that the next crash names the culprit, and the others are cleared by their
 /// runs.
+///
+/// A crash is noticed some time after it. The clock of the next incarnation
+/// begins at its start, so it shows a time before which the crash came. A start
+/// that was ordered later, or that the next incarnation has carried out, can't
+/// have caused the crash.
 
 #include "vcDispatchState.h"
 
@@ -29,10 +34,10 @@
   /// work.
   std::size_t mAll = 0;
   std::size_t mUnseen = 0;
-  /// Many workers fell silent together with this one.
+  /// Many workers crashed or fell silent together with this one.
   bool mHasOutsideCause = false;
-  /// When the worker fell silent; the present time if it isn't silent.
-  TimePoint mSilentSince{ kNever };
+  /// Latest possible time of the crash.
+  TimePoint mCrashedBy{ kNever };
 };
 
 /// Longest time for which the run may have lasted.
@@ -74,9 +79,12 @@
 /// Counts a crash of the worker against the tasks that may have caused it, and
 /// gives up those that have used up their crashes. The runs aren't released. A
 /// worker that was draining has left and didn't crash.
+/// @param aReport the report that shows another incarnation; the worker's state
+/// is still that of the one before
 /// @param aNowMs current time in ms since 1970
 void OnWorkerCrashed(DispatchShard& aShard,
                      DispatchWorker& aWorker,
+                     const WorkerReport& aReport,
                      TimePoint aNow,
                      std::int64_t aNowMs);
 
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -109,7 +109,7 @@
     spdlog::info("worker.new-incarnation worker={} lost={}",
                  aWorker.mEntry.mWorker,
                  tasks.size());
-    OnWorkerCrashed(aShard, aWorker, aNow, aNowMs);
+    OnWorkerCrashed(aShard, aWorker, aReport, aNow, aNowMs);
   }
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -144,7 +144,7 @@
   task.mThrottledAt = kNever;
   task.mIsProbe = false;
   task.mIsStartUncertain = false;
-  task.mIsStartBroken = false;
+  task.mStartBrokenAt = kNever;
   task.mStopSentAt = kNever;
   task.mFirstSeenClock = 0;
   task.mSeenAtWorkFor = Duration(0);
@@ -172,7 +172,7 @@
   }
   task.mWorker.clear();
   task.mIsStartUncertain = false;
-  task.mIsStartBroken = false;
+  task.mStartBrokenAt = kNever;
   task.mPhase = aPhase;
 }
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -119,8 +119,9 @@
   /// The start order was not answered: it may have been executed, or may still
   /// be.
   bool mIsStartUncertain = false;
-  /// The connection broke when the start was ordered: the worker was up then.
-  bool mIsStartBroken = false;
+  /// When the connection broke on which the start was ordered: the worker, or
+  /// the next incarnation, was up then. `kNever` if it didn't.
+  TimePoint mStartBrokenAt{ kNever };
   /// Throttle percent that was last ordered: the share of its full speed that
   /// the task may use.
   std::int64_t mOrderedThrottlePercent = 100;
@@ -252,6 +253,8 @@
   bool mHasBegun = false;
   bool mIsSeenAtWork = false;
   TimePoint mStartOrderedAt{ kNever };
+  /// See `DispatchTask`.
+  TimePoint mStartBrokenAt{ kNever };
 };
 
 /// A worker's room that is kept for one step (vcDispatchReservations.h).
@@ -413,6 +416,9 @@
   /// In that silence, an owner before found that many workers had fallen silent
   /// together with this one.
   bool mWasLostTogether = false;
+  /// Latest possible time of the last crash that was counted; `kNever` if there
+  /// is none.
+  TimePoint mCrashedBy{ kNever };
   RoomReservation mRoom;
   /// The job whose only run has ended here, until the next start; empty if
   /// there is none.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -373,7 +373,7 @@
   task->mAvoidedWorker = aWorker;
   const bool isBroken = aReply.mOutcome == OrderOutcome::kBroken;
   if (isBroken || aReply.mOutcome == OrderOutcome::kUnknown) {
-    task->mIsStartBroken = isBroken;
+    task->mStartBrokenAt = isBroken ? aNow : kNever;
     ++aShard.mSilenceVersion;
     // A start that is being stopped stays as uncertain as it is: the stop may
     // have been answered already.
--- a/Source/Dispatch/vcWorkerOrders.h
+++ b/Source/Dispatch/vcWorkerOrders.h
@@ -95,8 +95,8 @@
   /// Nothing was sent.
   kNotSent,
   /// The connection broke before the answer: the order may have been executed.
-  /// The worker was up when it was called, or the break would not have reached
-  /// the caller.
+  /// The worker was up when it was called, or has restarted since, or the break
+  /// would not have reached the caller.
   kBroken,
   /// No answer: the order may have been executed, or may still be.
   kUnknown,
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -28,7 +28,8 @@
   Tests/Unit/vcSitePlatformTest.cxx
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
-  Tests/Unit/vcCrashTest.cxx Tests/Unit/vcViewsTest.cxx
+  Tests/Unit/vcCrashTest.cxx Tests/Unit/vcCrashDatesTest.cxx
+  Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcIdleBoundsTest.cxx
   Tests/Unit/vcTurnsTest.cxx Tests/Unit/vcConfigConditionTest.cxx
--- a/Tests/Unit/vcCrashTest.cxx
+++ b/Tests/Unit/vcCrashTest.cxx
@@ -16,8 +16,10 @@
 {
   /// Another worker answers at its address.
   kOtherId,
-  /// It answers as a new incarnation.
+  /// It answers as a new incarnation, whose clock goes on.
   kSameId,
+  /// It answers as a new incarnation, whose clock begins at its start.
+  kSameIdNewClock,
 };
 
 template<>
@@ -26,6 +28,7 @@
   static constexpr auto kRows = std::to_array<NameRow<CrashSign>>({
     { CrashSign::kOtherId, "under another id" },
     { CrashSign::kSameId, "under its id" },
+    { CrashSign::kSameIdNewClock, "under its id, with a new clock" },
   });
 };
 
@@ -35,6 +38,8 @@
 constexpr const char* kSoundJob = "00000000000000a1";
 constexpr std::int64_t kFirstClock = 100'000;
 constexpr Duration kDownTime{ 3'000 };
+/// From the start of a new incarnation to its first report.
+constexpr Duration kReportedAfter{ 100 };
 
 /// A shard whose workers run what they are told. A start of the deadly job
 /// crashes its worker.
@@ -108,7 +113,7 @@
       ++this->mStarts[order.mTask];
       OrderReply reply;
       reply.mOutcome = OrderOutcome::kDone;
-      reply.mClock = this->Clock();
+      reply.mClock = this->Clock(worker);
       OnStartReply(this->mShard, worker, order, reply, this->mNow);
       this->mRuns[worker].push_back({ order.mTask, order.mRun, {}, 50, 0 });
       if (order.mTask.mJob == kDeadlyJob) {
@@ -184,9 +189,12 @@
     this->mNow += kDownTime;
     std::erase(this->mNames, aWorker);
     this->Report();
-    if (aSign == CrashSign::kSameId) {
+    if (aSign != CrashSign::kOtherId) {
       this->mNames.push_back(aWorker);
       ++this->mBorn[aWorker];
+      if (aSign == CrashSign::kSameIdNewClock) {
+        this->mClockStarts[aWorker] = this->mNow - kReportedAfter;
+      }
       this->Report(aWorker);
       this->mDraining.erase(aWorker);
       this->Discover();
@@ -271,7 +279,13 @@
   DispatchShard& Shard() { return this->mShard; }
 
 private:
-  std::int64_t Clock() const { return kFirstClock + this->mNow.count(); }
+  std::int64_t Clock(const std::string& aWorker) const
+  {
+    const auto start = this->mClockStarts.find(aWorker);
+    return start == this->mClockStarts.end()
+             ? kFirstClock + this->mNow.count()
+             : (this->mNow - start->second).count();
+  }
 
   void AddWorker()
   {
@@ -303,7 +317,7 @@
     TokenOfNextRenewal(this->mShard, this->mShard.mWorkers.at(aWorker));
     WorkerReport report;
     report.mOutcome = OrderOutcome::kDone;
-    report.mClock = this->Clock();
+    report.mClock = this->Clock(aWorker);
     report.mIncarnation = 1 + this->mBorn[aWorker];
     report.mRunning = this->mRuns[aWorker];
     this->Answer(aWorker, report);
@@ -328,6 +342,7 @@
   std::set<std::string> mDraining;
   std::map<std::string, std::vector<RunningTask>> mRuns;
   std::map<std::string, int> mBorn;
+  std::map<std::string, TimePoint> mClockStarts;
   std::map<TaskId, int> mStarts;
   std::map<JobId, BatchRecord> mRecords;
   bool mAreOwnersLost = false;
@@ -356,7 +371,8 @@
 // Guards against a task that crashes one worker after another for ever.
 TEST_CASE("a task that crashes its workers is given up", "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   const int workers = GENERATE(1, 2, 6);
   CAPTURE(NameOf(sign), workers);
   CrashFleet fleet(workers);
@@ -373,7 +389,8 @@
 // is lost before it hears of the crash.
 TEST_CASE("crashes that are heard by the next owner count", "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   const int workers = GENERATE(2, 6);
   CAPTURE(NameOf(sign), workers);
   CrashFleet fleet(workers);
@@ -392,7 +409,8 @@
 // a worker that was only silent for a while.
 TEST_CASE("a next owner counts a crash once, and silence not at all", "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   const bool isCrash = GENERATE(false, true);
   CAPTURE(NameOf(sign), isCrash);
   const TaskId task{ kDeadlyJob, 0, 0, 0 };
@@ -423,7 +441,8 @@
 TEST_CASE("a task that is started beside a deadly one isn't given up",
           "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   const int workers = GENERATE(1, 2, 6);
   CAPTURE(NameOf(sign), workers);
   CrashFleet fleet(workers);
@@ -444,7 +463,8 @@
 TEST_CASE("a start that isn't confirmed is no proof against its task",
           "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   const int unconfirmed = GENERATE(1, 3);
   CAPTURE(NameOf(sign), unconfirmed);
   CrashFleet fleet(6);
@@ -467,7 +487,8 @@
 // its start, one after another for ever.
 TEST_CASE("a task whose starts are never confirmed is given up", "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   // Of a task that has crashed three workers, two more starts are allowed. A
   // connection that breaks shows that the worker was up, as an answer does.
   const auto [outcome, most] = GENERATE(table<OrderOutcome, int>({
@@ -511,7 +532,8 @@
 // Guards against suspicion of what ran on a worker that left as announced.
 TEST_CASE("a worker that was draining doesn't count as crashed", "[crash]")
 {
-  const auto sign = GENERATE(CrashSign::kOtherId, CrashSign::kSameId);
+  const auto sign = GENERATE(
+    CrashSign::kOtherId, CrashSign::kSameId, CrashSign::kSameIdNewClock);
   CAPTURE(NameOf(sign));
   CrashFleet fleet(1);
   fleet.AddJob(kSoundJob, 1, true);
