Tests: Let the fleet's judge know two crashes under one task alone

Its worker had crashed twice with this task alone on it, so the owner gives it up, as documented. The check was wrong in not leaving out such a job.

The judge now counts the crashes under each task. It leaves out a job that the store shows as failed, if one of its tasks was alone on a worker that crashed, had run there for less than 6 s, and a worker had crashed under it before. A job that isn't stored as failed, or whose tasks were beside others or had run for longer, is judged as before. So is a sound task beside a deadly one: it isn't alone.

--- a/Tests/Fleet/vcFleetJudges.cxx
+++ b/Tests/Fleet/vcFleetJudges.cxx
@@ -131,12 +131,34 @@
   }
 }
 
+std::optional<BatchState> Fleet::StoredState(const JobId& aId) const
+{
+  const std::uint32_t shard = ShardOf(aId, this->mOptions.mShards);
+  const auto item = this->mStore.mItems.find(ProgressKey(shard, aId));
+  if (item == this->mStore.mItems.end()) {
+    return std::nullopt;
+  }
+  const auto progress = TryDecode<BatchProgress>(item->second.mValue);
+  return progress ? std::optional(progress->mState) : std::nullopt;
+}
+
+bool Fleet::IsGivenUp(const JobId& aId) const
+{
+  const auto& crashed = this->mWorkers.mCrashedUnder;
+  const bool isAllowed =
+    std::any_of(crashed.begin(), crashed.end(), [&](const auto& aRow) {
+      return aRow.first.mJob == aId && aRow.second.mWasAlone;
+    });
+  return isAllowed && this->StoredState(aId) == BatchState::kFailed;
+}
+
 void Fleet::CheckLasting(const std::set<JobId>& aJobs)
 {
   for (const auto& [task, plan] : this->mWorkers.mPlans) {
     const bool isOwed = plan.mIsLasting && aJobs.contains(task.mJob) &&
                         !this->mCancelled.contains(task.mJob) &&
-                        !this->mDeadly.contains(task.mJob);
+                        !this->mDeadly.contains(task.mJob) &&
+                        !this->IsGivenUp(task.mJob);
     if (isOwed && this->mWorkers.mRunning[task].empty()) {
       this->Problem(Describe(task) + " doesn't run");
     }
@@ -177,17 +199,13 @@
   }
   for (const auto& id : this->mJobs) {
     if (this->mLasting.contains(id) || this->mCancelled.contains(id) ||
-        this->mDeadly.contains(id)) {
+        this->mDeadly.contains(id) || this->IsGivenUp(id)) {
       continue;
     }
-    const std::uint32_t shard = ShardOf(id, this->mOptions.mShards);
-    const auto item = this->mStore.mItems.find(ProgressKey(shard, id));
-    const auto progress = item == this->mStore.mItems.end()
-                            ? std::nullopt
-                            : TryDecode<BatchProgress>(item->second.mValue);
-    if (!progress || progress->mState != BatchState::kCompleted) {
-      this->Problem(
-        fmt::format("job {} of shard {} isn't completed", id, shard));
+    if (this->StoredState(id) != BatchState::kCompleted) {
+      this->Problem(fmt::format("job {} of shard {} isn't completed",
+                                id,
+                                ShardOf(id, this->mOptions.mShards)));
     }
   }
   this->CheckLasting(this->mLasting);
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -302,6 +302,11 @@
   std::size_t LongWaiting(std::uint32_t aShard) const;
   void CheckOwners();
   void CheckLargeOwners();
+  /// State of the job in the store.
+  std::optional<BatchState> StoredState(const JobId& aId) const;
+  /// True if the job has failed and one of its tasks may be given up: workers
+  /// have crashed under it twice, and it was alone there the second time.
+  bool IsGivenUp(const JobId& aId) const;
   void CheckLasting(const std::set<JobId>& aJobs);
   /// No accepted job is held back.
   void CheckBegun();
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -159,6 +159,7 @@
   const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
   MemoryRun run;
   run.mRun = aOrder.mRun;
+  run.mStartedAt = clock;
   if (plan.mCrashesAfter > Duration(0)) {
     run.mCrashesAt = clock + plan.mCrashesAfter.count();
     CountDeadlyStart(aFleet, aOrder.mTask);
@@ -486,6 +487,24 @@
   return tasks;
 }
 
+/// Counts a crash for the tasks that run on the worker.
+void CountCrash(MemoryFleet& aFleet,
+                const MemoryWorker& aWorker,
+                TimePoint aNow)
+{
+  // An owner clears a run that reports have shown for up to 5 s, and they come
+  // each second.
+  constexpr std::int64_t kClearedAfterMs = 6'000;
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  for (const auto& [task, run] : aWorker.mRuns) {
+    CrashTally& tally = aFleet.mCrashedUnder[task];
+    ++tally.mCrashes;
+    const bool isAlone =
+      aWorker.mRuns.size() == 1 && clock - run.mStartedAt < kClearedAfterMs;
+    tally.mWasAlone = tally.mWasAlone || (tally.mCrashes > 1 && isAlone);
+  }
+}
+
 /// Crashes the workers on which a deadly task has run for long enough.
 void CrashWorkers(MemoryFleet& aFleet, TimePoint aNow)
 {
@@ -536,6 +555,7 @@
 void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow)
 {
   MemoryWorker& worker = aFleet.mWorkers.at(aWorker);
+  CountCrash(aFleet, worker, aNow);
   for (const auto& [task, run] : worker.mRuns) {
     aFleet.mRunning[task].erase(aWorker);
   }
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -17,6 +17,8 @@
 struct MemoryRun
 {
   std::uint32_t mRun = 0;
+  /// Worker's clock at its start.
+  std::int64_t mStartedAt = 0;
   /// Worker's clock at which the task is done; never for a lasting task.
   std::int64_t mDoneAt = 0;
   /// Worker's clock at which the task crashes it; never for most tasks.
@@ -79,6 +81,15 @@
   Duration mCrashesAfter{ 0 };
 };
 
+/// Crashes of workers that ran a task.
+struct CrashTally
+{
+  int mCrashes = 0;
+  /// The task was alone on the worker at one of them after the first, and had
+  /// run so shortly that no report may have cleared it.
+  bool mWasAlone = false;
+};
+
 struct MemoryFleet
 {
   std::mt19937_64 mRandom;
@@ -104,6 +115,8 @@
   std::map<std::string, TimePoint> mNoStartInFrom;
   /// Jobs of which a task has started.
   std::set<JobId> mBegun;
+  /// Crashes of all workers, by task that ran there.
+  std::map<TaskId, CrashTally> mCrashedUnder;
   /// Number of workers that each deadly task has crashed.
   std::map<TaskId, int> mCrashes;
   /// Starts of each deadly task after the third of these crashes.
