Tests: Let the fleet's workers be down for some time and return under their id

Cause: the stand-in restarts a worker in no time, so no call that was meant for the former incarnation reaches the next one, except late starts.

Change: a worker may be down between `Crash` and `Return`. Calls that are sent meanwhile reach the next incarnation when it is back, or later and unanswered: starts, stops, and renewals with their lease and their acknowledgement. A renewal under way breaks when its worker crashes. The longest lease is a setting of the fleet. Entries of workers carry their incarnation.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -83,6 +83,7 @@
   settings.mInternalPorts = { 1, 2 };
   settings.mProcessors = this->mSizes.at(aName);
   settings.mWorkersPerShard = this->mOptions.mWorkers / this->mOptions.mShards;
+  settings.mBounds.mMaxLeaseMs = Duration(this->mWorkers.mMaxLeaseMs);
   NodeLife life;
   life.mIo = std::make_unique<asio::io_context>(1);
   life.mNode = std::make_unique<NodeContext>(*life.mIo, settings);
@@ -112,7 +113,9 @@
       entry.mAddress = "127.0.0.1:9";
       entry.mIsDraining = aText.ends_with(kDraining);
       entry.mLeavesInMs = kDrainTime.count();
-      entry.mDataCentre = aText.substr(0, aText.find(' '));
+      const auto space = aText.find(' ');
+      entry.mDataCentre = aText.substr(0, space);
+      entry.mIncarnation = std::stoll(std::string(aText.substr(space)));
       entry.mCapacity.mMilliCpu = kWorkerCpu;
       entry.mCapacity.mMemoryMb = kWorkerCpu;
       return std::optional(entry);
--- a/Tests/Fleet/vcFleetReleases.cxx
+++ b/Tests/Fleet/vcFleetReleases.cxx
@@ -31,9 +31,11 @@
 
 void Fleet::SetEntry(const std::string& aName, const std::string& aSuffix)
 {
-  const std::string& dataCentre = this->mWorkers.mWorkers.at(aName).mDataCentre;
+  const MemoryWorker& worker = this->mWorkers.mWorkers.at(aName);
+  const std::string text =
+    fmt::format("{} {}{}", worker.mDataCentre, worker.mIncarnation, aSuffix);
   KvTransaction write;
-  write.mPuts.push_back({ kWorkersPrefix + aName, dataCentre + aSuffix, 0 });
+  write.mPuts.push_back({ kWorkersPrefix + aName, text, 0 });
   CommitNow(this->mStore, write);
 }
 
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -12,12 +12,17 @@
 
 namespace {
 
-constexpr std::int64_t kMaxLeaseMs = 6'000;
 constexpr Duration kAnswerTime{ 2 };
 constexpr Duration kOrderTimeout{ 1'000 };
 constexpr Duration kReportPoll{ 10 };
 constexpr int kShortestLateMs = 1'000;
 constexpr int kLongestLateMs = 8'000;
+/// Part of the calls to a worker that is down, in percent, that arrive late and
+/// aren't answered, and how late the soonest of them arrive. Half of them are
+/// as late as late orders.
+constexpr int kHeldPercent = 50;
+constexpr int kShortestHeldMs = 300;
+constexpr int kShortHeldMs = 1'500;
 /// An end counts as known this long after its worker has listed it.
 constexpr Duration kKnownAfter{ 100 };
 /// Timeouts of calls over a limited link, as on the platform.
@@ -130,8 +135,9 @@
   if (clock > aOrder.mNotAfter) {
     return OrderOutcome::kLate;
   }
-  aWorker.mLeaseUntil = std::max(
-    aWorker.mLeaseUntil, std::min(aOrder.mNotAfter, clock + kMaxLeaseMs));
+  aWorker.mLeaseUntil =
+    std::max(aWorker.mLeaseUntil,
+             std::min(aOrder.mNotAfter, clock + aFleet.mMaxLeaseMs));
   const auto there = aWorker.mRuns.find(aOrder.mTask);
   if (there != aWorker.mRuns.end()) {
     return there->second.mRun == aOrder.mRun ? OrderOutcome::kDone
@@ -182,6 +188,54 @@
   return share(aFleet.mRandom) < aWorker.mLateShare;
 }
 
+asio::awaitable<void> SleepUntil(TimePoint aUntil)
+{
+  const Duration left = aUntil - SuspendAwareNow();
+  if (left > Duration(0)) {
+    co_await Sleep(left);
+  }
+}
+
+/// Time after which a call to a worker that is down arrives unanswered; nothing
+/// if it arrives once the worker is back.
+std::optional<Duration> DrawHeldTime(MemoryFleet& aFleet)
+{
+  std::uniform_int_distribution<int> percent(1, 100);
+  if (percent(aFleet.mRandom) > kHeldPercent) {
+    return std::nullopt;
+  }
+  const bool isShort = percent(aFleet.mRandom) <= 50;
+  std::uniform_int_distribution<int> late(
+    isShort ? kShortestHeldMs : kShortestLateMs,
+    isShort ? kShortHeldMs : kLongestLateMs);
+  return Duration(late(aFleet.mRandom));
+}
+
+/// Holds a call while its worker is down.
+/// @return false if the caller gets no answer
+asio::awaitable<bool> AwaitReturn(
+  MemoryFleet& aFleet,
+  std::string aWorker,
+  Duration aTimeout,
+  std::function<void(MemoryWorker&, TimePoint)> aDo)
+{
+  const MemoryWorker& worker = aFleet.mWorkers.at(aWorker);
+  if (!worker.mIsDown) {
+    co_return true;
+  }
+  const TimePoint now = SuspendAwareNow();
+  const auto held = DrawHeldTime(aFleet);
+  if (held) {
+    aFleet.mLate.push_back({ now + *held, aWorker, std::move(aDo) });
+    co_await SleepUntil(now + aTimeout);
+    co_return false;
+  }
+  while (worker.mIsDown && SuspendAwareNow() < now + aTimeout) {
+    co_await Sleep(kReportPoll);
+  }
+  co_return !worker.mIsDown;
+}
+
 /// True if `aFrom` has a time for `aKey` and it has come.
 bool IsForbidden(const std::map<std::string, TimePoint>& aFrom,
                  const std::string& aKey)
@@ -213,6 +267,12 @@
 {
   co_await Sleep(kAnswerTime);
   MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
+  const auto start = [&aFleet, aOrder](MemoryWorker& aWorker, TimePoint aNow) {
+    StartRun(aFleet, aWorker, aOrder, aNow);
+  };
+  if (!co_await AwaitReturn(aFleet, aTo.mWorker, kOrderTimeout, start)) {
+    co_return OrderReply{};
+  }
   if (!IsReached(worker, aCaller)) {
     co_await Sleep(kOrderTimeout);
     co_return OrderReply{};
@@ -223,7 +283,7 @@
   if (IsLate(aFleet, worker)) {
     std::uniform_int_distribution<int> late(kShortestLateMs, kLongestLateMs);
     const TimePoint at = SuspendAwareNow() + Duration(late(aFleet.mRandom));
-    aFleet.mLate.push_back({ at, aTo.mWorker, std::move(aOrder) });
+    aFleet.mLate.push_back({ at, aTo.mWorker, start });
     co_await Sleep(kOrderTimeout);
     co_return OrderReply{};
   }
@@ -237,6 +297,23 @@
   co_return reply;
 }
 
+OrderOutcome StopRun(MemoryFleet& aFleet,
+                     MemoryWorker& aWorker,
+                     const StopOrder& aOrder)
+{
+  if (aOrder.mEpoch < aWorker.mFence) {
+    return OrderOutcome::kStaleEpoch;
+  }
+  aWorker.mFence = aOrder.mEpoch;
+  auto& highest = aWorker.mHighest[aOrder.mTask];
+  highest = std::max(highest, aOrder.mRun);
+  const auto run = aWorker.mRuns.find(aOrder.mTask);
+  if (run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
+    EndRun(aFleet, aWorker, aOrder.mTask, RunEnd::kStopped);
+  }
+  return OrderOutcome::kDone;
+}
+
 asio::awaitable<OrderReply> Stop(MemoryFleet& aFleet,
                                  std::string aCaller,
                                  WorkerAddress aTo,
@@ -244,6 +321,12 @@
 {
   co_await Sleep(kAnswerTime);
   MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
+  const auto stop = [&aFleet, aOrder](MemoryWorker& aWorker, TimePoint) {
+    StopRun(aFleet, aWorker, aOrder);
+  };
+  if (!co_await AwaitReturn(aFleet, aTo.mWorker, kOrderTimeout, stop)) {
+    co_return OrderReply{};
+  }
   if (!IsReached(worker, aCaller)) {
     co_await Sleep(kOrderTimeout);
     co_return OrderReply{};
@@ -253,18 +336,7 @@
   }
   OrderReply reply;
   reply.mClock = ClockOf(worker, SuspendAwareNow());
-  reply.mOutcome = OrderOutcome::kStaleEpoch;
-  if (aOrder.mEpoch < worker.mFence) {
-    co_return reply;
-  }
-  worker.mFence = aOrder.mEpoch;
-  auto& highest = worker.mHighest[aOrder.mTask];
-  highest = std::max(highest, aOrder.mRun);
-  const auto run = worker.mRuns.find(aOrder.mTask);
-  if (run != worker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
-    EndRun(aFleet, worker, aOrder.mTask, RunEnd::kStopped);
-  }
-  reply.mOutcome = OrderOutcome::kDone;
+  reply.mOutcome = StopRun(aFleet, worker, aOrder);
   co_return reply;
 }
 
@@ -300,6 +372,27 @@
   return report;
 }
 
+/// Does what a renewal orders.
+/// @return false if its epoch is stale
+bool ApplyRenewal(MemoryFleet& aFleet,
+                  MemoryWorker& aWorker,
+                  const RenewOrder& aOrder,
+                  TimePoint aNow)
+{
+  if (aOrder.mEpoch < aWorker.mFence) {
+    return false;
+  }
+  aWorker.mFence = aOrder.mEpoch;
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  if (aOrder.mLeaseUntil > 0) {
+    aWorker.mLeaseUntil =
+      std::max(aWorker.mLeaseUntil,
+               std::min(aOrder.mLeaseUntil, clock + aFleet.mMaxLeaseMs));
+  }
+  Acknowledge(aFleet, aWorker, aOrder.mAckIndex);
+  return true;
+}
+
 asio::awaitable<WorkerReport> Renew(MemoryFleet& aFleet,
                                     std::string aCaller,
                                     WorkerAddress aTo,
@@ -307,34 +400,38 @@
 {
   co_await Sleep(kAnswerTime);
   MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
-  const std::int64_t born = worker.mIncarnation;
+  const auto renew = [&aFleet, aOrder](MemoryWorker& aWorker, TimePoint aNow) {
+    ApplyRenewal(aFleet, aWorker, aOrder, aNow);
+  };
+  const Duration timeout = aOrder.mWait + kOrderTimeout;
   WorkerReport report;
+  if (!co_await AwaitReturn(aFleet, aTo.mWorker, timeout, renew)) {
+    co_return report;
+  }
+  const std::int64_t born = worker.mIncarnation;
   if (std::exchange(worker.mIsMalformedNext, false)) {
     throw std::runtime_error("a report that can't be");
   }
   if (!IsReached(worker, aCaller)) {
-    co_await Sleep(aOrder.mWait + kOrderTimeout);
+    co_await Sleep(timeout);
     co_return report;
   }
   if (worker.mIsReplaced) {
     report.mOutcome = OrderOutcome::kOtherIncarnation;
     co_return report;
   }
-  if (aOrder.mEpoch < worker.mFence) {
+  if (!ApplyRenewal(aFleet, worker, aOrder, SuspendAwareNow())) {
     report.mOutcome = OrderOutcome::kStaleEpoch;
     co_return report;
   }
-  worker.mFence = aOrder.mEpoch;
-  const std::int64_t clock = ClockOf(worker, SuspendAwareNow());
-  if (aOrder.mLeaseUntil > 0) {
-    worker.mLeaseUntil = std::max(
-      worker.mLeaseUntil, std::min(aOrder.mLeaseUntil, clock + kMaxLeaseMs));
-  }
-  Acknowledge(aFleet, worker, aOrder.mAckIndex);
   const TimePoint until = SuspendAwareNow() + aOrder.mWait;
-  while (worker.mEnds.empty() && SuspendAwareNow() < until) {
+  while (worker.mEnds.empty() && !worker.mIsDown && SuspendAwareNow() < until) {
     co_await Sleep(kReportPoll);
   }
+  if (worker.mIsDown) {
+    report.mOutcome = OrderOutcome::kBroken;
+    co_return report;
+  }
   const bool isAnswered =
     IsReached(worker, aCaller) && worker.mIncarnation == born;
   if (isAnswered) {
@@ -396,14 +493,6 @@
   return kReportBytes + kRowBytes * static_cast<double>(rows);
 }
 
-asio::awaitable<void> SleepUntil(TimePoint aUntil)
-{
-  const Duration left = aUntil - SuspendAwareNow();
-  if (left > Duration(0)) {
-    co_await Sleep(left);
-  }
-}
-
 /// Carries a call, serves it and carries its reply, however long that takes.
 template<class Reply>
 asio::awaitable<void> Carry(NodeLink& aLink,
@@ -528,9 +617,10 @@
 
 void Advance(MemoryFleet& aFleet, TimePoint aNow)
 {
-  std::vector<LateStart> due;
-  std::erase_if(aFleet.mLate, [&](const LateStart& aRow) {
-    const bool isDue = aRow.mAt <= aNow;
+  std::vector<LateCall> due;
+  std::erase_if(aFleet.mLate, [&](const LateCall& aRow) {
+    const bool isDue =
+      aRow.mAt <= aNow && !aFleet.mWorkers.at(aRow.mWorker).mIsDown;
     if (isDue) {
       due.push_back(aRow);
     }
@@ -540,7 +630,7 @@
     MemoryWorker& worker = aFleet.mWorkers.at(row.mWorker);
     // No process is there, or one with another id, which refuses it.
     if (!worker.mIsGone && !worker.mIsReplaced) {
-      StartRun(aFleet, worker, row.mOrder, aNow);
+      row.mDo(worker, aNow);
     }
   }
   for (auto& [name, worker] : aFleet.mWorkers) {
@@ -573,6 +663,19 @@
   worker = std::move(fresh);
 }
 
+void Crash(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow)
+{
+  Restart(aFleet, aWorker, aNow);
+  aFleet.mWorkers.at(aWorker).mIsDown = true;
+}
+
+void Return(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow)
+{
+  MemoryWorker& worker = aFleet.mWorkers.at(aWorker);
+  worker.mIsDown = false;
+  worker.mClockStart = aNow;
+}
+
 WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, const std::string& aCaller)
 {
   WorkerPort port;
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -1,11 +1,12 @@
 #pragma once
 
 /// Workers in memory for the nodes of a test: fences, leases, runs, ends and
-/// late orders, and the judge of what runs where.
+/// late calls, and the judge of what runs where.
 
 #include "vcFleetLink.h"
 #include "vcNode.h"
 
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -53,14 +54,18 @@
   bool mIsReplaced = false;
   /// Its process has ended and hasn't started again.
   bool mIsGone = false;
+  /// Its process has ended and starts again soon, under the same id. Calls that
+  /// are sent meanwhile reach the next incarnation.
+  bool mIsDown = false;
 };
 
-/// A start that reaches its worker late.
-struct LateStart
+/// A call that reaches its worker late and isn't answered.
+struct LateCall
 {
   TimePoint mAt{ 0 };
   std::string mWorker;
-  StartOrder mOrder;
+  /// What the worker does then.
+  std::function<void(MemoryWorker& aWorker, TimePoint aNow)> mDo;
 };
 
 /// The first reply in which a worker listed an end, whether or not anybody
@@ -94,7 +99,9 @@
 {
   std::mt19937_64 mRandom;
   std::map<std::string, MemoryWorker> mWorkers;
-  std::vector<LateStart> mLate;
+  std::vector<LateCall> mLate;
+  /// Longest lease that a worker grants, in ms.
+  std::int64_t mMaxLeaseMs = 6'000;
   std::map<TaskId, TaskPlan> mPlans;
   /// Where each task runs; more than one place breaks the promise.
   std::map<TaskId, std::set<std::string>> mRunning;
@@ -138,6 +145,12 @@
 /// The worker loses what it runs and starts anew under its name.
 void Restart(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow);
 
+/// The worker crashes and is down until it returns.
+void Crash(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow);
+
+/// A worker that is down is back under its name, with a clock that starts now.
+void Return(MemoryFleet& aFleet, const std::string& aWorker, TimePoint aNow);
+
 /// The workers' calls as the node `aCaller` makes them.
 WorkerPort MakeMemoryWorkers(MemoryFleet& aFleet, const std::string& aCaller);
 
