Tests: Play workers that restart under their ids and are cut off

Change: the play `restarts-under-id`. Workers grant 10 s, owners ask for 8.5 s at most. Beside the common judges, the owner may change only within 4 s of the loss of one.

Plays don't repeat exactly, since processor time is measured.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -20,6 +20,8 @@
 constexpr double kLargeNode = 1;
 /// Calm after these faults, in which lost tasks are started again.
 constexpr Duration kCalmAfterSmallNodes{ 22'000 };
+/// Longer than the 8.5 s for which an owner may ask.
+constexpr std::int64_t kLongMaxLeaseMs = 10'000;
 
 } // namespace
 
@@ -191,6 +193,9 @@
 void Fleet::SetUp()
 {
   UseManualTime(this->mNow);
+  if (this->mOptions.mPlay == FleetPlay::kRestartsUnderId) {
+    this->mWorkers.mMaxLeaseMs = kLongMaxLeaseMs;
+  }
   this->DrawSizes();
   KvTransaction write;
   write.mPuts.push_back({ kConfig, "{}", 0 });
@@ -227,6 +232,8 @@
     this->ScheduleLeavesBeforeSettled();
   } else if (this->mOptions.mPlay == FleetPlay::kLateClaims) {
     this->ScheduleLateClaims();
+  } else if (this->mOptions.mPlay == FleetPlay::kRestartsUnderId) {
+    this->ScheduleRestarts();
   } else if (this->mOptions.mPlay == FleetPlay::kChokedOwner) {
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -70,6 +70,12 @@
   /// nodes that are left claim the shard late: all but the owner are small. The
   /// long-running tasks of these workers run again in time.
   kLateClaims,
+  /// Several times some workers crash together, are back under their ids soon
+  /// and are cut off for some seconds soon after that. Calls that are sent
+  /// while a worker is down reach its next incarnation. In half of the seeds an
+  /// owner is killed or paused at that time. Workers grant longer leases than
+  /// owners may ask for.
+  kRestartsUnderId,
 };
 
 template<>
@@ -90,6 +96,7 @@
     { FleetPlay::kLeavesBeforeSettled, "leaves-before-settled" },
     { FleetPlay::kLossesAndLeaves, "losses-and-leaves" },
     { FleetPlay::kLateClaims, "late-claims" },
+    { FleetPlay::kRestartsUnderId, "restarts-under-id" },
   });
 };
 
@@ -103,7 +110,8 @@
          aPlay == FleetPlay::kOwnersLostInSeries ||
          aPlay == FleetPlay::kLeavesBeforeSettled ||
          aPlay == FleetPlay::kLossesAndLeaves ||
-         aPlay == FleetPlay::kLateClaims;
+         aPlay == FleetPlay::kLateClaims ||
+         aPlay == FleetPlay::kRestartsUnderId;
 }
 
 struct FleetOptions
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -134,7 +134,8 @@
   // Enough workers that some are left while others are down.
   constexpr std::uint32_t kManyWorkers = 12;
   const bool hasDeadlyTasks = aOptions.mPlay == FleetPlay::kDeadlyTasks;
-  const bool losesMany = hasDeadlyTasks || isLeaves;
+  const bool losesMany =
+    hasDeadlyTasks || isLeaves || aOptions.mPlay == FleetPlay::kRestartsUnderId;
   if (losesMany) {
     aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
   }
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -255,6 +255,16 @@
   /// Ends that.
   void EndClaimDelay(ClaimDelay aDelay, const std::string& aOwner);
 
+  // Restarts under the same id.
+  void ScheduleRestarts();
+  /// Some workers crash together, return and are cut off.
+  /// @return when the last of them is reached again
+  TimePoint ScheduleRestartsAt(TimePoint aAt);
+  void ScheduleLossBesideRestarts(TimePoint aAt);
+  /// Judges a claim of the first shard that has just come: an owner has to have
+  /// been lost shortly before.
+  void JudgeClaim();
+
   // Planned work after losses.
   void ScheduleLeavesBeforeSettled();
   /// The workers that the fleet begins with, in a drawn order.
@@ -346,6 +356,9 @@
   std::uint64_t mClaim = 0;
   TimePoint mClaimedAt = kStart;
   TimePoint mWorkersGoneAt = kStart;
+  /// When an owner was lost that no other has followed yet; `kNever` if none
+  /// was. Only the play of restarts sets it.
+  TimePoint mOwnerLostAt{ kNever };
   /// What the owners that were lost in series have waited for these workers,
   /// as far as it counts for the next one.
   Duration mWaited{ 0 };
--- a/Tests/Fleet/vcFleetTakeovers.cxx
+++ b/Tests/Fleet/vcFleetTakeovers.cxx
@@ -238,6 +238,7 @@
   if (claim == this->mClaim) {
     return;
   }
+  this->JudgeClaim();
   this->mClaim = claim;
   this->mClaimedAt = this->mNow;
   if (this->mIsClaimAwaited) {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -88,6 +88,7 @@
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
+  Tests/Fleet/vcFleetRestarts.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
