--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -149,6 +149,10 @@
 # The same on links that are wide enough and processors that are fast enough.
 verbenacroft_fleet(unchoked_owner
   --play choked-owner --seeds 1..40 --link-factor 4)
+# Guards against calls for a worker's former incarnation that take effect in the
+# next one: two runs of a task at once, or a start after an end that such a call
+# has acknowledged.
+verbenacroft_fleet(restarts_under_id --play restarts-under-id --seeds 1..40)
 # Guards against a task that crashes one worker after another, and against other
 # jobs that fail because they ran beside it.
 verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
