Dispatch: Start nothing where an answer shows a restart

What callers may see: a task runs again after its end (TWICE).

Once such an answer or discovery shows a restart, nothing starts there and no lease is renewed until the worker has reported. The unit test "an answer with an earlier clock confirms no start" also asks for that now.

--- a/Source/Dispatch/vcIncarnationFence.cxx
+++ b/Source/Dispatch/vcIncarnationFence.cxx
@@ -135,7 +135,8 @@
     aWorker.mRecordedIncarnation != aWorker.mIncarnation;
   const bool isOtherListed = aWorker.mIncarnation != 0 &&
                              aWorker.mEntry.mIncarnation > aWorker.mIncarnation;
-  return isOtherRecorded || isOtherListed ||
+  const bool isUnmet = aWorker.mUnmetRestartAt != kNever;
+  return isOtherRecorded || isOtherListed || isUnmet ||
          MayOutlastNextWait(aShard, aWorker);
 }
 
--- a/Tests/Unit/vcIncarnationFenceTest.cxx
+++ b/Tests/Unit/vcIncarnationFenceTest.cxx
@@ -240,6 +240,9 @@
   OnStartReply(
     shard.mShard, starts[0].mWorker, starts[0].mOrder, done, shard.mNow);
   CHECK(shard.Task().mPhase == row.mPhase);
+  // Nothing else is started there until the new incarnation has reported.
+  const auto& worker = shard.mShard.mWorkers.at(starts[0].mWorker);
+  CHECK(IsHeldBack(shard.mShard, worker) == (row.mPhase != RunPhase::kRunning));
 }
 
 // Guards against a lost owner's tasks that start elsewhere while a call to the
