Dispatch: Keep starts and acknowledgements to one worker apart

Cause: a start and an acknowledgement that are both under way when their worker crashes reach its next incarnation. The run of the start ends there, the acknowledgement covers that end, and nobody has read it: the first report lists nothing, and the task starts again. The fence doesn't help, since both arrive before the owner has met the new incarnation.

Change: a renewal carries no acknowledgement while a start to its worker is unanswered, and no start is sent while one with an acknowledgement is, or while the worker doesn't answer. A renewal with an acknowledgement is answered at once, so starts wait for one round trip.

--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -82,6 +82,17 @@
                quarantine.count());
 }
 
+/// True if a start was ordered there that hasn't been answered.
+bool HasUnansweredStart(const DispatchShard& aShard,
+                        const DispatchWorker& aWorker)
+{
+  return std::any_of(
+    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
+      const DispatchTask& task = *FindTask(aShard, aKey);
+      return task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
+    });
+}
+
 /// True if the worker refuses this owner's present token, so it has seen that
 /// of a next owner. Orders to an earlier incarnation have a lower one.
 bool IsRefusedForNextOwner(const DispatchShard& aShard,
@@ -302,14 +313,17 @@
     return order;
   }
   aWorker.mIsTokenUnused = false;
-  // A renewal that reaches a new incarnation would discard ends that were never
-  // processed here, so none says more than this one has to know.
-  const bool mustAck = aWorker.mAckIndex > aWorker.mAnsweredAckIndex;
+  // If both reached a new incarnation, the renewal would discard the end of the
+  // start's run before it was processed here. So only one of them is under way.
+  const bool mustAck = aWorker.mAckIndex > aWorker.mAnsweredAckIndex &&
+                       !HasUnansweredStart(aShard, aWorker);
   order.mAckIndex = mustAck ? aWorker.mAckIndex : 0;
   aWorker.mSentAckIndex = order.mAckIndex;
   // An inactive worker is asked again soon, since it is used once it is
   // recorded as active.
-  order.mWait = aWorker.mIsInactive ? Duration(0) : aWait;
+  // Starts wait for the answer to an acknowledgement.
+  const bool isAwaited = aWorker.mIsInactive || mustAck;
+  order.mWait = isAwaited ? Duration(0) : aWait;
   // The next owner counts on the end of the runs on workers that aren't active.
   const std::int64_t leaseUntil =
     std::min(clock + aShard.mBounds.mMaxLease.count(),
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -45,6 +45,8 @@
 constexpr Duration kFailedRenewalPause{ 200 };
 /// Pause while a worker that has answered again is still recorded as inactive.
 constexpr Duration kReactivationPause{ 100 };
+/// Pause before a start that may not be sent yet is looked at again.
+constexpr Duration kHeldStartPause{ 5 };
 /// Maximum number of concurrent orders to one worker.
 constexpr int kSendersPerWorker = 2;
 
@@ -58,6 +60,15 @@
   return runs;
 }
 
+/// True if a start may be sent: the worker answers, and no acknowledgement that
+/// could cover the start's end in another incarnation is under way.
+bool MaySendStart(const DispatchWorker& aWorker)
+{
+  const bool isAckUnanswered =
+    aWorker.mSentAckIndex > aWorker.mAnsweredAckIndex;
+  return !aWorker.mIsUnresponsive && !isAckUnanswered;
+}
+
 template<class Rows>
 auto PopFront(Rows& aRows)
 {
@@ -529,7 +540,7 @@
       this->OnCallEnded(reply.mOutcome, SuspendAwareNow() - sentAt);
       OnStopReply(this->mShard, aWorker, order, reply, SuspendAwareNow());
     } else if (!queue.mStarts.empty()) {
-      const StartOrder order = PopFront(queue.mStarts);
+      StartOrder order = PopFront(queue.mStarts);
       if (!IsStartPending(this->mShard, aWorker, order)) {
         continue;
       }
@@ -540,6 +551,11 @@
         this->SchedulePlanning();
         continue;
       }
+      if (!MaySendStart(*worker)) {
+        queue.mStarts.push_front(std::move(order));
+        co_await Sleep(kHeldStartPause);
+        continue;
+      }
       const OrderReply reply =
         co_await this->mNode.mWorkers.mStart(address, order);
       const TimePoint answeredAt = SuspendAwareNow();
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -489,6 +489,16 @@
   CHECK(ackIndex() == 0);
   worker.mAckIndex = 6;
   CHECK(ackIndex() == 6);
+  shard.Report("w1", {}, {});
+  // No acknowledgement is under way together with a start.
+  worker.mAckIndex = 7;
+  shard.Add(1);
+  const auto starts = shard.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  CHECK(ackIndex() == 0);
+  const OrderReply done{ OrderOutcome::kDone, kClock };
+  OnStartReply(shard.mShard, "w1", starts[0].mOrder, done, shard.mNow);
+  CHECK(ackIndex() == 7);
 }
 
 // Load pattern: a queue of steps that no worker can hold, all due before one
