Dispatch: Drop a derived token, ask for silence in one place

- `DispatchWorker::mRenewalToken` always equalled the worker's token while a fence was asked, since both are chosen with the renewal.
- Whether a worker is silent stood in four places; `IsSilent` is one function beside the state now.
- `CommitAsOwner` moves to the owner's other writes.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -175,11 +175,6 @@
          static_cast<double>(together) >= part;
 }
 
-bool IsSilent(const DispatchWorker& aWorker)
-{
-  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
-}
-
 /// Latest possible time of a crash of the worker.
 TimePoint CrashedBy(const DispatchWorker& aWorker,
                     const CrashEvidence& aEvidence,
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -358,8 +358,7 @@
                  aWorker,
                  aReport.mIncarnation);
   }
-  const bool wasSilent = worker->mIsUnresponsive || !worker->mHasAnswered;
-  aShard.mSilenceVersion += wasSilent ? 1 : 0;
+  aShard.mSilenceVersion += IsSilent(*worker) ? 1 : 0;
   worker->mIsUnresponsive = false;
   worker->mIsReplaced = false;
   worker->mLostRuns.clear();
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -64,6 +64,11 @@
   return found == aShard.mJobs.end() ? nullptr : &found->second;
 }
 
+bool IsSilent(const DispatchWorker& aWorker)
+{
+  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
+}
+
 DispatchWorker* FindWorker(DispatchShard& aShard, const std::string& aWorker)
 {
   const auto found = aShard.mWorkers.find(aWorker);
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -322,8 +322,6 @@
   /// Fencing token of the orders to this incarnation, if it is higher than the
   /// shard's epoch.
   std::uint64_t mFencingToken = 0;
-  /// Fencing token of the last renewal.
-  std::uint64_t mRenewalToken = 0;
   /// While the fence is pending: runs that calls for an earlier incarnation
   /// start may last until this time. Else `kNever`.
   TimePoint mLateRunsUntil{ kNever };
@@ -575,6 +573,9 @@
 /// Returns the job with this id, or null.
 DispatchJob* FindJob(DispatchShard& aShard, const JobId& aJob);
 
+/// True if the worker hasn't answered the last renewal, or none yet.
+bool IsSilent(const DispatchWorker& aWorker);
+
 /// Returns the worker with this name, or null.
 DispatchWorker* FindWorker(DispatchShard& aShard, const std::string& aWorker);
 
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -30,11 +30,6 @@
   return aWorker.mClockReadAt + Stretched(left);
 }
 
-bool IsSilent(const DispatchWorker& aWorker)
-{
-  return aWorker.mIsUnresponsive || !aWorker.mHasAnswered;
-}
-
 /// True if nothing runs on the worker and no start that was ordered so far can
 /// begin there. The last report decides, not the list of tasks alone: a task
 /// may be taken off that list, because it is done elsewhere, while its start is
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -286,10 +286,9 @@
     worker.mEntry = entry;
     worker.mEndpoint = *endpoint;
     worker.mIsListed = true;
-    const bool isSilent = worker.mIsUnresponsive || !worker.mHasAnswered;
     const bool hasRestarted =
       worker.mIncarnation != 0 && entry.mIncarnation > worker.mIncarnation;
-    if (isSilent && hasRestarted) {
+    if (IsSilent(worker) && hasRestarted) {
       OnUnmetRestart(aShard, worker, aNow);
     }
   }
--- a/Source/Dispatch/vcIncarnationFence.cxx
+++ b/Source/Dispatch/vcIncarnationFence.cxx
@@ -104,17 +104,15 @@
       aWorker.mFenceStage = FenceStage::kAsked;
     }
   }
-  aWorker.mRenewalToken = FencingTokenOf(aShard, aWorker);
-  return aWorker.mRenewalToken;
+  return FencingTokenOf(aShard, aWorker);
 }
 
 bool CompleteFence(const DispatchShard& aShard,
                    DispatchWorker& aWorker,
                    TimePoint aNow)
 {
-  const bool isAnswered = aWorker.mFenceStage == FenceStage::kAsked &&
-                          aWorker.mRenewalToken == aWorker.mFencingToken;
-  if (!isAnswered) {
+  // The last renewal had the new token: it was chosen with that.
+  if (aWorker.mFenceStage != FenceStage::kAsked) {
     return false;
   }
   PutInForce(aShard, aWorker, aNow);
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -105,6 +105,17 @@
 
 } // namespace
 
+asio::awaitable<KvReply> ShardRunner::CommitAsOwner(KvTransaction aWrite)
+{
+  aWrite.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
+  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(aWrite));
+  UpdateStoreHealth(this->mNode, reply);
+  if (reply.mStatus == KvStatus::kOk) {
+    NoteOwnWrite(this->mShard, reply.mRevision);
+  }
+  co_return reply;
+}
+
 asio::awaitable<void> ShardRunner::RecordPeriodically()
 {
   TimePoint removedAt = SuspendAwareNow();
--- a/Source/Node/vcShardWorkerSet.cxx
+++ b/Source/Node/vcShardWorkerSet.cxx
@@ -271,17 +271,6 @@
   return record;
 }
 
-asio::awaitable<KvReply> ShardRunner::CommitAsOwner(KvTransaction aWrite)
-{
-  aWrite.mConditions.push_back({ OwnerKey(this->mShardNumber), this->Epoch() });
-  const KvReply reply = co_await this->mNode.mStore.mCommit(std::move(aWrite));
-  UpdateStoreHealth(this->mNode, reply);
-  if (reply.mStatus == KvStatus::kOk) {
-    NoteOwnWrite(this->mShard, reply.mRevision);
-  }
-  co_return reply;
-}
-
 asio::awaitable<bool> ShardRunner::RecordWorkerSet()
 {
   if (this->mIsRecordingWorkerSet) {
