--- a/Source/Batch/vcBatchSpec.h
+++ b/Source/Batch/vcBatchSpec.h
@@ -110,11 +110,13 @@
   double mStretch = 1;
   /// Fixed part of the objective, in milliseconds.
   std::int64_t mTargetMs = 0;
+  /// Team that the job belongs to; empty if it belongs to none.
+  std::string mTeam;
 };
 BOOST_DESCRIBE_STRUCT(
   QueueTerms,
   (),
-  (mQueue, mService, mPriority, mMaxAttempts, mStretch, mTargetMs))
+  (mQueue, mService, mPriority, mMaxAttempts, mStretch, mTargetMs, mTeam))
 
 /// A submitted job as it is stored; the record never changes.
 struct BatchRecord
--- a/Source/Batch/vcFleetConfig.h
+++ b/Source/Batch/vcFleetConfig.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Configuration by operators: the queues of jobs, the pools of workers that
-/// run them, and the data centres that are evacuated.
+/// run them, the teams that share them, and the data centres that are
+/// evacuated.
 
 #include "vcBatchSpec.h"
 
@@ -17,13 +18,31 @@
   /// Prefix of the path of the request.
   std::string mPathPrefix;
   QueueTerms mTerms;
+  /// Requests need no team's key.
+  bool mIsOpen = false;
 };
 
-/// The operators' configuration of all queues.
+/// A team that shares the deployment with others.
+struct TeamConfig
+{
+  std::string mName;
+  /// Keys that authenticate the team's callers. They must not be logged.
+  std::vector<std::string> mKeys;
+  /// Share of the team, relative to those of the others, when there isn't room
+  /// for the work of all.
+  double mWeight = 1;
+  /// Most that the team's tasks may use at the same time on all workers. A
+  /// resource of 0 has no limit.
+  Resources mLimit;
+};
+
+/// The operators' configuration of all queues and teams.
 struct FleetConfig
 {
   std::uint64_t mVersion = 0;
   std::vector<QueueConfig> mQueues;
+  /// Empty if the deployment has no teams; then no request needs a key.
+  std::vector<TeamConfig> mTeams;
 };
 
 /// Settings by operators, as last read by a node.
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -5,9 +5,11 @@
 #include "vcDispatchReservations.h"
 #include "vcDispatchSharing.h"
 #include "vcDispatchSuccession.h"
+#include "vcOverload.h"
 #include "vcPlacementRound.h"
 #include "vcProbeStarts.h"
 #include "vcSuspectStarts.h"
+#include "vcTeamQuota.h"
 
 #include <algorithm>
 #include <optional>
@@ -63,6 +65,9 @@
     if (!IsWaiting(job, task, aRound.mHeld, aRound.mNow)) {
       continue;
     }
+    if (!MayTeamStart(aShard, job, needs.mStep, 1)) {
+      return;
+    }
     DispatchWorker* worker = workers.TakeBest(task.mAvoidedWorker);
     if (worker == nullptr) {
       // If the step limits its tasks per worker, other steps may still fit.
@@ -71,6 +76,12 @@
       }
       return;
     }
+    const bool awaitsRack =
+      AwaitsRack(aShard, needs, key, *worker, aRound.mRackPlaces, aRound.mNow);
+    if (awaitsRack) {
+      workers.PutBack(*worker);
+      continue;
+    }
     ++needs.mOnWorker[worker->mEntry.mWorker];
     StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
     workers.PutBack(*worker);
@@ -100,7 +111,8 @@
     const TimePoint since = std::max(readyAt, task.mWaitingSince);
     const bool mayStart = aShard.mStartBudget > 0 &&
                           IsWaiting(job, task, aRound.mHeld, aRound.mNow) &&
-                          aRound.mNow - since >= kTakesKeptRoomAfter;
+                          aRound.mNow - since >= kTakesKeptRoomAfter &&
+                          MayTeamStart(aShard, job, needs.mStep, 1);
     if (!mayStart) {
       continue;
     }
@@ -137,6 +149,9 @@
     }
     run = std::max(run, task.mHighestRun);
   }
+  if (!MayTeamStart(aShard, job, needs.mStep, needs.mStep.mCount)) {
+    return;
+  }
   StepWorkers workers(
     aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
   std::vector<std::string> chosen;
@@ -178,7 +193,9 @@
   const std::string& service = job.mRecord.mTerms.mService;
   const StepSpec& step = StepOf(job, first);
   const auto& workers = aRound.mUsable[service];
-  if (aRequest.mWorkers == 0) {
+  const bool isNeeded =
+    aRequest.mWorkers > 0 && MayTeamStart(aShard, job, step, 1);
+  if (!isNeeded) {
     EndReservation(first, workers);
     return;
   }
@@ -271,7 +288,8 @@
     std::find(usable.begin(), usable.end(), worker) != usable.end();
   const DispatchTask& task = state.mTasks[key.mIndex];
   const bool fits =
-    isUsable && task.mAvoidedWorker != worker->mEntry.mWorker &&
+    isUsable && MayTeamStart(aShard, job, needs.mStep, 1) &&
+    task.mAvoidedWorker != worker->mEntry.mWorker &&
     IsAllowed(needs, *worker) &&
     std::holds_alternative<double>(CostOf(aShard, needs, *worker, aRound.mNow));
   if (!fits) {
@@ -333,9 +351,8 @@
     return;
   }
   if (!IsTurn(aCandidate.mTier)) {
-    const KeptRoomUse use = aCandidate.mTier == Tier::kLate
-                              ? KeptRoomUse::kLeave
-                              : KeptRoomUse::kTake;
+    const bool isLate = aCandidate.mTier >= Tier::kLate;
+    const KeptRoomUse use = isLate ? KeptRoomUse::kLeave : KeptRoomUse::kTake;
     StartIndividually(aShard, first, step.mCount, use, aRound, aActions);
     if (step.mIsLasting) {
       StartInQuarantine(aShard, first, aRound, aActions);
@@ -423,6 +440,19 @@
   return true;
 }
 
+/// True if a task of one of the steps still waits and isn't long-running.
+bool HasWaitingTasks(const DispatchShard& aShard,
+                     const std::vector<Candidate>& aSteps,
+                     const Round& aRound)
+{
+  return std::any_of(aSteps.begin(), aSteps.end(), [&](const Candidate& aStep) {
+    const DispatchJob& job = aShard.mJobs.at(aStep.mFirstTask.mJob);
+    const DispatchStep& state = StepStateOf(job, aStep.mFirstTask);
+    return !StepOf(job, aStep.mFirstTask).mIsLasting &&
+           FirstWaiting(job, state, aRound) < state.mTasks.size();
+  });
+}
+
 } // namespace
 
 std::vector<TaskId> ReadySteps(const DispatchShard& aShard,
@@ -441,6 +471,12 @@
                         TimePoint aNow)
 {
   const StepNeeds needs = NeedsOf(aShard, aKey);
+  if (!MayTeamStart(aShard, needs.mJob, needs.mStep, 1)) {
+    return WaitReason::kTeamLimit;
+  }
+  if (aNow < FindTask(aShard, aKey)->mAwaitsRackUntil) {
+    return WaitReason::kAwaitsRack;
+  }
   WaitReason nearest = WaitReason::kNotAllowed;
   for (const auto& [name, worker] : aShard.mWorkers) {
     nearest = std::max(nearest, RefusalOf(aShard, needs, worker, aNow));
@@ -458,18 +494,22 @@
     return;
   }
   Round round = MakeRound(aShard, aNow, aNowMs);
+  CountUnseenRuns(aShard, round.mHeld);
   std::vector<Candidate> steps;
   for (const auto& [id, job] : aShard.mJobs) {
     if (!IsFinal(job.mState)) {
       CollectSteps(aShard, job, round.mHeld, aNow, aNowMs, steps);
     }
   }
+  DemoteUnderOverload(aShard, steps, aNow);
   std::sort(steps.begin(), steps.end(), ComesBefore);
   StartSuspects(aShard, steps, round, aActions);
-  const auto candidates = WithTurns(aShard, steps, round.mKept, aNow, aNowMs);
+  auto candidates = WithTurns(aShard, steps, round.mKept, aNow, aNowMs);
+  OrderByTeamShare(aShard, candidates);
   if (StartInOrder(aShard, candidates, round, aActions)) {
     StartProbes(aShard, steps, round, aActions);
   }
+  aShard.mHasWaitingTasks = HasWaitingTasks(aShard, steps, round);
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -53,12 +53,13 @@
 /// Counts the runs to stop that the report lists: they use their worker's
 /// capacity until it lists their end, also if it accepts starts beyond that. A
 /// run whose needs aren't known may use all of it.
-void CountRunsToStop(const DispatchShard& aShard,
+void CountRunsToStop(DispatchShard& aShard,
                      DispatchWorker& aWorker,
                      const WorkerReport& aReport,
                      TimePoint aNow)
 {
   Resources used;
+  std::map<std::string, Resources> teamUsed;
   bool isClosed = false;
   for (const auto& row : aReport.mRunning) {
     const DispatchTask* task = FindTask(aShard, row.mTask);
@@ -74,8 +75,13 @@
                                 task->mRun == row.mRun;
     if (!isAssignedHere) {
       used += CountedNeeds(*step);
+      const auto& terms = aShard.mJobs.at(row.mTask.mJob).mRecord.mTerms;
+      if (!terms.mTeam.empty()) {
+        teamUsed[terms.mTeam] += step->mNeeds;
+      }
     }
   }
+  SetTeamRunsToStop(aShard, aWorker, std::move(teamUsed));
   SetUsedByRunsToStop(
     aWorker, isClosed ? ElementwiseMax(used, aWorker.mEntry.mCapacity) : used);
 }
@@ -120,6 +126,7 @@
   aWorker.mIsReportedIdle = false;
   aWorker.mRunsToStop.clear();
   SetUsedByRunsToStop(aWorker, {});
+  SetTeamRunsToStop(aShard, aWorker, {});
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
     task.mFirstSeenClock = 0;
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -35,6 +35,25 @@
   }
 }
 
+/// Adds a task of the step to what the job's team uses (`aSign` is 1), or
+/// subtracts it (-1).
+void CountTeamUse(DispatchShard& aShard,
+                  const DispatchJob& aJob,
+                  const StepSpec& aStep,
+                  int aSign)
+{
+  const std::string& team = aJob.mRecord.mTerms.mTeam;
+  if (team.empty()) {
+    return;
+  }
+  Resources& known = aShard.mTeamUse[team].mKnown;
+  if (aSign > 0) {
+    known += aStep.mNeeds;
+  } else {
+    known -= aStep.mNeeds;
+  }
+}
+
 /// The task with this id, or null; constant if the shard is.
 template<class Shard>
 auto FindTaskIn(Shard& aShard, const TaskId& aKey)
@@ -132,6 +151,19 @@
   aWorker.mUsed += aUsed;
 }
 
+void SetTeamRunsToStop(DispatchShard& aShard,
+                       DispatchWorker& aWorker,
+                       std::map<std::string, Resources> aUsed)
+{
+  for (const auto& [team, used] : aWorker.mTeamRunsToStop) {
+    aShard.mTeamUse[team].mKnown -= used;
+  }
+  aWorker.mTeamRunsToStop = std::move(aUsed);
+  for (const auto& [team, used] : aWorker.mTeamRunsToStop) {
+    aShard.mTeamUse[team].mKnown += used;
+  }
+}
+
 void Assign(DispatchShard& aShard,
             const TaskId& aKey,
             const std::string& aWorker,
@@ -150,11 +182,13 @@
   task.mIsProbe = false;
   task.mIsStartUncertain = false;
   task.mStartBrokenAt = kNever;
+  task.mAwaitsRackUntil = kNever;
   task.mStopSentAt = kNever;
   task.mFirstSeenClock = 0;
   task.mSeenAtWorkFor = Duration(0);
   worker.mTasks.insert(aKey);
   CountNeeds(worker, StepOf(job, aKey), 1);
+  CountTeamUse(aShard, job, StepOf(job, aKey), 1);
   ++job.mActiveRuns;
 }
 
@@ -172,6 +206,7 @@
   DispatchWorker* worker = FindWorker(aShard, task.mWorker);
   if (worker != nullptr && worker->mTasks.erase(aKey) > 0) {
     CountNeeds(*worker, StepOf(job, aKey), -1);
+    CountTeamUse(aShard, job, StepOf(job, aKey), -1);
     --job.mActiveRuns;
     aShard.mSilenceVersion += worker->mIsUnresponsive ? 1 : 0;
   }
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -30,6 +30,9 @@
   Duration mMaxOverTarget{ 4'000 };
   /// How long the final state of a job can be queried after its end.
   Duration mStatus{ 120'000 };
+  /// Run time of a task on another rack than the one that it prefers, as a
+  /// multiple of that on the preferred one.
+  double mFarFactor = 1;
 };
 
 /// Minimum rate of a worker's clock relative to this process's clock. Elapsed
@@ -95,6 +98,9 @@
   /// No start is ordered before this time, after a worker refused one for the
   /// task's own sake.
   TimePoint mRetryAt{ kNever };
+  /// Until then the task waits for a place on its preferred rack
+  /// (vcRackLocality.h); `kNever` if it doesn't.
+  TimePoint mAwaitsRackUntil{ kNever };
   /// From this time on no run of the task can last that this owner doesn't
   /// know, whichever workers haven't answered it. Latest possible time: that
   /// isn't known.
@@ -403,6 +409,8 @@
   /// faulty worker from a faulty job.
   std::set<JobId> mFailedJobs;
   std::map<std::pair<TaskId, std::uint32_t>, RunToStop> mRunsToStop;
+  /// What the runs to stop use, by team, as of the last report.
+  std::map<std::string, Resources> mTeamRunsToStop;
   /// Time of the last report in which no serving task here was close to or over
   /// its latency target.
   TimePoint mOverTargetSince{ kNever };
@@ -480,6 +488,42 @@
   TimePoint mRestartRunsEndAt{ kNever };
 };
 
+/// The last round's overload (vcOverload.h); all 0 without any.
+struct OverloadSummary
+{
+  /// Jobs of the services whose work doesn't fit their processors.
+  std::uint64_t mJobs = 0;
+  /// Of them: jobs that could still be in time and are given up for others.
+  std::uint64_t mGivenUp = 0;
+  /// Of them: jobs whose result has no more use for their callers.
+  std::uint64_t mExpired = 0;
+};
+
+/// Parts into which the limit of a team is divided between the shards.
+constexpr std::uint32_t kWholeTeamShare = 10'000;
+
+/// Quota of a team as the owner of one shard applies it (vcTeamQuota.h).
+struct TeamQuota
+{
+  /// Most that the team's tasks may use on all workers of all shards. A
+  /// resource of 0 has no limit.
+  Resources mLimit;
+  double mWeight = 1;
+  /// Part of the limit that this shard may use, out of `kWholeTeamShare`.
+  std::uint32_t mShare = kWholeTeamShare;
+};
+
+/// What the tasks of a team use on the workers of one shard, best-effort tasks
+/// with all that they request.
+struct TeamUse
+{
+  /// Runs that this owner knows, those included that are being stopped or whose
+  /// start isn't confirmed.
+  Resources mKnown;
+  /// Runs that may last on workers that haven't answered this owner.
+  Resources mUnseen;
+};
+
 /// State of a shard as its owner keeps it.
 struct DispatchShard
 {
@@ -519,6 +563,10 @@
   std::map<std::string, UnansweredWorker> mUnansweredWorkers;
   /// By queue.
   std::map<std::string, RunTimes> mRunTimes;
+  /// By team; empty if the deployment has no teams.
+  std::map<std::string, TeamQuota> mTeams;
+  /// By team, also of teams that aren't configured any more.
+  std::map<std::string, TeamUse> mTeamUse;
   /// Load that best-effort images add to serving images, which the model treats
   /// as their slow-down. The values are the learning rate, the maximum
   /// coefficient and the minimum norm.
@@ -530,6 +578,9 @@
   /// No probe is started before this time.
   TimePoint mNextProbeAt{ kNever };
   RoomTurnover mTurnover;
+  /// After the last round of starts, tasks still waited for room.
+  bool mHasWaitingTasks = false;
+  OverloadSummary mOverload;
   /// This owner is fenced: a worker refused its epoch because it has seen a
   /// higher one.
   bool mIsFenced = false;
@@ -602,6 +653,11 @@
 /// Sets the part of the worker's capacity that runs to stop use.
 void SetUsedByRunsToStop(DispatchWorker& aWorker, const Resources& aUsed);
 
+/// Sets what the worker's runs to stop use, by team.
+void SetTeamRunsToStop(DispatchShard& aShard,
+                       DispatchWorker& aWorker,
+                       std::map<std::string, Resources> aUsed);
+
 /// Assigns run `aRun` of the task to a worker and reserves the capacity that it
 /// needs there.
 void Assign(DispatchShard& aShard,
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -33,6 +33,10 @@
   kBarrier,
   /// Not determined, because other tasks have waited for longer.
   kNotExamined,
+  /// The team of the job has no quota left.
+  kTeamLimit,
+  /// A place on the task's preferred rack is expected soon.
+  kAwaitsRack,
   /// No worker has the service and the label, or the step has its maximum of
   /// tasks on each worker that has.
   kNotAllowed,
@@ -69,6 +73,8 @@
     { WaitReason::kStartsForbidden, "starts-forbidden" },
     { WaitReason::kBarrier, "barrier" },
     { WaitReason::kNotExamined, "not-examined" },
+    { WaitReason::kTeamLimit, "team-limit" },
+    { WaitReason::kAwaitsRack, "awaits-rack" },
     { WaitReason::kNotAllowed, "not-allowed" },
     { WaitReason::kNoWorker, "no-worker" },
     { WaitReason::kNoCapacity, "no-capacity" },
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -82,17 +82,6 @@
                quarantine.count());
 }
 
-/// True if a start was ordered there that hasn't been answered.
-bool HasUnansweredStart(const DispatchShard& aShard,
-                        const DispatchWorker& aWorker)
-{
-  return std::any_of(
-    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      const DispatchTask& task = *FindTask(aShard, aKey);
-      return task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
-    });
-}
-
 /// True if the worker refuses this owner's present token, so it has seen that
 /// of a next owner. Orders to an earlier incarnation have a lower one.
 bool IsRefusedForNextOwner(const DispatchShard& aShard,
@@ -294,6 +283,16 @@
   }
 }
 
+bool HasUnansweredStart(const DispatchShard& aShard,
+                        const DispatchWorker& aWorker)
+{
+  return std::any_of(
+    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
+      const DispatchTask& task = *FindTask(aShard, aKey);
+      return task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
+    });
+}
+
 RenewOrder MakeRenewal(DispatchShard& aShard,
                        DispatchWorker& aWorker,
                        Duration aWait,
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -75,6 +75,12 @@
          aTier == Tier::kLateTurn;
 }
 
+bool HaveSameRank(const Candidate& aLeft, const Candidate& aRight)
+{
+  return GroupOf(aLeft) == GroupOf(aRight) &&
+         aLeft.mPriority == aRight.mPriority && aLeft.mTier == aRight.mTier;
+}
+
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight)
 {
   return RankOf(aLeft) < RankOf(aRight);
--- a/Source/Dispatch/vcPlacementCandidates.h
+++ b/Source/Dispatch/vcPlacementCandidates.h
@@ -31,6 +31,8 @@
   kLateTurn,
   /// As many tasks as fit of a late job.
   kLate,
+  /// The same of a job whose result has no more use for its caller.
+  kExpired,
 };
 
 /// A step with tasks that wait for a start.
@@ -48,6 +50,10 @@
 /// True if only one task of the step starts, of a job that has nothing running.
 bool IsTurn(Tier aTier);
 
+/// True if only their objectives order the candidates: their groups, priorities
+/// and tiers are the same.
+bool HaveSameRank(const Candidate& aLeft, const Candidate& aRight);
+
 /// The order in which candidates start.
 bool ComesBefore(const Candidate& aLeft, const Candidate& aRight);
 
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -2,6 +2,8 @@
 
 #include "vcDispatchReservations.h"
 #include "vcIncarnationFence.h"
+#include "vcRackLocality.h"
+#include "vcTeamQuota.h"
 
 #include <algorithm>
 
@@ -37,6 +39,7 @@
                    job,
                    StepOf(job, aKey),
                    job.mRecord.mTerms.mService,
+                   PreferredRackOf(aShard, job, aKey),
                    CountedNeeds(StepOf(job, aKey)),
                    {},
                    {},
@@ -113,8 +116,7 @@
   constexpr double kOtherRackPenalty = 4;
   constexpr double kWarmUpPenalty = 2;
   double cost = 0;
-  if (!step.mPreferredRack.empty() &&
-      !HasLabel(aWorker.mEntry, step.mPreferredRack)) {
+  if (!aNeeds.mRack.empty() && !HasLabel(aWorker.mEntry, aNeeds.mRack)) {
     cost += kOtherRackPenalty;
   }
   if (aWorker.mEntry.mWarmUpMs > 0) {
--- a/Source/Dispatch/vcPlacementCost.h
+++ b/Source/Dispatch/vcPlacementCost.h
@@ -20,6 +20,8 @@
   const DispatchJob& mJob;
   const StepSpec& mStep;
   const std::string& mService;
+  /// Label of the rack that the tasks should run on; empty if any will do.
+  std::string mRack;
   /// Needs that count against a worker's capacity: those of the step, without
   /// processors for best-effort tasks.
   Resources mCounted;
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -5,6 +5,7 @@
 
 #include "vcPlacementCandidates.h"
 #include "vcPlacementCost.h"
+#include "vcRackLocality.h"
 
 #include <array>
 #include <tuple>
@@ -91,6 +92,7 @@
   FailedPlacements mFailedPlacements;
   /// The same for steps that leave kept rooms to others.
   FailedPlacements mFailedBesideKept;
+  RackPlaces mRackPlaces;
   /// Rooms that are kept for jobs whose only run has just ended.
   KeptRooms mKept;
   /// The same for reservations.
--- a/Source/Dispatch/vcProbeStarts.cxx
+++ b/Source/Dispatch/vcProbeStarts.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchProbes.h"
+#include "vcTeamQuota.h"
 
 #include <algorithm>
 #include <string_view>
@@ -24,8 +25,11 @@
     ProbeStageOf(job, aFirstTask, aRound.mNow, aRound.mNowMs);
   FailedPlacements& failed =
     aRound.mFailedProbes.at(static_cast<std::size_t>(stage));
-  if (failed.IsKnownToFail(job.mRecord.mTerms.mService,
-                           StepOf(job, aFirstTask))) {
+  const StepSpec& step = StepOf(job, aFirstTask);
+  const bool mayStart =
+    MayTeamStart(aShard, job, step, 1) &&
+    !failed.IsKnownToFail(job.mRecord.mTerms.mService, step);
+  if (!mayStart) {
     return;
   }
   StepNeeds needs = NeedsOf(aShard, aFirstTask);
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -1,6 +1,7 @@
 #include "vcSuspectStarts.h"
 
 #include "vcDispatchCrashes.h"
+#include "vcTeamQuota.h"
 
 #include <algorithm>
 #include <tuple>
@@ -88,8 +89,10 @@
     }
     const DispatchTask* suspect = FindTask(aShard, *at);
     const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-    const bool mayStart = suspect != nullptr &&
-                          IsStartable(job, *suspect, aRound.mHeld, aRound.mNow);
+    const bool mayStart =
+      suspect != nullptr &&
+      IsStartable(job, *suspect, aRound.mHeld, aRound.mNow) &&
+      MayTeamStart(aShard, job, StepOf(job, *at), 1);
     if (!mayStart) {
       continue;
     }
--- /dev/null
+++ b/Source/Dispatch/vcTeamQuota.cxx
@@ -0,0 +1,232 @@
+#include "vcTeamQuota.h"
+
+#include "vcFairness.h"
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A resource of a quota: its limit, what is used and what more is needed.
+struct QuotaRow
+{
+  std::int64_t mLimit = 0;
+  std::int64_t mUsed = 0;
+  std::int64_t mNeeded = 0;
+};
+
+/// The resources that the limit bounds.
+std::vector<QuotaRow> LimitedRows(const Resources& aLimit,
+                                  const Resources& aUsed,
+                                  const Resources& aNeeded)
+{
+  std::vector<QuotaRow> rows;
+  const auto add = [&](std::int64_t Resources::*aMember) {
+    if (aLimit.*aMember > 0) {
+      rows.push_back({ aLimit.*aMember, aUsed.*aMember, aNeeded.*aMember });
+    }
+  };
+  add(&Resources::mMilliCpu);
+  add(&Resources::mMemoryMb);
+  add(&Resources::mAccelerators);
+  return rows;
+}
+
+Resources Times(const Resources& aNeeds, std::int64_t aCount)
+{
+  return { aNeeds.mMilliCpu * aCount,
+           aNeeds.mMemoryMb * aCount,
+           aNeeds.mAccelerators * aCount,
+           aNeeds.mSlots * aCount };
+}
+
+/// Number of tasks of the step that wait for a start.
+std::int64_t CountWaiting(const DispatchStep& aStep)
+{
+  return std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const DispatchTask& aTask) {
+      return aTask.mPhase == RunPhase::kWaiting;
+    });
+}
+
+/// True if the candidates' order is the order of their waits, which have a
+/// bound.
+bool IsOrderedByWait(Tier aTier)
+{
+  return aTier == Tier::kOverdueLongRunning || IsTurn(aTier);
+}
+
+Resources TotalCapacity(const DispatchShard& aShard)
+{
+  Resources total;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    total += worker.mEntry.mCapacity;
+  }
+  return total;
+}
+
+/// Most that the runs on workers which haven't answered can use. A worker that
+/// discovery doesn't list counts as the largest of the others.
+Resources MaxUnseenUse(const DispatchShard& aShard)
+{
+  // Best-effort tasks use what others on the worker request and leave.
+  constexpr std::int64_t kRequestsPerCapacity = 2;
+  Resources largest;
+  for (const auto& [name, worker] : aShard.mWorkers) {
+    const Resources& capacity = worker.mEntry.mCapacity;
+    largest.mMilliCpu = std::max(largest.mMilliCpu, capacity.mMilliCpu);
+    largest.mMemoryMb = std::max(largest.mMemoryMb, capacity.mMemoryMb);
+    largest.mAccelerators =
+      std::max(largest.mAccelerators, capacity.mAccelerators);
+  }
+  Resources most;
+  for (const auto& [name, unanswered] : aShard.mUnansweredWorkers) {
+    const auto known = aShard.mWorkers.find(name);
+    most +=
+      known == aShard.mWorkers.end() ? largest : known->second.mEntry.mCapacity;
+  }
+  return Times(most, kRequestsPerCapacity);
+}
+
+Resources Lesser(const Resources& aLeft, const Resources& aRight)
+{
+  return { std::min(aLeft.mMilliCpu, aRight.mMilliCpu),
+           std::min(aLeft.mMemoryMb, aRight.mMemoryMb),
+           std::min(aLeft.mAccelerators, aRight.mAccelerators),
+           std::min(aLeft.mSlots, aRight.mSlots) };
+}
+
+double WeightOf(const DispatchShard& aShard, const std::string& aTeam)
+{
+  const auto quota = aShard.mTeams.find(aTeam);
+  return quota == aShard.mTeams.end() ? 1 : quota->second.mWeight;
+}
+
+/// A candidate and the share of its team at which it would start.
+struct SharedCandidate
+{
+  double mShare = 0;
+  Candidate mCandidate;
+};
+
+} // namespace
+
+void SetTeams(DispatchShard& aShard,
+              const std::vector<TeamConfig>& aTeams,
+              std::uint32_t aShards)
+{
+  std::map<std::string, TeamQuota> teams;
+  for (const auto& team : aTeams) {
+    const auto known = aShard.mTeams.find(team.mName);
+    const std::uint32_t share = known == aShard.mTeams.end()
+                                  ? kWholeTeamShare / std::max(1U, aShards)
+                                  : known->second.mShare;
+    teams[team.mName] = { team.mLimit, team.mWeight, share };
+  }
+  aShard.mTeams = std::move(teams);
+}
+
+void CountUnseenRuns(DispatchShard& aShard, const HeldRevisions& aHeld)
+{
+  for (auto& [team, use] : aShard.mTeamUse) {
+    use.mUnseen = {};
+  }
+  const std::uint64_t held = std::max(aHeld.mLongRunning, aHeld.mOthers);
+  if (aShard.mTeams.empty() || held == 0) {
+    return;
+  }
+  for (const auto& [id, job] : aShard.mJobs) {
+    const std::string& team = job.mRecord.mTerms.mTeam;
+    if (team.empty() || job.mCreatedAt > held || IsFinal(job.mState)) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job.mOccurrences) {
+      for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        aShard.mTeamUse[team].mUnseen +=
+          Times(job.mRecord.mSpec.mSteps[s].mNeeds,
+                CountWaiting(occurrence.mSteps[s]));
+      }
+    }
+  }
+  const Resources most = MaxUnseenUse(aShard);
+  for (auto& [team, use] : aShard.mTeamUse) {
+    use.mUnseen = Lesser(use.mUnseen, most);
+  }
+}
+
+bool MayTeamStart(const DispatchShard& aShard,
+                  const DispatchJob& aJob,
+                  const StepSpec& aStep,
+                  std::uint32_t aTasks)
+{
+  const std::string& team = aJob.mRecord.mTerms.mTeam;
+  const auto quota = aShard.mTeams.find(team);
+  if (team.empty() || quota == aShard.mTeams.end()) {
+    return true;
+  }
+  const auto found = aShard.mTeamUse.find(team);
+  const TeamUse use =
+    found == aShard.mTeamUse.end() ? TeamUse{} : found->second;
+  const auto rows = LimitedRows(quota->second.mLimit,
+                                use.mKnown + use.mUnseen,
+                                Times(aStep.mNeeds, aTasks));
+  const std::int64_t share = quota->second.mShare;
+  const bool fits =
+    std::all_of(rows.begin(), rows.end(), [&](const QuotaRow& aRow) {
+      const std::int64_t part =
+        aRow.mLimit / kWholeTeamShare * share +
+        aRow.mLimit % kWholeTeamShare * share / kWholeTeamShare;
+      return aRow.mNeeded == 0 || aRow.mUsed + aRow.mNeeded <= part;
+    });
+  const bool isUnused =
+    std::all_of(rows.begin(), rows.end(), [](const QuotaRow& aRow) {
+      return aRow.mUsed == 0;
+    });
+  return fits || (share == kWholeTeamShare && isUnused);
+}
+
+void OrderByTeamShare(const DispatchShard& aShard,
+                      std::vector<Candidate>& aCandidates)
+{
+  if (aShard.mTeams.empty()) {
+    return;
+  }
+  const Resources total = TotalCapacity(aShard);
+  std::map<std::string, Resources> uses;
+  for (const auto& [team, use] : aShard.mTeamUse) {
+    uses[team] = use.mKnown;
+  }
+  std::vector<SharedCandidate> rows;
+  rows.reserve(aCandidates.size());
+  for (auto& candidate : aCandidates) {
+    const DispatchJob& job = aShard.mJobs.at(candidate.mFirstTask.mJob);
+    const std::string& team = job.mRecord.mTerms.mTeam;
+    Resources& use = uses[team];
+    rows.push_back(
+      { NormalisedShare(use, total, WeightOf(aShard, team)), candidate });
+    const std::int64_t tasks =
+      IsTurn(candidate.mTier)
+        ? 1
+        : CountWaiting(StepStateOf(job, candidate.mFirstTask));
+    use += Times(StepOf(job, candidate.mFirstTask).mNeeds, tasks);
+  }
+  for (auto begin = rows.begin(); begin != rows.end();) {
+    const auto end =
+      std::find_if(begin, rows.end(), [&](const SharedCandidate& aRow) {
+        return !HaveSameRank(aRow.mCandidate, begin->mCandidate);
+      });
+    if (!IsOrderedByWait(begin->mCandidate.mTier)) {
+      std::stable_sort(begin, end, [](const auto& aLeft, const auto& aRight) {
+        return aLeft.mShare < aRight.mShare;
+      });
+    }
+    begin = end;
+  }
+  std::transform(
+    rows.begin(), rows.end(), aCandidates.begin(), [](SharedCandidate& aRow) {
+      return std::move(aRow.mCandidate);
+    });
+}
+
+} // namespace verbenacroft
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -58,8 +58,8 @@
     vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcIncarnationFence.cxx
     vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
-    vcPlacementRound.cxx vcProbeStarts.cxx vcSuspectStarts.cxx
-    vcWorkerCalls.cxx
+    vcOverload.cxx vcPlacementRound.cxx vcProbeStarts.cxx vcRackLocality.cxx
+    vcRenewalSchedule.cxx     vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
@@ -68,7 +68,7 @@
     vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx
     vcShardRunner.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
-    vcStoreMonitor.cxx vcWorkerSetRecords.cxx
+    vcStoreMonitor.cxx vcTeamCredentials.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
 
 # The adapter to the users' platform. No other folder uses the platform's field
--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -24,6 +24,8 @@
 /// Attempts to write by the current configuration, which may change between
 /// two of them.
 constexpr int kConfigAttempts = 3;
+/// Name under which the responses are counted of teams beyond a maximum.
+constexpr const char* kOtherTeams = "other";
 /// Retries of refused callers are spread over this many seconds, so that
 /// callers that were refused at the same time don't retry at the same time.
 constexpr std::uint64_t kRetrySpreadSeconds = 2;
@@ -53,6 +55,11 @@
   return ErrorResponse(404, "no such queue");
 }
 
+HttpResponse OtherTeamResponse()
+{
+  return ErrorResponse(403, "the job belongs to another team");
+}
+
 /// Response to a write whose outcome is unknown.
 HttpResponse OutcomeUnknownResponse()
 {
@@ -66,9 +73,12 @@
   std::string mHost;
   std::string mPath;
   std::string mBody;
+  /// Key of the caller's team; empty if the request has none.
+  std::string mCredential;
   /// Path below the queue's prefix: a job identifier, or empty.
   std::string mSubpath;
   QueueTerms mTerms;
+  bool mIsQueueOpen = false;
 };
 
 /// Sets the queue of a request by the current configuration.
@@ -82,9 +92,55 @@
   }
   aRequest.mSubpath = aRequest.mPath.substr(queue->mPathPrefix.size());
   aRequest.mTerms = queue->mTerms;
+  aRequest.mIsQueueOpen = queue->mIsOpen;
   return true;
 }
 
+/// True if the configuration was current within `aAge`.
+bool WasConfigCurrent(const NodeContext& aNode, Duration aAge)
+{
+  const TimePoint currentAt =
+    std::max(aNode.mOperatorsCompleteAt, aNode.mConfigReadAt);
+  return SuspendAwareNow() - currentAt <= aAge;
+}
+
+/// Sets the team of a request whose queue is resolved.
+/// @return the response if the request isn't authorized
+std::optional<HttpResponse> AuthenticateCaller(const NodeContext& aNode,
+                                               CallerRequest& aRequest)
+{
+  const NodeBounds& bounds = aNode.mSettings.mBounds;
+  const bool mayAccept =
+    !bounds.mStrictRevocation || WasConfigCurrent(aNode, bounds.mRevokeMs);
+  const ConfigView view{ WasConfigCurrent(aNode, kMaxConfigAge), mayAccept };
+  AuthResult result = Authenticate(
+    aNode.mTeamCredentials, aRequest.mCredential, aRequest.mIsQueueOpen, view);
+  aRequest.mTerms.mTeam = std::move(result.mTeam);
+  switch (result.mOutcome) {
+    case AuthOutcome::kAccepted:
+      return std::nullopt;
+    case AuthOutcome::kUnauthorized:
+      return ErrorResponse(401, "the key belongs to no team");
+    case AuthOutcome::kUncertain:
+      return NotAcceptedResponse(aRequest.mPath,
+                                 "the configuration may have changed");
+  }
+  return std::nullopt;
+}
+
+/// Resolves and authenticates a request again, after the configuration has
+/// changed.
+/// @return the response if it can't be handled any more
+std::optional<HttpResponse> ResolveAgain(const NodeContext& aNode,
+                                         CallerRequest& aRequest)
+{
+  const std::string job = aRequest.mSubpath;
+  if (!ResolveQueue(aNode, aRequest) || aRequest.mSubpath != job) {
+    return NoSuchQueueResponse();
+  }
+  return AuthenticateCaller(aNode, aRequest);
+}
+
 /// Lets a write fail if the configuration by which it was made isn't current
 /// any more, however old this node's view of it is.
 void AddConfigCondition(const NodeContext& aNode, KvTransaction& aWrite)
@@ -137,6 +193,8 @@
   kRejected,
   /// Certainly not stored, since the configuration has changed.
   kConfigChanged,
+  /// Another team's job has the identifier.
+  kOfOtherTeam,
   kUnknown,
 };
 
@@ -151,10 +209,27 @@
     });
 }
 
+/// True if the reply to a write shows the record of a job of another team. A
+/// job that has ended has no record any more.
+bool ShowsOtherTeam(const KvReply& aReply,
+                    std::uint32_t aShard,
+                    const JobId& aJob,
+                    const std::string& aTeam)
+{
+  for (const auto& item : aReply.mItems) {
+    if (item.mKey == InboxJobKey(aShard, aJob) && !item.mValue.empty()) {
+      const auto record = TryDecode<BatchRecord>(item.mValue);
+      return record && record->mTerms.mTeam != aTeam;
+    }
+  }
+  return false;
+}
+
 /// Stores a job unless it is stored already.
 asio::awaitable<SubmitOutcome> StoreJob(NodeContext& aNode,
                                         std::uint32_t aShard,
                                         JobId aJob,
+                                        std::string aTeam,
                                         KvTransaction aWrite)
 {
   const TimePoint since = SuspendAwareNow();
@@ -163,6 +238,9 @@
     const KvReply reply = co_await CommitWithRelay(aNode, aWrite);
     const bool isStoredBefore =
       reply.mStatus == KvStatus::kConflict && ShowsJob(reply, aShard, aJob);
+    if (isStoredBefore && ShowsOtherTeam(reply, aShard, aJob, aTeam)) {
+      co_return SubmitOutcome::kOfOtherTeam;
+    }
     if (reply.mStatus == KvStatus::kOk || isStoredBefore) {
       co_return SubmitOutcome::kStored;
     }
@@ -177,6 +255,10 @@
                                       : SubmitOutcome::kRefused;
       co_return attempt == 0 ? outcome : SubmitOutcome::kUnknown;
     }
+    // A read would only hold the answer up until the caller's deadline.
+    if (IsStoreDown(aNode, SuspendAwareNow())) {
+      break;
+    }
     const KvReply stored =
       co_await aNode.mStore.mRead(InboxJobKey(aShard, aJob));
     UpdateStoreHealth(aNode, stored);
@@ -219,8 +301,8 @@
   for (int attempt = 0; attempt < kConfigAttempts; ++attempt) {
     const BatchRecord record{ aRequest.mTerms, WallClockMs(), *spec };
     KvTransaction write = MakeSubmission(aNode, shard, id, record);
-    const SubmitOutcome outcome =
-      co_await StoreJob(aNode, shard, id, std::move(write));
+    const SubmitOutcome outcome = co_await StoreJob(
+      aNode, shard, id, aRequest.mTerms.mTeam, std::move(write));
     switch (outcome) {
       case SubmitOutcome::kStored:
         co_return JsonResponse("{}");
@@ -230,11 +312,14 @@
         co_return RejectedResponse();
       case SubmitOutcome::kUnknown:
         co_return OutcomeUnknownResponse();
+      case SubmitOutcome::kOfOtherTeam:
+        co_return OtherTeamResponse();
       case SubmitOutcome::kConfigChanged:
         break;
     }
-    if (!ResolveQueue(aNode, aRequest) || aRequest.mSubpath != id) {
-      co_return NoSuchQueueResponse();
+    auto refusal = ResolveAgain(aNode, aRequest);
+    if (refusal) {
+      co_return std::move(*refusal);
     }
   }
   co_return NotAcceptedResponse(id, "the configuration keeps changing");
@@ -250,6 +335,8 @@
   BatchState mState = BatchState::kQueued;
   /// Revision of the job's record in the inbox; 0 once the job has ended.
   std::uint64_t mRevision = 0;
+  /// Team that the job belongs to, as long as it hasn't ended.
+  std::string mTeam;
 };
 
 asio::awaitable<StoredJob> ReadJob(NodeContext& aNode, JobId aJob)
@@ -266,6 +353,8 @@
   if (!record.mItems.empty()) {
     job.mIsKnown = true;
     job.mRevision = record.mItems[0].mRevision;
+    const auto stored = TryDecode<BatchRecord>(record.mItems[0].mValue);
+    job.mTeam = stored ? stored->mTerms.mTeam : "";
   }
   // One transaction removes the record and stores the job's final state.
   // Reading the progress after the record ensures that one of them is found.
@@ -320,6 +409,9 @@
     if (stored.mRevision == 0) {
       co_return JsonResponse("{}");
     }
+    if (stored.mTeam != aRequest.mTerms.mTeam) {
+      co_return OtherTeamResponse();
+    }
     KvTransaction write;
     write.mConditions.push_back({ InboxJobKey(shard, job), stored.mRevision });
     AddConfigCondition(aNode, write);
@@ -336,12 +428,11 @@
       default:
         break;
     }
-    const bool isDropped =
-      reply.mStatus == KvStatus::kConflict &&
-      ApplyConfigOfConflict(aNode, write, reply, sentAt) &&
-      (!ResolveQueue(aNode, aRequest) || aRequest.mSubpath != job);
-    if (isDropped) {
-      co_return NoSuchQueueResponse();
+    const bool isChanged = reply.mStatus == KvStatus::kConflict &&
+                           ApplyConfigOfConflict(aNode, write, reply, sentAt);
+    auto refusal = isChanged ? ResolveAgain(aNode, aRequest) : std::nullopt;
+    if (refusal) {
+      co_return std::move(*refusal);
     }
   }
   co_return OutcomeUnknownResponse();
@@ -393,23 +484,34 @@
   co_return ErrorResponse(405, "GET, POST or DELETE");
 }
 
-/// True if the configuration was current lately.
-bool IsConfigCurrent(const NodeContext& aNode, TimePoint aNow)
-{
-  const TimePoint currentAt =
-    std::max(aNode.mOperatorsCompleteAt, aNode.mConfigReadAt);
-  return aNow - currentAt <= kMaxConfigAge;
-}
-
 /// Response to a request for a queue that the node doesn't know.
 HttpResponse UnknownQueueResponse(const NodeContext& aNode,
                                   std::string_view aPath)
 {
-  return IsConfigCurrent(aNode, SuspendAwareNow())
+  return WasConfigCurrent(aNode, kMaxConfigAge)
            ? NoSuchQueueResponse()
            : NotAcceptedResponse(aPath, "the configuration may have changed");
 }
 
+/// Adds a response to the counters of its caller's team.
+void CountTeamResponse(NodeContext& aNode,
+                       const std::string& aTeam,
+                       int aStatus)
+{
+  // Further teams share one row, which bounds the number of series.
+  constexpr std::size_t kMaxTeams = 99;
+  auto& rows = aNode.mCounters.mTeamAnswers;
+  const bool isFull = rows.size() >= kMaxTeams && !rows.contains(aTeam);
+  TeamAnswers& row = rows[isFull ? kOtherTeams : aTeam];
+  if (aStatus == 401) {
+    ++row.mUnauthorized;
+  } else if (aStatus < 300) {
+    ++row.mAccepted;
+  } else {
+    ++row.mOther;
+  }
+}
+
 /// Adds a response to the metrics.
 void CountResponse(NodeContext& aNode,
                    const std::string& aMethod,
@@ -439,23 +541,31 @@
     request.mHost = FindHeader(aRequest.mHeaders, "Host");
     request.mPath = path;
     request.mBody = aRequest.mBody;
+    request.mCredential =
+      FindHeader(aRequest.mHeaders, aNode.mCodec.mCredentialHeader);
     version = aNode.mOperators->mConfig.mVersion;
-    if (ResolveQueue(aNode, request)) {
-      response = co_await RouteRequest(aNode, request);
-    } else {
+    if (!ResolveQueue(aNode, request)) {
       response = UnknownQueueResponse(aNode, path);
+    } else if (auto refusal = AuthenticateCaller(aNode, request)) {
+      response = std::move(*refusal);
+    } else {
+      response = co_await RouteRequest(aNode, request);
     }
   }
   const Duration elapsed = SuspendAwareNow() - since;
+  if (aNode.mTeamCredentials.mAreRequired) {
+    CountTeamResponse(aNode, request.mTerms.mTeam, response.mStatus);
+  }
   CountResponse(aNode, request.mMethod, response.mStatus, elapsed);
   const bool isSuccessfulGet =
     request.mMethod == "GET" && response.mStatus == 200;
   if (!isSuccessfulGet) {
-    spdlog::info("caller.answer method={} job={} queue={} status={} "
+    spdlog::info("caller.answer method={} job={} queue={} team={} status={} "
                  "config={} took_ms={} last_store_reply_ms_ago={}",
                  request.mMethod,
                  request.mSubpath,
                  request.mTerms.mQueue,
+                 request.mTerms.mTeam,
                  response.mStatus,
                  version,
                  elapsed.count(),
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -8,6 +8,7 @@
 #include "vcKeyValue.h"
 #include "vcNodeSettings.h"
 #include "vcStoreMonitor.h"
+#include "vcTeamCredentials.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
@@ -121,6 +122,8 @@
   std::string mEvacuationPrefix;
   /// Prefix of the workers' entries.
   std::string mDiscoveryPrefix;
+  /// Header of a caller's request that carries the key of its team.
+  std::string mCredentialHeader;
   std::function<std::optional<FleetConfig>(std::string_view, Faults&)>
     mDecodeConfig;
   std::function<std::optional<WorkerEntry>(std::string_view aKey,
@@ -132,11 +135,21 @@
   std::function<std::string(std::uint64_t)> mEncodeWaiting;
 };
 
+/// Responses to the callers of one team.
+struct TeamAnswers
+{
+  std::uint64_t mAccepted = 0;
+  std::uint64_t mUnauthorized = 0;
+  std::uint64_t mOther = 0;
+};
+
 /// Counters and latencies for the metrics page.
 struct NodeCounters
 {
   /// Responses to callers by method and status, for instance "GET 200".
   std::map<std::string, std::uint64_t> mAnswers;
+  /// Responses to callers by team, in a deployment with teams.
+  std::map<std::string, TeamAnswers> mTeamAnswers;
   /// Store calls that this node asked a peer to make.
   std::uint64_t mRelayedCalls = 0;
   /// Shards that this node has taken over.
@@ -170,6 +183,8 @@
 
   /// Empty until the first configuration or evacuation is read.
   std::optional<OperatorState> mOperators;
+  /// Of that configuration.
+  TeamCredentials mTeamCredentials;
   /// Whatever operators had written before this time has been applied.
   TimePoint mOperatorsCompleteAt{ kNever };
   /// Revision of the configuration's item as last read, whether it could be
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -163,6 +163,22 @@
   }
 }
 
+/// Adds the responses to callers by team.
+void CollectTeamAnswers(const NodeCounters& aCounters, MetricsPage& aPage)
+{
+  for (const auto& [team, answers] : aCounters.mTeamAnswers) {
+    const auto add = [&](const char* aOutcome, std::uint64_t aCount) {
+      aPage.Counter("verbenacroft_team_answers_total",
+                    "Answers to callers by team.",
+                    static_cast<double>(aCount),
+                    { { "team", team }, { "outcome", aOutcome } });
+    };
+    add("accepted", answers.mAccepted);
+    add("unauthorized", answers.mUnauthorized);
+    add("other", answers.mOther);
+  }
+}
+
 /// Adds the metrics of the node and of its shards.
 void Collect(const NodeContext& aNode, MetricsPage& aPage)
 {
@@ -172,6 +188,7 @@
                   static_cast<double>(count),
                   { { "answer", answer } });
   }
+  CollectTeamAnswers(aNode.mCounters, aPage);
   aPage.Histogram("verbenacroft_caller_latency_ms",
                   "Time to answer callers.",
                   LatencyBoundsMs(),
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -62,6 +62,11 @@
                         std::to_string(aSettings.mMemoryMb),
                         std::to_string(kMinMemoryMb) + " or more" });
   }
+  if (aSettings.mBounds.mFarFactor < 1) {
+    aFaults.push_back({ "$.bounds.farFactor",
+                        std::to_string(aSettings.mBounds.mFarFactor),
+                        "1 or more" });
+  }
   if (aSettings.mBounds.mGraceSeconds <= 0) {
     aFaults.push_back({ "$.bounds.graceSeconds",
                         std::to_string(aSettings.mBounds.mGraceSeconds),
@@ -99,6 +104,7 @@
   bounds.mLeaseLimit =
     std::max(kMinLeaseLimit, kOwnLeasesPerLimit * LeaseTtlOf(aSettings));
   bounds.mMaxOverTarget = from.mHarmMs;
+  bounds.mFarFactor = from.mFarFactor;
   bounds.mStatus =
     Duration(static_cast<std::int64_t>(from.mStatusSeconds * kMsPerSecond));
   return bounds;
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -23,11 +23,26 @@
   double mStatusSeconds = 120;
   /// Time from SIGTERM to SIGKILL, in seconds.
   double mGraceSeconds = 6;
+  /// A team's key is accepted only by a configuration that was current within
+  /// `mRevokeMs`. Otherwise a node that can't reach the store accepts the keys
+  /// that it knows.
+  bool mStrictRevocation = false;
+  /// Longest time for which a revoked key may be accepted, in ms.
+  Duration mRevokeMs{ 5'000 };
+  /// Run time of a task on another rack than the one that it prefers, as a
+  /// multiple of that on the preferred one.
+  double mFarFactor = 1;
 };
-BOOST_DESCRIBE_STRUCT(
-  NodeBounds,
-  (),
-  (mMaxLeaseMs, mStopTimeoutMs, mHarmMs, mStatusSeconds, mGraceSeconds))
+BOOST_DESCRIBE_STRUCT(NodeBounds,
+                      (),
+                      (mMaxLeaseMs,
+                       mStopTimeoutMs,
+                       mHarmMs,
+                       mStatusSeconds,
+                       mGraceSeconds,
+                       mStrictRevocation,
+                       mRevokeMs,
+                       mFarFactor))
 
 /// Settings of a node.
 struct NodeSettings
--- a/Source/Node/vcOperatorWatch.cxx
+++ b/Source/Node/vcOperatorWatch.cxx
@@ -37,14 +37,17 @@
   if (aNode.mOperators && config->mVersion <= before) {
     return;
   }
-  spdlog::info("config.applied version={} before={} queues={} revision={}",
+  spdlog::info("config.applied version={} before={} queues={} teams={} "
+               "revision={}",
                config->mVersion,
                before,
                config->mQueues.size(),
+               config->mTeams.size(),
                aItem.mRevision);
   if (!aNode.mOperators) {
     aNode.mOperators.emplace();
   }
+  aNode.mTeamCredentials = MakeTeamCredentials(config->mTeams);
   aNode.mOperators->mConfig = std::move(*config);
 }
 
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -174,11 +174,13 @@
 
 void LogWorkerCalls(CallCounts& aCalls,
                     const OwnerPacing& aPacing,
+                    std::map<RenewalCause, std::uint32_t>& aRenewals,
                     std::uint32_t aNumber)
 {
   spdlog::info(
     "shard.calls shard={} answered={} failed={} timed={} "
-    "least_ms={} max_ms={} reply_rate={:.0f} start_rate={:.0f} congested={}",
+    "least_ms={} max_ms={} reply_rate={:.0f} start_rate={:.0f} congested={} "
+    "after_waits={} after_ends={} near_target={} retries={}",
     aNumber,
     aCalls.mAnswered,
     aCalls.mFailed,
@@ -187,7 +189,12 @@
     aCalls.mMaxLatency.count(),
     aPacing.mReplies.mRate,
     aPacing.mStarts.mRate,
-    aPacing.mIsCongested);
+    aPacing.mIsCongested,
+    aRenewals[RenewalCause::kWait],
+    aRenewals[RenewalCause::kEnd],
+    aRenewals[RenewalCause::kNearTarget],
+    aRenewals[RenewalCause::kRetry]);
+  aRenewals.clear();
   aCalls = {};
 }
 
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -62,6 +62,7 @@
 /// @param aNumber number of the shard
 void LogWorkerCalls(CallCounts& aCalls,
                     const OwnerPacing& aPacing,
+                    std::map<RenewalCause, std::uint32_t>& aRenewals,
                     std::uint32_t aNumber);
 
 /// Logs the shard's waiting tasks, one line for each reason.
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -26,25 +26,9 @@
 /// Maximum age of the inbox and of the operators' items when a task is started:
 /// cancellations and evacuations have to take effect within 3 s.
 constexpr Duration kMaxOrdersAge{ 2'500 };
-/// How long a worker may wait for the end of a task before it reports.
-constexpr Duration kReportWait{ 1'000 };
-/// Shorter wait for a report while a serving task on the worker is close to its
-/// latency target, or while the workers' leases end soon, so that they are
-/// renewed soon after the owner has proved its ownership again.
-constexpr Duration kShortReportWait{ 350 };
-/// The workers' leases end soon if they can't last for longer than this.
-constexpr Duration kShortLease{ 3'000 };
-/// Pause between a report and the next renewal, so that task ends close
-/// together share one report.
-constexpr Duration kReportPause{ 15 };
-/// Longer pause while task ends of the worker are not recorded yet. Until they
-/// are acknowledged, the worker answers each renewal at once with the same
-/// ends.
-constexpr Duration kUnrecordedPause{ 80 };
-/// Pause after a renewal that failed.
-constexpr Duration kFailedRenewalPause{ 200 };
-/// Pause while a worker that has answered again is still recorded as inactive.
-constexpr Duration kReactivationPause{ 100 };
+/// Interval at which a renewal that waits for a record looks whether it still
+/// has to.
+constexpr Duration kRecordCheckInterval{ 30 };
 /// Pause before a start that may not be sent yet is looked at again.
 constexpr Duration kHeldStartPause{ 5 };
 /// Maximum number of concurrent orders to one worker.
@@ -185,12 +169,10 @@
     const TimePoint sentAt = SuspendAwareNow();
     // The process may have been paused since the last tick.
     this->mShard.mLeasesEndBy = LeasesEndBy(this->mNode);
-    const bool isNearTarget = worker->mNoBestEffortUntil > sentAt;
-    const bool isLeaseShort = this->mShard.mLeasesEndBy - sentAt < kShortLease;
     const RenewOrder order =
       MakeRenewal(this->mShard,
                   *worker,
-                  isNearTarget || isLeaseShort ? kShortReportWait : kReportWait,
+                  ReportWaitOf(this->mShard, *worker, sentAt),
                   sentAt);
     const WorkerAddress address{ aWorker, worker->mEndpoint };
     const WorkerReport report =
@@ -210,7 +192,7 @@
       this->SchedulePlanning();
     }
     co_await this->RecordAnswered(aWorker);
-    co_await Sleep(this->PauseBeforeNextRenewal(aWorker, isGood));
+    co_await this->PauseBeforeNextRenewal(aWorker, isGood);
   }
   this->mPolledWorkers.erase(aWorker);
 }
@@ -236,24 +218,25 @@
   CountCall(this->mPacing.mPeriod, aOutcome, aLatency);
 }
 
-Duration ShardRunner::PauseBeforeNextRenewal(const std::string& aWorker,
-                                             bool aIsGood)
+asio::awaitable<void> ShardRunner::PauseBeforeNextRenewal(std::string aWorker,
+                                                          bool aIsGood)
 {
-  if (!aIsGood) {
-    return kFailedRenewalPause;
-  }
   const DispatchWorker* worker = FindWorker(this->mShard, aWorker);
-  const bool isFenceAsked =
-    worker != nullptr && worker->mFenceStage == FenceStage::kAsked;
-  if (isFenceAsked) {
-    return kReportPause;
+  if (worker == nullptr) {
+    co_return;
   }
-  if (worker != nullptr && worker->mIsInactive) {
-    return kReactivationPause;
+  const TimePoint reportedAt = SuspendAwareNow();
+  const RenewalPause pause =
+    PauseAfterReport(this->mShard, *worker, aIsGood, reportedAt);
+  ++this->mRenewals[pause.mCause];
+  co_await Sleep(pause.mMin);
+  while (!this->mIsStopped && SuspendAwareNow() - reportedAt < pause.mMax) {
+    worker = FindWorker(this->mShard, aWorker);
+    if (worker == nullptr || !MustAwaitRecord(this->mShard, *worker)) {
+      break;
+    }
+    co_await Sleep(kRecordCheckInterval);
   }
-  const bool hasUnrecordedEnds =
-    worker != nullptr && worker->mAckIndex < worker->mSeenIndex;
-  return hasUnrecordedEnds ? kUnrecordedPause : kReportPause;
 }
 
 asio::awaitable<void> ShardRunner::RecordAnswered(std::string aWorker)
@@ -375,6 +358,15 @@
     !this->mNode.mIsLeaseInDoubt && aNow < this->mNode.mLeaseValidUntil;
   if (this->mNode.mOperators) {
     this->mShard.mEvacuated = this->mNode.mOperators->mEvacuated;
+    this->CopyTeams(this->mNode.mOperators->mConfig);
+  }
+}
+
+void ShardRunner::CopyTeams(const FleetConfig& aConfig)
+{
+  if (aConfig.mVersion != this->mTeamsVersion) {
+    this->mTeamsVersion = aConfig.mVersion;
+    SetTeams(this->mShard, aConfig.mTeams, this->mNode.mShards);
   }
 }
 
@@ -385,7 +377,8 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
-      LogWorkerCalls(this->mCalls, this->mPacing, this->mShardNumber);
+      LogWorkerCalls(
+        this->mCalls, this->mPacing, this->mRenewals, this->mShardNumber);
       this->mWaiting =
         SummarizeWaiting(this->mShard, loadLoggedAt, WallClockMs());
       LogWaiting(this->mWaiting, this->mShardNumber);
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -147,8 +147,9 @@
   asio::awaitable<void> WaitForLink(std::string aWorker);
   /// Counts a call to a worker that has ended.
   void OnCallEnded(OrderOutcome aOutcome, std::optional<Duration> aLatency);
-  /// Time from a report to the next renewal.
-  Duration PauseBeforeNextRenewal(const std::string& aWorker, bool aIsGood);
+  /// Waits from a report until the next renewal.
+  asio::awaitable<void> PauseBeforeNextRenewal(std::string aWorker,
+                                               bool aIsGood);
   /// Removes lost workers, stops tasks and plans at a fixed interval. Stops the
   /// runner once the shard is fenced.
   asio::awaitable<void> Tick();
@@ -236,6 +237,8 @@
   /// Memory for the occurrences of this shard's jobs, in bytes: what those of
   /// the node's other shards leave.
   std::size_t MaxOccurrenceBytes() const;
+  /// Gives the core the teams of a new version of the configuration.
+  void CopyTeams(const FleetConfig& aConfig);
   /// Copies the memory limit, the state of the lease and the evacuations from
   /// the node to the core.
   void CopyNodeStateToShard(TimePoint aNow);
@@ -281,6 +284,10 @@
   /// Calls to workers since the last log line.
   CallCounts mCalls;
   OwnerPacing mPacing;
+  /// Renewals since the last log line, by their causes.
+  std::map<RenewalCause, std::uint32_t> mRenewals;
+  /// Version of the configuration whose teams the core has.
+  std::uint64_t mTeamsVersion = 0;
   /// When the start budget of the shard was last filled up.
   TimePoint mStartBudgetAt{ kNever };
   InboxReads mInboxReads;
--- a/Source/Programs/vcNodeMain.cxx
+++ b/Source/Programs/vcNodeMain.cxx
@@ -23,6 +23,7 @@
   aNode.mCodec.mConfigKey = kOperatorConfigKey;
   aNode.mCodec.mEvacuationPrefix = kEvacuationKeyPrefix;
   aNode.mCodec.mDiscoveryPrefix = kDiscoveryKeyPrefix;
+  aNode.mCodec.mCredentialHeader = kCredentialHeader;
   aNode.mCodec.mDecodeConfig = DecodeFleetConfig;
   aNode.mCodec.mDecodeWorker = DecodeWorkerEntry;
   aNode.mCodec.mDecodeJob = DecodeBatchSpec;
