--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -39,6 +39,7 @@
   Tests/Unit/vcClaimWaitTest.cxx Tests/Unit/vcLeaseExtensionTest.cxx
   Tests/Unit/vcLeaseExtensionCheckTest.cxx
   Tests/Unit/vcIncarnationFenceTest.cxx Tests/Unit/vcTeamCredentialsTest.cxx
+  Tests/Unit/vcOverloadTest.cxx Tests/Unit/vcRenewalScheduleTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
