Tests: Add clients that keep no limits, against a node with little memory

Change: vcUnboundedClients sends trailers, chunk extensions, headers and bodies without end, bodies just short of their end in large and small chunks, and holds connections. The test checks that the node lives, stays within 64 MB and 256 descriptors and answers an ordinary request.

--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -170,6 +170,28 @@
     TIMEOUT 180 PROCESSORS 3)
 endforeach()
 
+# Clients that keep no limits. Guards against a process that runs out of memory
+# or descriptors, or that answers nobody else.
+add_executable(vcUnboundedClients Tests/Processes/vcUnboundedClientsMain.cxx)
+target_link_libraries(vcUnboundedClients PRIVATE vcHttp)
+function(verbenacroft_unbounded_clients kind)
+  foreach(address ${ARGN})
+    add_test(NAME process_unbounded_${kind}_${address}
+      COMMAND ${CMAKE_SOURCE_DIR}/Tests/Processes/unbounded_clients.sh
+        ${CMAKE_BINARY_DIR}/bin ${kind} ${address})
+    set_tests_properties(process_unbounded_${kind}_${address} PROPERTIES
+      TIMEOUT 180 RUN_SERIAL ON)
+  endforeach()
+endfunction()
+verbenacroft_unbounded_clients(trailers callers ready peers metrics)
+verbenacroft_unbounded_clients(chunk-extension callers ready peers metrics)
+verbenacroft_unbounded_clients(almost-whole callers ready peers metrics)
+verbenacroft_unbounded_clients(connections callers ready peers metrics)
+verbenacroft_unbounded_clients(small-chunks callers)
+verbenacroft_unbounded_clients(large-chunks callers)
+verbenacroft_unbounded_clients(announced callers)
+verbenacroft_unbounded_clients(header callers)
+
 add_executable(vcCapacityBench Tests/Bench/vcCapacityMain.cxx)
 target_link_libraries(vcCapacityBench PRIVATE vcStandIns vcRouting)
 
