Http: Bound the memory and connections of all servers of a process

Cause: the read buffer had no bound, so trailers and chunk extensions grew it without end; 4,096 connections of 1 MB each were allowed whatever the process's memory; Beast's read operation goes on until the body is complete if its chunks are small, so nothing could be checked meanwhile; an acceptor without a descriptor failed again at once.

Change: one budget for all servers of a process, an eighth of its memory and half of its descriptors. When it is short, incomplete requests are refused (503, Retry-After), the largest and slowest first. Read buffers, framing and refusals are bounded; refusals are counted and logged by reason. Requests are read and parsed in steps of at most 16 KB.

--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -4,6 +4,7 @@
 /// library and does not appear in this header.
 
 #include "vcFoundation.h"
+#include "vcHttpBudget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -92,7 +93,9 @@
 /// Response with the body `aBody`, which must be JSON.
 HttpResponse JsonResponse(std::string aBody, int aStatus = 200);
 
-/// Limits of a server; sizes are in bytes, times in milliseconds.
+/// Limits of one request; sizes are in bytes, times in milliseconds. Trailers
+/// and chunk headers have to fit into the bytes of a header. The budget of the
+/// process limits all connections together.
 struct HttpLimits
 {
   std::size_t mHeaderBytes = 16 * 1024;
@@ -110,7 +113,9 @@
 using HttpHandler =
   std::function<asio::awaitable<HttpResponse>(const HttpRequest&)>;
 
-/// Server on one address. All functions must be called on the thread that runs
+/// Server on one address. A request that is refused for its size, or since the
+/// budget of the process is short, has not been passed to the handler. All
+/// functions must be called on the thread that runs
 /// the io_context.
 class HttpServer
 {
--- /dev/null
+++ b/Source/Http/vcHttpBudget.cxx
@@ -0,0 +1,193 @@
+#include "vcHttpBudget.h"
+
+#include <spdlog/spdlog.h>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace verbenacroft {
+
+namespace {
+
+/// Part of the process's memory for what connections take.
+constexpr std::size_t kMemoryPart = 8;
+/// Part of the process's descriptors for the connections of its servers. The
+/// rest is for those that it opens itself.
+constexpr std::size_t kDescriptorPart = 2;
+/// Interval of log lines about refusals of one reason.
+constexpr Duration kLogInterval{ 1'000 };
+
+/// Rank of a connection that may be evicted for lack of memory: the one that
+/// takes most memory for the longest time goes first.
+double MemoryRank(const HttpAccount& aAccount, TimePoint aNow)
+{
+  const auto age = static_cast<double>((aNow - aAccount.mPhaseSince).count());
+  return static_cast<double>(aAccount.mBytes) * (age + 1);
+}
+
+/// Rank for lack of connections: incomplete requests before idle connections,
+/// and among them the one that has lasted longest.
+std::tuple<bool, Duration> ConnectionRank(const HttpAccount& aAccount,
+                                          TimePoint aNow)
+{
+  return { aAccount.mPhase == HttpAccount::Phase::kReceiving,
+           aNow - aAccount.mPhaseSince };
+}
+
+bool MayEvict(const HttpAccount& aAccount, HttpRefusal aCause)
+{
+  switch (aAccount.mPhase) {
+    case HttpAccount::Phase::kIdle:
+      return aCause == HttpRefusal::kConnections;
+    case HttpAccount::Phase::kReceiving:
+      return true;
+    case HttpAccount::Phase::kHandling:
+    case HttpAccount::Phase::kEvicted:
+      return false;
+  }
+  return false;
+}
+
+} // namespace
+
+bool HttpBudget::Open(HttpAccount& aAccount, TimePoint aNow)
+{
+  aAccount.mPhaseSince = aNow;
+  const bool isFull = this->mKept >= this->mLimits.mConnections;
+  if (isFull && !this->Evict(HttpRefusal::kConnections, aNow)) {
+    this->CountRefusal(HttpRefusal::kConnections, aNow);
+    return false;
+  }
+  this->mAccounts.push_back(aAccount);
+  ++this->mConnections;
+  ++this->mKept;
+  return true;
+}
+
+void HttpBudget::Close(HttpAccount& aAccount)
+{
+  this->Discharge(aAccount);
+  --this->mConnections;
+  this->mKept -= aAccount.mPhase == HttpAccount::Phase::kEvicted ? 0 : 1;
+  aAccount.unlink();
+}
+
+void HttpBudget::OnDescriptorsExhausted(TimePoint aNow)
+{
+  this->Evict(HttpRefusal::kConnections, aNow);
+}
+
+void HttpBudget::SetPhase(HttpAccount& aAccount,
+                          HttpAccount::Phase aPhase,
+                          TimePoint aNow)
+{
+  if (aAccount.mPhase != HttpAccount::Phase::kEvicted) {
+    aAccount.mPhase = aPhase;
+    aAccount.mPhaseSince = aNow;
+  }
+}
+
+void HttpBudget::Charge(HttpAccount& aAccount,
+                        std::size_t aBytes,
+                        TimePoint aNow)
+{
+  if (aAccount.mPhase == HttpAccount::Phase::kEvicted) {
+    return;
+  }
+  this->mBytes = this->mBytes - aAccount.mBytes + aBytes;
+  aAccount.mBytes = aBytes;
+  while (this->mBytes > this->mLimits.mBytes &&
+         this->Evict(HttpRefusal::kMemory, aNow)) {
+  }
+}
+
+void HttpBudget::CountRefusal(HttpRefusal aRefusal, TimePoint aNow)
+{
+  RefusalRow& row = this->mRefusals.at(static_cast<std::size_t>(aRefusal));
+  ++row.mCount;
+  if (row.mLoggedAt != kNever && aNow - row.mLoggedAt < kLogInterval) {
+    return;
+  }
+  spdlog::warn("http.refused reason={} count={} connections={} bytes={}",
+               NameOf(aRefusal),
+               row.mCount - row.mLogged,
+               this->mConnections,
+               this->mBytes);
+  row.mLogged = row.mCount;
+  row.mLoggedAt = aNow;
+}
+
+std::uint64_t HttpBudget::Refusals(HttpRefusal aRefusal) const
+{
+  return this->mRefusals.at(static_cast<std::size_t>(aRefusal)).mCount;
+}
+
+bool HttpBudget::Evict(HttpRefusal aCause, TimePoint aNow)
+{
+  HttpAccount* first = nullptr;
+  for (auto& account : this->mAccounts) {
+    if (!MayEvict(account, aCause)) {
+      continue;
+    }
+    const bool isBefore =
+      first == nullptr ||
+      (aCause == HttpRefusal::kMemory
+         ? MemoryRank(account, aNow) > MemoryRank(*first, aNow)
+         : ConnectionRank(account, aNow) > ConnectionRank(*first, aNow));
+    if (isBefore) {
+      first = &account;
+    }
+  }
+  if (first == nullptr) {
+    return false;
+  }
+  this->Discharge(*first);
+  first->mPhase = HttpAccount::Phase::kEvicted;
+  first->mCause = aCause;
+  --this->mKept;
+  this->CountRefusal(aCause, aNow);
+  first->Interrupt();
+  return true;
+}
+
+void HttpBudget::Discharge(HttpAccount& aAccount)
+{
+  this->mBytes -= aAccount.mBytes;
+  aAccount.mBytes = 0;
+}
+
+HttpBudget& ProcessHttpBudget()
+{
+  static HttpBudget budget([] {
+    HttpBudgetLimits limits;
+    limits.mConnections =
+      std::min(limits.mConnections, MaxDescriptors() / kDescriptorPart);
+    return limits;
+  }());
+  return budget;
+}
+
+HttpBudgetLimits BudgetLimitsFor(std::size_t aMemoryBytes,
+                                 std::size_t aDescriptors)
+{
+  const HttpBudgetLimits defaults;
+  HttpBudgetLimits limits;
+  limits.mBytes = aMemoryBytes / kMemoryPart;
+  limits.mConnections =
+    std::min(defaults.mConnections, aDescriptors / kDescriptorPart);
+  return limits;
+}
+
+std::size_t MaxDescriptors()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return HttpBudgetLimits{}.mConnections * kDescriptorPart;
+  }
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
+} // namespace verbenacroft
--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -53,25 +54,159 @@
   return message;
 }
 
-/// One client connection. `mIsIdle` is true while no request is being received
-/// or answered.
+/// Bytes that are read at most before they are parsed, beyond a whole header.
+/// Trailers and chunk headers have to fit, since the parser needs each as a
+/// whole.
+constexpr std::size_t kMaxUnparsedBytes = 16 * 1024;
+/// Bytes that are read at a time.
+constexpr std::size_t kMaxReadBytes = 16 * 1024;
+/// Bytes of chunk headers, trailers and header fields that a request may have,
+/// beyond a multiple of its body.
+constexpr std::size_t kMaxFramingBytes = 64 * 1024;
+/// That multiple. A chunk of one byte without an extension takes six.
+constexpr std::size_t kMaxFramingFactor = 8;
+/// Copies of a body while its request is handled.
+constexpr std::size_t kBodyCopies = 2;
+/// Time for the response to a request that isn't read to its end.
+constexpr Duration kRefusalTimeout{ 1'000 };
+/// Pause before the next connection is accepted after a failure.
+constexpr Duration kAcceptPause{ 20 };
+
+class Session;
+using ListHook = boost::intrusive::list_base_hook<
+  boost::intrusive::tag<Session>,
+  boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+/// One client connection.
 class Session
   : public boost::intrusive_ref_counter<Session, boost::thread_unsafe_counter>
-  , public boost::intrusive::list_base_hook<
-      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+  , public ListHook
+  , public HttpAccount
 {
 public:
-  explicit Session(asio::ip::tcp::socket aSocket)
+  Session(asio::ip::tcp::socket aSocket,
+          HttpBudget& aBudget,
+          std::size_t aMaxBuffer)
     : mStream(std::move(aSocket))
+    , mBudget(aBudget)
+    , mBuffer(aMaxBuffer)
+  {
+  }
+  ~Session() override
+  {
+    if (this->mIsOpen) {
+      this->mBudget.Close(*this);
+    }
+  }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Interrupt() override { this->mStream.cancel(); }
+
+  /// @return false if the budget has no room for the connection
+  bool Open()
+  {
+    this->mIsOpen = this->mBudget.Open(*this, MonotonicNow());
+    return this->mIsOpen;
+  }
+  void SetPhase(Phase aPhase)
+  {
+    this->mBudget.SetPhase(*this, aPhase, MonotonicNow());
+  }
+  /// Accounts for the buffer and `aBytes` more.
+  /// @return false if the connection has to be closed for that
+  bool Charge(std::size_t aBytes)
   {
+    this->mBudget.Charge(
+      *this, this->mBuffer.capacity() + aBytes, MonotonicNow());
+    return this->mPhase != Phase::kEvicted;
   }
+
   beast::tcp_stream mStream;
+  HttpBudget& mBudget;
   beast::flat_buffer mBuffer;
-  bool mIsIdle = true;
+
+private:
+  bool mIsOpen = false;
 };
 
 using SessionList =
-  boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>>;
+  boost::intrusive::list<Session,
+                         boost::intrusive::base_hook<ListHook>,
+                         boost::intrusive::constant_time_size<false>>;
+
+/// Parses what the buffer holds of a request. An incomplete part stays there.
+/// @return number of bytes that were parsed
+std::size_t Parse(beast::flat_buffer& aBuffer,
+                  Parser& aParser,
+                  beast::error_code& aError)
+{
+  std::size_t parsed = 0;
+  while (aBuffer.size() > 0 && !aParser.is_done()) {
+    const std::size_t bytes = aParser.put(aBuffer.data(), aError);
+    aBuffer.consume(bytes);
+    parsed += bytes;
+    if (aError || bytes == 0) {
+      break;
+    }
+  }
+  if (aError == http::error::need_more) {
+    aError = {};
+  }
+  return parsed;
+}
+
+/// Why a request that could not be read is refused; nothing if its connection
+/// failed or was closed.
+std::optional<HttpRefusal> RefusalOf(beast::error_code aError)
+{
+  if (aError == http::error::body_limit) {
+    return HttpRefusal::kBodyTooLarge;
+  }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return HttpRefusal::kHeaderTooLarge;
+  }
+  if (aError == beast::error::timeout) {
+    return HttpRefusal::kTooSlow;
+  }
+  const bool isClosed =
+    aError == http::error::end_of_stream ||
+    aError == http::error::partial_message ||
+    aError.category() !=
+      http::make_error_code(http::error::bad_method).category();
+  return isClosed ? std::nullopt : std::optional(HttpRefusal::kMalformed);
+}
+
+/// Response to a refused request, which has not been handled.
+HttpResponse RefusalResponse(HttpRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case HttpRefusal::kBodyTooLarge:
+      return ErrorResponse(413, "the body is too large");
+    case HttpRefusal::kHeaderTooLarge:
+      return ErrorResponse(431, "the header or the trailers are too large");
+    case HttpRefusal::kTooSlow:
+      return ErrorResponse(408, "the request did not arrive in time");
+    case HttpRefusal::kMemory:
+    case HttpRefusal::kConnections: {
+      HttpResponse response =
+        ErrorResponse(503, "the server is busy; the request was not handled");
+      response.mHeaders.push_back({ "Retry-After", "1" });
+      return response;
+    }
+    case HttpRefusal::kMalformed:
+      break;
+  }
+  return ErrorResponse(400, "the request is malformed");
+}
+
+/// True if a request has more chunk headers, trailers and header fields than
+/// its body explains.
+bool HasTooMuchFraming(std::size_t aReceived, std::size_t aBody)
+{
+  return aReceived > kMaxFramingBytes + (1 + kMaxFramingFactor) * aBody;
+}
 
 } // namespace
 
@@ -87,6 +222,7 @@
     : mAcceptor(aContext, aEndpoint)
     , mLimits(aLimits)
     , mHandler(std::move(aHandler))
+    , mBudget(ProcessHttpBudget())
   {
   }
 
@@ -100,7 +236,7 @@
   void CloseSessions(bool aIdleOnly)
   {
     for (auto& session : this->mSessions) {
-      if (session.mIsIdle || !aIdleOnly) {
+      if (session.mPhase == HttpAccount::Phase::kIdle || !aIdleOnly) {
         beast::error_code ignored;
         session.mStream.socket().close(ignored);
       }
@@ -110,6 +246,7 @@
   asio::ip::tcp::acceptor mAcceptor;
   HttpLimits mLimits;
   HttpHandler mHandler;
+  HttpBudget& mBudget;
   SessionList mSessions;
   std::size_t mConnections = 0;
   std::size_t mInFlight = 0;
@@ -124,12 +261,23 @@
       if (error == asio::error::operation_aborted) {
         break;
       }
-      if (error || aSelf->mConnections >= aSelf->mLimits.mConnections) {
+      if (error) {
+        co_await aSelf->PauseAccepting(error);
+        continue;
+      }
+      if (aSelf->mConnections >= aSelf->mLimits.mConnections) {
+        aSelf->mBudget.CountRefusal(HttpRefusal::kConnections, MonotonicNow());
         continue;
       }
       beast::error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      boost::intrusive_ptr<Session> session(new Session(std::move(socket)));
+      boost::intrusive_ptr<Session> session(
+        new Session(std::move(socket),
+                    aSelf->mBudget,
+                    aSelf->mLimits.mHeaderBytes + kMaxUnparsedBytes));
+      if (!session->Open()) {
+        continue;
+      }
       aSelf->mSessions.push_back(*session);
       ++aSelf->mConnections;
       asio::co_spawn(aSelf->mAcceptor.get_executor(),
@@ -138,6 +286,17 @@
     }
   }
 
+  /// Waits after a failure to accept. Without a descriptor the acceptor would
+  /// fail again at once, for as long as the connection waits.
+  asio::awaitable<void> PauseAccepting(boost::system::error_code aError)
+  {
+    if (aError == asio::error::no_descriptors) {
+      this->mBudget.OnDescriptorsExhausted(MonotonicNow());
+    }
+    asio::steady_timer timer(this->mAcceptor.get_executor(), kAcceptPause);
+    co_await timer.async_wait(kAwaitTuple);
+  }
+
   asio::awaitable<void> ServeConnection(std::shared_ptr<Impl> aSelf,
                                         boost::intrusive_ptr<Session> aSession)
   {
@@ -158,13 +317,14 @@
     if (aSession.mBuffer.size() > 0) {
       co_return true;
     }
-    aSession.mIsIdle = true;
+    aSession.mBuffer.shrink_to_fit();
+    aSession.SetPhase(HttpAccount::Phase::kIdle);
+    aSession.Charge(0);
     aSession.mStream.expires_after(this->mLimits.mIdleTimeout);
     auto buffer = aSession.mBuffer.prepare(4096);
     auto [error, bytes] =
       co_await aSession.mStream.async_read_some(buffer, kAwaitTuple);
     aSession.mBuffer.commit(bytes);
-    aSession.mIsIdle = false;
     co_return !error;
   }
 
@@ -176,40 +336,87 @@
     if (!hasData) {
       co_return false;
     }
+    aSession.SetPhase(HttpAccount::Phase::kReceiving);
     Parser parser;
+    parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(this->mLimits.mHeaderBytes));
     parser.body_limit(this->mLimits.mBodyBytes);
     aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
-    auto [error, bytes] = co_await http::async_read(
-      aSession.mStream, aSession.mBuffer, parser, kAwaitTuple);
-    if (error) {
-      co_return co_await this->RejectRequest(aSession, error);
+    std::size_t received = 0;
+    while (!parser.is_done()) {
+      beast::error_code error;
+      received += Parse(aSession.mBuffer, parser, error);
+      const auto& body = parser.get().body();
+      if (!aSession.Charge(body.capacity())) {
+        co_return co_await this->Refuse(aSession, aSession.mCause);
+      }
+      if (error) {
+        co_return co_await this->RejectRequest(aSession, error);
+      }
+      if (HasTooMuchFraming(received, body.size())) {
+        co_return co_await this->CountAndRefuse(aSession,
+                                                HttpRefusal::kMalformed);
+      }
+      if (!parser.is_done()) {
+        error = co_await this->ReadMore(aSession);
+      }
+      if (aSession.mPhase == HttpAccount::Phase::kEvicted) {
+        co_return co_await this->Refuse(aSession, aSession.mCause);
+      }
+      if (error) {
+        co_return co_await this->RejectRequest(aSession, error);
+      }
     }
+    if (!aSession.Charge(kBodyCopies * parser.get().body().capacity())) {
+      co_return co_await this->Refuse(aSession, aSession.mCause);
+    }
+    aSession.SetPhase(HttpAccount::Phase::kHandling);
     co_return co_await this->HandleRequest(aSession, parser.get());
   }
 
-  /// Sends an error response for a request that could not be read, unless the
-  /// connection failed or was closed.
+  /// Reads what has arrived of a request, as far as the buffer has room.
+  /// The parser reads from the stream until the request is complete if its
+  /// chunks are small, so it gets what this function has read instead.
+  asio::awaitable<beast::error_code> ReadMore(Session& aSession)
+  {
+    beast::flat_buffer& buffer = aSession.mBuffer;
+    const std::size_t room =
+      std::min(kMaxReadBytes, buffer.max_size() - buffer.size());
+    if (room == 0) {
+      co_return http::make_error_code(http::error::buffer_overflow);
+    }
+    auto [error, bytes] = co_await aSession.mStream.async_read_some(
+      buffer.prepare(room), kAwaitTuple);
+    buffer.commit(bytes);
+    co_return error;
+  }
+
+  /// Refuses a request that could not be read, unless the connection failed or
+  /// was closed.
   /// @return false, as the connection must be closed
   asio::awaitable<bool> RejectRequest(Session& aSession,
                                       beast::error_code aError)
   {
-    int status = 400;
-    if (aError == http::error::body_limit) {
-      status = 413;
-    } else if (aError == http::error::header_limit) {
-      status = 431;
-    } else if (aError == beast::error::timeout) {
-      status = 408;
-    } else if (aError == http::error::end_of_stream ||
-               aError == http::error::partial_message ||
-               aError.category() !=
-                 http::make_error_code(http::error::bad_method).category()) {
+    const auto refusal = RefusalOf(aError);
+    if (!refusal) {
       co_return false;
     }
-    HttpResponse refusal = ErrorResponse(status, aError.message());
+    co_return co_await this->CountAndRefuse(aSession, *refusal);
+  }
+
+  asio::awaitable<bool> CountAndRefuse(Session& aSession, HttpRefusal aRefusal)
+  {
+    this->mBudget.CountRefusal(aRefusal, MonotonicNow());
+    co_return co_await this->Refuse(aSession, aRefusal);
+  }
+
+  /// Sends an error response for a request that isn't handled.
+  /// @return false, as the connection must be closed
+  asio::awaitable<bool> Refuse(Session& aSession, HttpRefusal aRefusal)
+  {
+    HttpResponse refusal = RefusalResponse(aRefusal);
     Response message = ToBeast(refusal, false);
-    aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
+    aSession.mStream.expires_after(kRefusalTimeout);
     co_await http::async_write(aSession.mStream, message, kAwaitTuple);
     co_return false;
   }
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -3,7 +3,7 @@
     vcTime.cxx
   LINK Boost::json spdlog::spdlog ${XXHASH_LIBRARY} Threads::Threads)
 verbenacroft_library(Http
-  SOURCES vcHttpText.cxx vcHttpServer.cxx vcHttpClient.cxx
+  SOURCES vcHttpBudget.cxx vcHttpText.cxx vcHttpServer.cxx vcHttpClient.cxx
   LINK vcFoundation)
 verbenacroft_library(Store
   SOURCES vcStoreBudget.cxx vcStoreClient.cxx
--- a/Source/Shell/vcMetrics.cxx
+++ b/Source/Shell/vcMetrics.cxx
@@ -92,6 +92,24 @@
 
 namespace {
 
+/// Adds what the servers of the process have refused and hold.
+void AddServerMetrics(MetricsPage& aPage)
+{
+  const HttpBudget& budget = ProcessHttpBudget();
+  for (const auto& refusal : EnumTable<HttpRefusal>::kRows) {
+    aPage.Counter("verbenacroft_http_refusals_total",
+                  "Requests and connections refused by the servers.",
+                  static_cast<double>(budget.Refusals(refusal.mValue)),
+                  { { "reason", std::string(refusal.mName) } });
+  }
+  aPage.Gauge("verbenacroft_http_connections",
+              "Open connections to the servers.",
+              static_cast<double>(budget.Connections()));
+  aPage.Gauge("verbenacroft_http_buffered_bytes",
+              "Memory that requests take until they are answered.",
+              static_cast<double>(budget.Bytes()));
+}
+
 HttpResponse TextResponse(int aStatus, std::string aBody)
 {
   HttpResponse response;
@@ -108,6 +126,7 @@
   if (path == "/metrics") {
     MetricsPage page;
     AddProcessMetrics(page);
+    AddServerMetrics(page);
     aHooks.mCollect(page);
     return TextResponse(200, page.Text());
   }
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -40,6 +40,7 @@
   Tests/Unit/vcLeaseExtensionCheckTest.cxx
   Tests/Unit/vcIncarnationFenceTest.cxx Tests/Unit/vcTeamCredentialsTest.cxx
   Tests/Unit/vcOverloadTest.cxx Tests/Unit/vcRenewalScheduleTest.cxx
+  Tests/Unit/vcHttpBudgetTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
--- /dev/null
+++ b/Tests/Unit/vcHttpBudgetTest.cxx
@@ -0,0 +1,191 @@
+/// The budget of memory and connections of a process's servers: who is evicted,
+/// and when.
+
+#include "vcHttp.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace verbenacroft {
+
+namespace {
+
+using Phase = HttpAccount::Phase;
+
+constexpr TimePoint kBegin{ 10'000 };
+
+struct TestAccount : HttpAccount
+{
+  void Interrupt() override { this->mIsInterrupted = true; }
+  bool mIsInterrupted = false;
+};
+
+/// A connection as a row of a test.
+struct AccountRow
+{
+  Phase mPhase;
+  Duration mAge;
+  std::size_t mBytes;
+};
+
+/// A budget of 1,000 bytes and three connections.
+struct BudgetFixture
+{
+  explicit BudgetFixture(const std::vector<AccountRow>& aRows)
+  {
+    for (const auto& row : aRows) {
+      auto account = std::make_unique<TestAccount>();
+      this->mBudget.Open(*account, kBegin - row.mAge);
+      this->mBudget.SetPhase(*account, row.mPhase, kBegin - row.mAge);
+      this->mBudget.Charge(*account, row.mBytes, kBegin - row.mAge);
+      this->mAccounts.push_back(std::move(account));
+    }
+  }
+  ~BudgetFixture()
+  {
+    for (auto& account : this->mAccounts) {
+      this->mBudget.Close(*account);
+    }
+    CHECK(this->mBudget.Bytes() == 0);
+    CHECK(this->mBudget.Connections() == 0);
+  }
+  BudgetFixture(const BudgetFixture&) = delete;
+  BudgetFixture& operator=(const BudgetFixture&) = delete;
+
+  /// Index of the only connection that was evicted; -1 if there is none.
+  int Evicted() const
+  {
+    int evicted = -1;
+    for (std::size_t i = 0; i < this->mAccounts.size(); ++i) {
+      if (this->mAccounts[i]->mPhase == Phase::kEvicted) {
+        CHECK(this->mAccounts[i]->mIsInterrupted);
+        CHECK(evicted == -1);
+        evicted = static_cast<int>(i);
+      }
+    }
+    return evicted;
+  }
+
+  HttpBudget mBudget{ { 1'000, 3 } };
+  std::vector<std::unique_ptr<TestAccount>> mAccounts;
+};
+
+} // namespace
+
+// Guards against memory without a bound, and against complete requests that are
+// refused for the sake of incomplete ones.
+TEST_CASE("the largest and slowest incomplete request gives way", "[budget]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::vector<AccountRow> mAccounts;
+    std::size_t mCharge;
+    int mEvicted;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "all fits",
+      { { Phase::kReceiving, Duration(100), 400 },
+        { Phase::kReceiving, Duration(100), 0 } },
+      600,
+      -1 },
+    { "the larger one",
+      { { Phase::kReceiving, Duration(100), 600 },
+        { Phase::kReceiving, Duration(100), 0 } },
+      500,
+      0 },
+    { "the slower one of the same size",
+      { { Phase::kReceiving, Duration(100), 500 },
+        { Phase::kReceiving, Duration(900), 0 } },
+      510,
+      1 },
+    { "not one that is handled",
+      { { Phase::kHandling, Duration(900), 900 },
+        { Phase::kReceiving, Duration(0), 0 } },
+      200,
+      1 },
+    { "not an idle one",
+      { { Phase::kIdle, Duration(900), 600 },
+        { Phase::kReceiving, Duration(0), 0 } },
+      500,
+      1 },
+  }));
+  CAPTURE(row.mName);
+  BudgetFixture fixture(row.mAccounts);
+  fixture.mBudget.Charge(*fixture.mAccounts.back(), row.mCharge, kBegin);
+  CHECK(fixture.Evicted() == row.mEvicted);
+  CHECK(fixture.mBudget.Bytes() <= 1'000);
+  CHECK(fixture.mBudget.Refusals(HttpRefusal::kMemory) ==
+        (row.mEvicted < 0 ? 0 : 1));
+}
+
+// Guards against connections that are held open and keep ordinary callers out.
+TEST_CASE("a new connection takes the place of a slow or idle one", "[budget]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::vector<AccountRow> mAccounts;
+    bool mIsOpened;
+    int mEvicted;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "there is room",
+      { { Phase::kIdle, Duration(900), 0 },
+        { Phase::kReceiving, Duration(900), 0 } },
+      true,
+      -1 },
+    { "an incomplete request before an idle connection",
+      { { Phase::kIdle, Duration(900), 0 },
+        { Phase::kReceiving, Duration(300), 0 },
+        { Phase::kHandling, Duration(900), 0 } },
+      true,
+      1 },
+    { "the connection that is idle for longest",
+      { { Phase::kIdle, Duration(300), 0 },
+        { Phase::kIdle, Duration(900), 0 },
+        { Phase::kHandling, Duration(900), 0 } },
+      true,
+      1 },
+    { "all are handled",
+      { { Phase::kHandling, Duration(300), 0 },
+        { Phase::kHandling, Duration(900), 0 },
+        { Phase::kHandling, Duration(900), 0 } },
+      false,
+      -1 },
+  }));
+  CAPTURE(row.mName);
+  TestAccount added;
+  BudgetFixture fixture(row.mAccounts);
+  const bool isOpened = fixture.mBudget.Open(added, kBegin);
+  CHECK(isOpened == row.mIsOpened);
+  CHECK(fixture.Evicted() == row.mEvicted);
+  if (isOpened) {
+    fixture.mBudget.Close(added);
+  }
+}
+
+// Guards against defaults that ordinary clients meet.
+TEST_CASE("the limits of a budget follow from the process", "[budget]")
+{
+  struct Row
+  {
+    std::size_t mMemoryMb;
+    std::size_t mDescriptors;
+    std::size_t mBytes;
+    std::size_t mConnections;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 64, 256, 8'000'000, 128 },
+    { 160, 4'100, 20'000'000, 2'050 },
+    { 512, 1'000'000, 64'000'000, 4'096 },
+  }));
+  const HttpBudgetLimits limits =
+    BudgetLimitsFor(row.mMemoryMb * 1'000'000, row.mDescriptors);
+  CHECK(limits.mBytes == row.mBytes);
+  CHECK(limits.mConnections == row.mConnections);
+}
+
+} // namespace verbenacroft
