Node, Dispatch: Move shares of team quotas between shards

Cause: with several shards each owner would start up to the whole quota.

Change: shares of a quota by shard in vc/team-shares/TEAM, changed by their shard's owner under a compare-and-swap and on the condition of its ownership. The fleet's play `teams` counts at each start what the team runs on all workers against its quota, over random faults, three shards and quotas that are lowered and raised.

--- a/Source/Dispatch/vcTeamQuota.cxx
+++ b/Source/Dispatch/vcTeamQuota.cxx
@@ -3,6 +3,8 @@
 #include "vcFairness.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace verbenacroft {
 
@@ -41,6 +43,15 @@
            aNeeds.mSlots * aCount };
 }
 
+/// The share that `aAmount` of a limit needs, at most the whole.
+std::uint32_t ShareOf(std::int64_t aAmount, std::int64_t aLimit)
+{
+  const double share = std::ceil(static_cast<double>(aAmount) *
+                                 kWholeTeamShare / static_cast<double>(aLimit));
+  return static_cast<std::uint32_t>(
+    std::clamp(share, 0.0, static_cast<double>(kWholeTeamShare)));
+}
+
 /// Number of tasks of the step that wait for a start.
 std::int64_t CountWaiting(const DispatchStep& aStep)
 {
@@ -112,6 +123,78 @@
 
 } // namespace
 
+TeamShares EqualTeamShares(std::uint32_t aShards)
+{
+  TeamShares shares;
+  shares.mShares.assign(aShards, kWholeTeamShare / std::max(1U, aShards));
+  return shares;
+}
+
+bool IsValid(const TeamShares& aShares, std::uint32_t aShards)
+{
+  const std::uint64_t sum = std::accumulate(
+    aShares.mShares.begin(), aShares.mShares.end(), std::uint64_t{ 0 });
+  return aShares.mShares.size() == aShards && sum <= kWholeTeamShare;
+}
+
+TeamDemand DemandOf(const DispatchShard& aShard,
+                    const std::string& aTeam,
+                    std::int64_t aNowMs)
+{
+  TeamDemand demand;
+  const auto quota = aShard.mTeams.find(aTeam);
+  if (quota == aShard.mTeams.end()) {
+    return demand;
+  }
+  const auto use = aShard.mTeamUse.find(aTeam);
+  Resources used;
+  if (use != aShard.mTeamUse.end()) {
+    used = use->second.mKnown + use->second.mUnseen;
+  }
+  Resources waiting;
+  for (const auto& [id, job] : aShard.mJobs) {
+    if (job.mRecord.mTerms.mTeam != aTeam || IsFinal(job.mState)) {
+      continue;
+    }
+    VisitReadySteps(aShard, job, aNowMs, [&](const TaskId& aFirstTask) {
+      waiting += Times(StepOf(job, aFirstTask).mNeeds,
+                       CountWaiting(StepStateOf(job, aFirstTask)));
+    });
+  }
+  for (const auto& row : LimitedRows(quota->second.mLimit, used, waiting)) {
+    demand.mUsed = std::max(demand.mUsed, ShareOf(row.mUsed, row.mLimit));
+    demand.mWanted =
+      std::max(demand.mWanted, ShareOf(row.mUsed + row.mNeeded, row.mLimit));
+  }
+  return demand;
+}
+
+TeamShares PlanTeamShares(const TeamShares& aShares,
+                          std::uint32_t aShard,
+                          const TeamDemand& aDemand)
+{
+  TeamShares planned = aShares;
+  std::uint32_t& own = planned.mShares.at(aShard);
+  const auto shards = static_cast<std::uint32_t>(planned.mShares.size());
+  const std::uint32_t equal = kWholeTeamShare / shards;
+  const std::uint32_t sum = std::accumulate(
+    planned.mShares.begin(), planned.mShares.end(), std::uint32_t{ 0 });
+  std::erase(planned.mWanting, aShard);
+  if (aDemand.mWanted > own) {
+    own = std::min(aDemand.mWanted, own + kWholeTeamShare - sum);
+  }
+  if (!planned.mWanting.empty()) {
+    const std::uint32_t kept =
+      std::max(aDemand.mUsed, std::min(aDemand.mWanted, equal));
+    own = std::min(own, kept);
+  }
+  if (aDemand.mWanted > own) {
+    planned.mWanting.push_back(aShard);
+    std::sort(planned.mWanting.begin(), planned.mWanting.end());
+  }
+  return planned;
+}
+
 void SetTeams(DispatchShard& aShard,
               const std::vector<TeamConfig>& aTeams,
               std::uint32_t aShards)
@@ -119,9 +202,9 @@
   std::map<std::string, TeamQuota> teams;
   for (const auto& team : aTeams) {
     const auto known = aShard.mTeams.find(team.mName);
-    const std::uint32_t share = known == aShard.mTeams.end()
-                                  ? kWholeTeamShare / std::max(1U, aShards)
-                                  : known->second.mShare;
+    const std::uint32_t first = aShards <= 1 ? kWholeTeamShare : 0;
+    const std::uint32_t share =
+      known == aShard.mTeams.end() ? first : known->second.mShare;
     teams[team.mName] = { team.mLimit, team.mWeight, share };
   }
   aShard.mTeams = std::move(teams);
--- a/Source/Dispatch/vcTeamQuota.h
+++ b/Source/Dispatch/vcTeamQuota.h
@@ -8,8 +8,51 @@
 
 namespace verbenacroft {
 
+/// Shares of one team in its limit, by shard; at most `kWholeTeamShare` in all.
+/// The store's record of the team, which every shard's owner changes for its
+/// own shard only.
+struct TeamShares
+{
+  std::vector<std::uint32_t> mShares;
+  /// Shards that need more than their shares.
+  std::vector<std::uint32_t> mWanting;
+
+  bool operator==(const TeamShares&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TeamShares, (), (mShares, mWanting))
+
+/// What a team needs in one shard, in units of its shares.
+struct TeamDemand
+{
+  /// For runs that are known or may last unseen.
+  std::uint32_t mUsed = 0;
+  /// For these and for the tasks that wait, at most the whole.
+  std::uint32_t mWanted = 0;
+};
+
+/// Equal shares of all shards.
+TeamShares EqualTeamShares(std::uint32_t aShards);
+
+/// True if the record is one of a deployment with so many shards, and shares
+/// out no more than the whole.
+bool IsValid(const TeamShares& aShares, std::uint32_t aShards);
+
+/// What the team needs in this shard at present.
+TeamDemand DemandOf(const DispatchShard& aShard,
+                    const std::string& aTeam,
+                    std::int64_t aNowMs);
+
+/// The shares after the owner of `aShard` has changed its own. A share is
+/// raised by what no shard has; it is lowered only if another shard wants more,
+/// down to what is needed here or to the equal share, and never below what is
+/// used.
+TeamShares PlanTeamShares(const TeamShares& aShares,
+                          std::uint32_t aShard,
+                          const TeamDemand& aDemand);
+
 /// Applies the teams of a configuration. A team that the shard knows keeps its
-/// share; a new one has an equal part of its limit in each shard.
+/// share. A new one has its whole limit in the only shard of a deployment; with
+/// several shards it has none until the shares are read.
 /// @param aShards number of shards of the deployment
 void SetTeams(DispatchShard& aShard,
               const std::vector<TeamConfig>& aTeams,
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -67,7 +67,7 @@
     vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx
     vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx
     vcShardRunner.cxx
-    vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardWorkerSet.cxx
+    vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardTeams.cxx vcShardWorkerSet.cxx
     vcStoreMonitor.cxx vcTeamCredentials.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
 
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -152,6 +152,9 @@
   this->Spawn("record", [self] { return self->RecordPeriodically(); });
   this->Spawn("worker-set", [self] { return self->RecordSilentWorkers(); });
   this->Spawn("crashes", [self] { return self->RecordCrashes(); });
+  if (this->mNode.mShards > 1) {
+    this->Spawn("teams", [self] { return self->ShareTeamLimits(); });
+  }
   this->Spawn("former-owner", [self] { return self->LearnFromFormerOwner(); });
 }
 
@@ -362,14 +365,6 @@
   }
 }
 
-void ShardRunner::CopyTeams(const FleetConfig& aConfig)
-{
-  if (aConfig.mVersion != this->mTeamsVersion) {
-    this->mTeamsVersion = aConfig.mVersion;
-    SetTeams(this->mShard, aConfig.mTeams, this->mNode.mShards);
-  }
-}
-
 asio::awaitable<void> ShardRunner::Tick()
 {
   TimePoint loadLoggedAt = SuspendAwareNow();
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -239,6 +239,14 @@
   std::size_t MaxOccurrenceBytes() const;
   /// Gives the core the teams of a new version of the configuration.
   void CopyTeams(const FleetConfig& aConfig);
+  /// Reads and changes this shard's shares in the limits of teams until the
+  /// runner stops.
+  asio::awaitable<void> ShareTeamLimits();
+  /// Reads the shares of all teams and changes those of this shard.
+  asio::awaitable<void> UpdateTeamShares();
+  /// Applies and changes this shard's share of one team.
+  /// @param aItem the team's record, with revision 0 if there is none
+  asio::awaitable<void> UpdateTeamShare(std::string aTeam, KvItem aItem);
   /// Copies the memory limit, the state of the lease and the evacuations from
   /// the node to the core.
   void CopyNodeStateToShard(TimePoint aNow);
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -96,11 +96,9 @@
   node.mCodec.mConfigKey = kConfig;
   node.mCodec.mEvacuationPrefix = "op/evacuate/";
   node.mCodec.mDiscoveryPrefix = kWorkersPrefix;
-  node.mCodec.mDecodeConfig = [](std::string_view, Faults&) {
-    FleetConfig config;
-    config.mVersion = 1;
-    config.mQueues.push_back({ kHost, kQueuePath, MakeTerms() });
-    return std::optional(config);
+  node.mCodec.mCredentialHeader = kKeyHeader;
+  node.mCodec.mDecodeConfig = [this](std::string_view aText, Faults&) {
+    return std::optional(this->MakeConfig(aText));
   };
   node.mCodec.mDecodeJob = [](std::string_view aText, Faults& aFaults) {
     return std::optional(Decode<BatchSpec>(aText, aFaults));
@@ -200,6 +198,9 @@
   KvTransaction write;
   write.mPuts.push_back({ kConfig, "{}", 0 });
   CommitNow(this->mStore, write);
+  if (this->HasTeams()) {
+    this->SetFirstQuota();
+  }
   for (std::uint32_t i = 1; i <= this->mOptions.mWorkers; ++i) {
     this->AddWorker(fmt::format("w{}", i));
   }
@@ -253,6 +254,9 @@
     this->mLeaseFaultsEnd = from + 2 * kSmallNodeFault;
     this->mEnd = this->mLeaseFaultsEnd + kCalmAfterSmallNodes;
   }
+  if (this->HasTeams()) {
+    this->ScheduleQuotas();
+  }
   this->SortChanges();
 }
 
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -76,6 +76,9 @@
   /// owner is killed or paused at that time. Workers grant longer leases than
   /// owners may ask for.
   kRestartsUnderId,
+  /// Two teams share the fleet, and one of them has a quota, which versions of
+  /// the configuration lower and raise. The faults are those of `kFaults`.
+  kTeams,
 };
 
 template<>
@@ -97,6 +100,7 @@
     { FleetPlay::kLossesAndLeaves, "losses-and-leaves" },
     { FleetPlay::kLateClaims, "late-claims" },
     { FleetPlay::kRestartsUnderId, "restarts-under-id" },
+    { FleetPlay::kTeams, "teams" },
   });
 };
 
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -26,7 +26,9 @@
   const int atOnce = HasManyLastingJobs(this->mOptions.mPlay)
                        ? 1
                        : static_cast<int>(this->mOptions.mJobsAtOnce);
-  const bool isLasting = this->Toss(std::max(1, kLastingPercent / atOnce));
+  const bool isDrawn = this->Toss(std::max(1, kLastingPercent / atOnce));
+  // Jobs that last would use up a quota for good.
+  const bool isLasting = isDrawn && !this->HasTeams();
   const int steps = isLasting ? 1 : this->Draw(1, 2);
   for (int s = 0; s < steps; ++s) {
     StepSpec step;
@@ -62,7 +64,10 @@
   HttpRequest request;
   request.mMethod = "POST";
   request.mTarget = kQueuePath + id;
-  request.mHeaders = { { "Host", kHost } };
+  request.mHeaders = { { "Host", kHost }, { kKeyHeader, this->TeamOf(id) } };
+  if (this->TeamOf(id) == kLimitedTeam) {
+    this->mWorkers.mLimitedJobs.insert(id);
+  }
   request.mBody = Encode(spec);
   asio::co_spawn(
     *life->second.mIo,
@@ -134,7 +139,7 @@
   HttpRequest request;
   request.mMethod = "DELETE";
   request.mTarget = kQueuePath + aId;
-  request.mHeaders = { { "Host", kHost } };
+  request.mHeaders = { { "Host", kHost }, { kKeyHeader, this->TeamOf(aId) } };
   const HttpResponse response = co_await HandleCallerRequest(aNode, request);
   constexpr int kAccepted = 200;
   if (response.mStatus == kAccepted) {
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -37,6 +37,12 @@
 /// From the start of one fault with small nodes to that of the next.
 inline constexpr Duration kSmallNodeFault{ 9'000 };
 
+/// Header with the key of a team, which is the team's name.
+inline constexpr const char* kKeyHeader = "Key";
+/// The team that has a quota, and the one that has none.
+inline constexpr const char* kLimitedTeam = "limited";
+inline constexpr const char* kOtherTeam = "other";
+
 /// Terms of the only queue.
 QueueTerms MakeTerms();
 
@@ -194,6 +200,17 @@
   void SortChanges();
   void Step();
 
+  // Teams.
+  bool HasTeams() const { return this->mOptions.mPlay == FleetPlay::kTeams; }
+  /// The configuration that the operators' item holds as text.
+  FleetConfig MakeConfig(std::string_view aText) const;
+  /// The team that submits the job.
+  std::string TeamOf(const JobId& aId) const;
+  void SetFirstQuota();
+  void ScheduleQuotas();
+  /// Writes a version with this quota, in runs of a task.
+  void SetQuota(int aVersion, int aRuns);
+
   // Callers.
   BatchSpec DrawJob(const JobId& aId);
   void SubmitJob();
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -122,6 +122,27 @@
   }
 }
 
+/// Counts what the team with a quota runs on all workers.
+void JudgeQuota(MemoryFleet& aFleet, const TaskId& aTask, TimePoint aNow)
+{
+  if (aFleet.mMaxLimitedRuns == 0 ||
+      !aFleet.mLimitedJobs.contains(aTask.mJob)) {
+    return;
+  }
+  std::size_t runs = 0;
+  for (const auto& [task, places] : aFleet.mRunning) {
+    runs += aFleet.mLimitedJobs.contains(task.mJob) ? places.size() : 0;
+  }
+  if (runs > aFleet.mMaxLimitedRuns) {
+    aFleet.mProblems.push_back(
+      fmt::format("{} ms: {} starts, and its team has {} runs of {}",
+                  aNow.count(),
+                  Describe(aTask),
+                  runs,
+                  aFleet.mMaxLimitedRuns));
+  }
+}
+
 OrderOutcome StartRun(MemoryFleet& aFleet,
                       MemoryWorker& aWorker,
                       const StartOrder& aOrder,
@@ -161,6 +182,7 @@
     JudgeRepeatedStart(aFleet, aWorker, aOrder, run, aNow);
   }
   places.insert(aWorker.mName);
+  JudgeQuota(aFleet, aOrder.mTask, aNow);
   aFleet.mBegun.insert(aOrder.mTask.mJob);
   const TaskPlan plan = aFleet.mPlans[aOrder.mTask];
   MemoryRun run;
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -98,6 +98,10 @@
 struct MemoryFleet
 {
   std::mt19937_64 mRandom;
+  /// Jobs of the team that has a quota.
+  std::set<JobId> mLimitedJobs;
+  /// Most runs that the team may have at the same time; 0 if there is no quota.
+  std::size_t mMaxLimitedRuns = 0;
   std::map<std::string, MemoryWorker> mWorkers;
   std::vector<LateCall> mLate;
   /// Longest lease that a worker grants, in ms.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -40,7 +40,8 @@
   Tests/Unit/vcLeaseExtensionCheckTest.cxx
   Tests/Unit/vcIncarnationFenceTest.cxx Tests/Unit/vcTeamCredentialsTest.cxx
   Tests/Unit/vcOverloadTest.cxx Tests/Unit/vcRenewalScheduleTest.cxx
-  Tests/Unit/vcHttpBudgetTest.cxx
+  Tests/Unit/vcHttpBudgetTest.cxx Tests/Unit/vcTeamQuotaTest.cxx
+  Tests/Unit/vcRackLocalityTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -90,7 +91,7 @@
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
-  Tests/Fleet/vcFleetRestarts.cxx
+  Tests/Fleet/vcFleetRestarts.cxx Tests/Fleet/vcFleetTeams.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
@@ -155,6 +156,9 @@
 # next one: two runs of a task at once, or a start after an end that such a call
 # has acknowledged.
 verbenacroft_fleet(restarts_under_id --play restarts-under-id --seeds 1..40)
+# Guards against starts beyond a team's quota: two shards whose owners both
+# start, an owner that is cut off, and a quota that is lowered and raised.
+verbenacroft_fleet(teams --play teams --seeds 1..100)
 # Guards against a task that crashes one worker after another, and against other
 # jobs that fail because they ran beside it.
 verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
