--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -76,6 +76,40 @@
     "verbenacroft_shard_silent_workers", "Workers not heard.", unresponsive);
   gauge("verbenacroft_shard_runs", "Runs on workers.", runs);
   gauge("verbenacroft_shard_epoch", "Epoch of this owner.", aState.mEpoch);
+  gauge("verbenacroft_shard_given_up_jobs",
+        "Jobs given up under overload, so that others are in time.",
+        aState.mOverload.mGivenUp);
+  gauge("verbenacroft_shard_expired_jobs",
+        "Jobs whose result has no more use, under overload.",
+        aState.mOverload.mExpired);
+}
+
+/// Adds what the teams use in one shard. Further teams are left out, which
+/// bounds the number of series.
+void CollectTeams(MetricsPage& aPage,
+                  std::uint32_t aShard,
+                  const DispatchShard& aState)
+{
+  constexpr std::size_t kMaxTeams = 100;
+  std::size_t teams = 0;
+  for (const auto& [team, quota] : aState.mTeams) {
+    if (++teams > kMaxTeams) {
+      return;
+    }
+    const auto use = aState.mTeamUse.find(team);
+    const std::int64_t milliCpu =
+      use == aState.mTeamUse.end() ? 0 : use->second.mKnown.mMilliCpu;
+    const MetricLabels labels{ { "shard", std::to_string(aShard) },
+                               { "team", team } };
+    aPage.Gauge("verbenacroft_team_milli_cpu",
+                "Processors that a team's tasks use, in thousandths.",
+                static_cast<double>(milliCpu),
+                labels);
+    aPage.Gauge("verbenacroft_team_share",
+                "The shard's part of a team's limit, of 10,000.",
+                static_cast<double>(quota.mShare),
+                labels);
+  }
 }
 
 /// A metric of waiting work: its name and help text.
@@ -214,6 +248,7 @@
   viewAge("system", aNode.mSystemCompleteAt);
   for (const auto& [shard, runner] : aNode.mRunners) {
     CollectShard(aPage, shard, runner->State());
+    CollectTeams(aPage, shard, runner->State());
     CollectWaiting(
       aPage, shard, runner->WaitingTasksByReason(), kWaitingTasks, kOldestWait);
     CollectWaiting(
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -198,6 +198,17 @@
   aCalls = {};
 }
 
+void LogOverload(const OverloadSummary& aOverload, std::uint32_t aNumber)
+{
+  if (aOverload.mJobs > 0) {
+    spdlog::info("shard.overload shard={} jobs={} given_up={} expired={}",
+                 aNumber,
+                 aOverload.mJobs,
+                 aOverload.mGivenUp,
+                 aOverload.mExpired);
+  }
+}
+
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber)
 {
   LogSummary({ "shard.waiting", "tasks", "oldest_ms" }, aWaiting, aNumber);
--- a/Source/Node/vcShardLog.h
+++ b/Source/Node/vcShardLog.h
@@ -65,6 +65,10 @@
                     std::map<RenewalCause, std::uint32_t>& aRenewals,
                     std::uint32_t aNumber);
 
+/// Logs the jobs that are given up, if the work that is due doesn't fit.
+/// @param aNumber number of the shard
+void LogOverload(const OverloadSummary& aOverload, std::uint32_t aNumber);
+
 /// Logs the shard's waiting tasks, one line for each reason.
 /// @param aNumber number of the shard
 void LogWaiting(const WaitingSummary& aWaiting, std::uint32_t aNumber);
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -372,6 +372,7 @@
     if (SuspendAwareNow() - loadLoggedAt >= kLoadLogInterval) {
       loadLoggedAt = SuspendAwareNow();
       LogShardLoad(this->mShard, this->mShardNumber);
+      LogOverload(this->mShard.mOverload, this->mShardNumber);
       LogWorkerCalls(
         this->mCalls, this->mPacing, this->mRenewals, this->mShardNumber);
       this->mWaiting =
