--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -228,15 +228,20 @@
 
 } // namespace
 
+bool HasLearnedRunTime(const DispatchShard& aShard, const DispatchJob& aJob)
+{
+  const auto found = aShard.mRunTimes.find(aJob.mRecord.mTerms.mQueue);
+  return found != aShard.mRunTimes.end() &&
+         found->second.mCount >= kMinLearnedRuns;
+}
+
 double ExpectedRunMs(const DispatchShard& aShard,
                      const DispatchJob& aJob,
                      const StepSpec& aStep)
 {
-  const auto found = aShard.mRunTimes.find(aJob.mRecord.mTerms.mQueue);
-  const bool isLearned =
-    found != aShard.mRunTimes.end() && found->second.mCount >= kMinLearnedRuns;
-  return isLearned ? found->second.mMeanMs
-                   : static_cast<double>(aStep.mEstimateMs);
+  return HasLearnedRunTime(aShard, aJob)
+           ? aShard.mRunTimes.at(aJob.mRecord.mTerms.mQueue).mMeanMs
+           : static_cast<double>(aStep.mEstimateMs);
 }
 
 std::int64_t DueAtMs(const BatchSpec& aSpec, std::uint32_t aOccurrence)
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -90,6 +90,9 @@
                     TimePoint aNow,
                     std::int64_t aNowMs);
 
+/// True if enough runs of the job's queue were seen to know their mean.
+bool HasLearnedRunTime(const DispatchShard& aShard, const DispatchJob& aJob);
+
 /// Expected run time in ms of a task of `aJob`'s step: the mean that was
 /// learned for the job's queue, or the caller's estimate until enough runs were
 /// seen.
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -8,6 +8,7 @@
 #include "vcOverload.h"
 #include "vcPlacementRound.h"
 #include "vcProbeStarts.h"
+#include "vcRackLocality.h"
 #include "vcSuspectStarts.h"
 #include "vcTeamQuota.h"
 
@@ -194,7 +195,8 @@
   const StepSpec& step = StepOf(job, first);
   const auto& workers = aRound.mUsable[service];
   const bool isNeeded =
-    aRequest.mWorkers > 0 && MayTeamStart(aShard, job, step, 1);
+    aRequest.mWorkers > 0 &&
+    MayTeamStart(aShard, job, step, step.mIsGang ? step.mCount : 1);
   if (!isNeeded) {
     EndReservation(first, workers);
     return;
@@ -471,7 +473,8 @@
                         TimePoint aNow)
 {
   const StepNeeds needs = NeedsOf(aShard, aKey);
-  if (!MayTeamStart(aShard, needs.mJob, needs.mStep, 1)) {
+  const std::uint32_t tasks = needs.mStep.mIsGang ? needs.mStep.mCount : 1;
+  if (!MayTeamStart(aShard, needs.mJob, needs.mStep, tasks)) {
     return WaitReason::kTeamLimit;
   }
   if (aNow < FindTask(aShard, aKey)->mAwaitsRackUntil) {
@@ -494,7 +497,7 @@
     return;
   }
   Round round = MakeRound(aShard, aNow, aNowMs);
-  CountUnseenRuns(aShard, round.mHeld);
+  CountUnseenRuns(aShard, round.mHeld, aNow);
   std::vector<Candidate> steps;
   for (const auto& [id, job] : aShard.mJobs) {
     if (!IsFinal(job.mState)) {
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -467,6 +467,9 @@
     const bool isRemovable = !worker.mIsListed && worker.mTasks.empty() &&
                              !isUnanswered && !mayShowCrash &&
                              (isLeaseOver || !worker.mHasAnswered);
+    if (isRemovable) {
+      SetTeamRunsToStop(aShard, worker, {});
+    }
     at = isRemovable ? aShard.mWorkers.erase(at) : std::next(at);
   }
 }
--- a/Source/Dispatch/vcOverload.cxx
+++ b/Source/Dispatch/vcOverload.cxx
@@ -3,7 +3,11 @@
 #include "vcDispatchSharing.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
+#include <optional>
+#include <queue>
+#include <span>
 
 namespace verbenacroft {
 
@@ -23,16 +27,42 @@
   return aLoad.mValue / std::max(TotalOf(aLoad.mWork), 1.0);
 }
 
-/// Orders a heap of indexes with the lowest value for its work on top.
-struct IsDenser
+/// The jobs of one priority that are kept so far. Each pool has a heap of those
+/// with work in it, the lowest value for its work on top.
+class KeptJobs
 {
-  const std::vector<JobLoad>& mLoads;
+public:
+  void Add(const JobLoad& aLoad, std::size_t aIndex)
+  {
+    for (std::size_t p = 0; p < kPools; ++p) {
+      if (aLoad.mWork[p] > 0) {
+        this->mHeaps[p].emplace(ValueDensity(aLoad), aIndex);
+      }
+    }
+  }
 
-  bool operator()(std::size_t aLeft, std::size_t aRight) const
+  /// Removes the job that frees most of a pool for the least value.
+  /// @return its index; nothing if no job is left
+  std::optional<std::size_t> TakeLeast(std::size_t aPool,
+                                       const std::vector<JobLoad>& aLoads)
   {
-    return ValueDensity(this->mLoads[aLeft]) >
-           ValueDensity(this->mLoads[aRight]);
+    Heap& heap = this->mHeaps[aPool];
+    while (!heap.empty()) {
+      const std::size_t index = heap.top().second;
+      heap.pop();
+      // It may have been taken for another pool.
+      if (!aLoads[index].mIsGivenUp) {
+        return index;
+      }
+    }
+    return std::nullopt;
   }
+
+private:
+  using Row = std::pair<double, std::size_t>;
+  using Heap = std::priority_queue<Row, std::vector<Row>, std::greater<>>;
+
+  std::array<Heap, kPools> mHeaps;
 };
 
 /// Times in ms for which each pool is busy.
@@ -47,16 +77,23 @@
     }
   }
 
-  /// True if a job with this work isn't done in time behind all work so far,
-  /// its own included.
-  bool IsTooLate(const JobLoad& aLoad) const
+  /// The first pool in which a job isn't done in time behind all work so far,
+  /// its own included; nothing if it is in time.
+  std::optional<std::size_t> LatePool(const JobLoad& aLoad) const
   {
     for (std::size_t p = 0; p < kPools; ++p) {
       if (aLoad.mWork[p] > 0 && this->mMs[p] > aLoad.mTimeLeftMs) {
-        return true;
+        return p;
       }
     }
-    return false;
+    return std::nullopt;
+  }
+
+  void Add(const PoolTimes& aOther)
+  {
+    for (std::size_t p = 0; p < kPools; ++p) {
+      this->mMs[p] += aOther.mMs[p];
+    }
   }
 };
 
@@ -161,6 +198,19 @@
   return aNow > aJob.mAcceptedAt + kMaxLateFactor * allowed;
 }
 
+/// False for a step whose wait has to stay bounded without turns: of
+/// long-running tasks, or of a gang whose job has had nothing running for long.
+bool MayDemote(const DispatchShard& aShard,
+               const Candidate& aStep,
+               TimePoint aNow)
+{
+  const DispatchJob& job = aShard.mJobs.at(aStep.mFirstTask.mJob);
+  const StepSpec& spec = StepOf(job, aStep.mFirstTask);
+  const bool isIdleForLong =
+    job.mActiveRuns == 0 && aNow - job.mIdleSince >= kTurnAfter;
+  return !spec.mIsLasting && !(spec.mIsGang && isIdleForLong);
+}
+
 /// What the order of a job's steps becomes.
 struct Demotion
 {
@@ -201,6 +251,81 @@
   aSummary.mJobs += loads.size();
 }
 
+/// True if all jobs are in time in any order, which is the usual case.
+bool FitsAll(const std::vector<JobLoad>& aLoads, const PoolWork& aRates)
+{
+  PoolTimes all;
+  for (const auto& load : aLoads) {
+    all.Add(load.mWork, aRates, 1);
+  }
+  return std::none_of(aLoads.begin(), aLoads.end(), [&](const JobLoad& aLoad) {
+    return all.LatePool(aLoad).has_value();
+  });
+}
+
+/// True if late jobs alone need all processors of a pool for some time, so that
+/// new ones will be late too.
+bool IsBacklogLate(const std::vector<JobLoad>& aLoads, const PoolWork& aRates)
+{
+  constexpr double kLateBacklogMs = 1'000;
+  PoolTimes late;
+  for (const auto& load : aLoads) {
+    if (load.mTimeLeftMs <= 0) {
+      late.Add(load.mWork, aRates, 1);
+    }
+  }
+  return std::any_of(late.mMs.begin(), late.mMs.end(), [](double aMs) {
+    return aMs > kLateBacklogMs;
+  });
+}
+
+/// Gives up jobs of one priority.
+/// @param aJobs their indexes, by their objectives
+/// @param aBusy the work of more urgent priorities, to which theirs is added
+/// @return true if a job is given up
+bool GiveUpInPriority(std::vector<JobLoad>& aLoads,
+                      std::span<const std::size_t> aJobs,
+                      const PoolWork& aRates,
+                      PoolTimes& aBusy)
+{
+  const PoolTimes moreUrgent = aBusy;
+  KeptJobs kept;
+  // Late jobs still come before those of less urgent priorities.
+  PoolTimes late;
+  bool isAnyGivenUp = false;
+  const auto giveUp = [&](JobLoad& aLoad) {
+    aLoad.mIsGivenUp = true;
+    isAnyGivenUp = true;
+    late.Add(aLoad.mWork, aRates, 1);
+  };
+  for (const std::size_t index : aJobs) {
+    JobLoad& load = aLoads[index];
+    PoolTimes alone = moreUrgent;
+    alone.Add(load.mWork, aRates, 1);
+    if (load.mTimeLeftMs <= 0) {
+      late.Add(load.mWork, aRates, 1);
+      continue;
+    }
+    if (alone.LatePool(load)) {
+      giveUp(load);
+      continue;
+    }
+    kept.Add(load, index);
+    aBusy.Add(load.mWork, aRates, 1);
+    while (!load.mIsGivenUp) {
+      const auto pool = aBusy.LatePool(load);
+      const auto least = pool ? kept.TakeLeast(*pool, aLoads) : std::nullopt;
+      if (!least) {
+        break;
+      }
+      aBusy.Add(aLoads[*least].mWork, aRates, -1);
+      giveUp(aLoads[*least]);
+    }
+  }
+  aBusy.Add(late);
+  return isAnyGivenUp;
+}
+
 } // namespace
 
 double ValueOf(double aWork, double aMeanWork)
@@ -213,6 +338,9 @@
 
 bool GiveUpJobs(std::vector<JobLoad>& aLoads, const PoolWork& aRates)
 {
+  if (FitsAll(aLoads, aRates)) {
+    return false;
+  }
   std::vector<std::size_t> order(aLoads.size());
   std::iota(order.begin(), order.end(), 0);
   std::stable_sort(
@@ -227,34 +355,11 @@
     const auto end = std::find_if(begin, order.end(), [&](std::size_t aIndex) {
       return aLoads[aIndex].mPriority != priority;
     });
-    std::vector<std::size_t> kept;
-    PoolTimes late;
-    for (auto at = begin; at != end; ++at) {
-      JobLoad& load = aLoads[*at];
-      if (load.mTimeLeftMs <= 0) {
-        late.Add(load.mWork, aRates, 1);
-        continue;
-      }
-      kept.push_back(*at);
-      std::push_heap(kept.begin(), kept.end(), IsDenser{ aLoads });
-      busy.Add(load.mWork, aRates, 1);
-      while (!kept.empty() && busy.IsTooLate(load) && !load.mIsGivenUp) {
-        std::pop_heap(kept.begin(), kept.end(), IsDenser{ aLoads });
-        JobLoad& givenUp = aLoads[kept.back()];
-        kept.pop_back();
-        givenUp.mIsGivenUp = true;
-        busy.Add(givenUp.mWork, aRates, -1);
-        late.Add(givenUp.mWork, aRates, 1);
-        isOverloaded = true;
-      }
-    }
-    // Late jobs of this priority still come before less urgent ones.
-    for (std::size_t p = 0; p < kPools; ++p) {
-      busy.mMs[p] += late.mMs[p];
-    }
+    const std::span<const std::size_t> jobs(begin, end);
+    isOverloaded = GiveUpInPriority(aLoads, jobs, aRates, busy) || isOverloaded;
     begin = end;
   }
-  return isOverloaded;
+  return isOverloaded || IsBacklogLate(aLoads, aRates);
 }
 
 void DemoteUnderOverload(DispatchShard& aShard,
@@ -269,7 +374,8 @@
   for (auto& step : aSteps) {
     const auto demotion = demotions.find(step.mFirstTask.mJob);
     const bool mayDemote =
-      step.mTier == Tier::kOnTime || step.mTier == Tier::kLate;
+      (step.mTier == Tier::kOnTime || step.mTier == Tier::kLate) &&
+      MayDemote(aShard, step, aNow);
     if (demotion != demotions.end() && mayDemote) {
       step.mTier = demotion->second.mTier;
       step.mDueAt = demotion->second.mDoneAt;
--- a/Source/Dispatch/vcOverload.h
+++ b/Source/Dispatch/vcOverload.h
@@ -38,7 +38,8 @@
 /// free the most room for the least value. Jobs of more urgent priorities take
 /// room first.
 /// @param aRates processors by pool, in thousandths
-/// @return true if a job is given up
+/// @return true if the work doesn't fit: a job is given up, or late ones alone
+/// need all processors of a pool for some time
 bool GiveUpJobs(std::vector<JobLoad>& aLoads, const PoolWork& aRates);
 
 /// Relative value of a job to its caller by its work.
@@ -46,8 +47,11 @@
 double ValueOf(double aWork, double aMeanWork);
 
 /// Lowers the tier of the steps of jobs that are given up to `kLate`, and that
-/// of jobs whose result has no more use for their callers to `kExpired`; late
-/// jobs with less work left come first. Without overload nothing changes.
+/// of jobs whose result has no more use for their callers to `kExpired`. Their
+/// `Candidate::mDueAt` becomes the time at which their work would be done if
+/// they had all processors, so those with less work left come first. Scheduled
+/// jobs and long-running steps stay as they are, and without overload all do.
+/// Sets `DispatchShard::mOverload`.
 void DemoteUnderOverload(DispatchShard& aShard,
                          std::vector<Candidate>& aSteps,
                          TimePoint aNow);
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -3,7 +3,6 @@
 #include "vcDispatchReservations.h"
 #include "vcIncarnationFence.h"
 #include "vcRackLocality.h"
-#include "vcTeamQuota.h"
 
 #include <algorithm>
 
@@ -17,12 +16,6 @@
 /// processors that it needs is free.
 constexpr double kMinFreeCpuFraction = 0.9;
 
-bool HasLabel(const WorkerEntry& aEntry, const std::string& aLabel)
-{
-  return std::find(aEntry.mLabels.begin(), aEntry.mLabels.end(), aLabel) !=
-         aEntry.mLabels.end();
-}
-
 /// True if the room is reserved for a job that has been idle, or a task that
 /// has waited, for so long that it may take the room of others' only runs.
 bool TakesKeptRoom(const RoomReservation& aRoom, TimePoint aNow)
@@ -32,6 +25,12 @@
 
 } // namespace
 
+bool HasLabel(const WorkerEntry& aEntry, const std::string& aLabel)
+{
+  return std::find(aEntry.mLabels.begin(), aEntry.mLabels.end(), aLabel) !=
+         aEntry.mLabels.end();
+}
+
 StepNeeds NeedsOf(const DispatchShard& aShard, const TaskId& aKey)
 {
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
@@ -39,7 +38,7 @@
                    job,
                    StepOf(job, aKey),
                    job.mRecord.mTerms.mService,
-                   PreferredRackOf(aShard, job, aKey),
+                   PreferredRackOf(job, aKey),
                    CountedNeeds(StepOf(job, aKey)),
                    {},
                    {},
--- a/Source/Dispatch/vcPlacementCost.h
+++ b/Source/Dispatch/vcPlacementCost.h
@@ -37,6 +37,9 @@
   bool mIsSuccessor = false;
 };
 
+/// True if the worker has the label.
+bool HasLabel(const WorkerEntry& aEntry, const std::string& aLabel);
+
 /// The data of the task's step, as it is now.
 StepNeeds NeedsOf(const DispatchShard& aShard, const TaskId& aKey);
 
--- a/Source/Dispatch/vcRackLocality.cxx
+++ b/Source/Dispatch/vcRackLocality.cxx
@@ -11,19 +11,10 @@
 
 namespace {
 
-/// Runs of a queue that must have been seen before a task waits: with the
-/// callers' estimates alone the wait may be longer than the run.
-constexpr std::uint32_t kMinSeenRuns = 5;
 /// Time from the end of a run until its place can be used: the worker reports
 /// it and the next round of starts follows.
 constexpr double kReportMs = 30;
 
-bool HasLabel(const DispatchWorker& aWorker, const std::string& aLabel)
-{
-  const auto& labels = aWorker.mEntry.mLabels;
-  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
 /// When the run of a task is expected to end.
 TimePoint ExpectedEndOf(const DispatchShard& aShard,
                         const DispatchJob& aJob,
@@ -42,10 +33,13 @@
                      std::vector<ExpectedEnd>& aEnds)
 {
   for (const auto& key : aWorker.mTasks) {
+    const DispatchTask* task = FindTask(aShard, key);
+    if (task == nullptr) {
+      continue;
+    }
     const DispatchJob& job = aShard.mJobs.at(key.mJob);
     const StepSpec& step = StepOf(job, key);
-    const DispatchTask* task = FindTask(aShard, key);
-    if (step.mIsLasting || task == nullptr) {
+    if (step.mIsLasting) {
       continue;
     }
     const TimePoint endsAt = ExpectedEndOf(aShard, job, key, *task);
@@ -70,7 +64,7 @@
   }
   std::vector<ExpectedEnd>& ends = aPlaces.mEnds[aRack];
   for (const auto& [name, worker] : aShard.mWorkers) {
-    if (HasLabel(worker, aRack) && IsUsable(aShard, worker, aNow) &&
+    if (HasLabel(worker.mEntry, aRack) && IsUsable(aShard, worker, aNow) &&
         !IsSetAside(worker, aNow)) {
       AddExpectedEnds(aShard, worker, aNow, ends);
     }
@@ -113,14 +107,6 @@
   return nullptr;
 }
 
-/// True if the run times of the job's queue are known well enough.
-bool AreRunsSeen(const DispatchShard& aShard, const DispatchJob& aJob)
-{
-  const auto times = aShard.mRunTimes.find(aJob.mRecord.mTerms.mQueue);
-  return times != aShard.mRunTimes.end() &&
-         times->second.mCount >= kMinSeenRuns;
-}
-
 /// True if a task of the step may wait at all: one that may not wait is started
 /// wherever there is room.
 bool MayAwait(const DispatchShard& aShard,
@@ -131,14 +117,30 @@
   const bool isIdleForLong =
     job.mActiveRuns == 0 && aNow - job.mIdleSince >= kTurnAfter;
   return aShard.mBounds.mFarFactor > 1 && !aNeeds.mRack.empty() &&
-         !aNeeds.mStep.mIsLasting && !isIdleForLong && AreRunsSeen(aShard, job);
+         !aNeeds.mStep.mIsLasting && !isIdleForLong &&
+         HasLearnedRunTime(aShard, job);
+}
+
+void LogWait(const TaskId& aTask,
+             const std::string& aRack,
+             double aNearMs,
+             double aFactor,
+             double aPlaceInMs,
+             double aWaitMs)
+{
+  spdlog::info("task.awaits-rack task={} rack={} near_ms={:.0f} factor={} "
+               "place_in_ms={:.0f} at_most_ms={:.0f}",
+               Describe(aTask),
+               aRack,
+               aNearMs,
+               aFactor,
+               aPlaceInMs,
+               aWaitMs);
 }
 
 } // namespace
 
-std::string PreferredRackOf(const DispatchShard&,
-                            const DispatchJob& aJob,
-                            const TaskId& aFirstTask)
+std::string PreferredRackOf(const DispatchJob& aJob, const TaskId& aFirstTask)
 {
   return StepOf(aJob, aFirstTask).mPreferredRack;
 }
@@ -148,10 +150,10 @@
                     std::optional<double> aPlaceInMs)
 {
   const double lossMs = (aFarFactor - 1) * aNearMs;
-  if (!aPlaceInMs || *aPlaceInMs + kReportMs >= lossMs) {
-    return 0;
-  }
-  return std::min(lossMs, static_cast<double>(kTurnAfter.count()));
+  const double mostMs =
+    std::min(lossMs, static_cast<double>(kTurnAfter.count()));
+  const bool isInTime = aPlaceInMs && *aPlaceInMs + kReportMs < mostMs;
+  return isInTime ? mostMs : 0;
 }
 
 bool AwaitsRack(DispatchShard& aShard,
@@ -165,13 +167,16 @@
   const bool isOver =
     task.mAwaitsRackUntil != kNever && aNow >= task.mAwaitsRackUntil;
   if (isOver || !MayAwait(aShard, aNeeds, aNow) ||
-      HasLabel(aBest, aNeeds.mRack)) {
+      HasLabel(aBest.mEntry, aNeeds.mRack)) {
     return false;
   }
   const double nearMs = ExpectedRunMs(aShard, aNeeds.mJob, aNeeds.mStep);
   const double factor = aShard.mBounds.mFarFactor;
+  const bool isWaiting = task.mAwaitsRackUntil != kNever;
   const TimePoint latest =
-    aNow + Duration(static_cast<std::int64_t>((factor - 1) * nearMs));
+    isWaiting
+      ? task.mAwaitsRackUntil
+      : aNow + Duration(static_cast<std::int64_t>((factor - 1) * nearMs));
   ExpectedEnd* place =
     FirstPlace(aNeeds, EndsOnRack(aShard, aNeeds.mRack, aPlaces, aNow), latest);
   const auto placeInMs =
@@ -180,20 +185,14 @@
       : std::optional(static_cast<double>((place->mEndsAt - aNow).count()));
   const double waitMs = PayingWaitMs(nearMs, factor, placeInMs);
   if (waitMs == 0) {
-    task.mAwaitsRackUntil = kNever;
+    // A wait that has begun doesn't begin anew.
+    task.mAwaitsRackUntil = isWaiting ? aNow : kNever;
     return false;
   }
   place->mIsTaken = true;
-  if (task.mAwaitsRackUntil == kNever) {
+  if (!isWaiting) {
     task.mAwaitsRackUntil = aNow + Duration(static_cast<std::int64_t>(waitMs));
-    spdlog::info("task.awaits-rack task={} rack={} near_ms={:.0f} factor={} "
-                 "place_in_ms={:.0f} at_most_ms={:.0f}",
-                 Describe(aTask),
-                 aNeeds.mRack,
-                 nearMs,
-                 factor,
-                 *placeInMs,
-                 waitMs);
+    LogWait(aTask, aNeeds.mRack, nearMs, factor, *placeInMs, waitMs);
   }
   return true;
 }
--- a/Source/Dispatch/vcRackLocality.h
+++ b/Source/Dispatch/vcRackLocality.h
@@ -36,9 +36,7 @@
 
 /// Label of the rack that the tasks of a step should run on; empty if any rack
 /// will do.
-std::string PreferredRackOf(const DispatchShard& aShard,
-                            const DispatchJob& aJob,
-                            const TaskId& aFirstTask);
+std::string PreferredRackOf(const DispatchJob& aJob, const TaskId& aFirstTask);
 
 /// How long a task may wait for a near place, in ms; 0 if no wait pays.
 /// @param aNearMs expected run time near its data
@@ -50,7 +48,7 @@
                     std::optional<double> aPlaceInMs);
 
 /// Decides whether a task waits for a place on its preferred rack, since the
-/// best worker that has room now isn't there. Sets
+/// worker that suits it best now isn't there. Sets
 /// `DispatchTask::mAwaitsRackUntil` when it begins to wait, or gives up.
 /// @param aBest the best worker for the task
 bool AwaitsRack(DispatchShard& aShard,
--- a/Source/Dispatch/vcRenewalSchedule.h
+++ b/Source/Dispatch/vcRenewalSchedule.h
@@ -14,9 +14,9 @@
 {
   /// The last one failed, the fence is asked for, or the worker is inactive.
   kRetry,
-  /// Nothing has ended since the last one, so the worker waits for an end.
+  /// No end has to be recorded first.
   kWait,
-  /// Ends have to be recorded or acknowledged.
+  /// Ends have to be recorded, or acknowledged once a start is answered.
   kEnd,
   /// A serving task beside best-effort tasks is near its target.
   kNearTarget,
@@ -38,7 +38,8 @@
 {
   RenewalCause mCause = RenewalCause::kWait;
   Duration mMin{ 0 };
-  /// Until then the renewal waits as long as `MustAwaitRecord`.
+  /// Latest time of the renewal; it is sent earlier, after `mMin`, once
+  /// `MustAwaitRecord` is false.
   Duration mMax{ 0 };
 };
 
--- a/Source/Dispatch/vcTeamQuota.cxx
+++ b/Source/Dispatch/vcTeamQuota.cxx
@@ -52,6 +52,16 @@
     std::clamp(share, 0.0, static_cast<double>(kWholeTeamShare)));
 }
 
+/// The largest share that `aAmounts` need of any limited resource.
+std::uint32_t LargestShare(const Resources& aLimit, const Resources& aAmounts)
+{
+  std::uint32_t share = 0;
+  for (const auto& row : LimitedRows(aLimit, {}, aAmounts)) {
+    share = std::max(share, ShareOf(row.mNeeded, row.mLimit));
+  }
+  return share;
+}
+
 /// Number of tasks of the step that wait for a start.
 std::int64_t CountWaiting(const DispatchStep& aStep)
 {
@@ -61,11 +71,28 @@
     });
 }
 
-/// True if the candidates' order is the order of their waits, which have a
-/// bound.
-bool IsOrderedByWait(Tier aTier)
+/// Number of tasks of a step that may run on workers which haven't answered.
+std::int64_t CountUnseenOfStep(const DispatchJob& aJob,
+                               const DispatchStep& aStep,
+                               const HeldRevisions& aHeld,
+                               TimePoint aNow)
+{
+  if (aStep.mTasks.empty()) {
+    return std::int64_t{ aStep.mCount } - aStep.mDone;
+  }
+  return std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [&](const DispatchTask& aTask) {
+      return aTask.mPhase == RunPhase::kWaiting &&
+             MayRunUnseen(aJob, aTask, aHeld, aNow);
+    });
+}
+
+/// True if the candidates of the tier keep their order whatever their teams
+/// use: long-running tasks must not be away for long, and a succession takes
+/// only the room that its own job has left.
+bool IsOrderKept(Tier aTier)
 {
-  return aTier == Tier::kOverdueLongRunning || IsTurn(aTier);
+  return aTier == Tier::kOverdueLongRunning || aTier == Tier::kSuccession;
 }
 
 Resources TotalCapacity(const DispatchShard& aShard)
@@ -152,13 +179,17 @@
     used = use->second.mKnown + use->second.mUnseen;
   }
   Resources waiting;
+  std::uint32_t next = kWholeTeamShare;
   for (const auto& [id, job] : aShard.mJobs) {
     if (job.mRecord.mTerms.mTeam != aTeam || IsFinal(job.mState)) {
       continue;
     }
     VisitReadySteps(aShard, job, aNowMs, [&](const TaskId& aFirstTask) {
-      waiting += Times(StepOf(job, aFirstTask).mNeeds,
-                       CountWaiting(StepStateOf(job, aFirstTask)));
+      const StepSpec& step = StepOf(job, aFirstTask);
+      waiting += Times(step.mNeeds, CountWaiting(StepStateOf(job, aFirstTask)));
+      const Resources first =
+        Times(step.mNeeds, step.mIsGang ? step.mCount : 1);
+      next = std::min(next, LargestShare(quota->second.mLimit, first));
     });
   }
   for (const auto& row : LimitedRows(quota->second.mLimit, used, waiting)) {
@@ -166,6 +197,7 @@
     demand.mWanted =
       std::max(demand.mWanted, ShareOf(row.mUsed + row.mNeeded, row.mLimit));
   }
+  demand.mNext = demand.mWanted > demand.mUsed ? next : 0;
   return demand;
 }
 
@@ -174,23 +206,35 @@
                           const TeamDemand& aDemand)
 {
   TeamShares planned = aShares;
+  auto& wanting = planned.mWanting;
   std::uint32_t& own = planned.mShares.at(aShard);
   const auto shards = static_cast<std::uint32_t>(planned.mShares.size());
   const std::uint32_t equal = kWholeTeamShare / shards;
   const std::uint32_t sum = std::accumulate(
     planned.mShares.begin(), planned.mShares.end(), std::uint32_t{ 0 });
-  std::erase(planned.mWanting, aShard);
   if (aDemand.mWanted > own) {
     own = std::min(aDemand.mWanted, own + kWholeTeamShare - sum);
   }
-  if (!planned.mWanting.empty()) {
-    const std::uint32_t kept =
-      std::max(aDemand.mUsed, std::min(aDemand.mWanted, equal));
-    own = std::min(own, kept);
+  const std::uint32_t withNext =
+    std::min(kWholeTeamShare, aDemand.mUsed + aDemand.mNext);
+  const bool isFirst = wanting.empty() || wanting.front() == aShard;
+  const bool isOnlyOne = wanting.empty() || (isFirst && wanting.size() == 1);
+  if (!isOnlyOne) {
+    const std::uint32_t inTurn = isFirst ? withNext : 0;
+    const std::uint32_t needed =
+      withNext <= equal ? std::min(aDemand.mWanted, equal) : inTurn;
+    own = std::min(own, std::max(aDemand.mUsed, needed));
   }
-  if (aDemand.mWanted > own) {
-    planned.mWanting.push_back(aShard);
-    std::sort(planned.mWanting.begin(), planned.mWanting.end());
+  const bool isWanting = aDemand.mWanted > own;
+  const bool isListed =
+    std::find(wanting.begin(), wanting.end(), aShard) != wanting.end();
+  // Once the next task fits, the turn is another shard's.
+  const bool isServed = isListed && own >= withNext;
+  if (isListed && (!isWanting || isServed)) {
+    std::erase(wanting, aShard);
+  }
+  if (isWanting && (!isListed || isServed)) {
+    wanting.push_back(aShard);
   }
   return planned;
 }
@@ -210,25 +254,26 @@
   aShard.mTeams = std::move(teams);
 }
 
-void CountUnseenRuns(DispatchShard& aShard, const HeldRevisions& aHeld)
+void CountUnseenRuns(DispatchShard& aShard,
+                     const HeldRevisions& aHeld,
+                     TimePoint aNow)
 {
   for (auto& [team, use] : aShard.mTeamUse) {
     use.mUnseen = {};
   }
-  const std::uint64_t held = std::max(aHeld.mLongRunning, aHeld.mOthers);
-  if (aShard.mTeams.empty() || held == 0) {
+  if (aShard.mTeams.empty() || aHeld.mLongRunning == 0) {
     return;
   }
   for (const auto& [id, job] : aShard.mJobs) {
     const std::string& team = job.mRecord.mTerms.mTeam;
-    if (team.empty() || job.mCreatedAt > held || IsFinal(job.mState)) {
+    if (team.empty() || job.mCreatedAt > aHeld.mLongRunning) {
       continue;
     }
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
         aShard.mTeamUse[team].mUnseen +=
           Times(job.mRecord.mSpec.mSteps[s].mNeeds,
-                CountWaiting(occurrence.mSteps[s]));
+                CountUnseenOfStep(job, occurrence.mSteps[s], aHeld, aNow));
       }
     }
   }
@@ -299,7 +344,7 @@
       std::find_if(begin, rows.end(), [&](const SharedCandidate& aRow) {
         return !HaveSameRank(aRow.mCandidate, begin->mCandidate);
       });
-    if (!IsOrderedByWait(begin->mCandidate.mTier)) {
+    if (!IsOrderKept(begin->mCandidate.mTier)) {
       std::stable_sort(begin, end, [](const auto& aLeft, const auto& aRight) {
         return aLeft.mShare < aRight.mShare;
       });
--- a/Source/Dispatch/vcTeamQuota.h
+++ b/Source/Dispatch/vcTeamQuota.h
@@ -14,7 +14,8 @@
 struct TeamShares
 {
   std::vector<std::uint32_t> mShares;
-  /// Shards that need more than their shares.
+  /// Shards that need more than their shares, those that have waited for
+  /// longest first.
   std::vector<std::uint32_t> mWanting;
 
   bool operator==(const TeamShares&) const = default;
@@ -28,6 +29,8 @@
   std::uint32_t mUsed = 0;
   /// For these and for the tasks that wait, at most the whole.
   std::uint32_t mWanted = 0;
+  /// For the smallest task or gang that waits.
+  std::uint32_t mNext = 0;
 };
 
 /// Equal shares of all shards.
@@ -45,7 +48,7 @@
 /// The shares after the owner of `aShard` has changed its own. A share is
 /// raised by what no shard has; it is lowered only if another shard wants more,
 /// down to what is needed here or to the equal share, and never below what is
-/// used.
+/// used. If no task fits into an equal share, the shards take turns.
 TeamShares PlanTeamShares(const TeamShares& aShares,
                           std::uint32_t aShard,
                           const TeamDemand& aDemand);
@@ -59,8 +62,11 @@
               std::uint32_t aShards);
 
 /// Counts the runs that may last on workers which haven't answered this owner:
-/// tasks of such jobs that wait, and that an earlier owner may have started.
-void CountUnseenRuns(DispatchShard& aShard, const HeldRevisions& aHeld);
+/// tasks that an earlier owner may have started, also of jobs that have been
+/// cancelled and of steps that aren't open here.
+void CountUnseenRuns(DispatchShard& aShard,
+                     const HeldRevisions& aHeld,
+                     TimePoint aNow);
 
 /// True if so many more tasks of a step fit into the quota of the job's team,
 /// as far as this shard may use it. If the shard has the whole quota and the
@@ -72,8 +78,8 @@
 
 /// Orders the candidates of one priority and tier by the weighted dominant
 /// shares of their teams, each with what the team's earlier candidates would
-/// take. Those of one team keep their order, and so do turns and long-running
-/// tasks, whose waits are bounded. Does nothing if the shard has no teams.
+/// take. Those of one team keep their order, and so do overdue long-running
+/// tasks and successions. Does nothing if the shard has no teams.
 void OrderByTeamShare(const DispatchShard& aShard,
                       std::vector<Candidate>& aCandidates);
 
--- a/Source/Http/vcHttp.h
+++ b/Source/Http/vcHttp.h
@@ -93,8 +93,8 @@
 /// Response with the body `aBody`, which must be JSON.
 HttpResponse JsonResponse(std::string aBody, int aStatus = 200);
 
-/// Limits of one request; sizes are in bytes, times in milliseconds. Trailers
-/// and chunk headers have to fit into the bytes of a header. The budget of the
+/// Limits of one request; sizes are in bytes, times in milliseconds. Trailers,
+/// or one chunk header, may take 16 KB more than a header. The budget of the
 /// process limits all connections together.
 struct HttpLimits
 {
--- a/Source/Http/vcHttpBudget.cxx
+++ b/Source/Http/vcHttpBudget.cxx
@@ -12,10 +12,10 @@
 namespace {
 
 /// Part of the process's memory for what connections take.
-constexpr std::size_t kMemoryPart = 8;
+constexpr std::size_t kMemoryDivisor = 8;
 /// Part of the process's descriptors for the connections of its servers. The
 /// rest is for those that it opens itself.
-constexpr std::size_t kDescriptorPart = 2;
+constexpr std::size_t kDescriptorDivisor = 2;
 /// Interval of log lines about refusals of one reason.
 constexpr Duration kLogInterval{ 1'000 };
 
@@ -27,13 +27,16 @@
   return static_cast<double>(aAccount.mBytes) * (age + 1);
 }
 
-/// Rank for lack of connections: incomplete requests before idle connections,
-/// and among them the one that has lasted longest.
+/// Rank for lack of connections: slow incomplete requests before idle
+/// connections, and among them the one that has lasted longest.
 std::tuple<bool, Duration> ConnectionRank(const HttpAccount& aAccount,
                                           TimePoint aNow)
 {
-  return { aAccount.mPhase == HttpAccount::Phase::kReceiving,
-           aNow - aAccount.mPhaseSince };
+  // An ordinary request is complete by then.
+  constexpr Duration kSlowRequest{ 200 };
+  const Duration age = aNow - aAccount.mPhaseSince;
+  const bool isReceiving = aAccount.mPhase == HttpAccount::Phase::kReceiving;
+  return { isReceiving && age >= kSlowRequest, age };
 }
 
 bool MayEvict(const HttpAccount& aAccount, HttpRefusal aCause)
@@ -55,14 +58,14 @@
 bool HttpBudget::Open(HttpAccount& aAccount, TimePoint aNow)
 {
   aAccount.mPhaseSince = aNow;
-  const bool isFull = this->mKept >= this->mLimits.mConnections;
+  const bool isFull = this->mActive >= this->mLimits.mConnections;
   if (isFull && !this->Evict(HttpRefusal::kConnections, aNow)) {
     this->CountRefusal(HttpRefusal::kConnections, aNow);
     return false;
   }
   this->mAccounts.push_back(aAccount);
   ++this->mConnections;
-  ++this->mKept;
+  ++this->mActive;
   return true;
 }
 
@@ -70,7 +73,7 @@
 {
   this->Discharge(aAccount);
   --this->mConnections;
-  this->mKept -= aAccount.mPhase == HttpAccount::Phase::kEvicted ? 0 : 1;
+  this->mActive -= aAccount.mPhase == HttpAccount::Phase::kEvicted ? 0 : 1;
   aAccount.unlink();
 }
 
@@ -146,7 +149,7 @@
   this->Discharge(*first);
   first->mPhase = HttpAccount::Phase::kEvicted;
   first->mCause = aCause;
-  --this->mKept;
+  --this->mActive;
   this->CountRefusal(aCause, aNow);
   first->Interrupt();
   return true;
@@ -163,7 +166,7 @@
   static HttpBudget budget([] {
     HttpBudgetLimits limits;
     limits.mConnections =
-      std::min(limits.mConnections, MaxDescriptors() / kDescriptorPart);
+      std::min(limits.mConnections, MaxDescriptors() / kDescriptorDivisor);
     return limits;
   }());
   return budget;
@@ -174,9 +177,9 @@
 {
   const HttpBudgetLimits defaults;
   HttpBudgetLimits limits;
-  limits.mBytes = aMemoryBytes / kMemoryPart;
+  limits.mBytes = aMemoryBytes / kMemoryDivisor;
   limits.mConnections =
-    std::min(defaults.mConnections, aDescriptors / kDescriptorPart);
+    std::min(defaults.mConnections, aDescriptors / kDescriptorDivisor);
   return limits;
 }
 
@@ -185,7 +188,7 @@
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
       limit.rlim_cur == RLIM_INFINITY) {
-    return HttpBudgetLimits{}.mConnections * kDescriptorPart;
+    return HttpBudgetLimits{}.mConnections * kDescriptorDivisor;
   }
   return static_cast<std::size_t>(limit.rlim_cur);
 }
--- a/Source/Http/vcHttpBudget.h
+++ b/Source/Http/vcHttpBudget.h
@@ -66,7 +66,7 @@
     kReceiving,
     /// The request is complete. It is answered in any case.
     kHandling,
-    /// The connection is being closed for the sake of others.
+    /// The connection is being closed to free memory or a connection.
     kEvicted,
   };
 
@@ -109,8 +109,8 @@
   void SetPhase(HttpAccount& aAccount,
                 HttpAccount::Phase aPhase,
                 TimePoint aNow);
-  /// Sets the memory that a connection takes. While all take too much, others
-  /// are evicted, and at last this one; see its phase.
+  /// Sets the memory that a connection takes. If all take too much, incomplete
+  /// requests are evicted by their rank; this one may be among them.
   void Charge(HttpAccount& aAccount, std::size_t aBytes, TimePoint aNow);
 
   /// Counts a refusal and logs it, at most one line a second for each reason.
@@ -141,7 +141,7 @@
   std::size_t mBytes = 0;
   std::size_t mConnections = 0;
   /// Connections that aren't evicted.
-  std::size_t mKept = 0;
+  std::size_t mActive = 0;
   std::array<RefusalRow, EnumTable<HttpRefusal>::kRows.size()> mRefusals;
 };
 
--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -65,7 +65,11 @@
 constexpr std::size_t kMaxFramingBytes = 64 * 1024;
 /// That multiple. A chunk of one byte without an extension takes six.
 constexpr std::size_t kMaxFramingFactor = 8;
-/// Copies of a body while its request is handled.
+/// Memory for each byte of header fields: the parser takes some 80 bytes for a
+/// field of 4, and its copy for the handler as much.
+constexpr std::size_t kFieldFactor = 40;
+/// Copies of a body while its request is handled: the request's and the
+/// handler's.
 constexpr std::size_t kBodyCopies = 2;
 /// Time for the response to a request that isn't read to its end.
 constexpr Duration kRefusalTimeout{ 1'000 };
@@ -135,17 +139,25 @@
                          boost::intrusive::base_hook<ListHook>,
                          boost::intrusive::constant_time_size<false>>;
 
+/// Bytes that were parsed of a request.
+struct ParsedBytes
+{
+  std::size_t mHeader = 0;
+  std::size_t mAll = 0;
+};
+
 /// Parses what the buffer holds of a request. An incomplete part stays there.
-/// @return number of bytes that were parsed
-std::size_t Parse(beast::flat_buffer& aBuffer,
-                  Parser& aParser,
-                  beast::error_code& aError)
+void Parse(beast::flat_buffer& aBuffer,
+           Parser& aParser,
+           ParsedBytes& aParsed,
+           beast::error_code& aError)
 {
-  std::size_t parsed = 0;
   while (aBuffer.size() > 0 && !aParser.is_done()) {
+    const bool isInHeader = !aParser.is_header_done();
     const std::size_t bytes = aParser.put(aBuffer.data(), aError);
     aBuffer.consume(bytes);
-    parsed += bytes;
+    aParsed.mAll += bytes;
+    aParsed.mHeader += isInHeader ? bytes : 0;
     if (aError || bytes == 0) {
       break;
     }
@@ -153,7 +165,12 @@
   if (aError == http::error::need_more) {
     aError = {};
   }
-  return parsed;
+}
+
+/// Memory that a request takes which isn't complete.
+std::size_t MemoryOf(const Parser& aParser, const ParsedBytes& aParsed)
+{
+  return aParser.get().body().capacity() + kFieldFactor * aParsed.mHeader;
 }
 
 /// Why a request that could not be read is refused; nothing if its connection
@@ -320,6 +337,9 @@
     aSession.mBuffer.shrink_to_fit();
     aSession.SetPhase(HttpAccount::Phase::kIdle);
     aSession.Charge(0);
+    if (aSession.mPhase == HttpAccount::Phase::kEvicted) {
+      co_return false;
+    }
     aSession.mStream.expires_after(this->mLimits.mIdleTimeout);
     auto buffer = aSession.mBuffer.prepare(4096);
     auto [error, bytes] =
@@ -338,26 +358,16 @@
     }
     aSession.SetPhase(HttpAccount::Phase::kReceiving);
     Parser parser;
-    parser.eager(true);
+    // The parser's own limit counts only what is unparsed of a header.
     parser.header_limit(static_cast<std::uint32_t>(this->mLimits.mHeaderBytes));
     parser.body_limit(this->mLimits.mBodyBytes);
     aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
-    std::size_t received = 0;
+    ParsedBytes parsed;
     while (!parser.is_done()) {
       beast::error_code error;
-      received += Parse(aSession.mBuffer, parser, error);
-      const auto& body = parser.get().body();
-      if (!aSession.Charge(body.capacity())) {
-        co_return co_await this->Refuse(aSession, aSession.mCause);
-      }
-      if (error) {
-        co_return co_await this->RejectRequest(aSession, error);
-      }
-      if (HasTooMuchFraming(received, body.size())) {
-        co_return co_await this->CountAndRefuse(aSession,
-                                                HttpRefusal::kMalformed);
-      }
-      if (!parser.is_done()) {
+      Parse(aSession.mBuffer, parser, parsed, error);
+      if (!error && !parser.is_done()) {
+        aSession.Charge(MemoryOf(parser, parsed));
         error = co_await this->ReadMore(aSession);
       }
       if (aSession.mPhase == HttpAccount::Phase::kEvicted) {
@@ -366,17 +376,24 @@
       if (error) {
         co_return co_await this->RejectRequest(aSession, error);
       }
+      if (parsed.mHeader > this->mLimits.mHeaderBytes) {
+        co_return co_await this->CountAndRefuse(aSession,
+                                                HttpRefusal::kHeaderTooLarge);
+      }
+      if (HasTooMuchFraming(parsed.mAll, parser.get().body().size())) {
+        co_return co_await this->CountAndRefuse(aSession,
+                                                HttpRefusal::kMalformed);
+      }
     }
-    if (!aSession.Charge(kBodyCopies * parser.get().body().capacity())) {
-      co_return co_await this->Refuse(aSession, aSession.mCause);
-    }
+    // A complete request isn't refused for lack of memory.
     aSession.SetPhase(HttpAccount::Phase::kHandling);
+    aSession.Charge(kBodyCopies * MemoryOf(parser, parsed));
     co_return co_await this->HandleRequest(aSession, parser.get());
   }
 
   /// Reads what has arrived of a request, as far as the buffer has room.
-  /// The parser reads from the stream until the request is complete if its
-  /// chunks are small, so it gets what this function has read instead.
+  /// Beast's own read operation goes on over small chunks without returning, so
+  /// no limit could be checked in between.
   asio::awaitable<beast::error_code> ReadMore(Session& aSession)
   {
     beast::flat_buffer& buffer = aSession.mBuffer;
@@ -407,6 +424,8 @@
   asio::awaitable<bool> CountAndRefuse(Session& aSession, HttpRefusal aRefusal)
   {
     this->mBudget.CountRefusal(aRefusal, MonotonicNow());
+    // It isn't evicted while its refusal is sent.
+    aSession.SetPhase(HttpAccount::Phase::kHandling);
     co_return co_await this->Refuse(aSession, aRefusal);
   }
 
@@ -430,16 +449,19 @@
     aSession.mStream.expires_never();
     const bool wantsKeepAlive = aMessage.keep_alive();
     const bool isHead = aMessage.method() == http::verb::head;
-    const HttpRequest request = FromBeast(aMessage);
     ++this->mInFlight;
     HttpResponse response;
-    try {
-      response = co_await this->mHandler(request);
-    } catch (const std::exception& error) {
-      spdlog::error(
-        "request failed target={} error={}", request.mTarget, error.what());
-      response = ErrorResponse(500, "internal error");
+    {
+      const HttpRequest request = FromBeast(aMessage);
+      try {
+        response = co_await this->mHandler(request);
+      } catch (const std::exception& error) {
+        spdlog::error(
+          "request failed target={} error={}", request.mTarget, error.what());
+        response = ErrorResponse(500, "internal error");
+      }
     }
+    aSession.Charge(response.mBody.capacity());
     const bool keepAlive = wantsKeepAlive && !this->mIsDraining;
     Response message = ToBeast(response, keepAlive);
     if (isHead) {
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -59,7 +59,7 @@
     vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcOverload.cxx vcPlacementRound.cxx vcProbeStarts.cxx vcRackLocality.cxx
-    vcRenewalSchedule.cxx     vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
+    vcRenewalSchedule.cxx vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
--- a/Source/Node/vcCallerRequests.cxx
+++ b/Source/Node/vcCallerRequests.cxx
@@ -24,7 +24,7 @@
 /// Attempts to write by the current configuration, which may change between
 /// two of them.
 constexpr int kConfigAttempts = 3;
-/// Name under which the responses are counted of teams beyond a maximum.
+/// Label for teams beyond the maximum number of series.
 constexpr const char* kOtherTeams = "other";
 /// Retries of refused callers are spread over this many seconds, so that
 /// callers that were refused at the same time don't retry at the same time.
@@ -55,11 +55,6 @@
   return ErrorResponse(404, "no such queue");
 }
 
-HttpResponse OtherTeamResponse()
-{
-  return ErrorResponse(403, "the job belongs to another team");
-}
-
 /// Response to a write whose outcome is unknown.
 HttpResponse OutcomeUnknownResponse()
 {
@@ -209,22 +204,41 @@
     });
 }
 
-/// True if the reply to a write shows the record of a job of another team. A
-/// job that has ended has no record any more.
-bool ShowsOtherTeam(const KvReply& aReply,
-                    std::uint32_t aShard,
-                    const JobId& aJob,
+/// True if a job belongs to another team than the caller, in a deployment with
+/// teams. A job without a team may be of the time before it had any.
+bool IsOfOtherTeam(const NodeContext& aNode,
+                   const std::string& aJobTeam,
+                   const std::string& aTeam)
+{
+  return aNode.mTeamCredentials.mAreRequired && !aJobTeam.empty() &&
+         aJobTeam != aTeam;
+}
+
+/// True if a reply shows the record of a job of another team. A job that has
+/// ended has no record any more.
+bool ShowsOtherTeam(const NodeContext& aNode,
+                    const KvReply& aReply,
+                    const std::string& aKey,
                     const std::string& aTeam)
 {
   for (const auto& item : aReply.mItems) {
-    if (item.mKey == InboxJobKey(aShard, aJob) && !item.mValue.empty()) {
+    if (item.mKey == aKey && !item.mValue.empty()) {
       const auto record = TryDecode<BatchRecord>(item.mValue);
-      return record && record->mTerms.mTeam != aTeam;
+      return record && IsOfOtherTeam(aNode, record->mTerms.mTeam, aTeam);
     }
   }
   return false;
 }
 
+/// Response to the use of a job with the key of another team. By an old
+/// configuration the key may only seem to be another team's.
+HttpResponse OtherTeamResponse(const NodeContext& aNode, const JobId& aJob)
+{
+  return WasConfigCurrent(aNode, kMaxConfigAge)
+           ? ErrorResponse(403, "the job belongs to another team")
+           : NotAcceptedResponse(aJob, "the configuration may have changed");
+}
+
 /// Stores a job unless it is stored already.
 asio::awaitable<SubmitOutcome> StoreJob(NodeContext& aNode,
                                         std::uint32_t aShard,
@@ -238,7 +252,8 @@
     const KvReply reply = co_await CommitWithRelay(aNode, aWrite);
     const bool isStoredBefore =
       reply.mStatus == KvStatus::kConflict && ShowsJob(reply, aShard, aJob);
-    if (isStoredBefore && ShowsOtherTeam(reply, aShard, aJob, aTeam)) {
+    const std::string key = InboxJobKey(aShard, aJob);
+    if (isStoredBefore && ShowsOtherTeam(aNode, reply, key, aTeam)) {
       co_return SubmitOutcome::kOfOtherTeam;
     }
     if (reply.mStatus == KvStatus::kOk || isStoredBefore) {
@@ -259,11 +274,11 @@
     if (IsStoreDown(aNode, SuspendAwareNow())) {
       break;
     }
-    const KvReply stored =
-      co_await aNode.mStore.mRead(InboxJobKey(aShard, aJob));
+    const KvReply stored = co_await aNode.mStore.mRead(key);
     UpdateStoreHealth(aNode, stored);
     if (!stored.mItems.empty()) {
-      co_return SubmitOutcome::kStored;
+      const bool isOther = ShowsOtherTeam(aNode, stored, key, aTeam);
+      co_return isOther ? SubmitOutcome::kOfOtherTeam : SubmitOutcome::kStored;
     }
     if (SuspendAwareNow() - since > kLastAttemptWithin) {
       break;
@@ -313,7 +328,7 @@
       case SubmitOutcome::kUnknown:
         co_return OutcomeUnknownResponse();
       case SubmitOutcome::kOfOtherTeam:
-        co_return OtherTeamResponse();
+        co_return OtherTeamResponse(aNode, id);
       case SubmitOutcome::kConfigChanged:
         break;
     }
@@ -409,8 +424,8 @@
     if (stored.mRevision == 0) {
       co_return JsonResponse("{}");
     }
-    if (stored.mTeam != aRequest.mTerms.mTeam) {
-      co_return OtherTeamResponse();
+    if (IsOfOtherTeam(aNode, stored.mTeam, aRequest.mTerms.mTeam)) {
+      co_return OtherTeamResponse(aNode, job);
     }
     KvTransaction write;
     write.mConditions.push_back({ InboxJobKey(shard, job), stored.mRevision });
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -238,6 +238,13 @@
     if (worker == nullptr || !MustAwaitRecord(this->mShard, *worker)) {
       break;
     }
+    // A fence or throttling may need a report sooner meanwhile.
+    const TimePoint now = SuspendAwareNow();
+    const RenewalPause present =
+      PauseAfterReport(this->mShard, *worker, aIsGood, now);
+    if (now - reportedAt >= present.mMax) {
+      break;
+    }
     co_await Sleep(kRecordCheckInterval);
   }
 }
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -237,7 +237,7 @@
   /// Memory for the occurrences of this shard's jobs, in bytes: what those of
   /// the node's other shards leave.
   std::size_t MaxOccurrenceBytes() const;
-  /// Gives the core the teams of a new version of the configuration.
+  /// Copies the teams of a new version of the configuration to the core.
   void CopyTeams(const FleetConfig& aConfig);
   /// Reads and changes this shard's shares in the limits of teams until the
   /// runner stops.
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -39,6 +39,7 @@
   this->mShard.mEndedJobs.clear();
   this->mShard.mPendingCancellations.clear();
   this->mShard.mWorkers.clear();
+  this->mShard.mTeamUse.clear();
   this->mShard.mSuspects.clear();
   this->mShard.mUnansweredWorkers.clear();
   const bool hasWorkerSet = co_await this->LoadWorkerSet();
--- a/Source/Node/vcShardTeams.cxx
+++ b/Source/Node/vcShardTeams.cxx
@@ -73,8 +73,11 @@
       teams.push_back(team);
     }
   }
+  const TimePoint now = SuspendAwareNow();
+  CountUnseenRuns(this->mShard, HeldRevisionsOf(this->mShard, now), now);
   for (const auto& team : teams) {
-    co_await this->UpdateTeamShare(team, items[TeamSharesKey(team)]);
+    KvItem item = items[TeamSharesKey(team)];
+    co_await this->UpdateTeamShare(team, std::move(item));
     if (this->mIsStopped) {
       co_return;
     }
--- a/Tests/Fleet/vcFleetTeams.cxx
+++ b/Tests/Fleet/vcFleetTeams.cxx
@@ -14,8 +14,8 @@
 constexpr const char* kConfigKey = "op/config";
 /// What a task of a job requests, in thousandths of a processor.
 constexpr std::int64_t kTaskMilliCpu = 1'000;
-/// Quotas of the versions, in runs. The first is some more than the team needs
-/// in the mean, the second as much.
+/// Quotas of the versions, in runs. The first is above the team's mean demand,
+/// the second equals it.
 constexpr int kQuota = 12;
 constexpr int kLowQuota = 8;
 constexpr int kHighQuota = 16;
--- a/Tests/Processes/unbounded_clients.sh
+++ b/Tests/Processes/unbounded_clients.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Clients that keep no limits, against a node with little memory and few
+# Clients that ignore limits, against a node with little memory and few
 # descriptors: unbounded_clients.sh BIN KIND ADDRESS. The node lives, stays
 # within its memory and descriptors, and answers an ordinary request, both while
 # the clients are connected and afterwards. No time is checked.
@@ -48,11 +48,13 @@
 
 has_sent() { grep -q sent "$RUN/clients.log"; }
 
-answers() { # an ordinary request gets an answer, whatever its status
+STATUS=
+answers() { # an ordinary request gets an answer, and the same one each time
   local status
   status=$(curl -s -m 20 -o /dev/null -w '%{http_code}' \
     "http://127.0.0.1:${PORTS[$ADDRESS]}/" || true)
-  [ "$status" != 000 ]
+  STATUS=${STATUS:-$status}
+  [ "$status" != 000 ] && [ "$status" = "$STATUS" ]
 }
 
 check() { # check WHEN
--- a/Tests/Processes/vcUnboundedClientsMain.cxx
+++ b/Tests/Processes/vcUnboundedClientsMain.cxx
@@ -1,4 +1,4 @@
-/// Clients that keep no limits: each sends a request that never ends, or nearly
+/// Clients that ignore limits: each sends a request that never ends, or nearly
 /// ends, and keeps its connection open. Prints "sent" once each of them has
 /// sent all its bytes or was cut off, and ends when its input is closed.
 
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -175,7 +175,7 @@
     TIMEOUT 180 PROCESSORS 3)
 endforeach()
 
-# Clients that keep no limits. Guards against a process that runs out of memory
+# Clients that ignore limits. Guards against a process that runs out of memory
 # or descriptors, or that answers nobody else.
 add_executable(vcUnboundedClients Tests/Processes/vcUnboundedClientsMain.cxx)
 target_link_libraries(vcUnboundedClients PRIVATE vcHttp)
--- a/Tests/Unit/vcHttpBudgetTest.cxx
+++ b/Tests/Unit/vcHttpBudgetTest.cxx
@@ -76,7 +76,7 @@
 
 // Guards against memory without a bound, and against complete requests that are
 // refused for the sake of incomplete ones.
-TEST_CASE("the largest and slowest incomplete request gives way", "[budget]")
+TEST_CASE("the largest and slowest incomplete request is evicted", "[budget]")
 {
   struct Row
   {
@@ -106,6 +106,11 @@
         { Phase::kReceiving, Duration(0), 0 } },
       200,
       1 },
+    { "handled ones alone exceed the budget",
+      { { Phase::kHandling, Duration(900), 1'000 },
+        { Phase::kReceiving, Duration(0), 0 } },
+      10,
+      1 },
     { "not an idle one",
       { { Phase::kIdle, Duration(900), 600 },
         { Phase::kReceiving, Duration(0), 0 } },
@@ -143,6 +148,12 @@
         { Phase::kHandling, Duration(900), 0 } },
       true,
       1 },
+    { "a request that has just begun stays",
+      { { Phase::kIdle, Duration(300), 0 },
+        { Phase::kReceiving, Duration(50), 0 },
+        { Phase::kHandling, Duration(900), 0 } },
+      true,
+      0 },
     { "the connection that is idle for longest",
       { { Phase::kIdle, Duration(300), 0 },
         { Phase::kIdle, Duration(900), 0 },
@@ -167,7 +178,7 @@
   }
 }
 
-// Guards against defaults that ordinary clients meet.
+// Guards against limits that ordinary clients would reach.
 TEST_CASE("the limits of a budget follow from the process", "[budget]")
 {
   struct Row
--- a/Tests/Unit/vcOverloadTest.cxx
+++ b/Tests/Unit/vcOverloadTest.cxx
@@ -154,6 +154,36 @@
   CHECK(givenUp == row.mGivenUp);
 }
 
+// Guards against a shortage of one pool for which jobs of the other are given
+// up.
+TEST_CASE("only jobs of the pool that is short are given up", "[overload]")
+{
+  std::vector<JobLoad> loads{ MakeLoad(100, 10'000), MakeLoad(90, 100) };
+  // The value of the first for its work is lower.
+  loads[0].mValue = 0.01;
+  loads.push_back(MakeLoad(90, 100));
+  loads[1].mWork = { 0, 90 * kRate };
+  loads[2].mWork = { 0, 90 * kRate };
+  REQUIRE(GiveUpJobs(loads, kRates));
+  CHECK_FALSE(loads[0].mIsGivenUp);
+  CHECK(CountGivenUp(loads) == 1);
+}
+
+// Guards against a backlog in which all jobs are late already and none counts
+// as overloaded.
+TEST_CASE("a backlog of late jobs is an overload", "[overload]")
+{
+  struct Row
+  {
+    double mWorkMs;
+    bool mIsOverloaded;
+  };
+  const auto row = GENERATE(values<Row>({ { 900, false }, { 1'100, true } }));
+  std::vector<JobLoad> loads{ MakeLoad(row.mWorkMs, -5) };
+  CHECK(GiveUpJobs(loads, kRates) == row.mIsOverloaded);
+  CHECK(CountGivenUp(loads) == 0);
+}
+
 // Guards against best-effort work that counts against other processors.
 TEST_CASE("each pool has its own processors", "[overload]")
 {
--- a/Tests/Unit/vcRackLocalityTest.cxx
+++ b/Tests/Unit/vcRackLocalityTest.cxx
@@ -93,6 +93,7 @@
     { "a short task", 100, 2, 90, 0 },
     { "a short task, a place now", 100, 2, 20, 100 },
     { "a long task waits no longer than until its turn", 8'000, 3, 300, 1'000 },
+    { "a long task, a place after its turn", 8'000, 3, 1'200, 0 },
   }));
   CAPTURE(row.mName);
   CHECK(PayingWaitMs(row.mNearMs, row.mFactor, row.mPlaceInMs) ==
--- a/Tests/Unit/vcTeamCredentialsTest.cxx
+++ b/Tests/Unit/vcTeamCredentialsTest.cxx
@@ -37,7 +37,7 @@
 }
 
 /// A node on a clock of the test's own that has read one configuration and
-/// hears of later ones only in the store's replies to its writes.
+/// learns of later ones only in the store's replies to its writes.
 struct TeamNode
 {
   explicit TeamNode(const std::string& aConfig)
--- a/Tests/Unit/vcTeamQuotaTest.cxx
+++ b/Tests/Unit/vcTeamQuotaTest.cxx
@@ -193,11 +193,11 @@
     { "another wants more while runs go on",
       { { 8'000, 2'000 }, { 1 } },
       { 7'000, 9'000 },
-      { { 7'000, 2'000 }, { 0, 1 } } },
+      { { 7'000, 2'000 }, { 1, 0 } } },
     { "both want more and have equal shares",
       { { 5'000, 5'000 }, { 1 } },
       { 4'000, 9'000 },
-      { { 5'000, 5'000 }, { 0, 1 } } },
+      { { 5'000, 5'000 }, { 1, 0 } } },
   }));
   CAPTURE(row.mName);
   const TeamShares planned = PlanTeamShares(row.mShares, 0, row.mDemand);
@@ -230,6 +230,25 @@
   CHECK(shares.mShares[2] >= 2'600);
 }
 
+// Guards against a quota that fits a task only as a whole, so that no shard
+// ever has enough of it.
+TEST_CASE("shards take turns with a quota of one task", "[teams]")
+{
+  TeamShares shares = EqualTeamShares(2);
+  std::vector<int> starts{ 0, 0 };
+  constexpr int kRounds = 12;
+  for (int round = 0; round < kRounds; ++round) {
+    for (std::uint32_t shard = 0; shard < 2; ++shard) {
+      shares = PlanTeamShares(shares, shard, { 0, 10'000, 10'000 });
+      REQUIRE(IsValid(shares, 2));
+      // The task runs for less than a round.
+      starts[shard] += shares.mShares[shard] == kWholeTeamShare ? 1 : 0;
+    }
+  }
+  CHECK(starts[0] >= 2);
+  CHECK(starts[1] >= 2);
+}
+
 // Guards against a team that takes all the room since its jobs came first.
 TEST_CASE("room goes by the teams' weights", "[teams]")
 {
