Dispatch: Give up no job of one team for another's

Change: in a deployment with teams no job is given up that could be in time; the order by weighted shares decides.

--- a/Source/Dispatch/vcOverload.cxx
+++ b/Source/Dispatch/vcOverload.cxx
@@ -220,7 +220,9 @@
 };
 
 /// Adds the demotions of a service's jobs, if its work doesn't fit.
+/// @param aMayGiveUp jobs may be given up that could still be in time
 void Demote(ServiceLoad& aService,
+            bool aMayGiveUp,
             TimePoint aNow,
             OverloadSummary& aSummary,
             std::map<JobId, Demotion>& aDemotions)
@@ -233,6 +235,9 @@
   if (!GiveUpJobs(loads, aService.mRates)) {
     return;
   }
+  for (auto& load : loads) {
+    load.mIsGivenUp = load.mIsGivenUp && aMayGiveUp;
+  }
   for (std::size_t i = 0; i < loads.size(); ++i) {
     const DispatchJob& job = *aService.mRows[i].mJob;
     const bool isExpired = IsExpired(job, aNow);
@@ -368,8 +373,10 @@
 {
   aShard.mOverload = {};
   std::map<JobId, Demotion> demotions;
+  // Teams get room by their weights, so none has jobs given up for another's.
+  const bool mayGiveUp = aShard.mTeams.empty();
   for (auto& [name, service] : CollectLoads(aShard, aNow)) {
-    Demote(service, aNow, aShard.mOverload, demotions);
+    Demote(service, mayGiveUp, aNow, aShard.mOverload, demotions);
   }
   for (auto& step : aSteps) {
     const auto demotion = demotions.find(step.mFirstTask.mJob);
--- a/Source/Dispatch/vcOverload.h
+++ b/Source/Dispatch/vcOverload.h
@@ -51,6 +51,7 @@
 /// `Candidate::mDueAt` becomes the time at which their work would be done if
 /// they had all processors, so those with less work left come first. Scheduled
 /// jobs and long-running steps stay as they are, and without overload all do.
+/// In a deployment with teams no job is given up for another.
 /// Sets `DispatchShard::mOverload`.
 void DemoteUnderOverload(DispatchShard& aShard,
                          std::vector<Candidate>& aSteps,
