Dispatch: Keep the order of late jobs and their turns under overload

Expired jobs had lost the turns of late ones, and late jobs came by the work that they have left, so large ones lost their room for as long as smaller ones came.

Only jobs that could be in time are given up.

--- a/Source/Dispatch/vcOverload.cxx
+++ b/Source/Dispatch/vcOverload.cxx
@@ -248,8 +248,8 @@
     aSummary.mGivenUp += loads[i].mIsGivenUp ? 1 : 0;
     aSummary.mExpired += isExpired ? 1 : 0;
     if (isExpired) {
-      aDemotions[job.mId] = { Tier::kExpired, doneAt };
-    } else if (loads[i].mIsGivenUp || loads[i].mTimeLeftMs <= 0) {
+      aDemotions[job.mId] = { Tier::kExpired, job.mObjectiveAt };
+    } else if (loads[i].mIsGivenUp) {
       aDemotions[job.mId] = { Tier::kLate, doneAt };
     }
   }
--- a/Source/Dispatch/vcOverload.h
+++ b/Source/Dispatch/vcOverload.h
@@ -46,12 +46,12 @@
 /// @param aMeanWork mean work of the jobs of its queue
 double ValueOf(double aWork, double aMeanWork);
 
-/// Lowers the tier of the steps of jobs that are given up to `kLate`, and that
-/// of jobs whose result has no more use for their callers to `kExpired`. Their
-/// `Candidate::mDueAt` becomes the time at which their work would be done if
-/// they had all processors, so those with less work left come first. Scheduled
-/// jobs and long-running steps stay as they are, and without overload all do.
-/// In a deployment with teams no job is given up for another.
+/// Lowers the tier of the steps of jobs that are given up to `kLate`, with a
+/// `Candidate::mDueAt` by which those with less work left come first, and that
+/// of jobs whose result has no more use for their callers to `kExpired`. Late
+/// jobs keep their order: by the work left, large ones had no run for seconds.
+/// Scheduled jobs and long-running steps stay as they are. In a deployment with
+/// teams no job is given up for another.
 /// Sets `DispatchShard::mOverload`.
 void DemoteUnderOverload(DispatchShard& aShard,
                          std::vector<Candidate>& aSteps,
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -165,7 +165,7 @@
     turn.mDueAt = IdleSince(job, step.mFirstTask, aNow, aNowMs);
     if (aNow - turn.mDueAt >= kTurnAfter) {
       turn.mTier = Tier::kTurn;
-    } else if (step.mTier == Tier::kLate) {
+    } else if (step.mTier >= Tier::kLate) {
       const DispatchWorker* left = WorkerLeftBy(aShard, job, turn.mDueAt, aNow);
       turn.mTier = left != nullptr ? Tier::kSuccession : Tier::kLateTurn;
       if (left != nullptr) {
