Dispatch, Node, Tests: Mend what the linter found in the new parts

Cause: clang-tidy stops at a structured binding that a lambda captures, at a move of a trivially copyable row and at a cast after an addition.

Change: named references, a copy, the cast before the addition.

--- a/Source/Dispatch/vcOverload.cxx
+++ b/Source/Dispatch/vcOverload.cxx
@@ -152,7 +152,7 @@
     }
     JobRow row = RowOf(aShard, job, aNow);
     if (TotalOf(row.mLoad.mWork) > 0) {
-      services[job.mRecord.mTerms.mService].mRows.push_back(std::move(row));
+      services[job.mRecord.mTerms.mService].mRows.push_back(row);
     }
   }
   for (const auto& [name, worker] : aShard.mWorkers) {
--- a/Source/Dispatch/vcTeamQuota.cxx
+++ b/Source/Dispatch/vcTeamQuota.cxx
@@ -180,7 +180,8 @@
   }
   Resources waiting;
   std::uint32_t next = kWholeTeamShare;
-  for (const auto& [id, job] : aShard.mJobs) {
+  for (const auto& row : aShard.mJobs) {
+    const DispatchJob& job = row.second;
     if (job.mRecord.mTerms.mTeam != aTeam || IsFinal(job.mState)) {
       continue;
     }
--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -201,7 +201,9 @@
 /// Adds the responses to callers by team.
 void CollectTeamAnswers(const NodeCounters& aCounters, MetricsPage& aPage)
 {
-  for (const auto& [team, answers] : aCounters.mTeamAnswers) {
+  for (const auto& row : aCounters.mTeamAnswers) {
+    const std::string& team = row.first;
+    const TeamAnswers& answers = row.second;
     const auto add = [&](const char* aOutcome, std::uint64_t aCount) {
       aPage.Counter("verbenacroft_team_answers_total",
                     "Answers to callers by team.",
--- a/Tests/Fleet/vcFleetTeams.cxx
+++ b/Tests/Fleet/vcFleetTeams.cxx
@@ -26,7 +26,8 @@
 /// Runs that a quota of `aRuns` allows: a tenth more, and one task.
 std::size_t MaxRuns(int aRuns)
 {
-  return static_cast<std::size_t>(aRuns + aRuns / 10 + 1);
+  const auto runs = static_cast<std::size_t>(aRuns);
+  return runs + runs / 10 + 1;
 }
 
 } // namespace
