Dispatch: Bound the sums of what teams' jobs need

Cause: the needs of all waiting tasks of a team are added up, and callers may request up to 10^12 of a resource for each task, so many such jobs exceed 64 bits. A negative sum would let a team start beyond its quota.

Change: the needs of a step count as at most 10^14 of a resource.

--- a/Source/Dispatch/vcTeamQuota.cxx
+++ b/Source/Dispatch/vcTeamQuota.cxx
@@ -35,12 +35,18 @@
   return rows;
 }
 
+/// Needs of so many tasks. A resource is at most `kMaxAmount`, so that the sum
+/// over all jobs of a shard fits into 64 bits, whatever callers request.
 Resources Times(const Resources& aNeeds, std::int64_t aCount)
 {
-  return { aNeeds.mMilliCpu * aCount,
-           aNeeds.mMemoryMb * aCount,
-           aNeeds.mAccelerators * aCount,
-           aNeeds.mSlots * aCount };
+  constexpr std::int64_t kMaxAmount = 100'000'000'000'000;
+  const auto times = [&](std::int64_t aNeed) {
+    return std::min(aNeed * aCount, kMaxAmount);
+  };
+  return { times(aNeeds.mMilliCpu),
+           times(aNeeds.mMemoryMb),
+           times(aNeeds.mAccelerators),
+           times(aNeeds.mSlots) };
 }
 
 /// The share that `aAmount` of a limit needs, at most the whole.
