Http: Refuse a request at once that is evicted while it is charged

Cause: found on the last read of the change. A request that was itself chosen when it was charged still waited for more of its bytes before it was refused. If these never came, its memory stayed for up to 10 s without being counted.

Change: `ServeRequest` uses what `Charge` returns, which nothing used before. A member of `Demotion` has the name of what it sets.

--- a/Source/Dispatch/vcOverload.cxx
+++ b/Source/Dispatch/vcOverload.cxx
@@ -215,8 +215,8 @@
 struct Demotion
 {
   Tier mTier = Tier::kOnTime;
-  /// When it would be done if it had all processors from now on.
-  TimePoint mDoneAt{ 0 };
+  /// Orders the steps within the tier, as `Candidate::mDueAt`.
+  TimePoint mDueAt{ 0 };
 };
 
 /// Adds the demotions of a service's jobs, if its work doesn't fit.
@@ -385,7 +385,7 @@
       MayDemote(aShard, step, aNow);
     if (demotion != demotions.end() && mayDemote) {
       step.mTier = demotion->second.mTier;
-      step.mDueAt = demotion->second.mDoneAt;
+      step.mDueAt = demotion->second.mDueAt;
     }
   }
 }
--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -366,8 +366,9 @@
     while (!parser.is_done()) {
       beast::error_code error;
       Parse(aSession.mBuffer, parser, parsed, error);
-      if (!error && !parser.is_done()) {
-        aSession.Charge(MemoryOf(parser, parsed));
+      const bool needsMore = !error && !parser.is_done();
+      // If this request itself is evicted, more of it may never arrive.
+      if (needsMore && aSession.Charge(MemoryOf(parser, parsed))) {
         error = co_await this->ReadMore(aSession);
       }
       if (aSession.mPhase == HttpAccount::Phase::kEvicted) {
