Tests: Add clients that return, don't read or wait, and all programs

Change: unbounded_clients.sh counts what the kernel holds for the process's connections as memory, as the platform does, samples it while the clients are at it, and takes a program, a size and a number of clients. Crowds and bounds of the kinds that were there are unchanged. New kinds: pipelined, scrapes, returning, whole and waiting (a store that accepts calls and never answers). The crowd's program is rewritten with coroutines, since clients can return now. vcSiteStoreStandIn puts the fleet's store in memory behind the platform's HTTP interface, with the documents that a node needs.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -3,7 +3,8 @@
     vcTime.cxx
   LINK Boost::json spdlog::spdlog ${XXHASH_LIBRARY} Threads::Threads)
 verbenacroft_library(Http
-  SOURCES vcHttpBudget.cxx vcHttpText.cxx vcHttpServer.cxx vcHttpClient.cxx
+  SOURCES vcHttpBeast.cxx vcHttpBudget.cxx vcHttpClient.cxx
+    vcHttpRequestReader.cxx vcHttpServer.cxx vcHttpSession.cxx vcHttpText.cxx
   LINK vcFoundation)
 verbenacroft_library(Store
   SOURCES vcStoreBudget.cxx vcStoreClient.cxx
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -179,13 +179,25 @@
 # or descriptors, or that answers nobody else.
 add_executable(vcUnboundedClients Tests/Processes/vcUnboundedClientsMain.cxx)
 target_link_libraries(vcUnboundedClients PRIVATE vcHttp)
+# Stand-in of the users' store for tests with processes.
+add_executable(vcSiteStoreStandIn
+  platform/StandIns/vcSiteStoreStandInMain.cxx Tests/Fleet/vcFleetStore.cxx)
+target_include_directories(vcSiteStoreStandIn PRIVATE Tests/Fleet)
+target_link_libraries(vcSiteStoreStandIn PRIVATE vcNode vcSitePlatform)
+# Further arguments: memory in MB, descriptors and number of clients.
+function(verbenacroft_unbounded_program kind address program)
+  string(JOIN _ name process_unbounded ${kind} ${address} ${ARGN})
+  if(NOT program STREQUAL "node")
+    string(JOIN _ name ${name} ${program})
+  endif()
+  add_test(NAME ${name}
+    COMMAND ${CMAKE_SOURCE_DIR}/Tests/Processes/unbounded_clients.sh
+      ${CMAKE_BINARY_DIR}/bin ${kind} ${address} ${program} ${ARGN})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
+endfunction()
 function(verbenacroft_unbounded_clients kind)
   foreach(address ${ARGN})
-    add_test(NAME process_unbounded_${kind}_${address}
-      COMMAND ${CMAKE_SOURCE_DIR}/Tests/Processes/unbounded_clients.sh
-        ${CMAKE_BINARY_DIR}/bin ${kind} ${address})
-    set_tests_properties(process_unbounded_${kind}_${address} PROPERTIES
-      TIMEOUT 180 RUN_SERIAL ON)
+    verbenacroft_unbounded_program(${kind} ${address} node)
   endforeach()
 endfunction()
 verbenacroft_unbounded_clients(trailers callers ready peers metrics)
@@ -196,6 +208,21 @@
 verbenacroft_unbounded_clients(large-chunks callers)
 verbenacroft_unbounded_clients(announced callers)
 verbenacroft_unbounded_clients(header callers)
+verbenacroft_unbounded_clients(pipelined callers)
+verbenacroft_unbounded_clients(scrapes metrics)
+verbenacroft_unbounded_clients(returning callers)
+verbenacroft_unbounded_clients(whole callers)
+verbenacroft_unbounded_clients(waiting callers)
+# The least of the users' instances, with more clients than it has descriptors
+# for.
+verbenacroft_unbounded_program(pipelined callers node 160 4100 2600)
+verbenacroft_unbounded_program(returning callers node 160 4100 2600)
+# The other programs share the servers' library, but not the settings.
+foreach(kind trailers almost-whole small-chunks announced pipelined)
+  verbenacroft_unbounded_program(${kind} callers router)
+  verbenacroft_unbounded_program(${kind} peers scheduler)
+  verbenacroft_unbounded_program(${kind} operators config)
+endforeach()
 
 add_executable(vcCapacityBench Tests/Bench/vcCapacityMain.cxx)
 target_link_libraries(vcCapacityBench PRIVATE vcStandIns vcRouting)
