--- /dev/null
+++ b/Source/Http/vcHttpSession.cxx
@@ -0,0 +1,44 @@
+#include "vcHttpSession.h"
+
+namespace verbenacroft {
+
+HttpSession::HttpSession(asio::ip::tcp::socket aSocket,
+                         HttpBudget& aBudget,
+                         std::size_t aMaxBuffer)
+  : mStream(std::move(aSocket))
+  , mBudget(aBudget)
+  , mBuffer(aMaxBuffer)
+{
+}
+
+HttpSession::~HttpSession()
+{
+  if (this->mIsOpen) {
+    this->mBudget.Close(*this);
+  }
+}
+
+void HttpSession::Interrupt()
+{
+  this->mStream.cancel();
+}
+
+bool HttpSession::Open()
+{
+  this->mIsOpen = this->mBudget.Open(*this, MonotonicNow());
+  return this->mIsOpen;
+}
+
+void HttpSession::SetPhase(Phase aPhase)
+{
+  this->mBudget.SetPhase(*this, aPhase, MonotonicNow());
+}
+
+bool HttpSession::Charge(std::size_t aBytes)
+{
+  this->mBudget.Charge(
+    *this, this->mBuffer.capacity() + aBytes, MonotonicNow());
+  return this->mPhase != Phase::kEvicted;
+}
+
+} // namespace verbenacroft
