Shell: Tell the router, scheduler and config programs their memory

What callers saw: nothing yet; a process with less than some 100 MB would have been ended by clients that hold requests open just short of their end.

Cause: only verbenacroft-node knew the memory of its machine. The servers of the other three programs had 32 MB for requests whatever the machine has.

The check of the least value is shared with the node's settings.

--- a/Source/Node/vcNodeProgram.cxx
+++ b/Source/Node/vcNodeProgram.cxx
@@ -35,7 +35,6 @@
 /// Interval at which buffered log lines are written.
 constexpr Duration kFlushInterval{ 100 };
 constexpr double kMsPerSecond = 1'000;
-constexpr std::size_t kBytesPerMb = 1'000'000;
 
 bool IsReady(const NodeContext& aNode)
 {
@@ -339,8 +338,7 @@
   // Writing to a connection that the peer has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context io(1);
-  ProcessHttpBudget().SetLimits(
-    BudgetLimitsFor(aSettings.mMemoryMb * kBytesPerMb, MaxDescriptors()));
+  ApplyMemoryLimit(aSettings.mMemoryMb);
   NodeContext node(io, aSettings);
   aBind(node);
   node.mStore = MonitorStore(std::move(node.mStore), node.mStoreStats);
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -1,5 +1,7 @@
 #include "vcNodeSettings.h"
 
+#include "vcProgram.h"
+
 #include <algorithm>
 
 namespace verbenacroft {
@@ -22,8 +24,6 @@
 /// the program itself, the records of jobs, reports and replies of the store.
 constexpr std::size_t kOccurrencePart = 4;
 constexpr std::size_t kBytesPerMb = 1'000'000;
-/// The largest step alone takes less than its part of so much memory.
-constexpr std::uint32_t kMinMemoryMb = 64;
 constexpr double kMsPerSecond = 1'000;
 /// Bytes per second, in the direction with more of them, for the orders to a
 /// busy worker, its reports and the records of its work in the store.
@@ -57,11 +57,7 @@
     aFaults.push_back(
       { "$.linkMbps", std::to_string(aSettings.mLinkMbps), "more than 0" });
   }
-  if (aSettings.mMemoryMb < kMinMemoryMb) {
-    aFaults.push_back({ "$.memoryMb",
-                        std::to_string(aSettings.mMemoryMb),
-                        std::to_string(kMinMemoryMb) + " or more" });
-  }
+  CheckMemoryLimit(aSettings.mMemoryMb, "$.memoryMb", aFaults);
   if (aSettings.mBounds.mFarFactor < 1) {
     aFaults.push_back({ "$.bounds.farFactor",
                         std::to_string(aSettings.mBounds.mFarFactor),
--- a/Source/Programs/vcNodeMain.cxx
+++ b/Source/Programs/vcNodeMain.cxx
@@ -37,8 +37,7 @@
     ParseCommandLine(aCount,
                      aArguments,
                      kProgram,
-                     "Takes jobs and runs their tasks on the shards it owns.",
-                     true);
+                     "Takes jobs and runs their tasks on the shards it owns.");
   if (line.mExit) {
     return static_cast<int>(*line.mExit);
   }
--- a/Source/Shell/vcProgram.cxx
+++ b/Source/Shell/vcProgram.cxx
@@ -16,6 +16,7 @@
 
 namespace {
 constexpr const char* kVersion = "0.1.0";
+constexpr std::size_t kBytesPerMb = 1'000'000;
 } // namespace
 
 void CheckCommonSettings(const CommonSettings& aSettings, Faults& aFaults)
@@ -40,6 +41,24 @@
                         std::to_string(aSettings.mStoreCallsPerSecond),
                         "5 to 1000" });
   }
+  CheckMemoryLimit(aSettings.mMemoryMb, "$.common.memoryMb", aFaults);
+}
+
+void CheckMemoryLimit(std::uint32_t aMemoryMb,
+                      const std::string& aPath,
+                      Faults& aFaults)
+{
+  if (aMemoryMb < kMinMemoryMb) {
+    aFaults.push_back({ aPath,
+                        std::to_string(aMemoryMb),
+                        std::to_string(kMinMemoryMb) + " or more" });
+  }
+}
+
+void ApplyMemoryLimit(std::uint32_t aMemoryMb)
+{
+  ProcessHttpBudget().SetLimits(
+    BudgetLimitsFor(aMemoryMb * kBytesPerMb, MaxDescriptors()));
 }
 
 std::vector<Endpoint> ParseEndpoints(const std::vector<std::string>& aTexts)
@@ -68,8 +87,7 @@
 CommandLine ParseCommandLine(int aCount,
                              char** aArguments,
                              const std::string& aProgram,
-                             const std::string& aPurpose,
-                             bool aHasMemoryLimit)
+                             const std::string& aPurpose)
 {
   CommandLine line;
   cxxopts::Options options(aProgram, aPurpose);
@@ -79,11 +97,9 @@
       cxxopts::value<std::string>());
   add("check-settings", "check the settings file and exit");
   add("log-json", "log one JSON object a line");
-  if (aHasMemoryLimit) {
-    add("memory-mb",
-        "memory limit of the process in MB, in place of that in the settings",
-        cxxopts::value<std::uint32_t>());
-  }
+  add("memory-mb",
+      "memory limit of the process in MB, in place of that in the settings",
+      cxxopts::value<std::uint32_t>());
   add("version", "print the version and exit");
   add("help", "print this help and exit");
   try {
@@ -102,7 +118,7 @@
     }
     line.mCheckOnly = parsed.count("check-settings") > 0;
     line.mLogJson = parsed.count("log-json") > 0;
-    if (aHasMemoryLimit && parsed.count("memory-mb") > 0) {
+    if (parsed.count("memory-mb") > 0) {
       line.mMemoryMb = parsed["memory-mb"].as<std::uint32_t>();
     }
   } catch (const cxxopts::exceptions::exception& error) {
--- a/Source/Shell/vcProgram.h
+++ b/Source/Shell/vcProgram.h
@@ -44,6 +44,8 @@
   std::string mPeerToken;
   /// Rate limit of calls to the store, 5 to 1000 per second.
   double mStoreCallsPerSecond = 40;
+  /// Memory limit of the process, in MB.
+  std::uint32_t mMemoryMb = 512;
   LogSettings mLog;
 };
 BOOST_DESCRIBE_STRUCT(CommonSettings,
@@ -56,6 +58,7 @@
                        mInstanceListAddress,
                        mPeerToken,
                        mStoreCallsPerSecond,
+                       mMemoryMb,
                        mLog))
 
 /// Checks the common settings and adds a fault for each invalid value.
@@ -83,12 +86,23 @@
 
 /// Parses the options that all programs on an entry instance have in common.
 /// Handles --help and --version, and prints errors to standard error.
-/// @param aHasMemoryLimit also takes --memory-mb
 CommandLine ParseCommandLine(int aCount,
                              char** aArguments,
                              const std::string& aProgram,
-                             const std::string& aPurpose,
-                             bool aHasMemoryLimit = false);
+                             const std::string& aPurpose);
+
+/// Least memory limit of a process, in MB. The largest step of a job alone takes
+/// less than its part of so much memory.
+constexpr std::uint32_t kMinMemoryMb = 64;
+
+/// Adds a fault if a memory limit is too low.
+void CheckMemoryLimit(std::uint32_t aMemoryMb,
+                      const std::string& aPath,
+                      Faults& aFaults);
+
+/// Divides the memory and the descriptors of the process: sets the limits of
+/// all its servers.
+void ApplyMemoryLimit(std::uint32_t aMemoryMb);
 
 /// Prints one line for each fault to standard error.
 void PrintFaults(const std::string& aFile, const Faults& aFaults);
@@ -115,6 +129,8 @@
   }
   Faults faults;
   auto settings = LoadSettings<Settings>(line.mSettingsPath, faults);
+  auto& memoryMb = settings.mCommon.mMemoryMb;
+  memoryMb = line.mMemoryMb.value_or(memoryMb);
   if (faults.empty()) {
     aCheck(settings, faults);
   }
@@ -130,6 +146,7 @@
                  settings.mCommon.mName,
                  settings.mCommon.mLog.mLevel,
                  settings.mCommon.mLog.mJson });
+  ApplyMemoryLimit(memoryMb);
   try {
     return static_cast<int>(aRun(settings));
   } catch (const std::exception& error) {
--- a/Tests/Processes/servers.sh
+++ b/Tests/Processes/servers.sh
@@ -15,11 +15,10 @@
     [metrics]=${free[3]} [store]=${free[4]} [operators]=${free[5]})
   [ -z "${2:-}" ] || start_store
   "write_$1"
-  local options=()
-  [ "$1" != node ] || options=(--memory-mb "$MEMORY_MB")
   (
     ulimit -n "$DESCRIPTORS"
-    exec "$BIN/verbenacroft-$1" --settings "$RUN/settings.json" "${options[@]}"
+    exec "$BIN/verbenacroft-$1" --settings "$RUN/settings.json" \
+      --memory-mb "$MEMORY_MB"
   ) >"$RUN/server.log" 2>&1 &
   SERVER_PID=$!
   await grep -qE 'process.start|started ' "$RUN/server.log"
