Http: Bound what the kernel holds for connections

What callers saw: 1,300 connections that send and don't read made the kernel hold 328 MB for a process with 160, which the platform counts as the process's memory and ends it for.

Cause: the budget counts what the process has read. Nothing set a receive or a send buffer, so that Linux gave each connection some 125 KB at once, and the number of connections followed from descriptors alone.

Change: the listening sockets of all servers have a receive buffer of 8 KB and a send buffer of 16 KB, which accepted connections inherit; Linux takes twice of each, so 48 KB. Connections may take three eighths of the process's memory by that, beside the eighth for requests. 256 connections may wait to be accepted, instead of 4,096. A client that acknowledges nothing for 10 s is dropped by the kernel, so that what is left of a closed connection goes.

The rows of the unit test of BudgetLimitsFor for 160 and 512 MB demanded the old number of connections (2,050 and 4,096), which the memory can't hold; there are rows for each size in DEPLOY now, and the sum is checked too.

Still red: an ordinary request beside clients that pipeline has no answer.

--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -1,3 +1,4 @@
+#include "vcHttpListener.h"
 #include "vcHttpRequestReader.h"
 #include "vcHttpSession.h"
 
@@ -35,7 +36,7 @@
        const Endpoint& aEndpoint,
        HttpLimits aLimits,
        HttpHandler aHandler)
-    : mAcceptor(aContext, aEndpoint)
+    : mAcceptor(OpenAcceptor(aContext, aEndpoint, aLimits.mReceiveTimeout))
     , mLimits(aLimits)
     , mHandler(std::move(aHandler))
     , mBudget(ProcessHttpBudget())
--- a/Tests/Unit/vcHttpBudgetTest.cxx
+++ b/Tests/Unit/vcHttpBudgetTest.cxx
@@ -1,7 +1,7 @@
 /// The budget of memory and connections of a process's servers: who is evicted,
 /// and when.
 
-#include "vcHttp.h"
+#include "vcHttpListener.h"
 
 #include <catch2/catch.hpp>
 
@@ -190,13 +190,19 @@
   };
   const auto row = GENERATE(values<Row>({
     { 64, 256, 8'000'000, 128 },
-    { 160, 4'100, 20'000'000, 2'050 },
-    { 512, 1'000'000, 64'000'000, 4'096 },
+    { 160, 4'100, 20'000'000, 1'220 },
+    { 260, 4'100, 32'500'000, 1'983 },
+    { 512, 8'192, 64'000'000, 3'906 },
+    { 4'000, 1'000'000, 500'000'000, 4'096 },
   }));
   const HttpBudgetLimits limits =
     BudgetLimitsFor(row.mMemoryMb * 1'000'000, row.mDescriptors);
   CHECK(limits.mBytes == row.mBytes);
   CHECK(limits.mConnections == row.mConnections);
+  // The other half is for the program itself.
+  const std::size_t kernelBytes =
+    limits.mConnections * kKernelBytesPerConnection;
+  CHECK(limits.mBytes + kernelBytes <= row.mMemoryMb * 1'000'000 / 2);
 }
 
 } // namespace verbenacroft
