Http: Let go of clients that don't read their responses

What callers saw: beside more clients that pipeline and read nothing than connections may be open, new connections were closed without an answer.

Cause: a request counts as handled until its response is sent, and nothing that is handled is evicted. Such a client kept its connection for 10 s.

Change: a response that is being sent is a phase of its own, which begins anew with each part that the client takes. It is evicted after 0.5 s without progress, for lack of memory or connections, and last of all before a new connection is turned away. What the client hasn't read is dropped with it (SO_LINGER of 0). A refusal is sent if the connection takes it at once: waiting up to 1 s for a client that doesn't read kept the connection as long.

--- a/Source/Http/vcHttpBudget.cxx
+++ b/Source/Http/vcHttpBudget.cxx
@@ -32,25 +32,36 @@
   return static_cast<double>(aAccount.mBytes) * (age + 1);
 }
 
-/// Rank for lack of connections: slow incomplete requests before idle
-/// connections, and among them the one that has lasted longest.
-std::tuple<bool, Duration> ConnectionRank(const HttpAccount& aAccount,
-                                          TimePoint aNow)
+/// A client that reads has taken a part of its response by then.
+constexpr Duration kUnreadAfter{ 500 };
+/// An ordinary request is complete by then.
+constexpr Duration kSlowAfter{ 200 };
+
+/// Rank for lack of connections: slow incomplete requests and responses that
+/// aren't read first, then idle connections and new requests, then responses
+/// that the client takes; and among them the one that has lasted longest.
+std::tuple<int, Duration> ConnectionRank(const HttpAccount& aAccount,
+                                         TimePoint aNow)
 {
-  // An ordinary request is complete by then.
-  constexpr Duration kSlowRequest{ 200 };
   const Duration age = aNow - aAccount.mPhaseSince;
+  const bool isSending = aAccount.mPhase == HttpAccount::Phase::kSending;
   const bool isReceiving = aAccount.mPhase == HttpAccount::Phase::kReceiving;
-  return { isReceiving && age >= kSlowRequest, age };
+  const bool isSlow =
+    (isSending && age >= kUnreadAfter) || (isReceiving && age >= kSlowAfter);
+  const int order = isSlow ? 2 : isSending ? 0 : 1;
+  return { order, age };
 }
 
-bool MayEvict(const HttpAccount& aAccount, HttpRefusal aCause)
+bool MayEvict(const HttpAccount& aAccount, HttpRefusal aCause, TimePoint aNow)
 {
   switch (aAccount.mPhase) {
     case HttpAccount::Phase::kIdle:
       return aCause == HttpRefusal::kConnections;
     case HttpAccount::Phase::kReceiving:
       return true;
+    case HttpAccount::Phase::kSending:
+      return aCause == HttpRefusal::kConnections ||
+             aNow - aAccount.mPhaseSince >= kUnreadAfter;
     case HttpAccount::Phase::kHandling:
     case HttpAccount::Phase::kEvicted:
       return false;
@@ -136,7 +147,7 @@
 {
   HttpAccount* first = nullptr;
   for (auto& account : this->mAccounts) {
-    if (!MayEvict(account, aCause)) {
+    if (!MayEvict(account, aCause, aNow)) {
       continue;
     }
     const bool isBefore =
--- a/Source/Http/vcHttpBudget.h
+++ b/Source/Http/vcHttpBudget.h
@@ -66,6 +66,9 @@
     kReceiving,
     /// The request is complete. It is answered in any case.
     kHandling,
+    /// The response is being sent. Each part that the client takes begins this
+    /// phase anew.
+    kSending,
     /// The connection is being closed to free memory or a connection.
     kEvicted,
   };
--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -20,8 +20,6 @@
 /// Copies of a body while its request is handled: the request's and the
 /// handler's.
 constexpr std::size_t kBodyCopies = 2;
-/// Time for the response to a request that isn't read to its end.
-constexpr Duration kRefusalTimeout{ 1'000 };
 /// Pause before the next connection is accepted after a failure.
 constexpr Duration kAcceptPause{ 20 };
 /// Further connections that are accepted in one turn of the event loop.
@@ -185,7 +183,7 @@
     HttpRequestReader reader(this->mLimits);
     const auto refusal = co_await this->ReadRequest(aSession, reader);
     if (refusal) {
-      co_return co_await this->Refuse(aSession, *refusal);
+      co_return this->Refuse(aSession, *refusal);
     }
     if (!reader.IsDone()) {
       co_return false;
@@ -247,17 +245,22 @@
     return aRefusal;
   }
 
-  /// Sends an error response for a request that isn't handled.
+  /// Sends an error response for a request that isn't handled, if the
+  /// connection takes it at once. A client that reads nothing isn't waited for.
   /// @return false, as the connection must be closed
-  asio::awaitable<bool> Refuse(HttpSession& aSession, HttpRefusal aRefusal)
+  bool Refuse(HttpSession& aSession, HttpRefusal aRefusal)
   {
-    // It isn't evicted while its refusal is sent.
-    aSession.SetPhase(HttpAccount::Phase::kHandling);
     HttpResponse refusal = RefusalResponse(aRefusal);
     BeastResponse message = ToBeast(refusal, false);
-    aSession.mStream.expires_after(kRefusalTimeout);
-    co_await http::async_write(aSession.mStream, message, kAwaitTuple);
-    co_return false;
+    http::response_serializer<http::string_body> serializer(message);
+    asio::ip::tcp::socket& socket = aSession.mStream.socket();
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    http::write_some(socket, serializer, error);
+    if (!serializer.is_done()) {
+      aSession.Abort();
+    }
+    return false;
   }
 
   /// Calls the handler and sends its response.
@@ -287,10 +290,30 @@
       message.body().clear();
     }
     aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
-    auto [error, bytes] =
-      co_await http::async_write(aSession.mStream, message, kAwaitTuple);
+    const bool isSent = co_await this->SendResponse(aSession, message);
     --this->mInFlight;
-    co_return keepAlive && !error;
+    const bool staysOpen = keepAlive && isSent;
+    co_return staysOpen;
+  }
+
+  /// Sends a response part by part, so that the budget knows whether the client
+  /// reads it.
+  /// @return false if it has failed
+  asio::awaitable<bool> SendResponse(HttpSession& aSession,
+                                     BeastResponse& aMessage)
+  {
+    http::response_serializer<http::string_body> serializer(aMessage);
+    while (!serializer.is_done()) {
+      aSession.SetPhase(HttpAccount::Phase::kSending);
+      auto [error, bytes] = co_await http::async_write_some(
+        aSession.mStream, serializer, kAwaitTuple);
+      // It may have been evicted while there was nothing to interrupt.
+      if (error || aSession.mPhase == HttpAccount::Phase::kEvicted) {
+        aSession.Abort();
+        co_return false;
+      }
+    }
+    co_return true;
   }
 };
 
--- a/Source/Http/vcHttpSession.cxx
+++ b/Source/Http/vcHttpSession.cxx
@@ -41,4 +41,13 @@
   return this->mPhase != Phase::kEvicted;
 }
 
+void HttpSession::Abort()
+{
+  constexpr int kNoSeconds = 0;
+  asio::ip::tcp::socket& socket = this->mStream.socket();
+  beast::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, kNoSeconds), ignored);
+  socket.close(ignored);
+}
+
 } // namespace verbenacroft
--- a/Source/Http/vcHttpSession.h
+++ b/Source/Http/vcHttpSession.h
@@ -37,6 +37,9 @@
   /// Accounts for the buffer and `aBytes` more.
   /// @return false if the connection has to be closed for that
   bool Charge(std::size_t aBytes);
+  /// Closes the connection at once. What the client hasn't read is dropped,
+  /// since the kernel would keep it for a client that never reads.
+  void Abort();
 
   beast::tcp_stream mStream;
   HttpBudget& mBudget;
