Http: Count the segment that Linux fills beyond a send buffer

What callers saw: nothing more than before; a process of 64 MB with clients that request its metrics and don't read came to 59 to 62 MB.

Cause: a connection holds up to 83,000 bytes that aren't acknowledged (traced in /proc/net/tcp), not the 32 KB of its send buffer: the kernel asks for room only for a new segment, and fills the last one up to 64 KB.

--- a/Source/Http/vcHttpBudget.cxx
+++ b/Source/Http/vcHttpBudget.cxx
@@ -15,9 +15,8 @@
 
 /// Part of the process's memory for what connections take in the process.
 constexpr std::size_t kMemoryDivisor = 8;
-/// Part of it for what the kernel holds for them, as a fraction.
-constexpr std::size_t kKernelPart = 3;
-constexpr std::size_t kKernelDivisor = 8;
+/// Part of it for what the kernel holds for them.
+constexpr std::size_t kKernelDivisor = 2;
 /// Part of the process's descriptors for the connections of its servers. The
 /// rest is for those that it opens itself.
 constexpr std::size_t kDescriptorDivisor = 2;
@@ -194,10 +193,10 @@
   const HttpBudgetLimits defaults;
   HttpBudgetLimits limits;
   limits.mBytes = aMemoryBytes / kMemoryDivisor;
-  limits.mConnections = std::min({ defaults.mConnections,
-                                   aDescriptors / kDescriptorDivisor,
-                                   aMemoryBytes / kKernelDivisor * kKernelPart /
-                                     kKernelBytesPerConnection });
+  limits.mConnections =
+    std::min({ defaults.mConnections,
+               aDescriptors / kDescriptorDivisor,
+               aMemoryBytes / kKernelDivisor / kKernelBytesPerConnection });
   return limits;
 }
 
--- a/Source/Http/vcHttpListener.h
+++ b/Source/Http/vcHttpListener.h
@@ -7,12 +7,14 @@
 namespace verbenacroft {
 
 /// Bytes that the kernel may hold for a connection: received and not yet read,
-/// and written and not yet acknowledged. Linux takes twice of each. Without a
-/// bound it gives a connection some 100 KB at once and several MB later.
+/// and written and not yet acknowledged. Linux takes twice of each, and fills
+/// its last segment beyond the send buffer. Without a bound it gives a
+/// connection some 100 KB at once and several MB later.
 constexpr std::size_t kReceiveBufferBytes = 8 * 1024;
 constexpr std::size_t kSendBufferBytes = 16 * 1024;
+constexpr std::size_t kMaxSegmentBytes = 64 * 1024;
 constexpr std::size_t kKernelBytesPerConnection =
-  2 * (kReceiveBufferBytes + kSendBufferBytes);
+  2 * (kReceiveBufferBytes + kSendBufferBytes) + kMaxSegmentBytes;
 
 /// Opens a socket that listens on `aEndpoint` and doesn't block. The
 /// connections that it accepts have buffers of the sizes above, and are dropped
