Http: Let connections with requests in stock take turns

What callers saw: an ordinary request waits for some requests of each client that sends them without end, on each of its ways through the event loop.

Cause: a connection whose next request has been read is served again at once, so that each turn of the loop serves one request of each of them. In the unit test, 100 such clients have 265 requests served before the only one of a new connection.

Change: a request that has arrived before the last response on its connection was sent waits for its turn, in the order of arrival, 8 in one turn of the loop. Until then it counts as incomplete and may be refused. A client that waits for its responses, as all of ours do, never waits there.

--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -1,6 +1,6 @@
 #include "vcHttpListener.h"
 #include "vcHttpRequestReader.h"
-#include "vcHttpSession.h"
+#include "vcHttpTurns.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -40,6 +40,7 @@
     , mLimits(aLimits)
     , mHandler(std::move(aHandler))
     , mBudget(ProcessHttpBudget())
+    , mTurns(std::make_shared<HttpTurns>(mAcceptor.get_executor()))
   {
   }
 
@@ -64,6 +65,7 @@
   HttpLimits mLimits;
   HttpHandler mHandler;
   HttpBudget& mBudget;
+  std::shared_ptr<HttpTurns> mTurns;
   HttpSessionList mSessions;
   std::size_t mConnections = 0;
   std::size_t mInFlight = 0;
@@ -150,9 +152,15 @@
   }
 
   /// Waits for the first byte of a request. Until it arrives, the connection
-  /// counts as idle and may be closed by a drain.
+  /// counts as idle and may be closed by a drain. A request that has arrived
+  /// ahead of the last response waits for its turn.
   asio::awaitable<bool> AwaitFirstByte(HttpSession& aSession)
   {
+    if (aSession.mHasServed && aSession.HasData()) {
+      aSession.SetPhase(HttpAccount::Phase::kReceiving);
+      aSession.Charge(0);
+      co_await this->mTurns->Await(aSession);
+    }
     if (aSession.mBuffer.size() > 0) {
       co_return true;
     }
@@ -178,6 +186,9 @@
     if (!hasData) {
       co_return false;
     }
+    if (aSession.mPhase == HttpAccount::Phase::kEvicted) {
+      co_return this->Refuse(aSession, aSession.mCause);
+    }
     aSession.SetPhase(HttpAccount::Phase::kReceiving);
     aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
     HttpRequestReader reader(this->mLimits);
@@ -291,6 +302,7 @@
     }
     aSession.mStream.expires_after(this->mLimits.mReceiveTimeout);
     const bool isSent = co_await this->SendResponse(aSession, message);
+    aSession.mHasServed = true;
     --this->mInFlight;
     const bool staysOpen = keepAlive && isSent;
     co_return staysOpen;
--- a/Source/Http/vcHttpSession.cxx
+++ b/Source/Http/vcHttpSession.cxx
@@ -21,6 +21,9 @@
 void HttpSession::Interrupt()
 {
   this->mStream.cancel();
+  if (this->mTurnTimer) {
+    this->mTurnTimer->cancel();
+  }
 }
 
 bool HttpSession::Open()
@@ -41,6 +44,13 @@
   return this->mPhase != Phase::kEvicted;
 }
 
+bool HttpSession::HasData() const
+{
+  beast::error_code ignored;
+  return this->mBuffer.size() > 0 ||
+         this->mStream.socket().available(ignored) > 0;
+}
+
 void HttpSession::Abort()
 {
   constexpr int kNoSeconds = 0;
--- a/Source/Http/vcHttpSession.h
+++ b/Source/Http/vcHttpSession.h
@@ -4,6 +4,7 @@
 
 #include "vcHttpBeast.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -37,6 +38,8 @@
   /// Accounts for the buffer and `aBytes` more.
   /// @return false if the connection has to be closed for that
   bool Charge(std::size_t aBytes);
+  /// True if data has arrived that isn't parsed yet.
+  bool HasData() const;
   /// Closes the connection at once. What the client hasn't read is dropped,
   /// since the kernel would keep it for a client that never reads.
   void Abort();
@@ -44,6 +47,10 @@
   beast::tcp_stream mStream;
   HttpBudget& mBudget;
   beast::flat_buffer mBuffer;
+  /// A request was answered.
+  bool mHasServed = false;
+  /// Set while the connection waits for its turn.
+  std::optional<asio::steady_timer> mTurnTimer;
 
 private:
   bool mIsOpen = false;
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -4,7 +4,7 @@
   LINK Boost::json spdlog::spdlog ${XXHASH_LIBRARY} Threads::Threads)
 verbenacroft_library(Http
   SOURCES vcHttpBeast.cxx vcHttpBudget.cxx vcHttpClient.cxx
-    vcHttpListener.cxx vcHttpRequestReader.cxx vcHttpServer.cxx vcHttpSession.cxx vcHttpText.cxx
+    vcHttpListener.cxx vcHttpRequestReader.cxx vcHttpServer.cxx vcHttpSession.cxx vcHttpText.cxx vcHttpTurns.cxx
   LINK vcFoundation)
 verbenacroft_library(Store
   SOURCES vcStoreBudget.cxx vcStoreClient.cxx
--- a/Tests/Unit/vcHttpServerTest.cxx
+++ b/Tests/Unit/vcHttpServerTest.cxx
@@ -21,7 +21,10 @@
               HttpLimits{},
               std::move(aHandler))
   {
+    this->CountTurn();
   }
+  ServerFixture(const ServerFixture&) = delete;
+  ServerFixture& operator=(const ServerFixture&) = delete;
 
   tcp::socket Connect()
   {
@@ -36,21 +39,24 @@
   int TurnsUntil(Condition aIsDone)
   {
     constexpr int kTooMany = 2'000;
-    int turns = 0;
-    std::function<void()> takeTurn = [&] {
-      ++turns;
-      asio::post(this->mContext, takeTurn);
-    };
-    asio::post(this->mContext, takeTurn);
-    while (!aIsDone() && turns < kTooMany) {
+    const int before = this->mTurns;
+    while (!aIsDone() && this->mTurns - before < kTooMany) {
       this->mContext.run_one();
     }
-    return turns;
+    return this->mTurns - before;
+  }
+
+  /// Counts the turns of the event loop from now on.
+  void CountTurn()
+  {
+    ++this->mTurns;
+    asio::post(this->mContext, [this] { this->CountTurn(); });
   }
 
   asio::io_context mContext;
   asio::io_context mClients;
   HttpServer mServer;
+  int mTurns = 0;
 };
 
 asio::awaitable<HttpResponse> AnswerAtOnce(const HttpRequest& /*aRequest*/)
@@ -77,4 +83,38 @@
   CHECK(turns <= kMaxTurns);
 }
 
+// Guards against connections with requests without end that are served again
+// before a new one is.
+TEST_CASE("a new request waits for at most one of each other connection",
+          "[http]")
+{
+  constexpr int kClients = 100;
+  constexpr int kRequestsEach = 100;
+  int crowd = 0;
+  bool isAnswered = false;
+  ServerFixture fixture(
+    [&](const HttpRequest& aRequest) -> asio::awaitable<HttpResponse> {
+      isAnswered = isAnswered || aRequest.mTarget == "/one";
+      crowd += aRequest.mTarget == "/crowd" ? 1 : 0;
+      co_return JsonResponse("{}");
+    });
+  const std::string request = "GET /crowd HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::string pipeline;
+  for (int i = 0; i < kRequestsEach; ++i) {
+    pipeline += request;
+  }
+  std::vector<tcp::socket> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(fixture.Connect());
+    asio::write(clients.back(), asio::buffer(pipeline));
+  }
+  fixture.TurnsUntil([&] { return crowd >= 2 * kClients; });
+  tcp::socket ordinary = fixture.Connect();
+  asio::write(ordinary, asio::buffer(std::string("GET /one HTTP/1.1\r\n\r\n")));
+  const int before = crowd;
+  fixture.TurnsUntil([&] { return isAnswered; });
+  CHECK(isAnswered);
+  CHECK(crowd - before <= kClients);
+}
+
 } // namespace verbenacroft
