Http: Admit a complete request only if there is memory to handle it

What callers saw: nothing yet. Requests that are complete with the first read are never incomplete, so that nothing refused them: 488 jobs of 15 KB that wait for a silent store took 28 MB of a process with 64, whose budget for requests is 8; 697 and more at 160 MB took 66 MB, with a budget of 20.

Cause: a complete request was handled whatever the budget said, and counted with two copies of its body. While it waits for the store there are about eight (request, job, record, encoded write), and a connection of its own.

Change: HttpBudget::Admit refuses a complete request (503, Retry-After, not run) if incomplete ones that give way don't make enough room for it, or if requests are handled on three quarters of the connections already, so that a new connection always finds one that can be closed and gets its answer. A request counts with 8 KB and eight times its body while it is handled. At 64 MB four requests of 256 KB are handled at once, and one always is.

The process tests passed before, since their bound is the process's memory; the new rows of the budget's unit test need Admit to be built.

--- a/Source/Http/vcHttpBudget.cxx
+++ b/Source/Http/vcHttpBudget.cxx
@@ -20,6 +20,9 @@
 /// Part of the process's descriptors for the connections of its servers. The
 /// rest is for those that it opens itself.
 constexpr std::size_t kDescriptorDivisor = 2;
+/// Part of the connections on which no request is handled, so that new ones can
+/// take their place and are told that there are too many.
+constexpr std::size_t kReserveDivisor = 4;
 /// Interval of log lines about refusals of one reason.
 constexpr Duration kLogInterval{ 1'000 };
 
@@ -87,6 +90,7 @@
 void HttpBudget::Close(HttpAccount& aAccount)
 {
   this->Discharge(aAccount);
+  this->mHandled -= aAccount.mPhase == HttpAccount::Phase::kHandling ? 1 : 0;
   --this->mConnections;
   this->mActive -= aAccount.mPhase == HttpAccount::Phase::kEvicted ? 0 : 1;
   aAccount.unlink();
@@ -101,10 +105,13 @@
                           HttpAccount::Phase aPhase,
                           TimePoint aNow)
 {
-  if (aAccount.mPhase != HttpAccount::Phase::kEvicted) {
-    aAccount.mPhase = aPhase;
-    aAccount.mPhaseSince = aNow;
+  if (aAccount.mPhase == HttpAccount::Phase::kEvicted) {
+    return;
   }
+  this->mHandled -= aAccount.mPhase == HttpAccount::Phase::kHandling ? 1 : 0;
+  this->mHandled += aPhase == HttpAccount::Phase::kHandling ? 1 : 0;
+  aAccount.mPhase = aPhase;
+  aAccount.mPhaseSince = aNow;
 }
 
 void HttpBudget::Charge(HttpAccount& aAccount,
@@ -121,6 +128,26 @@
   }
 }
 
+bool HttpBudget::Admit(HttpAccount& aAccount,
+                       std::size_t aBytes,
+                       TimePoint aNow)
+{
+  const std::size_t maxHandled =
+    this->mLimits.mConnections - this->mLimits.mConnections / kReserveDivisor;
+  if (this->mHandled >= maxHandled) {
+    this->CountRefusal(HttpRefusal::kConnections, aNow);
+    return false;
+  }
+  this->SetPhase(aAccount, HttpAccount::Phase::kHandling, aNow);
+  this->Charge(aAccount, aBytes, aNow);
+  if (this->mBytes > this->mLimits.mBytes) {
+    this->Discharge(aAccount);
+    this->CountRefusal(HttpRefusal::kMemory, aNow);
+    return false;
+  }
+  return true;
+}
+
 void HttpBudget::CountRefusal(HttpRefusal aRefusal, TimePoint aNow)
 {
   RefusalRow& row = this->mRefusals.at(static_cast<std::size_t>(aRefusal));
--- a/Source/Http/vcHttpBudget.h
+++ b/Source/Http/vcHttpBudget.h
@@ -64,7 +64,7 @@
     /// No byte of a request has arrived.
     kIdle,
     kReceiving,
-    /// The request is complete. It is answered in any case.
+    /// The request was admitted. It is answered in any case.
     kHandling,
     /// The response is being sent. Each part that the client takes begins this
     /// phase anew.
@@ -112,6 +112,12 @@
   void SetPhase(HttpAccount& aAccount,
                 HttpAccount::Phase aPhase,
                 TimePoint aNow);
+  /// Begins the handling of a complete request, if there is memory for it once
+  /// incomplete ones have been evicted, and if enough connections are left for
+  /// others.
+  /// @param aBytes memory that the request takes while it is handled
+  /// @return false if it has to be refused
+  bool Admit(HttpAccount& aAccount, std::size_t aBytes, TimePoint aNow);
   /// Sets the memory that a connection takes. If all take too much, incomplete
   /// requests are evicted by their rank; this one may be among them.
   void Charge(HttpAccount& aAccount, std::size_t aBytes, TimePoint aNow);
@@ -145,6 +151,8 @@
   std::size_t mConnections = 0;
   /// Connections that aren't evicted.
   std::size_t mActive = 0;
+  /// Requests that are handled.
+  std::size_t mHandled = 0;
   std::array<RefusalRow, EnumTable<HttpRefusal>::kRows.size()> mRefusals;
 };
 
--- a/Source/Http/vcHttpRequestReader.cxx
+++ b/Source/Http/vcHttpRequestReader.cxx
@@ -12,6 +12,16 @@
 /// Memory for each byte of header fields: the parser takes some 80 bytes for a
 /// field of 4, and its copy for the handler as much.
 constexpr std::size_t kFieldFactor = 40;
+/// Memory of a field beside its name and value, once in the parser and once in
+/// the handler's copy.
+constexpr std::size_t kFieldBytes = 200;
+/// Copies of a body while its request is handled: those of the request, and the
+/// same content as a decoded job, as the record that is stored and in the
+/// encoded call to the store.
+constexpr std::size_t kBodyCopies = 8;
+/// Memory of a request that is handled beside its content: its coroutines and a
+/// connection to the store or to a peer.
+constexpr std::size_t kHandlerBytes = 8 * 1024;
 
 } // namespace
 
@@ -54,6 +64,17 @@
          kFieldFactor * this->mHeaderBytes;
 }
 
+std::size_t HttpRequestReader::HandlingBytes() const
+{
+  const BeastRequest& message = this->mParser.get();
+  std::size_t bytes = kHandlerBytes + kBodyCopies * message.body().size();
+  for (const auto& field : message) {
+    const std::size_t text = field.name_string().size() + field.value().size();
+    bytes += kFieldBytes + 2 * text;
+  }
+  return bytes;
+}
+
 /// True if the request has more chunk headers, trailers and header fields than
 /// its body explains.
 bool HttpRequestReader::HasTooMuchFraming() const
--- a/Source/Http/vcHttpRequestReader.h
+++ b/Source/Http/vcHttpRequestReader.h
@@ -31,6 +31,10 @@
   /// Memory that the request takes until it is complete.
   std::size_t Bytes() const;
 
+  /// Memory that the complete request takes while it is handled, with what its
+  /// handler makes of it.
+  std::size_t HandlingBytes() const;
+
   BeastRequest& Message() { return this->mParser.get(); }
 
 private:
--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -17,9 +17,6 @@
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 /// Bytes that are read at a time.
 constexpr std::size_t kMaxReadBytes = 16 * 1024;
-/// Copies of a body while its request is handled: the request's and the
-/// handler's.
-constexpr std::size_t kBodyCopies = 2;
 /// Pause before the next connection is accepted after a failure.
 constexpr Duration kAcceptPause{ 20 };
 /// Further connections that are accepted in one turn of the event loop.
@@ -199,9 +196,9 @@
     if (!reader.IsDone()) {
       co_return false;
     }
-    // A complete request isn't refused for lack of memory.
-    aSession.SetPhase(HttpAccount::Phase::kHandling);
-    aSession.Charge(kBodyCopies * reader.Bytes());
+    if (!aSession.Admit(reader.HandlingBytes())) {
+      co_return this->Refuse(aSession, HttpRefusal::kMemory);
+    }
     co_return co_await this->HandleRequest(aSession, reader.Message());
   }
 
--- a/Source/Http/vcHttpSession.cxx
+++ b/Source/Http/vcHttpSession.cxx
@@ -44,6 +44,12 @@
   return this->mPhase != Phase::kEvicted;
 }
 
+bool HttpSession::Admit(std::size_t aBytes)
+{
+  return this->mBudget.Admit(
+    *this, this->mBuffer.capacity() + aBytes, MonotonicNow());
+}
+
 bool HttpSession::HasData() const
 {
   beast::error_code ignored;
--- a/Source/Http/vcHttpSession.h
+++ b/Source/Http/vcHttpSession.h
@@ -38,6 +38,9 @@
   /// Accounts for the buffer and `aBytes` more.
   /// @return false if the connection has to be closed for that
   bool Charge(std::size_t aBytes);
+  /// Begins the handling of the request, which takes `aBytes`.
+  /// @return false if it has to be refused
+  bool Admit(std::size_t aBytes);
   /// True if data has arrived that isn't parsed yet.
   bool HasData() const;
   /// Closes the connection at once. What the client hasn't read is dropped,
--- a/Tests/Unit/vcHttpBudgetTest.cxx
+++ b/Tests/Unit/vcHttpBudgetTest.cxx
@@ -30,10 +30,12 @@
   std::size_t mBytes;
 };
 
-/// A budget of 1,000 bytes and three connections.
+/// A budget, by default of 1,000 bytes and three connections.
 struct BudgetFixture
 {
-  explicit BudgetFixture(const std::vector<AccountRow>& aRows)
+  explicit BudgetFixture(const std::vector<AccountRow>& aRows,
+                         HttpBudgetLimits aLimits = { 1'000, 3 })
+    : mBudget(aLimits)
   {
     for (const auto& row : aRows) {
       auto account = std::make_unique<TestAccount>();
@@ -68,7 +70,7 @@
     return evicted;
   }
 
-  HttpBudget mBudget{ { 1'000, 3 } };
+  HttpBudget mBudget;
   std::vector<std::unique_ptr<TestAccount>> mAccounts;
 };
 
@@ -136,6 +138,60 @@
         (row.mEvicted < 0 ? 0 : 1));
 }
 
+// Guards against complete requests that wait for the store and take more memory
+// than there is, and against so many of them that nobody else is answered.
+TEST_CASE("a complete request is admitted only if there is room", "[budget]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::vector<AccountRow> mAccounts;
+    std::size_t mBytes;
+    bool mIsAdmitted;
+    int mEvicted;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "there is room",
+      { { Phase::kHandling, Duration(100), 400 },
+        { Phase::kReceiving, Duration(0), 100 } },
+      600,
+      true,
+      -1 },
+    { "an incomplete request gives way",
+      { { Phase::kReceiving, Duration(100), 600 },
+        { Phase::kReceiving, Duration(0), 100 } },
+      600,
+      true,
+      0 },
+    { "what is handled takes all",
+      { { Phase::kHandling, Duration(100), 600 },
+        { Phase::kReceiving, Duration(0), 100 } },
+      600,
+      false,
+      -1 },
+    { "it is alone and too large",
+      { { Phase::kReceiving, Duration(0), 100 } },
+      1'100,
+      false,
+      -1 },
+    { "too many are handled",
+      { { Phase::kHandling, Duration(100), 0 },
+        { Phase::kHandling, Duration(100), 0 },
+        { Phase::kHandling, Duration(100), 0 },
+        { Phase::kReceiving, Duration(0), 0 } },
+      1,
+      false,
+      -1 },
+  }));
+  CAPTURE(row.mName);
+  BudgetFixture fixture(row.mAccounts, { 1'000, 4 });
+  const bool isAdmitted =
+    fixture.mBudget.Admit(*fixture.mAccounts.back(), row.mBytes, kBegin);
+  CHECK(isAdmitted == row.mIsAdmitted);
+  CHECK(fixture.Evicted() == row.mEvicted);
+  CHECK(fixture.mBudget.Bytes() <= 1'000);
+}
+
 // Guards against connections that are held open and keep ordinary callers out.
 TEST_CASE("a new connection takes the place of a slow or idle one", "[budget]")
 {
