--- a/Source/Shell/vcProgram.h
+++ b/Source/Shell/vcProgram.h
@@ -91,8 +91,8 @@
                              const std::string& aProgram,
                              const std::string& aPurpose);
 
-/// Least memory limit of a process, in MB. The largest step of a job alone takes
-/// less than its part of so much memory.
+/// Least memory limit of a process, in MB. The largest step of a job alone
+/// takes less than its part of so much memory.
 constexpr std::uint32_t kMinMemoryMb = 64;
 
 /// Adds a fault if a memory limit is too low.
