Http: Close a connection in order that is evicted once its response is sent

What callers saw: nothing yet; under a shortage of connections an answer that was ready could be lost on its way.

Cause: a response counts as being sent until the server is told that the last part went out. A connection that was evicted in between was reset, which drops what the client hasn't received.

Change: only a response that isn't sent to its end is dropped.

Measured: the new unit test evicts a connection at that moment; the client gets "connection reset" without the change, and the end of the stream with it.

--- a/Source/Http/vcHttpServer.cxx
+++ b/Source/Http/vcHttpServer.cxx
@@ -307,7 +307,7 @@
 
   /// Sends a response part by part, so that the budget knows whether the client
   /// reads it.
-  /// @return false if it has failed
+  /// @return false if it has failed or the connection has to be closed
   asio::awaitable<bool> SendResponse(HttpSession& aSession,
                                      BeastResponse& aMessage)
   {
@@ -317,12 +317,13 @@
       auto [error, bytes] = co_await http::async_write_some(
         aSession.mStream, serializer, kAwaitTuple);
       // It may have been evicted while there was nothing to interrupt.
-      if (error || aSession.mPhase == HttpAccount::Phase::kEvicted) {
+      const bool isEvicted = aSession.mPhase == HttpAccount::Phase::kEvicted;
+      if (error || (isEvicted && !serializer.is_done())) {
         aSession.Abort();
         co_return false;
       }
     }
-    co_return true;
+    co_return aSession.mPhase != HttpAccount::Phase::kEvicted;
   }
 };
 
--- a/Tests/Unit/vcHttpServerTest.cxx
+++ b/Tests/Unit/vcHttpServerTest.cxx
@@ -83,6 +83,38 @@
   CHECK(turns <= kMaxTurns);
 }
 
+// Guards against a response that is dropped with its connection though all of
+// it was sent.
+TEST_CASE("a whole response outlives the eviction of its connection", "[http]")
+{
+  asio::io_context* context = nullptr;
+  bool isEvicted = false;
+  ServerFixture fixture(
+    [&](const HttpRequest& /*aRequest*/) -> asio::awaitable<HttpResponse> {
+      // Runs when the response was sent and before the server knows it.
+      asio::post(*context, [&] {
+        ProcessHttpBudget().OnDescriptorsExhausted(MonotonicNow());
+        isEvicted = true;
+      });
+      co_return JsonResponse("{}");
+    });
+  context = &fixture.mContext;
+  const auto evictions = [] {
+    return ProcessHttpBudget().Refusals(HttpRefusal::kConnections);
+  };
+  const auto before = evictions();
+  tcp::socket client = fixture.Connect();
+  asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  fixture.TurnsUntil(
+    [&] { return isEvicted && ProcessHttpBudget().Connections() == 0; });
+  CHECK(evictions() == before + 1);
+  std::string text;
+  boost::system::error_code error;
+  asio::read(client, asio::dynamic_buffer(text), error);
+  CHECK(error == asio::error::eof);
+  CHECK(text.ends_with("{}"));
+}
+
 // Guards against connections with requests without end that are served again
 // before a new one is.
 TEST_CASE("a new request waits for at most one of each other connection",
