--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -214,6 +214,7 @@
 verbenacroft_unbounded_clients(returning callers)
 verbenacroft_unbounded_clients(whole callers)
 verbenacroft_unbounded_clients(waiting callers)
+verbenacroft_unbounded_clients(waiting-small callers)
 # The least of the users' instances, with more clients than it has descriptors
 # for.
 verbenacroft_unbounded_program(pipelined callers node 160 4100 2600)
