Http: Name the groups of connections that give way

Cause: the rank for lack of connections was a number from a nested condition, and two constants stood between functions; found on the last read.

Change: an enumeration of three groups, in the order in which they give way. The order and the times are the same.

--- a/Source/Http/vcHttpBudget.cxx
+++ b/Source/Http/vcHttpBudget.cxx
@@ -23,6 +23,10 @@
 /// Part of the connections on which no request is handled, so that new ones can
 /// take their place and are told that there are too many.
 constexpr std::size_t kReserveDivisor = 4;
+/// A client that reads has taken a part of its response by then.
+constexpr Duration kUnreadAfter{ 500 };
+/// An ordinary request is complete by then.
+constexpr Duration kSlowAfter{ 200 };
 /// Interval of log lines about refusals of one reason.
 constexpr Duration kLogInterval{ 1'000 };
 
@@ -34,24 +38,31 @@
   return static_cast<double>(aAccount.mBytes) * (age + 1);
 }
 
-/// A client that reads has taken a part of its response by then.
-constexpr Duration kUnreadAfter{ 500 };
-/// An ordinary request is complete by then.
-constexpr Duration kSlowAfter{ 200 };
+/// Groups of connections, of which later ones give way first.
+enum class EvictionGroup
+{
+  /// The client takes its response.
+  kServed,
+  /// Idle, or with a request that has just begun.
+  kOrdinary,
+  /// With a slow incomplete request or a response that isn't read.
+  kSlow,
+};
 
-/// Rank for lack of connections: slow incomplete requests and responses that
-/// aren't read first, then idle connections and new requests, then responses
-/// that the client takes; and among them the one that has lasted longest.
-std::tuple<int, Duration> ConnectionRank(const HttpAccount& aAccount,
-                                         TimePoint aNow)
+/// Rank for lack of connections: the group, and within it the one that has
+/// lasted longest.
+std::tuple<EvictionGroup, Duration> ConnectionRank(const HttpAccount& aAccount,
+                                                   TimePoint aNow)
 {
   const Duration age = aNow - aAccount.mPhaseSince;
   const bool isSending = aAccount.mPhase == HttpAccount::Phase::kSending;
   const bool isReceiving = aAccount.mPhase == HttpAccount::Phase::kReceiving;
   const bool isSlow =
     (isSending && age >= kUnreadAfter) || (isReceiving && age >= kSlowAfter);
-  const int order = isSlow ? 2 : isSending ? 0 : 1;
-  return { order, age };
+  if (isSlow) {
+    return { EvictionGroup::kSlow, age };
+  }
+  return { isSending ? EvictionGroup::kServed : EvictionGroup::kOrdinary, age };
 }
 
 bool MayEvict(const HttpAccount& aAccount, HttpRefusal aCause, TimePoint aNow)
