review: case 8 takes a planned restart in place of a crash

Cause: the case took two disruptions, and a worker's planned restart shows the same fault with one. Change: the worker that left the start unanswered drains, leaves and starts again under its id; the late start is carried out after that.

--- a/review/standin-2/vcStageCases.cxx
+++ b/review/standin-2/vcStageCases.cxx
@@ -139,10 +139,15 @@
 
 /// A start without an answer is carried out late by the next life of its
 /// worker, while the task runs elsewhere.
-Verdict LateStartAfterCrash(CaseContext& aContext)
+Verdict LateStartAfterRestart(CaseContext& aContext)
 {
-  constexpr std::int64_t kLateMs = 7'000;
-  constexpr std::int64_t kDownMs = 1'000;
+  // From the start's sending to the planned shutdown of its worker.
+  constexpr std::int64_t kDrainAfterMs = 2'500;
+  constexpr std::int64_t kDrainMs = 3'000;
+  // A worker may serve for longer than it has said.
+  constexpr std::int64_t kServesMs = 5'000;
+  constexpr std::int64_t kAwayMs = 2'000;
+  constexpr std::int64_t kReturnedMs = 20;
   constexpr std::int64_t kTaskMs = 15'000;
   Deployment deployment(
     aContext.mProgram, aContext.mFolder, aContext.mRecord, 2, 8, 4);
@@ -162,12 +167,20 @@
   }
   deployment.Send(0, "POST", job, Deployment::Job(kTaskMs, 1));
   const std::int64_t sentAt = NowMs();
-  SleepUntil(sentAt + kLateMs - kDownMs);
+  SleepUntil(sentAt + kDrainAfterMs);
   if (Worker* worker = lostAt.load(); worker != nullptr) {
-    aContext.mRecord.Add("worker " + worker->Id() + " crashes");
+    aContext.mRecord.Add("worker " + worker->Id() + " drains");
+    worker->Drain(kDrainMs);
+    SleepUntil(sentAt + kDrainAfterMs + kServesMs);
+    aContext.mRecord.Add("worker " + worker->Id() + " leaves");
     worker->Crash();
-    SleepUntil(sentAt + kLateMs);
+    worker->Unregister();
+    SleepMs(kAwayMs);
     worker->Start();
+    aContext.mRecord.Add("worker " + worker->Id() + " is back");
+    SleepMs(kReturnedMs);
+    aContext.mRecord.Add("worker " + worker->Id() +
+                         " carries out the start that it left unanswered");
     worker->CarryOutLost();
   }
   SleepMs(4'000);
@@ -185,8 +198,8 @@
   if (aName == "failed-by-crashes") {
     return FailedByCrashes(aContext);
   }
-  if (aName == "late-start-after-crash") {
-    return LateStartAfterCrash(aContext);
+  if (aName == "late-start-after-restart") {
+    return LateStartAfterRestart(aContext);
   }
   aContext.mRecord.Add("no such case: " + aName);
   return Verdict::kNotRun;
