review: the stand-in takes ports that no connection has

Cause: two scripts at the same time could choose the same ports; one of the two ended with 2. Change: ports come from below the range of outgoing connections and depend on the process.

--- a/review/standin-2/vcStageHttp.cxx
+++ b/review/standin-2/vcStageHttp.cxx
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <iostream>
 
+#include <unistd.h>
+
 namespace stage {
 
 namespace {
@@ -144,13 +146,23 @@
 
 std::vector<std::uint16_t> FreePorts(std::size_t aCount)
 {
+  // Below the range from which the system takes the ports of connections, and
+  // apart from those of another stage.
+  constexpr int kFirst = 10'000;
+  constexpr int kRange = 20'000;
+  constexpr int kStride = 97;
+  static std::atomic<int> next{ ::getpid() * kStride };
   boost::asio::io_context io;
-  std::vector<Tcp::acceptor> held;
   std::vector<std::uint16_t> ports;
-  for (std::size_t i = 0; i < aCount; ++i) {
-    held.emplace_back(
-      io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    ports.push_back(held.back().local_endpoint().port());
+  while (ports.size() < aCount) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kRange);
+    Tcp::acceptor held(io);
+    boost::system::error_code error;
+    held.open(Tcp::v4(), error);
+    held.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, error);
+    if (!error) {
+      ports.push_back(port);
+    }
   }
   return ports;
 }
