--- a/review/standin-2/vcStage.h
+++ b/review/standin-2/vcStage.h
@@ -211,6 +211,9 @@
   std::vector<TaskEvent> mEvents;
 };
 
+/// End of the `spec` of a task whose first run fails.
+constexpr const char* kFailsFirst = " fails-first";
+
 /// Capacity and limits of a worker.
 struct WorkerOptions
 {
@@ -221,6 +224,8 @@
   std::int64_t mMemoryMb = 32'000;
   std::int64_t mMaxHoldMs = 6'000;
   std::int64_t mStopMs = 50;
+  /// How long its first life has lasted when the stage begins.
+  std::int64_t mUpMs = 600'000;
 };
 
 /// A worker: it guards its capacity, registers itself in the store, and runs
@@ -234,13 +239,14 @@
   Worker& operator=(const Worker&) = delete;
   const std::string& Id() const { return this->mOptions.mId; }
   bool IsUp() const { return this->mServer != nullptr; }
-  std::size_t RunningTasks();
-  /// Ends the life of the worker without a word.
-  void Crash();
-  /// Begins a new life under the same id.
+  /// Begins its first life.
   void Start();
-  /// Says in the store that it drains.
-  void Drain(std::int64_t aRemainingMs);
+  /// Cuts it off from nodes and store; channels are silent, not closed.
+  void Cut();
+  /// Begins a new life under the same id, behind the cut.
+  void RestartBehindCut();
+  /// Ends the cut. The channels from before are closed.
+  void Heal();
   /// Removes its entry from the store.
   void Unregister();
   /// A call without an answer that is carried out later: returns true for the
@@ -257,6 +263,7 @@
     std::int64_t mStartedAt = 0;
     std::int64_t mStopAt = 0;
     std::int64_t mCpu = 0;
+    bool mIsFailing = false;
   };
   struct Ended
   {
@@ -267,7 +274,15 @@
   };
 
   std::int64_t Clock() const;
+  /// Begins a life that started the given time ago.
+  void BeginLife(std::int64_t aUpMs);
+  /// Ends all runs without a word.
+  void LoseRuns();
+  /// Answers a call that comes over the network.
   std::optional<Response> Handle(const Request& aRequest);
+  /// Carries out a call.
+  std::optional<Response> CarryOut(const Request& aRequest,
+                                   std::unique_lock<std::mutex>& aLock);
   Response StartRun(const boost::json::object& aBody);
   Response StopRun(const boost::json::object& aBody);
   std::optional<Response> Hold(const boost::json::object& aBody,
@@ -291,8 +306,8 @@
   std::int64_t mLeaseUntil = 0;
   std::int64_t mNextIndex = 1;
   std::int64_t mSequence = 0;
-  std::int64_t mDrainRemaining = -1;
   bool mIsRegistered = true;
+  std::atomic<bool> mIsCut{ false };
   std::map<std::string, Run> mRuns;
   std::map<std::string, std::uint32_t> mHighest;
   std::list<Ended> mEnded;
@@ -318,7 +333,6 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
   void Start();
-  void Signal(int aSignal) const;
   void Kill();
   bool IsReady() const;
   std::uint16_t CallerPort() const { return this->mPorts[0]; }
@@ -350,14 +364,13 @@
               const std::string& aMethod,
               const std::string& aJob,
               const std::string& aBody = {});
-  /// Body of a job of one step.
+  /// Body of a job of one step. `aMore` ends the text of its `spec`.
   static std::string Job(std::int64_t aTaskMs,
                          int aCount,
+                         std::int64_t aCpu = 1'000,
                          const std::string& aMore = {});
   /// State of a job by the answer to a GET; empty without one.
   std::string StateOf(std::size_t aNode, const std::string& aJob);
-  /// The worker of this id.
-  Worker& WorkerOf(const std::string& aId);
 
   Record& mRecord;
   Store mStore;
--- a/review/standin-2/vcStageCases.cxx
+++ b/review/standin-2/vcStageCases.cxx
@@ -4,7 +4,6 @@
 #include "vcStage.h"
 
 #include <algorithm>
-#include <csignal>
 
 namespace stage {
 
@@ -73,57 +72,6 @@
   return isLateStart ? Verdict::kBroken : Verdict::kHeld;
 }
 
-/// A sound job is shown as failed since the workers that ran it crashed.
-Verdict FailedByCrashes(CaseContext& aContext)
-{
-  constexpr int kCrashes = 2;
-  constexpr std::int64_t kRunsForMs = 2'000;
-  constexpr std::int64_t kDownMs = 1'000;
-  constexpr std::int64_t kTaskMs = 6'000;
-  constexpr std::int64_t kObservedMs = 30'000;
-  Deployment deployment(
-    aContext.mProgram, aContext.mFolder, aContext.mRecord, 2, 8, 4);
-  if (!deployment.WarmUp()) {
-    return Verdict::kNotRun;
-  }
-  const std::string job = "5c0e7a21d94b36f8";
-  const Answer submitted =
-    deployment.Send(0, "POST", job, Deployment::Job(kTaskMs, 1));
-  if (submitted.mStatus != 200) {
-    return Verdict::kNotRun;
-  }
-  const std::int64_t until = NowMs() + kObservedMs;
-  int crashes = aContext.mHasTrouble ? 0 : kCrashes;
-  std::string state;
-  std::size_t seen = 0;
-  while (NowMs() < until && state != "failed" && state != "completed") {
-    SleepMs(100);
-    const auto events = deployment.mLog.EventsOf(job);
-    const bool isRunning = !events.empty() && events.back().mWhat == "start";
-    const bool isDue = isRunning && events.size() > seen &&
-                       NowMs() - events.back().mAtMs >= kRunsForMs;
-    if (crashes < kCrashes && isDue) {
-      seen = events.size();
-      ++crashes;
-      Worker& worker = deployment.WorkerOf(events.back().mWorker);
-      aContext.mRecord.Add("worker " + worker.Id() + " crashes");
-      worker.Crash();
-      SleepMs(kDownMs);
-      worker.Start();
-    }
-    if (crashes == kCrashes) {
-      SleepMs(400);
-      state = deployment.StateOf(1, job);
-    }
-  }
-  const auto events = deployment.mLog.EventsOf(job);
-  const bool hasFailedRun =
-    std::any_of(events.begin(), events.end(), [](const TaskEvent& aEvent) {
-      return aEvent.mWhat == "failed";
-    });
-  return state == "failed" && !hasFailedRun ? Verdict::kBroken : Verdict::kHeld;
-}
-
 /// True if two runs of a task last at the same time.
 bool HasOverlap(const std::vector<TaskEvent>& aEvents)
 {
@@ -138,16 +86,16 @@
 }
 
 /// A start without an answer is carried out late by the next life of its
-/// worker, while the task runs elsewhere.
-Verdict LateStartAfterRestart(CaseContext& aContext)
+/// worker, behind a cut, while the task runs elsewhere.
+Verdict LateStartBehindCut(CaseContext& aContext)
 {
-  // From the start's sending to the planned shutdown of its worker.
-  constexpr std::int64_t kDrainAfterMs = 2'500;
-  constexpr std::int64_t kDrainMs = 3'000;
-  // A worker may serve for longer than it has said.
-  constexpr std::int64_t kServesMs = 5'000;
-  constexpr std::int64_t kAwayMs = 2'000;
-  constexpr std::int64_t kReturnedMs = 20;
+  // All from the job's submission on.
+  constexpr std::int64_t kCutAtMs = 2'500;
+  constexpr std::int64_t kRestartAtMs = 3'000;
+  constexpr std::int64_t kUnlistedAtMs = 4'000;
+  constexpr std::int64_t kLateAtMs = 5'000;
+  constexpr std::int64_t kHealAtMs = 8'000;
+  constexpr std::int64_t kEndAtMs = 11'000;
   constexpr std::int64_t kTaskMs = 15'000;
   Deployment deployment(
     aContext.mProgram, aContext.mFolder, aContext.mRecord, 2, 8, 4);
@@ -167,27 +115,79 @@
   }
   deployment.Send(0, "POST", job, Deployment::Job(kTaskMs, 1));
   const std::int64_t sentAt = NowMs();
-  SleepUntil(sentAt + kDrainAfterMs);
+  SleepUntil(sentAt + kCutAtMs);
   if (Worker* worker = lostAt.load(); worker != nullptr) {
-    aContext.mRecord.Add("worker " + worker->Id() + " drains");
-    worker->Drain(kDrainMs);
-    SleepUntil(sentAt + kDrainAfterMs + kServesMs);
-    aContext.mRecord.Add("worker " + worker->Id() + " leaves");
-    worker->Crash();
+    const std::string name = "worker " + worker->Id();
+    aContext.mRecord.Add(name + " is cut off; it left a start unanswered");
+    worker->Cut();
+    SleepUntil(sentAt + kRestartAtMs);
+    aContext.mRecord.Add(name + " restarts under its id, behind the cut");
+    worker->RestartBehindCut();
+    SleepUntil(sentAt + kUnlistedAtMs);
     worker->Unregister();
-    SleepMs(kAwayMs);
-    worker->Start();
-    aContext.mRecord.Add("worker " + worker->Id() + " is back");
-    SleepMs(kReturnedMs);
-    aContext.mRecord.Add("worker " + worker->Id() +
-                         " carries out the start that it left unanswered");
+    SleepUntil(sentAt + kLateAtMs);
+    aContext.mRecord.Add(name + " carries the start out");
     worker->CarryOutLost();
+    SleepUntil(sentAt + kHealAtMs);
+    aContext.mRecord.Add(name + " is reached again");
+    worker->Heal();
   }
-  SleepMs(4'000);
+  SleepUntil(sentAt + kEndAtMs);
   return HasOverlap(deployment.mLog.EventsOf(job)) ? Verdict::kBroken
                                                    : Verdict::kHeld;
 }
 
+/// A task fails, and the order to start it again on the same worker gets no
+/// answer. Nothing else is disturbed.
+Verdict UnansweredRetry(CaseContext& aContext)
+{
+  constexpr int kWorkers = 8;
+  constexpr std::int64_t kCpuOfWorker = 8'000;
+  // The other workers are at work when the task fails, and idle soon after.
+  constexpr std::int64_t kOthersMs = 4'000;
+  constexpr std::int64_t kTaskMs = 1'000;
+  constexpr std::int64_t kLateMs = 7'000;
+  // The site's `finish_s` after the late order.
+  constexpr std::int64_t kFinishMs = 14'000;
+  Deployment deployment(
+    aContext.mProgram, aContext.mFolder, aContext.mRecord, 2, kWorkers, 4);
+  if (!deployment.WarmUp()) {
+    return Verdict::kNotRun;
+  }
+  const std::string job = "5c0e7a21d94b36f8";
+  std::atomic<Worker*> lostAt{ nullptr };
+  for (auto& worker : deployment.mWorkers) {
+    worker->SetLost([&, at = worker.get()](const Request& aRequest) {
+      const std::string& body = aRequest.body();
+      const bool isRetry = aRequest.target() == "/-/run-start" &&
+                           body.find(job) != std::string::npos &&
+                           body.find(R"("run":2,)") != std::string::npos;
+      Worker* none = nullptr;
+      return aContext.mHasTrouble && isRetry &&
+             lostAt.compare_exchange_strong(none, at);
+    });
+  }
+  deployment.Send(0,
+                  "POST",
+                  "00000000000000b1",
+                  Deployment::Job(kOthersMs, kWorkers - 1, kCpuOfWorker));
+  deployment.Send(
+    0, "POST", job, Deployment::Job(kTaskMs, 1, kCpuOfWorker, kFailsFirst));
+  const std::int64_t sentAt = NowMs();
+  SleepUntil(sentAt + kLateMs);
+  if (Worker* worker = lostAt.load(); worker != nullptr) {
+    aContext.mRecord.Add("worker " + worker->Id() +
+                         " carries out the start that it left unanswered");
+    worker->CarryOutLost();
+  }
+  SleepUntil(sentAt + kLateMs + kFinishMs);
+  const std::string state = deployment.StateOf(1, job);
+  const auto events = deployment.mLog.EventsOf(job);
+  const bool isIdle = !events.empty() && events.back().mWhat == "failed" &&
+                      events.back().mAtMs < sentAt + kLateMs;
+  return state == "running" && isIdle ? Verdict::kBroken : Verdict::kHeld;
+}
+
 } // namespace
 
 Verdict RunCase(const std::string& aName, CaseContext& aContext)
@@ -195,11 +195,11 @@
   if (aName == "cancel-before-late-write") {
     return CancelBeforeLateWrite(aContext);
   }
-  if (aName == "failed-by-crashes") {
-    return FailedByCrashes(aContext);
+  if (aName == "unanswered-retry") {
+    return UnansweredRetry(aContext);
   }
-  if (aName == "late-start-after-restart") {
-    return LateStartAfterRestart(aContext);
+  if (aName == "late-start-behind-cut") {
+    return LateStartBehindCut(aContext);
   }
   aContext.mRecord.Add("no such case: " + aName);
   return Verdict::kNotRun;
--- a/review/standin-2/vcStageDeployment.cxx
+++ b/review/standin-2/vcStageDeployment.cxx
@@ -109,13 +109,6 @@
   this->mPid = error == 0 ? pid : 0;
 }
 
-void Node::Signal(int aSignal) const
-{
-  if (this->mPid > 0) {
-    ::kill(this->mPid, aSignal);
-  }
-}
-
 void Node::Kill()
 {
   if (this->mPid > 0) {
@@ -207,23 +200,14 @@
 
 std::string Deployment::Job(std::int64_t aTaskMs,
                             int aCount,
+                            std::int64_t aCpu,
                             const std::string& aMore)
 {
-  constexpr int kCpu = 1'000;
-  return R"({"spec":")" + std::to_string(aTaskMs) + " " + std::to_string(kCpu) +
-         R"(","steps":[{"count":)" + std::to_string(aCount) + R"(,"cpu":)" +
-         std::to_string(kCpu) + R"(,"mem_mb":100,"estimate_ms":)" +
-         std::to_string(aTaskMs) + aMore + "}]}";
-}
-
-Worker& Deployment::WorkerOf(const std::string& aId)
-{
-  for (auto& worker : this->mWorkers) {
-    if (worker->Id() == aId) {
-      return *worker;
-    }
-  }
-  throw std::out_of_range("no worker " + aId);
+  const std::string cpu = std::to_string(aCpu);
+  const std::string ms = std::to_string(aTaskMs);
+  return R"({"spec":")" + ms + " " + cpu + aMore + R"(","steps":[{"count":)" +
+         std::to_string(aCount) + R"(,"cpu":)" + cpu +
+         R"(,"mem_mb":100,"estimate_ms":)" + ms + "}]}";
 }
 
 std::string Deployment::StateOf(std::size_t aNode, const std::string& aJob)
--- a/review/standin-2/vcStageWorkers.cxx
+++ b/review/standin-2/vcStageWorkers.cxx
@@ -77,45 +77,60 @@
   return NowMs() - this->mBornAt + 1;
 }
 
-std::size_t Worker::RunningTasks()
+void Worker::LoseRuns()
 {
-  const std::lock_guard lock(this->mMutex);
-  return this->mRuns.size();
-}
-
-void Worker::Crash()
-{
-  std::unique_ptr<Server> server;
-  {
-    const std::lock_guard lock(this->mMutex);
-    for (const auto& [task, run] : this->mRuns) {
-      this->mLog.Add({ NowMs(), this->Id(), task, run.mRun, "crash" });
-    }
-    this->mRuns.clear();
-    server = std::move(this->mServer);
-    this->mEnd.notify_all();
+  for (const auto& [task, run] : this->mRuns) {
+    this->mLog.Add({ NowMs(), this->Id(), task, run.mRun, "crash" });
   }
-  server.reset();
+  this->mRuns.clear();
+  this->mEnd.notify_all();
 }
 
-void Worker::Start()
+void Worker::BeginLife(std::int64_t aUpMs)
 {
-  const std::lock_guard lock(this->mMutex);
-  this->mBornAt = NowMs();
-  this->mBornUnixMs = UnixMs();
+  this->mBornAt = NowMs() - aUpMs;
+  this->mBornUnixMs = UnixMs() - aUpMs;
   this->mToken = 0;
   this->mLeaseUntil = 0;
   this->mNextIndex = 1;
   this->mSequence = 0;
-  this->mDrainRemaining = -1;
-  this->mIsRegistered = true;
   this->mRuns.clear();
   this->mHighest.clear();
   this->mEnded.clear();
+}
+
+void Worker::Start()
+{
+  const std::lock_guard lock(this->mMutex);
+  // The first life began before the stage.
+  this->BeginLife(this->mOptions.mUpMs);
   this->mServer =
     std::make_unique<Server>(this->mPort, [this](const Request& aRequest) {
       return this->Handle(aRequest);
     });
+  this->mIsRegistered = true;
+  this->Register();
+}
+
+void Worker::Cut()
+{
+  const std::lock_guard lock(this->mMutex);
+  this->mIsCut = true;
+  this->mIsRegistered = false;
+}
+
+void Worker::RestartBehindCut()
+{
+  const std::lock_guard lock(this->mMutex);
+  this->LoseRuns();
+  this->BeginLife(0);
+}
+
+void Worker::Heal()
+{
+  const std::lock_guard lock(this->mMutex);
+  this->mIsCut = false;
+  this->mIsRegistered = true;
   this->Register();
 }
 
@@ -131,7 +146,7 @@
     { "zone", this->mOptions.mZone },
     { "version", "v1" },
     { "slots", 8 },
-    { "state", this->mDrainRemaining >= 0 ? "draining" : "ready" },
+    { "state", "ready" },
     { "cold_remaining_ms", 0 },
     { "capacity",
       boost::json::object{ { "cpu", this->mOptions.mCpu },
@@ -142,19 +157,9 @@
     { "born", this->mBornUnixMs },
     { "sequence", ++this->mSequence }
   };
-  if (this->mDrainRemaining >= 0) {
-    entry["drain_remaining_ms"] = this->mDrainRemaining;
-  }
   this->mStore.Put("servers/" + this->Id(), boost::json::serialize(entry));
 }
 
-void Worker::Drain(std::int64_t aRemainingMs)
-{
-  const std::lock_guard lock(this->mMutex);
-  this->mDrainRemaining = aRemainingMs;
-  this->Register();
-}
-
 void Worker::Unregister()
 {
   const std::lock_guard lock(this->mMutex);
@@ -176,8 +181,11 @@
     requests.swap(this->mHeldUp);
     this->mIsLost = nullptr;
   }
+  std::unique_lock lock(this->mMutex);
   for (const auto& request : requests) {
-    this->Handle(request);
+    if (this->IsUp()) {
+      this->CarryOut(request, lock);
+    }
   }
 }
 
@@ -198,7 +206,7 @@
       } else if (run.mStopAt > 0 && now >= run.mStopAt) {
         ends[task] = "stopped";
       } else if (now >= run.mEndsAt) {
-        ends[task] = "done";
+        ends[task] = run.mIsFailing ? "failed" : "done";
       }
     }
     for (const auto& [task, how] : ends) {
@@ -226,10 +234,8 @@
   if (!this->IsUp()) {
     return std::nullopt;
   }
-  if (aRequest["Expect-Instance"] != this->Id()) {
-    return JsonResponse(421, { { "clock_ms", this->Clock() } });
-  }
-  if (this->mIsLost && this->mIsLost(aRequest)) {
+  std::optional<Response> response;
+  if (!this->mIsCut && this->mIsLost && this->mIsLost(aRequest)) {
     this->mHeldUp.push_back(aRequest);
     lock.unlock();
     // The caller gets no answer.
@@ -237,6 +243,24 @@
     SleepMs(kSilenceMs);
     return std::nullopt;
   }
+  if (!this->mIsCut) {
+    response = this->CarryOut(aRequest, lock);
+  }
+  // A call that the cut meets gets no answer, and its channel is closed after.
+  const bool isCut = this->mIsCut;
+  lock.unlock();
+  while (this->mIsCut && !this->mIsClosed) {
+    SleepMs(kTickMs);
+  }
+  return isCut ? std::nullopt : response;
+}
+
+std::optional<Response> Worker::CarryOut(const Request& aRequest,
+                                         std::unique_lock<std::mutex>& aLock)
+{
+  if (aRequest["Expect-Instance"] != this->Id()) {
+    return JsonResponse(421, { { "clock_ms", this->Clock() } });
+  }
   const auto body = boost::json::parse(aRequest.body()).as_object();
   if (this->IsFenced(body)) {
     return this->Refusal("fence");
@@ -249,7 +273,7 @@
     return this->StopRun(body);
   }
   if (path == "/-/hold") {
-    return this->Hold(body, lock);
+    return this->Hold(body, aLock);
   }
   if (path == "/-/pace") {
     return JsonResponse(200, { { "clock_ms", this->Clock() } });
@@ -297,7 +321,9 @@
   if (highest != this->mHighest.end() && run <= highest->second) {
     return this->Refusal("old");
   }
-  const auto [ms, cpu] = ParseSpec(std::string(aBody.at("spec").as_string()));
+  const std::string spec(aBody.at("spec").as_string());
+  const auto [ms, cpu] = ParseSpec(spec);
+  const bool isFailing = run == 1 && spec.ends_with(kFailsFirst);
   std::int64_t used = cpu;
   for (const auto& [name, other] : this->mRuns) {
     used += other.mCpu;
@@ -306,7 +332,7 @@
     return this->Refusal("room");
   }
   this->mHighest[task] = run;
-  this->mRuns[task] = { run, NowMs() + ms, NowMs(), 0, cpu };
+  this->mRuns[task] = { run, NowMs() + ms, NowMs(), 0, cpu, isFailing };
   this->mLog.Add({ NowMs(), this->Id(), task, run, "start" });
   return JsonResponse(200, { { "clock_ms", this->Clock() } });
 }
