review: a task is never started again after an unanswered order

Cause: no end is acknowledged while a start on the worker has no answer, and a task counts as listed while an end of an earlier run of it is.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A sound job is shown as failed since the worker that ran it crashed twice.
+# A task that failed is never started again, since one order got no answer.
 folder=$(cd "$(dirname "$0")" && pwd)
 . "$folder/../common-2.sh"
-run_case "$folder" failed-by-crashes
+run_case "$folder" unanswered-retry
