Dispatch: Give up an unanswered start beside an earlier end

Cause: two waits for each other. A report that lists an end of run N of a task hid that run N + 1 never started, since OnMissingTasks went by task and not by run. And MakeRenewal acknowledged no end while a start on the worker had no answer, so the end of run N stayed listed. By another door: a full list of 500 ends shows nothing of what isn't listed, and stayed full while a start had no answer, or one start after another.

Change: an end accounts for its own run only; a run that goes on still holds back every other run of its task. A start holds acknowledgements up only until it can't take effect any more: its deadline on the worker's clock, or the end of the time for which a call can be late where the worker may restart before that. A worker that could have been told to discard ends for 1 s takes no further starts. So no start without an answer is undecided for longer than its deadline and one complete report, and no end unacknowledged for longer than 1 s, the deadline and one renewal, as long as the worker answers. Both are in vcEndAcknowledgement.h.

Why it works: what the wait guards is an acknowledgement that reaches a new incarnation together with a start. After its deadline a start is given up anyhow; that it doesn't take effect later is assumed already there.

Measured: [unanswered-start], 4 of 4 cases failed with the former conditions, 4 of 4 pass.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -20,6 +20,7 @@
 #include "vcDispatchWaiting.h"
 #include "vcDispatchWorkers.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
 #include "vcOverload.h"
 #include "vcOwnerPacing.h"
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -4,6 +4,7 @@
 #include "vcDispatchJobs.h"
 #include "vcDispatchOccurrences.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
@@ -86,17 +87,26 @@
     aWorker, isClosed ? ElementwiseMax(used, aWorker.mEntry.mCapacity) : used);
 }
 
-/// Runs that a report lists as running or as ended.
-std::set<RunKey> ListedRuns(const WorkerReport& aReport)
+/// What a report lists.
+struct ListedRuns
 {
-  std::set<RunKey> runs;
+  /// Runs that go on or have ended.
+  std::set<RunKey> mRuns;
+  /// Tasks of which a run goes on.
+  std::set<TaskId> mRunningTasks;
+};
+
+ListedRuns ListedRunsOf(const WorkerReport& aReport)
+{
+  ListedRuns listed;
   for (const auto& row : aReport.mRunning) {
-    runs.insert({ row.mTask, row.mRun });
+    listed.mRuns.insert({ row.mTask, row.mRun });
+    listed.mRunningTasks.insert(row.mTask);
   }
   for (const auto& end : aReport.mEnded) {
-    runs.insert({ end.mTask, end.mRun });
+    listed.mRuns.insert({ end.mTask, end.mRun });
   }
-  return runs;
+  return listed;
 }
 
 /// Handles a restarted worker. The new incarnation runs nothing that ran
@@ -108,7 +118,7 @@
                       TimePoint aNow,
                       std::int64_t aNowMs)
 {
-  const std::set<RunKey> listed = ListedRuns(aReport);
+  const ListedRuns listed = ListedRunsOf(aReport);
   const std::set<TaskId> tasks = aWorker.mTasks;
   // Another incarnation at the address is met with each renewal.
   if (!aWorker.mIsReplaced) {
@@ -120,6 +130,7 @@
   aWorker.mSeenIndex = 0;
   aWorker.mAckIndex = 0;
   aWorker.mAnsweredAckIndex = 0;
+  aWorker.mUnacknowledgedSince = kNever;
   aWorker.mLeaseUntil = 0;
   aWorker.mStartsUntil = 0;
   aWorker.mEarlierLeasesUntil = kNever;
@@ -131,7 +142,7 @@
     DispatchTask& task = *FindTask(aShard, key);
     task.mFirstSeenClock = 0;
     task.mSeenAtWorkFor = Duration(0);
-    if (listed.contains({ key, task.mRun })) {
+    if (listed.mRuns.contains({ key, task.mRun })) {
       continue;
     }
     if (task.mIsStartUncertain || task.mPhase == RunPhase::kStarting) {
@@ -230,6 +241,17 @@
                aWorker.mEntry.mWorker);
 }
 
+/// True if the report shows what became of the task's run, or that another run
+/// of the task goes on, beside which none may be started. The end of another
+/// run shows nothing.
+bool IsAccountedFor(const TaskId& aKey,
+                    std::uint32_t aRun,
+                    const ListedRuns& aListed)
+{
+  return aListed.mRunningTasks.contains(aKey) ||
+         aListed.mRuns.contains({ aKey, aRun });
+}
+
 /// Marks runs as lost that are assigned to the worker but missing in its
 /// report. A run counts only if it was confirmed before the renewal was sent,
 /// or if it was uncertain and its start can't take effect any more.
@@ -238,7 +260,7 @@
 void OnMissingTasks(DispatchShard& aShard,
                     DispatchWorker& aWorker,
                     const WorkerReport& aReport,
-                    const std::set<TaskId>& aListed,
+                    const ListedRuns& aListed,
                     bool aIsFirstFenced,
                     TimePoint aSentAt,
                     TimePoint aNow)
@@ -249,15 +271,13 @@
   }
   const std::set<TaskId> tasks = aWorker.mTasks;
   for (const auto& key : tasks) {
-    if (aListed.contains(key)) {
+    const DispatchTask& task = *FindTask(aShard, key);
+    if (IsAccountedFor(key, task.mRun, aListed)) {
       continue;
     }
-    const DispatchTask& task = *FindTask(aShard, key);
-    const bool isPastDeadline = !IsFencePending(aWorker) &&
-                                aReport.mClock > task.mNotAfter &&
-                                !MayStartInNextIncarnation(aWorker, task, aNow);
     const bool isStartExpired =
-      task.mIsStartUncertain && (aIsFirstFenced || isPastDeadline);
+      task.mIsStartUncertain &&
+      (aIsFirstFenced || !MayStartTakeEffect(aWorker, task, aNow));
     const bool isLost = !task.mIsStartUncertain &&
                         task.mPhase != RunPhase::kStarting &&
                         task.mConfirmedAt < aSentAt;
@@ -292,13 +312,8 @@
                  TimePoint aNow,
                  std::int64_t aNowMs)
 {
-  std::set<TaskId> listed;
-  for (const auto& row : aReport.mRunning) {
-    listed.insert(row.mTask);
-  }
   std::uint64_t seen = aWorker.mSeenIndex;
   for (const auto& end : aReport.mEnded) {
-    listed.insert(end.mTask);
     if (end.mIndex > aWorker.mSeenIndex) {
       OnRunEnd(aShard, aWorker, end, aNow, aNowMs);
       seen = std::max(seen, end.mIndex);
@@ -310,8 +325,13 @@
   for (const auto& row : aReport.mRunning) {
     OnRunningTask(aShard, aWorker, row, aNow);
   }
-  OnMissingTasks(
-    aShard, aWorker, aReport, listed, aIsFirstFenced, aSentAt, aNow);
+  OnMissingTasks(aShard,
+                 aWorker,
+                 aReport,
+                 ListedRunsOf(aReport),
+                 aIsFirstFenced,
+                 aSentAt,
+                 aNow);
   CountRunsToStop(aShard, aWorker, aReport, aNow);
 }
 
@@ -357,8 +377,7 @@
     OnNewIncarnation(aShard, *worker, aReport, aNow, aNowMs);
     isFirstFenced = OnRestart(aShard, *worker, aNow);
   } else {
-    worker->mAnsweredAckIndex =
-      std::max(worker->mAnsweredAckIndex, worker->mSentAckIndex);
+    OnRenewalAnswered(*worker, aNow);
   }
   if (worker->mIsUnresponsive) {
     spdlog::info("worker.responsive worker={} incarnation={}",
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -372,6 +372,9 @@
   std::uint64_t mSentAckIndex = 0;
   /// Highest such index of a renewal that this incarnation has answered.
   std::uint64_t mAnsweredAckIndex = 0;
+  /// Since when ends could be acknowledged, with nothing acknowledged since;
+  /// `kNever` if all that are in the store are.
+  TimePoint mUnacknowledgedSince{ kNever };
   /// Needs of the tasks here and of the runs to stop; best-effort tasks count
   /// without processors.
   Resources mUsed;
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -40,8 +40,8 @@
   /// No worker has the service and the label, or the step has its maximum of
   /// tasks on each worker that has.
   kNotAllowed,
-  /// Every such worker is unlisted, not recorded, silent, draining, avoided or
-  /// in an evacuated data centre.
+  /// Every such worker is unlisted, not recorded, silent, draining, avoided, in
+  /// an evacuated data centre, or has ends whose acknowledgement is overdue.
   kNoWorker,
   kNoCapacity,
   /// The free room is kept for a job that has been idle for longer.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -3,6 +3,7 @@
 #include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
 
 #include <spdlog/spdlog.h>
@@ -283,16 +284,6 @@
   }
 }
 
-bool HasUnansweredStart(const DispatchShard& aShard,
-                        const DispatchWorker& aWorker)
-{
-  return std::any_of(
-    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      const DispatchTask& task = *FindTask(aShard, aKey);
-      return task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
-    });
-}
-
 RenewOrder MakeRenewal(DispatchShard& aShard,
                        DispatchWorker& aWorker,
                        Duration aWait,
@@ -311,10 +302,8 @@
     return order;
   }
   aWorker.mIsTokenUnused = false;
-  // If both reached a new incarnation, the renewal would discard the end of the
-  // start's run before it was processed here. So only one of them is under way.
   const bool mustAck = aWorker.mAckIndex > aWorker.mAnsweredAckIndex &&
-                       !HasUnansweredStart(aShard, aWorker);
+                       !HasStartUnderWay(aShard, aWorker, aNow);
   order.mAckIndex = mustAck ? aWorker.mAckIndex : 0;
   aWorker.mSentAckIndex = order.mAckIndex;
   // An inactive worker is asked again soon, since it is used once it is
--- a/Source/Dispatch/vcDispatchWorkers.h
+++ b/Source/Dispatch/vcDispatchWorkers.h
@@ -14,10 +14,6 @@
                  const std::vector<WorkerEntry>& aEntries,
                  TimePoint aNow);
 
-/// True if a start was ordered on the worker that hasn't been answered.
-bool HasUnansweredStart(const DispatchShard& aShard,
-                        const DispatchWorker& aWorker);
-
 /// Builds the next renewal order for a worker.
 /// @param aWait how long a responsive worker may delay its answer while no run
 ///   ends
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -1,6 +1,7 @@
 #include "vcPlacementCost.h"
 
 #include "vcDispatchReservations.h"
+#include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
 #include "vcRackLocality.h"
 
@@ -63,6 +64,7 @@
   return aWorker.mIsListed && aWorker.mIsRecorded && aWorker.mHasAnswered &&
          !aWorker.mIsUnresponsive && !aWorker.mEntry.mIsDraining &&
          !IsHeldBack(aShard, aWorker) && aNow >= aWorker.mAvoidedUntil &&
+         !IsAckOverdue(aWorker, aNow) &&
          aNow - aWorker.mLastReportAt < kMaxReportAge &&
          !aShard.mEvacuated.contains(aWorker.mEntry.mDataCentre);
 }
--- a/Source/Dispatch/vcRenewalSchedule.cxx
+++ b/Source/Dispatch/vcRenewalSchedule.cxx
@@ -1,6 +1,6 @@
 #include "vcRenewalSchedule.h"
 
-#include "vcDispatchWorkers.h"
+#include "vcEndAcknowledgement.h"
 
 namespace verbenacroft {
 
@@ -43,12 +43,14 @@
 
 } // namespace
 
-bool MustAwaitRecord(const DispatchShard& aShard, const DispatchWorker& aWorker)
+bool MustAwaitRecord(const DispatchShard& aShard,
+                     const DispatchWorker& aWorker,
+                     TimePoint aNow)
 {
   const bool isUnrecorded = aWorker.mAckIndex < aWorker.mSeenIndex;
   const bool isUnacknowledged = aWorker.mAckIndex > aWorker.mAnsweredAckIndex;
   return isUnrecorded ||
-         (isUnacknowledged && HasUnansweredStart(aShard, aWorker));
+         (isUnacknowledged && HasStartUnderWay(aShard, aWorker, aNow));
 }
 
 RenewalPause PauseAfterReport(const DispatchShard& aShard,
@@ -68,7 +70,7 @@
   if (aWorker.mIsInactive) {
     return fixed(RenewalCause::kRetry, kReactivationPause);
   }
-  if (!MustAwaitRecord(aShard, aWorker)) {
+  if (!MustAwaitRecord(aShard, aWorker, aNow)) {
     return fixed(RenewalCause::kWait, kReportPause);
   }
   if (IsThrottling(aWorker, aNow)) {
--- a/Source/Dispatch/vcRenewalSchedule.h
+++ b/Source/Dispatch/vcRenewalSchedule.h
@@ -53,7 +53,8 @@
 /// True while a renewal would only bring the ends that are known: they aren't
 /// recorded yet, or can't be acknowledged beside a start.
 bool MustAwaitRecord(const DispatchShard& aShard,
-                     const DispatchWorker& aWorker);
+                     const DispatchWorker& aWorker,
+                     TimePoint aNow);
 
 /// How long the worker waits for an end before it answers the next renewal.
 Duration ReportWaitOf(const DispatchShard& aShard,
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -56,7 +56,8 @@
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
     vcDispatchSuccession.cxx vcDispatchTurnover.cxx vcDispatchWaiting.cxx
-    vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcIncarnationFence.cxx
+    vcDispatchWorkers.cxx vcDispatchWorkerSet.cxx vcEndAcknowledgement.cxx
+    vcIncarnationFence.cxx
     vcLongRunningRoom.cxx
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcOverload.cxx vcPlacementRound.cxx vcProbeStarts.cxx vcRackLocality.cxx
--- a/Source/Node/vcShardRunner.cxx
+++ b/Source/Node/vcShardRunner.cxx
@@ -235,11 +235,11 @@
   co_await Sleep(pause.mMin);
   while (!this->mIsStopped && SuspendAwareNow() - reportedAt < pause.mMax) {
     worker = FindWorker(this->mShard, aWorker);
-    if (worker == nullptr || !MustAwaitRecord(this->mShard, *worker)) {
+    const TimePoint now = SuspendAwareNow();
+    if (worker == nullptr || !MustAwaitRecord(this->mShard, *worker, now)) {
       break;
     }
     // A fence or throttling may need a report sooner meanwhile.
-    const TimePoint now = SuspendAwareNow();
     const RenewalPause present =
       PauseAfterReport(this->mShard, *worker, aIsGood, now);
     if (now - reportedAt >= present.mMax) {
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -79,15 +79,16 @@
   return ends;
 }
 
-/// Acknowledges task ends whose jobs have all been recorded.
-void AcknowledgeEnds(DispatchShard& aShard,
-                     const std::map<std::string, RecordedEnds>& aEnds)
+/// Lets task ends be acknowledged whose jobs have all been recorded.
+void NoteRecordedEnds(DispatchShard& aShard,
+                      const std::map<std::string, RecordedEnds>& aEnds,
+                      TimePoint aNow)
 {
   for (const auto& [name, ends] : aEnds) {
     DispatchWorker* worker = FindWorker(aShard, name);
     // A new incarnation of the worker numbers its task ends from the start.
     if (worker != nullptr && worker->mIncarnation == ends.mIncarnation) {
-      worker->mAckIndex = std::max(worker->mAckIndex, ends.mIndex);
+      OnEndsRecorded(*worker, ends.mIndex, aNow);
     }
   }
 }
@@ -170,7 +171,7 @@
     isComplete = isComplete && outcome == KvStatus::kOk;
   }
   if (isComplete) {
-    AcknowledgeEnds(this->mShard, ends);
+    NoteRecordedEnds(this->mShard, ends, SuspendAwareNow());
   }
   co_return isComplete;
 }
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -42,7 +42,7 @@
   Tests/Unit/vcOverloadTest.cxx Tests/Unit/vcRenewalScheduleTest.cxx
   Tests/Unit/vcHttpBudgetTest.cxx Tests/Unit/vcHttpServerTest.cxx
   Tests/Unit/vcTeamQuotaTest.cxx
-  Tests/Unit/vcRackLocalityTest.cxx
+  Tests/Unit/vcRackLocalityTest.cxx Tests/Unit/vcUnansweredStartTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
--- a/Tests/Unit/vcRenewalScheduleTest.cxx
+++ b/Tests/Unit/vcRenewalScheduleTest.cxx
@@ -162,13 +162,13 @@
   fixture.Add(2);
   fixture.Plan();
   DispatchWorker& worker = fixture.Worker();
-  CHECK_FALSE(MustAwaitRecord(fixture.mShard, worker));
+  CHECK_FALSE(MustAwaitRecord(fixture.mShard, worker, fixture.mNow));
   worker.mSeenIndex = 1;
-  CHECK(MustAwaitRecord(fixture.mShard, worker));
+  CHECK(MustAwaitRecord(fixture.mShard, worker, fixture.mNow));
   worker.mAckIndex = 1;
-  CHECK(MustAwaitRecord(fixture.mShard, worker));
+  CHECK(MustAwaitRecord(fixture.mShard, worker, fixture.mNow));
   fixture.Report("w1", { MakeRunning(1), MakeRunning(1, 1) }, {});
-  CHECK_FALSE(MustAwaitRecord(fixture.mShard, worker));
+  CHECK_FALSE(MustAwaitRecord(fixture.mShard, worker, fixture.mNow));
 }
 
 } // namespace verbenacroft
