Dispatch: Compare runs, not tasks, as evidence of a crash

Callers saw nothing yet: a deadly task could be started again and again, since a crash under it didn't count.

Cause: EvidenceOf noted the tasks that a worker's next incarnation lists, so a late start of run 1 there was taken as proof that run 2, under which the worker crashed, had begun after the crash.

Change: the evidence and the lost runs carry the run's number. Runs that an earlier owner had have none in its record and are still compared by task.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -50,8 +50,8 @@
 {
   /// Latest possible start of the next incarnation, if it is known.
   std::optional<TimePoint> mBornBy;
-  /// Tasks that the next incarnation has started.
-  std::set<TaskId> mStarted;
+  /// Runs that the next incarnation has started.
+  std::set<std::pair<TaskId, std::uint32_t>> mStarted;
 };
 
 /// Latest possible start of the incarnation that sent the report. Nothing if
@@ -76,10 +76,10 @@
 {
   CrashEvidence evidence{ BornBy(aWorker, aReport, aNow), {} };
   for (const auto& row : aReport.mRunning) {
-    evidence.mStarted.insert(row.mTask);
+    evidence.mStarted.insert({ row.mTask, row.mRun });
   }
   for (const auto& end : aReport.mEnded) {
-    evidence.mStarted.insert(end.mTask);
+    evidence.mStarted.insert({ end.mTask, end.mRun });
   }
   return evidence;
 }
@@ -88,6 +88,7 @@
 {
   const DispatchTask& task = *FindTask(aShard, aKey);
   return { aKey,
+           task.mRun,
            task.mFirstSeenClock != 0,
            IsSeenAtWork(task),
            task.mStartOrderedAt,
@@ -106,12 +107,23 @@
          aRun.mStartBrokenAt + kMinDownTime <= *aEvidence.mBornBy;
 }
 
+/// True if the next incarnation has started the run, or may have, if its number
+/// isn't known. It may also have started an earlier run of the task, late.
+bool WasStartedAgain(const LostRun& aRun, const CrashEvidence& aEvidence)
+{
+  if (aRun.mRun != 0) {
+    return aEvidence.mStarted.contains({ aRun.mTask, aRun.mRun });
+  }
+  const auto first = aEvidence.mStarted.lower_bound({ aRun.mTask, 0 });
+  return first != aEvidence.mStarted.end() && first->first == aRun.mTask;
+}
+
 /// True if the run began after the crash, if at all.
 bool IsAfterCrash(const LostRun& aRun, const CrashEvidence& aEvidence)
 {
   const bool isOrderedLater =
     aEvidence.mBornBy && aRun.mStartOrderedAt > *aEvidence.mBornBy;
-  return isOrderedLater || aEvidence.mStarted.contains(aRun.mTask);
+  return isOrderedLater || WasStartedAgain(aRun, aEvidence);
 }
 
 /// Runs that may have caused a crash of the worker.
@@ -350,6 +362,7 @@
     const DispatchTask* task = OpenTask(aShard, run.mTask);
     if (task != nullptr && task->mPhase != RunPhase::kDone) {
       worker->mLostRuns.push_back({ run.mTask,
+                                    0,
                                     run.mHasBegun,
                                     false,
                                     worker->mSilentSince - run.mRanFor });
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -255,6 +255,8 @@
 struct LostRun
 {
   TaskId mTask;
+  /// 0 if an earlier owner had the run and this one doesn't know its number.
+  std::uint32_t mRun = 0;
   /// The worker has confirmed the run, or was up when it was told to start it.
   bool mHasBegun = false;
   bool mIsSeenAtWork = false;
--- a/Tests/Unit/vcCrashDatesTest.cxx
+++ b/Tests/Unit/vcCrashDatesTest.cxx
@@ -269,4 +269,33 @@
   }
 }
 
+// Guards against a deadly task whose crash isn't counted, since the next
+// incarnation has carried out an earlier start of the task, late.
+TEST_CASE("only a run that the next incarnation lists began after the crash",
+          "[crash]")
+{
+  struct Row
+  {
+    const char* mName;
+    std::uint32_t mListedRun;
+    std::uint32_t mCrashes;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "an earlier run of the task", 1, 1 },
+    { "the run that was lost", 2, 0 },
+  }));
+  CAPTURE(row.mName);
+  CrashedFleet fleet(1);
+  fleet.Add(1);
+  fleet.Start(OrderOutcome::kUnknown);
+  fleet.mNow += kLateCallTime;
+  fleet.Report("w1", {}, {});
+  fleet.Start(OrderOutcome::kDone);
+  REQUIRE(fleet.Task().mRun == 2);
+  fleet.mNow += Duration(200);
+  const EndedRun late = MakeEnd(1, row.mListedRun, RunEnd::kStopped);
+  fleet.Report("w1", {}, { late }, kNextBorn);
+  CHECK(fleet.Crashes(0) == row.mCrashes);
+}
+
 } // namespace verbenacroft
