Node: Split the callers' requests by duty

Cause: vcCallerRequests.cxx had grown to 592 lines: responses, the view of the configuration, submission, cancellation and the reading of states. Change: vcCallerResponses, vcCallerConfig, vcJobSubmission, vcJobCancellation and vcStoredJob. The code is moved and behaves as before; only Submit and Cancel have become HandleSubmission and HandleCancellation.

--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -64,11 +64,13 @@
     vcRenewalSchedule.cxx vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
-  SOURCES vcCallerRequests.cxx vcCrashRecords.cxx vcFleetLayout.cxx
-    vcFormerOwner.cxx vcHandOver.cxx vcLeaseExtension.cxx vcMembership.cxx
+  SOURCES vcCallerConfig.cxx vcCallerRequests.cxx vcCallerResponses.cxx
+    vcCrashRecords.cxx vcFleetLayout.cxx
+    vcFormerOwner.cxx vcHandOver.cxx vcJobCancellation.cxx vcJobSubmission.cxx
+    vcLeaseExtension.cxx vcMembership.cxx
     vcNodeContext.cxx vcNodeProgram.cxx vcNodeSettings.cxx vcOperatorWatch.cxx
     vcPeers.cxx vcShardClaims.cxx vcShardCrashes.cxx vcShardLog.cxx
-    vcShardRunner.cxx
+    vcShardRunner.cxx vcStoredJob.cxx
     vcShardStoreReader.cxx vcShardStoreWriter.cxx vcShardTeams.cxx vcShardWorkerSet.cxx
     vcStoreMonitor.cxx vcTeamCredentials.cxx vcWorkerSetRecords.cxx
   LINK vcDispatch vcStore vcShell)
