Node: Let the 410 of a cancellation void submissions under way

Cause: Cancel answered 410 from a read. A submission whose write got no answer could still be carried out, at the store, at a peer that relays it or at a suspended node, since its conditions still held.

Change: a DELETE of a job that the store doesn't know writes the key of its cancellation, on the condition that the store has neither the job nor progress of it, and is answered 410 only then. A submission is stored on the condition that there is no such key. So one of the two writes voids the other, whichever is carried out first, and a conflict shows the job after all. A write without an answer is no 410. A submission that meets the key is refused with 503, which is true: it never runs. The owner of the shard sees the key in its inbox, cancels a job that an older program stored beside it, and removes the key after twice `statusSeconds`, a minute at least. Ended jobs' records have the same minimum now; with a short `statusSeconds` they were removed before a late write.

Why it works: what the 410 promises is a condition of every write that could break it.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -299,8 +299,11 @@
     job.mAcceptedAt + Duration(static_cast<std::int64_t>(objective));
   DispatchJob& added = aShard.mJobs.emplace(aId, std::move(job)).first->second;
   OpenFirstOccurrence(aShard, added, aNowMs);
-  if (aShard.mPendingCancellations.erase(aId) > 0) {
-    CancelJob(aShard, aId, aNow, aNowMs);
+  const auto cancellation = aShard.mPendingCancellations.find(aId);
+  if (cancellation != aShard.mPendingCancellations.end()) {
+    const std::uint64_t revision = cancellation->second.mRevision;
+    aShard.mPendingCancellations.erase(cancellation);
+    CancelJob(aShard, aId, revision, aNow, aNowMs);
   }
 }
 
@@ -335,12 +338,13 @@
 
 void CancelJob(DispatchShard& aShard,
                const JobId& aId,
+               std::uint64_t aRevision,
                TimePoint aNow,
                std::int64_t aNowMs)
 {
   DispatchJob* job = FindJob(aShard, aId);
   if (job == nullptr && !aShard.mEndedJobs.contains(aId)) {
-    aShard.mPendingCancellations.insert(aId);
+    aShard.mPendingCancellations[aId] = { aRevision, aNow };
   } else if (job != nullptr && !IsFinal(job->mState)) {
     EndJob(*job, BatchState::kCancelled, aNow, aNowMs);
   }
--- a/Source/Dispatch/vcDispatchJobs.h
+++ b/Source/Dispatch/vcDispatchJobs.h
@@ -26,9 +26,11 @@
 
 /// Cancels a job unless it has ended. The next `PlanStops` stops its runs. If
 /// the job is not known yet, `AddJob` cancels it when it is added.
+/// @param aRevision of the cancellation's record in the store
 /// @param aNowMs current time in ms since 1970, recorded as the job's end
 void CancelJob(DispatchShard& aShard,
                const JobId& aId,
+               std::uint64_t aRevision,
                TimePoint aNow,
                std::int64_t aNowMs);
 
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -478,6 +478,15 @@
   Duration mLongestIdle{ 0 };
 };
 
+/// A cancellation that was read before its job, or without it.
+struct PendingCancellation
+{
+  /// Revision of its record in the store.
+  std::uint64_t mRevision = 0;
+  /// When this owner read it.
+  TimePoint mReadAt{ kNever };
+};
+
 /// A worker that an earlier owner used and that has not answered this one. It
 /// may run tasks that an earlier owner started and that this one doesn't know.
 struct UnansweredWorker
@@ -552,8 +561,8 @@
   /// A step waits for that.
   bool mIsOccurrenceMemoryFull = false;
   std::map<JobId, EndedJob> mEndedJobs;
-  /// Jobs whose cancellation was read before the job itself.
-  std::set<JobId> mPendingCancellations;
+  /// Cancellations whose jobs aren't known, by job.
+  std::map<JobId, PendingCancellation> mPendingCancellations;
   /// Tasks that may have crashed their workers.
   std::set<TaskId> mSuspects;
   /// Number of changes of the suspects and of their histories.
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -64,7 +64,7 @@
     vcRenewalSchedule.cxx vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
-  SOURCES vcCallerConfig.cxx vcCallerRequests.cxx vcCallerResponses.cxx
+  SOURCES vcCancellationBudget.cxx vcCallerConfig.cxx vcCallerRequests.cxx vcCallerResponses.cxx
     vcCrashRecords.cxx vcFleetLayout.cxx
     vcFormerOwner.cxx vcHandOver.cxx vcJobCancellation.cxx vcJobSubmission.cxx
     vcLeaseExtension.cxx vcMembership.cxx
--- a/Source/Node/vcJobSubmission.cxx
+++ b/Source/Node/vcJobSubmission.cxx
@@ -1,5 +1,6 @@
 #include "vcJobSubmission.h"
 
+#include "vcCancellationRecord.h"
 #include "vcPeers.h"
 
 #include <algorithm>
@@ -28,8 +29,11 @@
   kRejected,
   /// Certainly not stored, since the configuration has changed.
   kConfigChanged,
-  /// Another team's job has the identifier.
+  /// Another team's job has the identifier, or its cancellation.
   kOfOtherTeam,
+  /// Certainly not stored: the caller has cancelled the job before, and was
+  /// told that it doesn't exist.
+  kCancelled,
   kUnknown,
 };
 
@@ -44,6 +48,28 @@
     });
 }
 
+/// The outcome that a reply to a write shows, if a cancellation stands without
+/// the job.
+std::optional<SubmitOutcome> CancelledOutcome(const NodeContext& aNode,
+                                              const KvReply& aReply,
+                                              const std::string& aKey,
+                                              const std::string& aTeam)
+{
+  const auto item =
+    std::find_if(aReply.mItems.begin(),
+                 aReply.mItems.end(),
+                 [&](const KvItem& aRow) { return aRow.mKey == aKey; });
+  const bool isCancelled = aReply.mStatus == KvStatus::kConflict &&
+                           item != aReply.mItems.end() && item->mRevision > 0 &&
+                           !item->mIsRemoved;
+  if (!isCancelled) {
+    return std::nullopt;
+  }
+  const auto record = TryDecode<CancellationRecord>(item->mValue);
+  const bool isOther = record && IsOfOtherTeam(aNode, record->mTeam, aTeam);
+  return isOther ? SubmitOutcome::kOfOtherTeam : SubmitOutcome::kCancelled;
+}
+
 /// Stores a job unless it is stored already.
 asio::awaitable<SubmitOutcome> StoreJob(NodeContext& aNode,
                                         std::uint32_t aShard,
@@ -64,7 +90,12 @@
     if (reply.mStatus == KvStatus::kOk || isStoredBefore) {
       co_return SubmitOutcome::kStored;
     }
-    // An earlier attempt can't take effect any more either.
+    // In both cases an earlier attempt can't take effect any more either.
+    const auto cancelled =
+      CancelledOutcome(aNode, reply, CancelKey(aShard, aJob), aTeam);
+    if (cancelled) {
+      co_return *cancelled;
+    }
     if (ApplyConfigOfConflict(aNode, aWrite, reply, sentAt)) {
       co_return SubmitOutcome::kConfigChanged;
     }
@@ -101,6 +132,7 @@
   KvTransaction write;
   write.mConditions.push_back({ InboxJobKey(aShard, aJob), 0 });
   write.mConditions.push_back({ ProgressKey(aShard, aJob), 0 });
+  write.mConditions.push_back({ CancelKey(aShard, aJob), 0 });
   AddConfigCondition(aNode, write);
   write.mPuts.push_back(
     PersistentPut(InboxJobKey(aShard, aJob), Encode(aRecord)));
@@ -136,6 +168,8 @@
         co_return OutcomeUnknownResponse();
       case SubmitOutcome::kOfOtherTeam:
         co_return OtherTeamResponse(aNode, id);
+      case SubmitOutcome::kCancelled:
+        co_return ErrorResponse(503, "the job was cancelled before it came");
       case SubmitOutcome::kConfigChanged:
         break;
     }
--- a/Source/Node/vcNodeContext.h
+++ b/Source/Node/vcNodeContext.h
@@ -4,6 +4,7 @@
 /// configuration, and the known nodes and shard owners. Also the helpers that
 /// run coroutines and the keys of this product in the store.
 
+#include "vcCancellationBudget.h"
 #include "vcFleetConfig.h"
 #include "vcKeyValue.h"
 #include "vcNodeSettings.h"
@@ -181,6 +182,8 @@
   NodeCounters mCounters;
   StoreStats mStoreStats;
 
+  CancellationBudget mCancellationBudget;
+
   /// Empty until the first configuration or evacuation is read.
   std::optional<OperatorState> mOperators;
   /// Of that configuration.
--- a/Source/Node/vcNodeSettings.cxx
+++ b/Source/Node/vcNodeSettings.cxx
@@ -57,6 +57,11 @@
     aFaults.push_back(
       { "$.linkMbps", std::to_string(aSettings.mLinkMbps), "more than 0" });
   }
+  if (aSettings.mStoreWritesPerSecond <= 0) {
+    aFaults.push_back({ "$.storeWritesPerSecond",
+                        std::to_string(aSettings.mStoreWritesPerSecond),
+                        "more than 0" });
+  }
   CheckMemoryLimit(aSettings.mMemoryMb, "$.memoryMb", aFaults);
   if (aSettings.mBounds.mFarFactor < 1) {
     aFaults.push_back({ "$.bounds.farFactor",
--- a/Source/Node/vcNodeSettings.h
+++ b/Source/Node/vcNodeSettings.h
@@ -60,6 +60,8 @@
   std::vector<std::uint16_t> mInternalPorts;
   /// Address of the store, as `host:port`.
   std::string mStoreAddress;
+  /// Writes per second that the store takes from all nodes together.
+  double mStoreWritesPerSecond = 400;
   /// Shortest lease that the store grants, in ms.
   Duration mLeastLeaseMs{ 1'000 };
   NodeBounds mBounds;
@@ -87,6 +89,7 @@
                        mInternalIp,
                        mInternalPorts,
                        mStoreAddress,
+                       mStoreWritesPerSecond,
                        mLeastLeaseMs,
                        mBounds,
                        mProcessors,
--- a/Source/Node/vcShardRunner.h
+++ b/Source/Node/vcShardRunner.h
@@ -214,6 +214,14 @@
   /// Removes the records of some old jobs from the store, in one transaction.
   /// @return true if it succeeded and there may be more
   asio::awaitable<bool> RemoveOldRecords();
+  /// Removes some old cancellations whose jobs never came from the store, in
+  /// one transaction.
+  /// @return true if it succeeded and there may be more
+  asio::awaitable<bool> RemoveOldCancellations();
+  /// Takes the present revisions of these jobs' cancellations from the reply to
+  /// a removal that failed since one of them has changed.
+  void OnCancellationsChanged(const std::set<JobId>& aJobs,
+                              const KvReply& aReply);
   /// Handles a successful write of the progress of jobs.
   void OnProgressRecorded(const std::vector<JobId>& aJobs,
                           std::uint64_t aRevision);
--- a/Source/Node/vcShardStoreReader.cxx
+++ b/Source/Node/vcShardStoreReader.cxx
@@ -115,7 +115,7 @@
   const TimePoint now = SuspendAwareNow();
   const std::int64_t nowMs = WallClockMs();
   if (aItem.mKey.ends_with(".cancel")) {
-    CancelJob(this->mShard, id, now, nowMs);
+    CancelJob(this->mShard, id, aItem.mRevision, now, nowMs);
     this->mRecordTimer.cancel();
     return;
   }
--- a/Source/Node/vcShardStoreWriter.cxx
+++ b/Source/Node/vcShardStoreWriter.cxx
@@ -28,10 +28,24 @@
 /// progress. Together they remove about 100 jobs per second, more than a shard
 /// ends.
 constexpr int kMaxRemovals = 16;
+/// Entries of a transaction that removes a cancellation: a condition and a
+/// deletion.
+constexpr std::size_t kEntriesPerCancellation = 2;
+/// Shortest time for which the store keeps what turns a late submission down:
+/// the record of an ended job, or a cancellation without its job. A submission
+/// may be late by `kLateCallTime` at the store, after a peer that was asked to
+/// relay it, or the node itself, was suspended for some seconds.
+constexpr Duration kLeastKeptTime{ 60'000 };
 /// Interval of the removal of old jobs, and the time for which an ended job
 /// stays in memory.
 constexpr Duration kRemoveInterval{ 5'000 };
 
+/// How long the store keeps the record of a job after its end.
+Duration KeptTime(const DispatchBounds& aBounds)
+{
+  return std::max(2 * aBounds.mStatus, kLeastKeptTime);
+}
+
 /// Number of transaction entries that are needed to record the job's progress.
 std::size_t TransactionEntriesFor(const DispatchJob& aJob)
 {
@@ -302,6 +316,67 @@
   for (int i = 0; i < kMaxRemovals && hasMore && !this->mIsStopped; ++i) {
     hasMore = co_await this->RemoveOldRecords();
   }
+  hasMore = true;
+  for (int i = 0; i < kMaxRemovals && hasMore && !this->mIsStopped; ++i) {
+    hasMore = co_await this->RemoveOldCancellations();
+  }
+}
+
+asio::awaitable<bool> ShardRunner::RemoveOldCancellations()
+{
+  const TimePoint now = SuspendAwareNow();
+  const Duration kept = KeptTime(this->mShard.mBounds);
+  auto& cancellations = this->mShard.mPendingCancellations;
+  KvTransaction write;
+  std::set<JobId> removed;
+  bool hasMore = false;
+  for (const auto& [id, cancellation] : cancellations) {
+    if (now - cancellation.mReadAt <= kept) {
+      continue;
+    }
+    hasMore = EntriesOf(write) + kEntriesPerCancellation > kMaxEntries;
+    if (hasMore) {
+      break;
+    }
+    const std::string key = CancelKey(this->mShardNumber, id);
+    write.mConditions.push_back({ key, cancellation.mRevision });
+    write.mDeletes.push_back(key);
+    removed.insert(id);
+  }
+  if (removed.empty()) {
+    co_return false;
+  }
+  const KvReply reply = co_await this->CommitAsOwner(std::move(write));
+  if (reply.mStatus == KvStatus::kConflict) {
+    this->OnCancellationsChanged(removed, reply);
+  }
+  if (reply.mStatus != KvStatus::kOk) {
+    co_return false;
+  }
+  for (const auto& id : removed) {
+    cancellations.erase(id);
+  }
+  co_return hasMore;
+}
+
+void ShardRunner::OnCancellationsChanged(const std::set<JobId>& aJobs,
+                                         const KvReply& aReply)
+{
+  auto& cancellations = this->mShard.mPendingCancellations;
+  for (const auto& id : aJobs) {
+    const std::string key = CancelKey(this->mShardNumber, id);
+    const auto item =
+      std::find_if(aReply.mItems.begin(),
+                   aReply.mItems.end(),
+                   [&](const KvItem& aRow) { return aRow.mKey == key; });
+    const bool isGone = item == aReply.mItems.end() || item->mRevision == 0;
+    if (isGone) {
+      // An earlier removal took effect although its reply was lost.
+      cancellations.erase(id);
+    } else if (item->mRevision != cancellations[id].mRevision) {
+      cancellations[id] = { item->mRevision, SuspendAwareNow() };
+    }
+  }
 }
 
 asio::awaitable<bool> ShardRunner::RemoveOldRecords()
@@ -309,7 +384,7 @@
   const std::int64_t nowMs = WallClockMs();
   KvTransaction write;
   std::vector<JobId> removed;
-  const std::int64_t keptMs = 2 * this->mShard.mBounds.mStatus.count();
+  const std::int64_t keptMs = KeptTime(this->mShard.mBounds).count();
   for (const auto& [id, ended] : this->mShard.mEndedJobs) {
     const bool isOld =
       nowMs - ended.mEndedAtMs > keptMs && !this->mShard.mJobs.contains(id);
--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -239,6 +239,8 @@
     this->ScheduleChokedOwner();
   } else if (this->mOptions.mPlay == FleetPlay::kDeadlyTasks) {
     this->ScheduleDeadlyTasks();
+  } else if (this->mOptions.mPlay == FleetPlay::kLateSubmissions) {
+    this->ScheduleLateSubmissions();
   } else {
     this->ScheduleFaults();
   }
@@ -310,6 +312,7 @@
         this->CancelJob();
       }
     }
+    this->CancelUnansweredJobs();
     if (this->mNow >= nextCount) {
       nextCount += kCountInterval;
       this->AskForCounts();
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -79,6 +79,9 @@
   /// Two teams share the fleet, and one of them has a quota, which versions of
   /// the configuration lower and raise. The faults are those of `kFaults`.
   kTeams,
+  /// The store does submissions seconds late and doesn't answer them. Their
+  /// callers cancel these jobs at any node, and some send them again.
+  kLateSubmissions,
 };
 
 template<>
@@ -101,6 +104,7 @@
     { FleetPlay::kLateClaims, "late-claims" },
     { FleetPlay::kRestartsUnderId, "restarts-under-id" },
     { FleetPlay::kTeams, "teams" },
+    { FleetPlay::kLateSubmissions, "late-submissions" },
   });
 };
 
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -1,4 +1,4 @@
-/// The callers of a fleet: jobs that they submit and cancel.
+/// The callers of a fleet: jobs that they submit.
 
 #include "vcFleetState.h"
 
@@ -55,6 +55,11 @@
   const JobId id = fmt::format("{:016x}", this->mRandom());
   const BatchSpec spec = this->DrawJob(id);
   this->DrawDeadlyTask(id, spec);
+  this->SendSubmission(id, spec);
+}
+
+void Fleet::SendSubmission(const JobId& aId, const BatchSpec& aSpec)
+{
   const auto life = this->mLives.find(this->DrawNode());
   const bool isThere = life != this->mLives.end() && !life->second.mIsPaused &&
                        !life->second.mNode->mIsStopping;
@@ -63,15 +68,15 @@
   }
   HttpRequest request;
   request.mMethod = "POST";
-  request.mTarget = kQueuePath + id;
-  request.mHeaders = { { "Host", kHost }, { kKeyHeader, this->TeamOf(id) } };
-  if (this->TeamOf(id) == kLimitedTeam) {
-    this->mWorkers.mLimitedJobs.insert(id);
+  request.mTarget = kQueuePath + aId;
+  request.mHeaders = { { "Host", kHost }, { kKeyHeader, this->TeamOf(aId) } };
+  if (this->TeamOf(aId) == kLimitedTeam) {
+    this->mWorkers.mLimitedJobs.insert(aId);
   }
-  request.mBody = Encode(spec);
+  request.mBody = Encode(aSpec);
   asio::co_spawn(
     *life->second.mIo,
-    [this, &node = *life->second.mNode, request, id, spec]()
+    [this, &node = *life->second.mNode, request, id = aId, spec = aSpec]()
       -> asio::awaitable<void> {
       const TimePoint sentAt = SuspendAwareNow();
       int status = 0;
@@ -107,8 +112,10 @@
     this->mJobs.push_back(aId);
     this->mAcceptedAt[aId] = this->mNow;
     this->mLasting.insert(aSpec.mSteps[0].mIsLasting ? aId : JobId());
-  } else if (aStatus == kNotRun) {
+  } else if (aStatus == kNotRun && !this->mUncertainJobs.contains(aId)) {
     this->mRefused.insert(aId);
+  } else if (aStatus != kNotRun) {
+    this->OnUnansweredSubmission(aId, aSpec);
   }
   if (aTook > kLongestAnswer) {
     this->Problem(fmt::format(
@@ -116,37 +123,4 @@
   }
 }
 
-void Fleet::CancelJob()
-{
-  if (this->mJobs.empty()) {
-    return;
-  }
-  // Jobs that came lately may still have starts before them.
-  constexpr int kLately = 12;
-  const int jobs = static_cast<int>(this->mJobs.size());
-  const int drawn = this->DrawForWatches(std::max(0, jobs - kLately), jobs - 1);
-  const JobId id = this->mJobs[static_cast<std::size_t>(drawn)];
-  const auto node = fmt::format(
-    "node-{}",
-    this->DrawForWatches(1, static_cast<int>(this->mOptions.mNodes)));
-  NodeLife& life = this->mLives.at(node);
-  asio::co_spawn(
-    *life.mIo, this->SendCancellation(*life.mNode, id), asio::detached);
-}
-
-asio::awaitable<void> Fleet::SendCancellation(NodeContext& aNode, JobId aId)
-{
-  HttpRequest request;
-  request.mMethod = "DELETE";
-  request.mTarget = kQueuePath + aId;
-  request.mHeaders = { { "Host", kHost }, { kKeyHeader, this->TeamOf(aId) } };
-  const HttpResponse response = co_await HandleCallerRequest(aNode, request);
-  constexpr int kAccepted = 200;
-  if (response.mStatus == kAccepted) {
-    this->mCancelled.insert(aId);
-    this->mWorkers.mNoStartOfJobFrom.try_emplace(aId,
-                                                 this->mNow + kObeyedWithin);
-  }
-}
-
 } // namespace verbenacroft
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -214,6 +214,8 @@
   // Callers.
   BatchSpec DrawJob(const JobId& aId);
   void SubmitJob();
+  /// Sends the job to a drawn node.
+  void SendSubmission(const JobId& aId, const BatchSpec& aSpec);
   void SubmitJobs();
   void OnAnswer(const JobId& aId,
                 const BatchSpec& aSpec,
@@ -221,7 +223,17 @@
                 Duration aTook);
   /// Cancels a drawn job that was accepted.
   void CancelJob();
+  /// True if the job was accepted and no cancellation of it acknowledged.
+  bool IsOwed(const JobId& aId) const;
+  void CancelAtAnyNode(const JobId& aId);
   asio::awaitable<void> SendCancellation(NodeContext& aNode, JobId aId);
+  /// An accepted job that nobody has cancelled has to be known.
+  asio::awaitable<void> AskForState(NodeContext& aNode, JobId aId);
+  /// The store does writes late, several times, and doesn't answer them.
+  void ScheduleLateSubmissions();
+  /// In that play the caller cancels such a job until that is acknowledged.
+  void OnUnansweredSubmission(const JobId& aId, const BatchSpec& aSpec);
+  void CancelUnansweredJobs();
 
   // Faults.
   void ScheduleFaults();
@@ -362,6 +374,10 @@
   std::map<JobId, TimePoint> mAcceptedAt;
   std::set<std::string> mLasting;
   std::set<JobId> mCancelled;
+  /// Jobs of which a submission got no answer.
+  std::set<JobId> mUncertainJobs;
+  /// Those of them that have to be cancelled, and when each is cancelled next.
+  std::map<JobId, TimePoint> mUnansweredJobs;
   /// Jobs with a deadly task. They can't be done and aren't missed.
   std::set<JobId> mDeadly;
   /// No job that is submitted later has a deadly task.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -43,6 +43,7 @@
   Tests/Unit/vcHttpBudgetTest.cxx Tests/Unit/vcHttpServerTest.cxx
   Tests/Unit/vcTeamQuotaTest.cxx
   Tests/Unit/vcRackLocalityTest.cxx Tests/Unit/vcUnansweredStartTest.cxx
+  Tests/Unit/vcLateSubmissionTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -89,7 +90,8 @@
 # Nodes of one fleet against a store and workers in memory.
 add_executable(vcFleet
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
-  Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetFaults.cxx
+  Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetCancellations.cxx
+  Tests/Fleet/vcFleetFaults.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
   Tests/Fleet/vcFleetRestarts.cxx Tests/Fleet/vcFleetTeams.cxx
@@ -160,6 +162,9 @@
 # Guards against starts beyond a team's quota: two shards whose owners both
 # start, an owner that is cut off, and a quota that is lowered and raised.
 verbenacroft_fleet(teams --play teams --seeds 1..100)
+# Guards against a job that starts after its cancellation was acknowledged, since
+# its submission was carried out late.
+verbenacroft_fleet(late_submissions --play late-submissions --seeds 1..60)
 # Guards against a task that crashes one worker after another, and against other
 # jobs that fail because they ran beside it.
 verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
--- a/Tests/Unit/vcDispatchTest.cxx
+++ b/Tests/Unit/vcDispatchTest.cxx
@@ -132,7 +132,7 @@
           "[dispatch]")
 {
   DispatchFixture fixture({ "w1" });
-  CancelJob(fixture.mShard, kJob, fixture.mNow, 0);
+  CancelJob(fixture.mShard, kJob, 21, fixture.mNow, 0);
   fixture.Add(1);
   CHECK(fixture.Job().mState == BatchState::kCancelled);
   CHECK(fixture.Plan().mStarts.empty());
--- a/Tests/Unit/vcShardRunnerTest.cxx
+++ b/Tests/Unit/vcShardRunnerTest.cxx
@@ -259,6 +259,39 @@
   CHECK(removed >= kMinRemovedPerSecond * kSeconds);
 }
 
+// Guards against a submission that is carried out late, after the record that
+// turns it down has been removed (UNASKED, review/7).
+TEST_CASE("what turns a late submission down outlasts it", "[runner]")
+{
+  constexpr Duration kBeforeItsTime{ 50'000 };
+  constexpr Duration kAfterItsTime{ 20'000 };
+  constexpr std::int64_t kEndedMsAgo = 30'000;
+  const std::string cancelled = CancelKey(0, "00000000000000aa");
+  const std::string renewed = CancelKey(0, "00000000000000bb");
+  const std::string ended = ProgressKey(0, "00000000000000cc");
+  RunnerFixture fixture;
+  fixture.mNode.mSettings.mBounds.mStatusSeconds = 1;
+  BatchProgress progress;
+  progress.mState = BatchState::kCompleted;
+  progress.mEndedAtMs = WallClockMs() - kEndedMsAgo;
+  fixture.Put(ended, Encode(progress));
+  fixture.Put(cancelled, "{}");
+  fixture.Put(renewed, "{}");
+  const auto isThere = [&](const std::string& aKey) {
+    return fixture.mStore.mItems.contains(aKey);
+  };
+  fixture.Start({});
+  fixture.Run(kAfterItsTime);
+  CHECK(isThere(ended));
+  fixture.Run(kBeforeItsTime - kAfterItsTime);
+  CHECK(isThere(cancelled));
+  fixture.Put(renewed, "{}");
+  fixture.Run(kAfterItsTime);
+  CHECK_FALSE(isThere(cancelled));
+  CHECK(isThere(renewed));
+  CHECK(fixture.mRunner->State().mPendingCancellations.size() == 1);
+}
+
 // Guards against a shard in which nothing is recorded any more, and so nothing
 // shown as ended, because the store rejects the record of one job.
 TEST_CASE("a rejected record doesn't hold back those of other jobs", "[runner]")
