vcFleet: Bound what an owner leaves undecided

Cause: the bounds of vcEndAcknowledgement.h were tested in unit tests alone. Change: every play checks, while a worker reports, that a start whose deadline has passed on its clock is decided within 3 s and that ends which are in the store are acknowledged within 5 s, on a draining worker within 8.5 s more.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -316,6 +316,7 @@
     if (this->mNow >= nextCount) {
       nextCount += kCountInterval;
       this->AskForCounts();
+      this->WatchBounds();
     }
     if (!isChecked && this->mNow >= owned) {
       isChecked = true;
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -122,6 +122,18 @@
   });
 };
 
+/// Something that an owner has to settle while a worker reports.
+struct OpenMatter
+{
+  TimePoint mSince{ kNever };
+  /// When it was last found open.
+  TimePoint mSeenAt{ kNever };
+  TimePoint mLastReportAt{ kNever };
+  /// Number of the worker's reports since it was first found open.
+  int mReports = 0;
+  bool mIsReported = false;
+};
+
 /// One play. Each source of the fleet defines the functions of one duty.
 class Fleet
 {
@@ -331,6 +343,18 @@
   /// Deadly tasks are given up, and nothing else.
   void CheckDeadlyTasks();
 
+  // Bounds while workers report.
+  /// Reports what has been open for longer than `aWithin`, and over some
+  /// reports of the worker.
+  void Watch(const std::string& aWhat,
+             const DispatchWorker& aWorker,
+             Duration aWithin);
+  void WatchWorker(const std::string& aNode,
+                   const DispatchShard& aShard,
+                   const DispatchWorker& aWorker);
+  /// Checks the bounds of every owner at work.
+  void WatchBounds();
+
   // Judges.
   /// Asks every node for the number of waiting jobs of each shard.
   void AskForCounts();
@@ -406,6 +430,8 @@
   std::set<TaskId> mMissedTasks;
   /// Number of workers that have returned under a new id.
   int mReplacements = 0;
+  /// What is open at present, by its description.
+  std::map<std::string, OpenMatter> mOpenMatters;
   /// Jobs that were refused as not run.
   std::set<std::string> mRefused;
   FleetResult mResult;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -91,7 +91,7 @@
 add_executable(vcFleet
   Tests/Fleet/vcFleetMain.cxx Tests/Fleet/vcFleet.cxx
   Tests/Fleet/vcFleetJobs.cxx Tests/Fleet/vcFleetCancellations.cxx
-  Tests/Fleet/vcFleetFaults.cxx
+  Tests/Fleet/vcFleetFaults.cxx Tests/Fleet/vcFleetBounds.cxx
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
   Tests/Fleet/vcFleetRestarts.cxx Tests/Fleet/vcFleetTeams.cxx
