Node: Let the largest nodes decide the number of shards

Cause: a smaller node stood back for 4.5 s from its first count, and that is when every node stops to wait for further workers. So the first to look decided, and one with a narrow link cut 490 workers into two shards. Change: a smaller node stands back for 2 s longer (MayDecideLayout). Measured: with the former time the new case of [layout] fails in 2 of its 5 rows, and it passes now.

--- a/Source/Node/vcFleetLayout.cxx
+++ b/Source/Node/vcFleetLayout.cxx
@@ -17,6 +17,10 @@
 /// Longest time to wait for that, since no job is run before the number of
 /// shards is known.
 constexpr Duration kMaxFleetStartup{ 4'500 };
+/// How much longer a node waits for one with more processors to decide. Those
+/// may have begun to count later, and a node that is gone is no longer known
+/// after its lease has ended.
+constexpr Duration kLargerDecidesWithin{ 2'000 };
 
 /// True if no other known node has more processors.
 bool IsLargest(const NodeContext& aNode)
@@ -44,6 +48,15 @@
          aNow - aTracker.mFirstCountAt >= kMaxFleetStartup;
 }
 
+bool MayDecideLayout(const NodeContext& aNode,
+                     const FleetSizeTracker& aTracker,
+                     TimePoint aNow)
+{
+  const Duration countedFor = aNow - aTracker.mFirstCountAt;
+  return IsLargest(aNode) ||
+         countedFor >= kMaxFleetStartup + kLargerDecidesWithin;
+}
+
 asio::awaitable<void> WriteLayoutOnceStable(NodeContext& aNode,
                                             FleetSizeTracker& aTracker)
 {
@@ -52,13 +65,10 @@
   const auto workers = static_cast<std::uint32_t>(listed.mItems.size());
   const bool isCounted = listed.mStatus == KvStatus::kOk && workers > 0;
   const TimePoint now = SuspendAwareNow();
-  if (!isCounted || !IsFleetSizeStable(aTracker, workers, now)) {
-    co_return;
-  }
-  // The largest nodes claim the shards, so their links decide.
-  const bool mayDecide =
-    IsLargest(aNode) || now - aTracker.mFirstCountAt >= kMaxFleetStartup;
-  if (!mayDecide) {
+  const bool mustDecide = isCounted &&
+                          IsFleetSizeStable(aTracker, workers, now) &&
+                          MayDecideLayout(aNode, aTracker, now);
+  if (!mustDecide) {
     co_return;
   }
   const std::uint32_t each = WorkersPerShardOf(aNode.mSettings);
--- a/Source/Node/vcFleetLayout.h
+++ b/Source/Node/vcFleetLayout.h
@@ -25,6 +25,13 @@
                        std::uint32_t aWorkers,
                        TimePoint aNow);
 
+/// True if this node may decide how many shards there are. The largest nodes
+/// claim the shards, so their links decide; a smaller one does only if none of
+/// them has for long.
+bool MayDecideLayout(const NodeContext& aNode,
+                     const FleetSizeTracker& aTracker,
+                     TimePoint aNow);
+
 /// Writes the number of shards once the size of the fleet is stable.
 asio::awaitable<void> WriteLayoutOnceStable(NodeContext& aNode,
                                             FleetSizeTracker& aTracker);
--- a/Tests/Unit/vcMembershipTest.cxx
+++ b/Tests/Unit/vcMembershipTest.cxx
@@ -192,4 +192,41 @@
   CHECK(isUp == row.mIsUp);
 }
 
+// Guards against tasks that wait beside room (LOST): a small node, whose link
+// carries few workers, cut the fleet into shards that can't use each other's.
+TEST_CASE("the largest nodes decide how many shards there are",
+          "[membership][layout]")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsLargerKnown;
+    Duration mCountedFor;
+    bool mMayDecide;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "it is the largest", false, Duration(0), true },
+    { "a larger one may decide", true, Duration(1'500), false },
+    { "all stop to wait for more workers", true, Duration(4'500), false },
+    { "the larger one counts a little later", true, Duration(6'000), false },
+    { "the larger one doesn't decide", true, Duration(6'500), true },
+  }));
+  CAPTURE(row.mName);
+  constexpr double kSmall = 0.12;
+  constexpr double kLarge = 0.5;
+  constexpr TimePoint kFirstCountAt{ 10'000 };
+  asio::io_context io;
+  NodeContext node(io, {});
+  node.mSettings.mName = "small";
+  node.mSettings.mProcessors = kSmall;
+  node.mNodes["small"] = { "127.0.0.1:1", "north", kSmall };
+  if (row.mIsLargerKnown) {
+    node.mNodes["large"] = { "127.0.0.1:2", "north", kLarge };
+  }
+  FleetSizeTracker tracker;
+  tracker.mFirstCountAt = kFirstCountAt;
+  const TimePoint now = kFirstCountAt + row.mCountedFor;
+  CHECK(MayDecideLayout(node, tracker, now) == row.mMayDecide);
+}
+
 } // namespace verbenacroft
