Dispatch: Log what a worker runs of a step when a start is ordered

Change: task.start names the step's maximum and the runs of the step beside the new one, current ones and those to stop; task.superseded and task.to-stop are new. No decision changes.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -29,3 +29,4 @@
 #include "vcTeamQuota.h"
 #include "vcWorkerCalls.h"
 #include "vcWorkerOrders.h"
+#include "vcWorkerRuns.h"
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -55,8 +55,25 @@
                (aNow - aJob.mAcceptedAt).count());
 }
 
+/// Logs that the end of another run has made the task's current run needless.
+void LogSuperseded(const TaskId& aKey,
+                   const DispatchTask& aTask,
+                   std::uint32_t aEndedRun)
+{
+  const bool isSuperseded = !aTask.mWorker.empty() && aTask.mRun != aEndedRun;
+  if (isSuperseded) {
+    spdlog::info("task.superseded task={} run={} worker={} ended_run={}",
+                 Describe(aKey),
+                 aTask.mRun,
+                 aTask.mWorker,
+                 aEndedRun);
+  }
+}
+
+/// @param aEndedRun the run that has ended so
 void MarkDone(DispatchShard& aShard,
               const TaskId& aKey,
+              std::uint32_t aEndedRun,
               TimePoint aNow,
               std::int64_t aNowMs)
 {
@@ -65,6 +82,7 @@
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
   }
+  LogSuperseded(aKey, *task, aEndedRun);
   const std::string worker = task->mWorker;
   Release(aShard, aKey, RunPhase::kDone);
   if (!worker.empty()) {
@@ -83,17 +101,18 @@
 /// never be heard.
 void MarkRunDone(DispatchShard& aShard,
                  const TaskId& aKey,
+                 std::uint32_t aEndedRun,
                  TimePoint aNow,
                  std::int64_t aNowMs)
 {
   const StepSpec& step = StepOf(aShard.mJobs.at(aKey.mJob), aKey);
   if (!step.mIsGang) {
-    MarkDone(aShard, aKey, aNow, aNowMs);
+    MarkDone(aShard, aKey, aEndedRun, aNow, aNowMs);
     return;
   }
   TaskId member = aKey;
   for (member.mIndex = 0; member.mIndex < step.mCount; ++member.mIndex) {
-    MarkDone(aShard, member, aNow, aNowMs);
+    MarkDone(aShard, member, aEndedRun, aNow, aNowMs);
   }
 }
 
@@ -396,7 +415,7 @@
     if (task->mWorker == aWorker.mEntry.mWorker) {
       LearnRunTime(aShard, job, *task, aNow);
     }
-    MarkRunDone(aShard, key, aNow, aNowMs);
+    MarkRunDone(aShard, key, aEnd.mRun, aNow, aNowMs);
     return;
   }
   if (aEnd.mRunEnd == RunEnd::kFailed) {
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -27,8 +27,14 @@
                  std::uint32_t aRun,
                  TimePoint aNow)
 {
-  aWorker.mRunsToStop.try_emplace(RunKey{ aTask, aRun },
-                                  RunToStop{ aNow, kNever });
+  const auto [at, isNew] = aWorker.mRunsToStop.try_emplace(
+    RunKey{ aTask, aRun }, RunToStop{ aNow, kNever });
+  if (isNew) {
+    spdlog::info("task.to-stop task={} run={} worker={}",
+                 Describe(aTask),
+                 aRun,
+                 aWorker.mEntry.mWorker);
+  }
 }
 
 /// Longest time for which a run with unknown needs closes its worker: that of a
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -5,6 +5,7 @@
 #include "vcDispatchTurnover.h"
 #include "vcIncarnationFence.h"
 #include "vcOwnerPacing.h"
+#include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
 
@@ -189,6 +190,9 @@
 {
   DispatchTask& task = *FindTask(aShard, aKey);
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
+  const StepSpec& step = StepOf(job, aKey);
+  const StepRuns beside =
+    RunsOfStep(aWorker, { aKey.mJob, aKey.mOccurrence, aKey.mStep, 0 });
   CountStart(aShard, aKey, aWorker, aNow);
   Assign(aShard, aKey, aWorker.mEntry.mWorker, aRun);
   task.mPhase = RunPhase::kStarting;
@@ -208,17 +212,20 @@
   order.mEpoch = FencingTokenOf(aShard, aWorker);
   aWorker.mIsTokenUnused = false;
   order.mNotAfter = task.mNotAfter;
-  const StepSpec& step = StepOf(job, aKey);
   if (step.mIsFilling) {
     StepStateOf(aShard, aKey).mStarvedSince = aNow;
     RecordBestEffortPlacement(aShard, aWorker, BestEffortNeedsOf(step), aNow);
   }
-  spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={}",
+  spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={} "
+               "step_runs={} step_runs_to_stop={} max_per_worker={}",
                Describe(order.mTask),
                aRun,
                aWorker.mEntry.mWorker,
                task.mFailedRuns.size(),
-               (aNow - job.mAcceptedAt).count());
+               (aNow - job.mAcceptedAt).count(),
+               beside.mCurrent,
+               beside.mToStop,
+               step.mMaxPerWorker);
   aShard.mStartBudget -=
     StartBytes(order.mText.size() + order.mCheckpoint.size());
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -62,6 +62,7 @@
     vcOwnerPacing.cxx vcPlacementCandidates.cxx vcPlacementCost.cxx
     vcOverload.cxx vcPlacementRound.cxx vcProbeStarts.cxx vcRackLocality.cxx
     vcRenewalSchedule.cxx vcSuspectStarts.cxx vcTeamQuota.cxx vcWorkerCalls.cxx
+    vcWorkerRuns.cxx
   LINK vcBatch vcPlacement)
 verbenacroft_library(Node
   SOURCES vcCancellationBudget.cxx vcCallerConfig.cxx vcCallerRequests.cxx vcCallerResponses.cxx
