Tests: Reproduce starts beside runs that aren't counted

No test knew a step's maximum per worker, and only listed runs to stop were looked at, for the capacity. Change: unit tests of each limit (a step's maximum, the capacity, a team's quota) beside a run to stop that is listed, one that a late end supersedes and one whose superseded start has no answer; vcFleet judges the maximum of a step and the capacity of a worker, and its play late-ends cuts workers off for longer than their leases.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -13,7 +13,6 @@
 constexpr Duration kStep{ 5 };
 constexpr Duration kJobInterval{ 250 };
 constexpr const char* kConfig = "op/config";
-constexpr std::int64_t kWorkerCpu = 100'000;
 /// Interval of the questions for the number of waiting jobs.
 constexpr Duration kCountInterval{ 250 };
 /// Processors of a node that isn't small.
@@ -241,6 +240,8 @@
     this->ScheduleDeadlyTasks();
   } else if (this->mOptions.mPlay == FleetPlay::kLateSubmissions) {
     this->ScheduleLateSubmissions();
+  } else if (this->HasLateEnds()) {
+    this->ScheduleLateEnds();
   } else {
     this->ScheduleFaults();
   }
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -79,6 +79,12 @@
   /// Two teams share the fleet, and one of them has a quota, which versions of
   /// the configuration lower and raise. The faults are those of `kFaults`.
   kTeams,
+  /// Workers are cut off for longer than their leases last, so that tasks start
+  /// elsewhere whose ends are heard later. Steps have a maximum per worker, on
+  /// odd seeds workers are full, and stops take their time. In half of the
+  /// seeds an owner is killed or paused meanwhile, and in half of them some
+  /// workers carry orders out late.
+  kLateEnds,
   /// The store does submissions seconds late and doesn't answer them. Their
   /// callers cancel these jobs at any node, and some send them again.
   kLateSubmissions,
@@ -104,6 +110,7 @@
     { FleetPlay::kLateClaims, "late-claims" },
     { FleetPlay::kRestartsUnderId, "restarts-under-id" },
     { FleetPlay::kTeams, "teams" },
+    { FleetPlay::kLateEnds, "late-ends" },
     { FleetPlay::kLateSubmissions, "late-submissions" },
   });
 };
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -22,6 +22,9 @@
 
 BatchSpec Fleet::DrawJob(const JobId& aId)
 {
+  if (this->HasLateEnds()) {
+    return this->DrawLimitedJob(aId);
+  }
   BatchSpec spec;
   const int atOnce = HasManyLastingJobs(this->mOptions.mPlay)
                        ? 1
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -146,6 +146,7 @@
   }
   // The owner that loses its shard has to be that of all tasks.
   const bool needsOneShard = hasManyJobs || isChoked || hasDeadlyTasks ||
+                             aOptions.mPlay == FleetPlay::kLateEnds ||
                              aOptions.mPlay == FleetPlay::kRelease;
   if (needsOneShard) {
     aOptions.mShards = 1;
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -24,6 +24,8 @@
 inline constexpr const char* kOperatorKeyPrefix = "op/";
 /// Suffix of the entry of a draining worker.
 inline constexpr const char* kDraining = " draining";
+/// Processors of a worker, in thousandths.
+inline constexpr std::int64_t kWorkerCpu = 100'000;
 /// Longer than the longest task that ends, so that a worker that leaves runs
 /// nothing.
 inline constexpr Duration kDrainTime{ 4'000 };
@@ -306,6 +308,19 @@
   /// been lost shortly before.
   void JudgeClaim();
 
+  // Late ends.
+  bool HasLateEnds() const
+  {
+    return this->mOptions.mPlay == FleetPlay::kLateEnds;
+  }
+  /// A job whose one step has a maximum per worker.
+  BatchSpec DrawLimitedJob(const JobId& aId);
+  void ScheduleLateEnds();
+  /// Some workers are cut off, also from the store.
+  /// @return when the last of them is reached again
+  TimePoint ScheduleCuts(TimePoint aAt);
+  void ScheduleLateOrders(TimePoint aAt, TimePoint aEnd);
+
   // Planned work after losses.
   void ScheduleLeavesBeforeSettled();
   /// The workers that the fleet begins with, in a drawn order.
--- a/Tests/Fleet/vcFleetWorkers.cxx
+++ b/Tests/Fleet/vcFleetWorkers.cxx
@@ -143,6 +143,59 @@
   }
 }
 
+/// Judges the maximum of the step that a task belongs to; what is being stopped
+/// counts.
+void JudgeMaximum(MemoryFleet& aFleet,
+                  const MemoryWorker& aWorker,
+                  const TaskId& aTask,
+                  TimePoint aNow)
+{
+  const TaskId first{ aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 };
+  const auto most = aFleet.mMaxPerWorker.find(first);
+  if (most == aFleet.mMaxPerWorker.end()) {
+    return;
+  }
+  const auto runs = std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aRow) {
+      const TaskId& task = aRow.first;
+      return TaskId{ task.mJob, task.mOccurrence, task.mStep, 0 } == first;
+    });
+  if (static_cast<std::size_t>(runs) > most->second) {
+    aFleet.mProblems.push_back(
+      fmt::format("{} ms: {} starts on {}, which has {} runs of its step; {} "
+                  "are allowed",
+                  aNow.count(),
+                  Describe(aTask),
+                  aWorker.mName,
+                  runs,
+                  most->second));
+  }
+}
+
+/// Judges the capacity of a worker; what is being stopped counts.
+void JudgeCapacity(MemoryFleet& aFleet,
+                   const MemoryWorker& aWorker,
+                   const TaskId& aTask,
+                   TimePoint aNow)
+{
+  if (aFleet.mCapacity == 0) {
+    return;
+  }
+  std::int64_t used = 0;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    used += aFleet.mPlans[task].mMilliCpu;
+  }
+  if (used > aFleet.mCapacity) {
+    aFleet.mProblems.push_back(
+      fmt::format("{} ms: {} starts on {}, whose runs need {} of {} mcpu",
+                  aNow.count(),
+                  Describe(aTask),
+                  aWorker.mName,
+                  used,
+                  aFleet.mCapacity));
+  }
+}
+
 OrderOutcome StartRun(MemoryFleet& aFleet,
                       MemoryWorker& aWorker,
                       const StartOrder& aOrder,
@@ -195,6 +248,8 @@
   run.mDoneAt = plan.mIsLasting ? std::numeric_limits<std::int64_t>::max()
                                 : clock + plan.mWork.count();
   aWorker.mRuns[aOrder.mTask] = run;
+  JudgeMaximum(aFleet, aWorker, aOrder.mTask, aNow);
+  JudgeCapacity(aFleet, aWorker, aOrder.mTask, aNow);
   return OrderOutcome::kDone;
 }
 
@@ -321,7 +376,8 @@
 
 OrderOutcome StopRun(MemoryFleet& aFleet,
                      MemoryWorker& aWorker,
-                     const StopOrder& aOrder)
+                     const StopOrder& aOrder,
+                     TimePoint aNow)
 {
   if (aOrder.mEpoch < aWorker.mFence) {
     return OrderOutcome::kStaleEpoch;
@@ -330,8 +386,14 @@
   auto& highest = aWorker.mHighest[aOrder.mTask];
   highest = std::max(highest, aOrder.mRun);
   const auto run = aWorker.mRuns.find(aOrder.mTask);
-  if (run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
+  const bool isThere =
+    run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun;
+  if (isThere && aFleet.mStopTime == Duration(0)) {
     EndRun(aFleet, aWorker, aOrder.mTask, RunEnd::kStopped);
+  } else if (isThere) {
+    const std::int64_t stopsAt =
+      ClockOf(aWorker, aNow) + aFleet.mStopTime.count();
+    run->second.mStopsAt = std::min(run->second.mStopsAt, stopsAt);
   }
   return OrderOutcome::kDone;
 }
@@ -343,8 +405,8 @@
 {
   co_await Sleep(kAnswerTime);
   MemoryWorker& worker = aFleet.mWorkers.at(aTo.mWorker);
-  const auto stop = [&aFleet, aOrder](MemoryWorker& aWorker, TimePoint) {
-    StopRun(aFleet, aWorker, aOrder);
+  const auto stop = [&aFleet, aOrder](MemoryWorker& aWorker, TimePoint aNow) {
+    StopRun(aFleet, aWorker, aOrder, aNow);
   };
   if (!co_await AwaitReturn(aFleet, aTo.mWorker, kOrderTimeout, stop)) {
     co_return OrderReply{};
@@ -357,8 +419,9 @@
     co_return OrderReply{ OrderOutcome::kOtherIncarnation, 0 };
   }
   OrderReply reply;
-  reply.mClock = ClockOf(worker, SuspendAwareNow());
-  reply.mOutcome = StopRun(aFleet, worker, aOrder);
+  const TimePoint now = SuspendAwareNow();
+  reply.mClock = ClockOf(worker, now);
+  reply.mOutcome = StopRun(aFleet, worker, aOrder, now);
   co_return reply;
 }
 
@@ -473,14 +536,15 @@
 void AdvanceWorker(MemoryFleet& aFleet, MemoryWorker& aWorker, TimePoint aNow)
 {
   const std::int64_t clock = ClockOf(aWorker, aNow);
-  std::vector<TaskId> done;
+  std::vector<std::pair<TaskId, RunEnd>> ended;
   for (const auto& [task, run] : aWorker.mRuns) {
-    if (run.mDoneAt <= clock) {
-      done.push_back(task);
+    if (std::min(run.mDoneAt, run.mStopsAt) <= clock) {
+      const bool isStopped = run.mStopsAt < run.mDoneAt;
+      ended.emplace_back(task, isStopped ? RunEnd::kStopped : RunEnd::kDone);
     }
   }
-  for (const auto& task : done) {
-    EndRun(aFleet, aWorker, task, RunEnd::kDone);
+  for (const auto& [task, how] : ended) {
+    EndRun(aFleet, aWorker, task, how);
   }
   if (clock > aWorker.mLeaseUntil) {
     const bool isFirst =
--- a/Tests/Fleet/vcFleetWorkers.h
+++ b/Tests/Fleet/vcFleetWorkers.h
@@ -24,6 +24,9 @@
   std::int64_t mDoneAt = 0;
   /// Worker's clock at which the task crashes it; never for most tasks.
   std::int64_t mCrashesAt = std::numeric_limits<std::int64_t>::max();
+  /// Worker's clock at which the run ends that is being stopped; never for one
+  /// that isn't.
+  std::int64_t mStopsAt = std::numeric_limits<std::int64_t>::max();
 };
 
 struct MemoryWorker
@@ -84,6 +87,8 @@
   /// Time after its start at which the task crashes its worker; 0 if it
   /// doesn't.
   Duration mCrashesAfter{ 0 };
+  /// Processors that the task needs, in thousandths.
+  std::int64_t mMilliCpu = 0;
 };
 
 /// Crashes of workers that ran a task.
@@ -104,6 +109,13 @@
   std::size_t mMaxLimitedRuns = 0;
   std::map<std::string, MemoryWorker> mWorkers;
   std::vector<LateCall> mLate;
+  /// Most runs of a step on one worker, by its first task. A step that isn't
+  /// in here has no maximum.
+  std::map<TaskId, std::size_t> mMaxPerWorker;
+  /// Processors of a worker in thousandths; 0 if the capacity isn't judged.
+  std::int64_t mCapacity = 0;
+  /// Time from an order to stop a run until it ends.
+  Duration mStopTime{ 0 };
   /// Longest lease that a worker grants, in ms.
   std::int64_t mMaxLeaseMs = 6'000;
   std::map<TaskId, TaskPlan> mPlans;
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -43,7 +43,7 @@
   Tests/Unit/vcHttpBudgetTest.cxx Tests/Unit/vcHttpServerTest.cxx
   Tests/Unit/vcTeamQuotaTest.cxx
   Tests/Unit/vcRackLocalityTest.cxx Tests/Unit/vcUnansweredStartTest.cxx
-  Tests/Unit/vcLateSubmissionTest.cxx
+  Tests/Unit/vcLateSubmissionTest.cxx Tests/Unit/vcWorkerRunsTest.cxx
   Tests/Fleet/vcFleetStore.cxx)
 target_include_directories(vcUnitTests PRIVATE Tests/Fleet)
 target_link_libraries(vcUnitTests PRIVATE vcStandIns vcRouting vcRequests
@@ -54,6 +54,7 @@
 add_test(NAME unit_idle_late_probes
   COMMAND vcUnitTests "[red-idle-late-probes]")
 add_test(NAME unit_idle_costs COMMAND vcUnitTests "[red-idle-costs]")
+add_test(NAME unit_worker_runs COMMAND vcUnitTests "[red-worker-runs]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
 set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
@@ -95,6 +96,7 @@
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
   Tests/Fleet/vcFleetRestarts.cxx Tests/Fleet/vcFleetTeams.cxx
+  Tests/Fleet/vcFleetLateEnds.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
@@ -162,6 +164,10 @@
 # Guards against starts beyond a team's quota: two shards whose owners both
 # start, an owner that is cut off, and a quota that is lowered and raised.
 verbenacroft_fleet(teams --play teams --seeds 1..100)
+# Guards against more tasks of a step on a worker than its maximum, and against
+# more than its capacity: a start beside a run that a late end has superseded or
+# that is being stopped.
+verbenacroft_fleet(late_ends --play late-ends --seeds 1..100)
 # Guards against a job that starts after its cancellation was acknowledged, since
 # its submission was carried out late.
 verbenacroft_fleet(late_submissions --play late-submissions --seeds 1..60)
