Dispatch: Count each run of a worker until its end is listed

Cause: what runs on a worker was known in three places that didn't agree. The maximum of a step counted tasks by their current run, and so no run that was being stopped. Capacity and teams also counted runs to stop, but only those that the last report listed. And where the late end of one run made a task done, its current run was released at once, though it was at work on another worker: until that worker's next report it counted for nothing. The class: a fact about a worker (what is at work there) derived from a fact about a task (its current run).

Change: vcWorkerRuns is the only account of a worker's runs: its tasks' current runs and the runs to stop, each counted once for capacity, team, best-effort processors and serving images when it is added, and for the step's maximum by looking at the account itself. A superseded run becomes a run to stop at once, with what is known of its start, and is stopped at once; it counts until its end is listed, a complete report shows that it is gone, its start is refused, or its lease is over. Its uncertain start also holds back acknowledgements and counts for what may run in an incarnation that hasn't reported. A run of a job that isn't known closes its worker, for tasks without counted needs too. Suspects of a crash aren't started beside runs to stop, and aren't named as the culprit there. Run times are learned from the run that has ended, and the room of a superseded run isn't kept for its job's next task. Assign and Release move from vcDispatchState to vcWorkerRuns; the counts that callers kept in StepNeeds::mOnWorker are gone.

Why it works: a run enters the account with its order and leaves it only with the proof that it isn't at work, and all limits ask the account.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -401,7 +401,8 @@
   }
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
-  const bool isNamed = suspects.mUnseen == 1 && !suspects.mHasOutsideCause;
+  const bool isNamed = suspects.mUnseen == 1 && !suspects.mHasOutsideCause &&
+                       aWorker.mRunsToStop.empty();
   const std::uint32_t most = isNamed ? kCrashesOfCulprit : kMaxCrashes;
   for (const auto& run : suspects.mRuns) {
     const DispatchTask* task = FindTask(aShard, run.mTask);
@@ -479,10 +480,11 @@
 
 bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker)
 {
-  return std::any_of(
+  const bool hasUnseenTask = std::any_of(
     aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
       return !IsSeenAtWork(*FindTask(aShard, aKey));
     });
+  return hasUnseenTask || !aWorker.mRunsToStop.empty();
 }
 
 std::set<std::string> IsolatedWorkers(const DispatchShard& aShard)
--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -3,6 +3,7 @@
 #include "vcDispatchOccurrences.h"
 #include "vcDispatchSuccession.h"
 #include "vcDispatchTurnover.h"
+#include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
 
@@ -55,22 +56,9 @@
                (aNow - aJob.mAcceptedAt).count());
 }
 
-/// Logs that the end of another run has made the task's current run needless.
-void LogSuperseded(const TaskId& aKey,
-                   const DispatchTask& aTask,
-                   std::uint32_t aEndedRun)
-{
-  const bool isSuperseded = !aTask.mWorker.empty() && aTask.mRun != aEndedRun;
-  if (isSuperseded) {
-    spdlog::info("task.superseded task={} run={} worker={} ended_run={}",
-                 Describe(aKey),
-                 aTask.mRun,
-                 aTask.mWorker,
-                 aEndedRun);
-  }
-}
-
-/// @param aEndedRun the run that has ended so
+/// Marks a task as done.
+/// @param aEndedRun the run that has ended so. If it isn't the current one,
+/// that goes on until it is stopped.
 void MarkDone(DispatchShard& aShard,
               const TaskId& aKey,
               std::uint32_t aEndedRun,
@@ -82,13 +70,18 @@
   if (task == nullptr || task->mPhase == RunPhase::kDone) {
     return;
   }
-  LogSuperseded(aKey, *task, aEndedRun);
   const std::string worker = task->mWorker;
-  Release(aShard, aKey, RunPhase::kDone);
-  if (!worker.empty()) {
+  if (worker.empty()) {
+    Release(aShard, aKey, RunPhase::kDone);
+  } else if (task->mRun == aEndedRun) {
+    Release(aShard, aKey, RunPhase::kDone);
     NoteRunEnded(job, aNow);
     NoteRoomLeft(job, aKey, worker);
     CountRunEnd(aShard, aKey, worker, aNow);
+  } else {
+    SupersedeRun(aShard, aKey, aEndedRun);
+    NoteRunEnded(job, aNow);
+    job.mLastRun = {};
   }
   CountTaskDone(aShard, job, aKey, aNow);
   if (AreOccurrencesDone(job) && !IsFinal(job.mState)) {
@@ -395,7 +388,7 @@
               std::int64_t aNowMs)
 {
   const TaskId key = aEnd.mTask;
-  aWorker.mRunsToStop.erase({ aEnd.mTask, aEnd.mRun });
+  RemoveRunToStop(aShard, aWorker, { aEnd.mTask, aEnd.mRun });
   DispatchTask* task = OpenTask(aShard, key);
   if (task == nullptr) {
     return;
@@ -412,7 +405,7 @@
   job.mIsDirty = job.mIsDirty || !job.mIsFinalStored;
   if (aEnd.mRunEnd == RunEnd::kDone && !isLongRunning) {
     aWorker.mFailedJobs.clear();
-    if (task->mWorker == aWorker.mEntry.mWorker) {
+    if (task->mWorker == aWorker.mEntry.mWorker && task->mRun == aEnd.mRun) {
       LearnRunTime(aShard, job, *task, aNow);
     }
     MarkRunDone(aShard, key, aEnd.mRun, aNow, aNowMs);
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -11,6 +11,7 @@
 #include "vcRackLocality.h"
 #include "vcSuspectStarts.h"
 #include "vcTeamQuota.h"
+#include "vcWorkerRuns.h"
 
 #include <algorithm>
 #include <optional>
@@ -83,7 +84,6 @@
       workers.PutBack(*worker);
       continue;
     }
-    ++needs.mOnWorker[worker->mEntry.mWorker];
     StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
     workers.PutBack(*worker);
     ++started;
@@ -121,7 +121,6 @@
     if (worker == nullptr) {
       return;
     }
-    ++needs.mOnWorker[worker->mEntry.mWorker];
     StartOn(aShard, key, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
     workers.PutBack(*worker);
   }
@@ -162,9 +161,8 @@
     if (worker == nullptr) {
       break;
     }
-    // Reserves the capacity, so that it counts for the members that follow.
+    // Reserves the room, so that it counts for the members that follow.
     Assign(aShard, key, worker->mEntry.mWorker, run + 1);
-    ++needs.mOnWorker[worker->mEntry.mWorker];
     workers.PutBack(*worker);
     chosen.push_back(worker->mEntry.mWorker);
   }
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -6,6 +6,7 @@
 #include "vcDispatchWorkerSet.h"
 #include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
+#include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
 
@@ -19,80 +20,6 @@
 /// more that it doesn't list.
 constexpr std::size_t kMaxListedEnds = 500;
 
-using RunKey = std::pair<TaskId, std::uint32_t>;
-
-/// Adds a run to those that have to be stopped, unless it is one already.
-void RequestStop(DispatchWorker& aWorker,
-                 const TaskId& aTask,
-                 std::uint32_t aRun,
-                 TimePoint aNow)
-{
-  const auto [at, isNew] = aWorker.mRunsToStop.try_emplace(
-    RunKey{ aTask, aRun }, RunToStop{ aNow, kNever });
-  if (isNew) {
-    spdlog::info("task.to-stop task={} run={} worker={}",
-                 Describe(aTask),
-                 aRun,
-                 aWorker.mEntry.mWorker);
-  }
-}
-
-/// Longest time for which a run with unknown needs closes its worker: that of a
-/// lease and of a stop. A worker that lists it for longer must not stay closed
-/// for ever.
-Duration MaxClosedTime(const DispatchShard& aShard)
-{
-  return LongestLease(aShard.mBounds) + aShard.mBounds.mStopTimeout;
-}
-
-/// The step that a task belongs to, whether it is open or not; null if it isn't
-/// known.
-const StepSpec* FindStep(const DispatchShard& aShard, const TaskId& aTask)
-{
-  const auto job = aShard.mJobs.find(aTask.mJob);
-  if (job == aShard.mJobs.end()) {
-    return nullptr;
-  }
-  const auto& steps = job->second.mRecord.mSpec.mSteps;
-  return aTask.mStep < steps.size() ? &steps[aTask.mStep] : nullptr;
-}
-
-/// Counts the runs to stop that the report lists: they use their worker's
-/// capacity until it lists their end, also if it accepts starts beyond that. A
-/// run whose needs aren't known may use all of it.
-void CountRunsToStop(DispatchShard& aShard,
-                     DispatchWorker& aWorker,
-                     const WorkerReport& aReport,
-                     TimePoint aNow)
-{
-  Resources used;
-  std::map<std::string, Resources> teamUsed;
-  bool isClosed = false;
-  for (const auto& row : aReport.mRunning) {
-    const DispatchTask* task = FindTask(aShard, row.mTask);
-    const StepSpec* step = FindStep(aShard, row.mTask);
-    if (step == nullptr) {
-      const RunToStop& run = aWorker.mRunsToStop.at({ row.mTask, row.mRun });
-      const bool isExpected = aNow - run.mListedSince < MaxClosedTime(aShard);
-      isClosed = isClosed || isExpected;
-      continue;
-    }
-    const bool isAssignedHere = task != nullptr &&
-                                task->mWorker == aWorker.mEntry.mWorker &&
-                                task->mRun == row.mRun;
-    if (!isAssignedHere) {
-      used += CountedNeeds(*step);
-      const auto& terms = aShard.mJobs.at(row.mTask.mJob).mRecord.mTerms;
-      if (!terms.mTeam.empty()) {
-        teamUsed[terms.mTeam] += step->mNeeds;
-      }
-    }
-  }
-  SetTeamRunsToStop(aShard, aWorker, std::move(teamUsed));
-  SetUsedByRunsToStop(
-    aWorker, isClosed ? ElementwiseMax(used, aWorker.mEntry.mCapacity) : used);
-}
-
 /// What a report lists.
 struct ListedRuns
 {
@@ -115,6 +42,19 @@
   return listed;
 }
 
+/// Removes the runs to stop of an earlier incarnation. Those whose start may
+/// still reach the new one are stopped again there.
+void RemoveRunsOfEarlierIncarnation(DispatchShard& aShard,
+                                    DispatchWorker& aWorker)
+{
+  RemoveRunsToStop(aShard, aWorker, [](const RunKey&, const RunToStop& aRun) {
+    return !aRun.mStart.mIsUncertain;
+  });
+  for (auto& [key, run] : aWorker.mRunsToStop) {
+    run.mStopSentAt = kNever;
+  }
+}
+
 /// Handles a restarted worker. The new incarnation runs nothing that ran
 /// before. A start that was not answered, or not yet, may still reach it, and
 /// is stopped there unless the report lists it already.
@@ -141,9 +81,7 @@
   aWorker.mStartsUntil = 0;
   aWorker.mEarlierLeasesUntil = kNever;
   aWorker.mIsReportedIdle = false;
-  aWorker.mRunsToStop.clear();
-  SetUsedByRunsToStop(aWorker, {});
-  SetTeamRunsToStop(aShard, aWorker, {});
+  RemoveRunsOfEarlierIncarnation(aShard, aWorker);
   for (const auto& key : tasks) {
     DispatchTask& task = *FindTask(aShard, key);
     task.mFirstSeenClock = 0;
@@ -193,7 +131,7 @@
   const TaskId key = aRow.mTask;
   DispatchTask* task = OpenTask(aShard, key);
   if (task == nullptr) {
-    RequestStop(aWorker, aRow.mTask, aRow.mRun, aNow);
+    OnRunToStopListed(aShard, aWorker, { aRow.mTask, aRow.mRun }, aNow);
     return;
   }
   DispatchJob& job = aShard.mJobs.at(key.mJob);
@@ -224,7 +162,7 @@
   const bool isAdoptable = task->mPhase == RunPhase::kWaiting &&
                            !IsFinal(job.mState) && aRow.mRun > task->mEndedRun;
   if (!isAdoptable) {
-    RequestStop(aWorker, aRow.mTask, aRow.mRun, aNow);
+    OnRunToStopListed(aShard, aWorker, { aRow.mTask, aRow.mRun }, aNow);
     return;
   }
   Assign(aShard, key, aWorker.mEntry.mWorker, aRow.mRun);
@@ -258,46 +196,71 @@
          aListed.mRuns.contains({ aKey, aRun });
 }
 
+/// When a report was asked for and processed.
+struct ReportTimes
+{
+  TimePoint mSentAt{ kNever };
+  TimePoint mNow{ kNever };
+  /// It is the first report from which on the worker refuses all starts that
+  /// were meant for an earlier incarnation.
+  bool mIsFirstFenced = false;
+};
+
+/// True if a run isn't at work that a complete report doesn't list: it was
+/// confirmed before the renewal was sent, or its start was uncertain and can't
+/// take effect any more.
+bool IsGone(const DispatchWorker& aWorker,
+            const RunStart& aStart,
+            TimePoint aConfirmedAt,
+            const ReportTimes& aTimes)
+{
+  return aStart.mIsUncertain
+           ? aTimes.mIsFirstFenced ||
+               !MayStartTakeEffect(aWorker, aStart, aTimes.mNow)
+           : aConfirmedAt < aTimes.mSentAt;
+}
+
 /// Marks runs as lost that are assigned to the worker but missing in its
-/// report. A run counts only if it was confirmed before the renewal was sent,
-/// or if it was uncertain and its start can't take effect any more.
-/// @param aIsFirstFenced the report is the first one from which on the worker
-/// refuses all starts that were meant for an earlier incarnation
+/// complete report.
 void OnMissingTasks(DispatchShard& aShard,
                     DispatchWorker& aWorker,
-                    const WorkerReport& aReport,
                     const ListedRuns& aListed,
-                    bool aIsFirstFenced,
-                    TimePoint aSentAt,
-                    TimePoint aNow)
+                    const ReportTimes& aTimes)
 {
-  const bool isComplete = aReport.mEnded.size() < kMaxListedEnds;
-  if (!isComplete) {
-    return;
-  }
   const std::set<TaskId> tasks = aWorker.mTasks;
   for (const auto& key : tasks) {
     const DispatchTask& task = *FindTask(aShard, key);
     if (IsAccountedFor(key, task.mRun, aListed)) {
       continue;
     }
-    const bool isStartExpired =
-      task.mIsStartUncertain &&
-      (aIsFirstFenced || !MayStartTakeEffect(aWorker, task, aNow));
-    const bool isLost = !task.mIsStartUncertain &&
-                        task.mPhase != RunPhase::kStarting &&
-                        task.mConfirmedAt < aSentAt;
-    if (isStartExpired || isLost) {
+    const bool isStarting =
+      task.mPhase == RunPhase::kStarting && !task.mIsStartUncertain;
+    const bool isLost =
+      !isStarting && IsGone(aWorker, StartOf(task), task.mConfirmedAt, aTimes);
+    if (isLost) {
       spdlog::info("task.lost task={} run={} worker={} never_started={}",
                    Describe(key),
                    task.mRun,
                    aWorker.mEntry.mWorker,
-                   isStartExpired);
-      OnRunLost(aShard, key, aNow);
+                   task.mIsStartUncertain);
+      OnRunLost(aShard, key, aTimes.mNow);
     }
   }
 }
 
+/// Removes the runs to stop that a complete report shows to be gone.
+void RemoveMissingRunsToStop(DispatchShard& aShard,
+                             DispatchWorker& aWorker,
+                             const ListedRuns& aListed,
+                             const ReportTimes& aTimes)
+{
+  RemoveRunsToStop(
+    aShard, aWorker, [&](const RunKey& aKey, const RunToStop& aRun) {
+      return !aListed.mRuns.contains(aKey) &&
+             IsGone(aWorker, aRun.mStart, aRun.mConfirmedAt, aTimes);
+    });
+}
+
 void SetUnresponsive(DispatchShard& aShard,
                      DispatchWorker& aWorker,
                      TimePoint aNow)
@@ -313,32 +276,27 @@
 void ApplyReport(DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const WorkerReport& aReport,
-                 bool aIsFirstFenced,
-                 TimePoint aSentAt,
-                 TimePoint aNow,
+                 const ReportTimes& aTimes,
                  std::int64_t aNowMs)
 {
   std::uint64_t seen = aWorker.mSeenIndex;
   for (const auto& end : aReport.mEnded) {
     if (end.mIndex > aWorker.mSeenIndex) {
-      OnRunEnd(aShard, aWorker, end, aNow, aNowMs);
+      OnRunEnd(aShard, aWorker, end, aTimes.mNow, aNowMs);
       seen = std::max(seen, end.mIndex);
     }
   }
   aWorker.mSeenIndex = seen;
-  aWorker.mIsReportedIdle =
-    aReport.mRunning.empty() && aReport.mEnded.size() < kMaxListedEnds;
+  const bool isComplete = aReport.mEnded.size() < kMaxListedEnds;
+  aWorker.mIsReportedIdle = aReport.mRunning.empty() && isComplete;
   for (const auto& row : aReport.mRunning) {
-    OnRunningTask(aShard, aWorker, row, aNow);
+    OnRunningTask(aShard, aWorker, row, aTimes.mNow);
+  }
+  if (isComplete) {
+    const ListedRuns listed = ListedRunsOf(aReport);
+    OnMissingTasks(aShard, aWorker, listed, aTimes);
+    RemoveMissingRunsToStop(aShard, aWorker, listed, aTimes);
   }
-  OnMissingTasks(aShard,
-                 aWorker,
-                 aReport,
-                 ListedRunsOf(aReport),
-                 aIsFirstFenced,
-                 aSentAt,
-                 aNow);
-  CountRunsToStop(aShard, aWorker, aReport, aNow);
 }
 
 } // namespace
@@ -405,7 +363,8 @@
   if (!isNewIncarnation) {
     isFirstFenced = CompleteFence(aShard, *worker, aNow);
   }
-  ApplyReport(aShard, *worker, aReport, isFirstFenced, aSentAt, aNow, aNowMs);
+  ApplyReport(
+    aShard, *worker, aReport, { aSentAt, aNow, isFirstFenced }, aNowMs);
 }
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchReservations.cxx
+++ b/Source/Dispatch/vcDispatchReservations.cxx
@@ -77,7 +77,7 @@
 }
 
 /// Processors, in thousandths, of the runs on the worker that aren't the only
-/// one of their job.
+/// one of their job, or are being stopped.
 double SpareCpu(const DispatchShard& aShard,
                 const DispatchWorker& aWorker,
                 bool aIsBestEffort)
@@ -90,6 +90,10 @@
                          step.mIsFilling == aIsBestEffort;
     spare += isSpare ? step.mNeeds.mMilliCpu : 0;
   }
+  for (const auto& [key, run] : aWorker.mRunsToStop) {
+    const bool isSpare = run.mUse && run.mUse->mIsBestEffort == aIsBestEffort;
+    spare += isSpare ? run.mUse->mNeeds.mMilliCpu : 0;
+  }
   return static_cast<double>(spare);
 }
 
--- a/Source/Dispatch/vcDispatchSharing.cxx
+++ b/Source/Dispatch/vcDispatchSharing.cxx
@@ -202,9 +202,7 @@
 /// the others' throttles.
 double OrdinaryCpu(const DispatchWorker& aWorker)
 {
-  return static_cast<double>(aWorker.mUsed.mMilliCpu -
-                             aWorker.mUsedByRunsToStop.mMilliCpu -
-                             aWorker.mServingCpu);
+  return static_cast<double>(aWorker.mOrdinaryCpu);
 }
 
 } // namespace
--- a/Source/Dispatch/vcDispatchState.cxx
+++ b/Source/Dispatch/vcDispatchState.cxx
@@ -6,54 +6,6 @@
 
 namespace {
 
-/// Adds the needs of a task of the step to the worker's totals (`aSign` is 1)
-/// or subtracts them (-1).
-void CountNeeds(DispatchWorker& aWorker, const StepSpec& aStep, int aSign)
-{
-  const Resources needs = CountedNeeds(aStep);
-  if (aStep.mIsFilling) {
-    aWorker.mBestEffortCpu += aSign * aStep.mNeeds.mMilliCpu;
-  }
-  if (aStep.mTargetMs > 0) {
-    auto& count = aWorker.mServingImages[aStep.mImage];
-    count += static_cast<std::uint32_t>(aSign);
-    if (count == 0) {
-      aWorker.mServingImages.erase(aStep.mImage);
-    }
-    aWorker.mServingCpu += aSign * needs.mMilliCpu;
-  }
-  const auto add = [&](Resources& aTotal) {
-    if (aSign > 0) {
-      aTotal += needs;
-    } else {
-      aTotal -= needs;
-    }
-  };
-  add(aWorker.mUsed);
-  if (aStep.mIsLasting) {
-    add(aWorker.mLongRunning);
-  }
-}
-
-/// Adds a task of the step to what the job's team uses (`aSign` is 1), or
-/// subtracts it (-1).
-void CountTeamUse(DispatchShard& aShard,
-                  const DispatchJob& aJob,
-                  const StepSpec& aStep,
-                  int aSign)
-{
-  const std::string& team = aJob.mRecord.mTerms.mTeam;
-  if (team.empty()) {
-    return;
-  }
-  Resources& known = aShard.mTeamUse[team].mKnown;
-  if (aSign > 0) {
-    known += aStep.mNeeds;
-  } else {
-    known -= aStep.mNeeds;
-  }
-}
-
 /// The task with this id, or null; constant if the shard is.
 template<class Shard>
 auto FindTaskIn(Shard& aShard, const TaskId& aKey)
@@ -135,61 +87,25 @@
          static_cast<std::int64_t>(std::floor(elapsed * kMinClockRate));
 }
 
-Resources CountedNeeds(const StepSpec& aStep)
+RunStart StartOf(const DispatchTask& aTask)
 {
-  Resources needs = aStep.mNeeds;
-  if (aStep.mIsFilling) {
-    needs.mMilliCpu = 0;
-  }
-  return needs;
+  const bool isUncertain =
+    aTask.mIsStartUncertain || aTask.mPhase == RunPhase::kStarting;
+  return { aTask.mStartOrderedAt, aTask.mNotAfter, isUncertain };
 }
 
-void SetUsedByRunsToStop(DispatchWorker& aWorker, const Resources& aUsed)
+Resources CountedNeeds(const StepSpec& aStep)
 {
-  aWorker.mUsed -= aWorker.mUsedByRunsToStop;
-  aWorker.mUsedByRunsToStop = aUsed;
-  aWorker.mUsed += aUsed;
+  return CountedNeeds(aStep.mNeeds, aStep.mIsFilling);
 }
 
-void SetTeamRunsToStop(DispatchShard& aShard,
-                       DispatchWorker& aWorker,
-                       std::map<std::string, Resources> aUsed)
+Resources CountedNeeds(const Resources& aNeeds, bool aIsBestEffort)
 {
-  for (const auto& [team, used] : aWorker.mTeamRunsToStop) {
-    aShard.mTeamUse[team].mKnown -= used;
-  }
-  aWorker.mTeamRunsToStop = std::move(aUsed);
-  for (const auto& [team, used] : aWorker.mTeamRunsToStop) {
-    aShard.mTeamUse[team].mKnown += used;
+  Resources counted = aNeeds;
+  if (aIsBestEffort) {
+    counted.mMilliCpu = 0;
   }
-}
-
-void Assign(DispatchShard& aShard,
-            const TaskId& aKey,
-            const std::string& aWorker,
-            std::uint32_t aRun)
-{
-  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-  DispatchTask& task = *FindTask(aShard, aKey);
-  DispatchWorker& worker = aShard.mWorkers.at(aWorker);
-  task.mWorker = aWorker;
-  task.mRun = aRun;
-  task.mHighestRun = std::max(task.mHighestRun, aRun);
-  task.mOrderedThrottlePercent = 100;
-  task.mProgressPercent = 0;
-  task.mProgressAt = kNever;
-  task.mThrottledAt = kNever;
-  task.mIsProbe = false;
-  task.mIsStartUncertain = false;
-  task.mStartBrokenAt = kNever;
-  task.mAwaitsRackUntil = kNever;
-  task.mStopSentAt = kNever;
-  task.mFirstSeenClock = 0;
-  task.mSeenAtWorkFor = Duration(0);
-  worker.mTasks.insert(aKey);
-  CountNeeds(worker, StepOf(job, aKey), 1);
-  CountTeamUse(aShard, job, StepOf(job, aKey), 1);
-  ++job.mActiveRuns;
+  return counted;
 }
 
 void MarkStarted(DispatchJob& aJob)
@@ -199,41 +115,4 @@
   }
 }
 
-void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase)
-{
-  DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-  DispatchTask& task = *FindTask(aShard, aKey);
-  DispatchWorker* worker = FindWorker(aShard, task.mWorker);
-  if (worker != nullptr && worker->mTasks.erase(aKey) > 0) {
-    CountNeeds(*worker, StepOf(job, aKey), -1);
-    CountTeamUse(aShard, job, StepOf(job, aKey), -1);
-    --job.mActiveRuns;
-    aShard.mSilenceVersion += worker->mIsUnresponsive ? 1 : 0;
-  }
-  task.mWorker.clear();
-  task.mIsStartUncertain = false;
-  task.mStartBrokenAt = kNever;
-  task.mPhase = aPhase;
-}
-
-void NoteRunEnded(DispatchJob& aJob, TimePoint aNow)
-{
-  if (aJob.mActiveRuns == 0) {
-    aJob.mIdleSince = aNow;
-  }
-}
-
-void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow)
-{
-  // A start that was refused or not answered ran nothing.
-  const bool wasSeen = FindTask(aShard, aKey)->mPhase != RunPhase::kStarting;
-  Release(aShard, aKey, RunPhase::kWaiting);
-  if (wasSeen) {
-    DispatchJob& job = aShard.mJobs.at(aKey.mJob);
-    NoteRunEnded(job, aNow);
-    job.mLastRun = {};
-  }
-  FindTask(aShard, aKey)->mWaitingSince = aNow;
-}
-
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -7,6 +7,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace verbenacroft {
@@ -280,10 +281,44 @@
   TimePoint mUntil{ kNever };
 };
 
-/// A run on a worker that is no longer needed.
+/// Order to start a run, as far as it shows whether the run may still begin.
+struct RunStart
+{
+  TimePoint mOrderedAt{ kNever };
+  /// Reading of the worker's clock, in ms, after which it refuses the start.
+  std::int64_t mNotAfter = 0;
+  /// The order was not answered, or not yet: it may have been executed, or may
+  /// still be.
+  bool mIsUncertain = false;
+};
+
+/// What a run uses on its worker.
+struct RunUse
+{
+  /// All that its task requests.
+  Resources mNeeds;
+  bool mIsBestEffort = false;
+  bool mIsLongRunning = false;
+  /// Image of a serving task; nothing for others.
+  std::optional<std::string> mServingImage;
+  /// Team of its job; empty if it has none.
+  std::string mTeam;
+};
+
+/// A run of a task, by its number.
+using RunKey = std::pair<TaskId, std::uint32_t>;
+
+/// A run on a worker that is no longer needed. It counts there until the worker
+/// lists its end.
 struct RunToStop
 {
-  /// When a report listed it for the first time.
+  /// What is counted for it; nothing if its job isn't known.
+  std::optional<RunUse> mUse;
+  RunStart mStart;
+  /// When it was last known that the run had begun or never would; only valid
+  /// if its start isn't uncertain.
+  TimePoint mConfirmedAt{ kNever };
+  /// When a report listed it for the first time; `kNever` if none has.
   TimePoint mListedSince{ kNever };
   /// When its stop was last sent.
   TimePoint mStopSentAt{ kNever };
@@ -377,20 +412,25 @@
   /// Since when ends could be acknowledged, with nothing acknowledged since;
   /// `kNever` if all that are in the store are.
   TimePoint mUnacknowledgedSince{ kNever };
-  /// Needs of the tasks here and of the runs to stop; best-effort tasks count
-  /// without processors.
+  /// Tasks whose current run is here. What runs here are these runs and
+  /// `mRunsToStop`; vcWorkerRuns.h changes them and the totals below.
+  std::set<TaskId> mTasks;
+  /// Runs here that are no longer needed, none of them a current one.
+  std::map<RunKey, RunToStop> mRunsToStop;
+  /// Needs of all runs; best-effort tasks count without processors.
   Resources mUsed;
-  /// The part of it that long-running tasks need.
+  /// The part of it that current runs of long-running tasks need, which don't
+  /// free their room.
   Resources mLongRunning;
-  /// The part of it that runs to stop use, as of the last report.
-  Resources mUsedByRunsToStop;
-  /// Processors that best-effort tasks here request, in thousandths.
+  /// Processors that best-effort tasks request, in thousandths.
   std::int64_t mBestEffortCpu = 0;
-  std::set<TaskId> mTasks;
-  /// Number of serving tasks here, by image.
+  /// Number of runs of serving tasks, by image.
   std::map<std::string, std::uint32_t> mServingImages;
-  /// Processors that serving tasks here request, in thousandths.
+  /// Processors that serving tasks request, in thousandths.
   std::int64_t mServingCpu = 0;
+  /// Processors that current runs of tasks request that neither serve nor are
+  /// best-effort, in thousandths.
+  std::int64_t mOrdinaryCpu = 0;
   /// Processor usage of the serving tasks in the last report.
   ServingCpuUsage mServingCpuUsage;
   /// Latency by serving image, as of the last report.
@@ -413,9 +453,6 @@
   /// Jobs whose tasks failed here since the last success, to distinguish a
   /// faulty worker from a faulty job.
   std::set<JobId> mFailedJobs;
-  std::map<std::pair<TaskId, std::uint32_t>, RunToStop> mRunsToStop;
-  /// What the runs to stop use, by team, as of the last report.
-  std::map<std::string, Resources> mTeamRunsToStop;
   /// Time of the last report in which no serving task here was close to or over
   /// its latency target.
   TimePoint mOverTargetSince{ kNever };
@@ -661,37 +698,18 @@
 /// `aTime`. Its clock has been read.
 std::int64_t ClockReachedBy(const DispatchWorker& aWorker, TimePoint aTime);
 
+/// The start of the task's current run.
+RunStart StartOf(const DispatchTask& aTask);
+
 /// Needs of a task of the step that count against the capacity of its worker.
 Resources CountedNeeds(const StepSpec& aStep);
 
-/// Sets the part of the worker's capacity that runs to stop use.
-void SetUsedByRunsToStop(DispatchWorker& aWorker, const Resources& aUsed);
-
-/// Sets what the worker's runs to stop use, by team.
-void SetTeamRunsToStop(DispatchShard& aShard,
-                       DispatchWorker& aWorker,
-                       std::map<std::string, Resources> aUsed);
-
-/// Assigns run `aRun` of the task to a worker and reserves the capacity that it
-/// needs there.
-void Assign(DispatchShard& aShard,
-            const TaskId& aKey,
-            const std::string& aWorker,
-            std::uint32_t aRun);
+/// The part of a task's needs that counts against the capacity of its worker:
+/// best-effort tasks use only processors that others leave.
+Resources CountedNeeds(const Resources& aNeeds, bool aIsBestEffort);
 
 /// Marks the job as running: a worker has started one of its tasks. An order
 /// alone doesn't count, since it may be refused or lost.
 void MarkStarted(DispatchJob& aJob);
 
-/// Removes the task's run from its worker, frees the capacity there and sets
-/// the task's phase.
-void Release(DispatchShard& aShard, const TaskId& aKey, RunPhase aPhase);
-
-/// Notes that a run of the job has ended: without another one it is idle from
-/// `aNow` on.
-void NoteRunEnded(DispatchJob& aJob, TimePoint aNow);
-
-/// Releases a task that waits for a new start from `aNow` on.
-void ReleaseToWait(DispatchShard& aShard, const TaskId& aKey, TimePoint aNow);
-
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -109,11 +109,11 @@
 }
 
 bool MayStartInNextIncarnation(const DispatchWorker& aWorker,
-                               const DispatchTask& aTask,
+                               const RunStart& aStart,
                                TimePoint aNow)
 {
-  return aTask.mIsStartUncertain && aWorker.mEntry.mIsDraining &&
-         aNow < aTask.mStartOrderedAt + kLateCallTime;
+  return aStart.mIsUncertain && aWorker.mEntry.mIsDraining &&
+         aNow < aStart.mOrderedAt + kLateCallTime;
 }
 
 bool IsLeaseOver(const DispatchWorker& aWorker, TimePoint aNow)
--- a/Source/Dispatch/vcDispatchWorkerSet.h
+++ b/Source/Dispatch/vcDispatchWorkerSet.h
@@ -55,12 +55,12 @@
                     const DispatchWorker& aWorker,
                     TimePoint aNow);
 
-/// True if the task's start, which wasn't answered, may still take effect in
+/// True if a start that wasn't answered may still take effect in
 /// the next incarnation of its draining worker. That may have the same id, has
 /// seen neither the start's stop nor an epoch, and its clock starts anew, so it
 /// doesn't refuse the start as late.
 bool MayStartInNextIncarnation(const DispatchWorker& aWorker,
-                               const DispatchTask& aTask,
+                               const RunStart& aStart,
                                TimePoint aNow);
 
 /// True if the worker's lease has certainly ended on its own clock.
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -5,6 +5,7 @@
 #include "vcDispatchWorkerSet.h"
 #include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
+#include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
 
@@ -97,11 +98,34 @@
 /// True if the reply's clock is behind what the worker's clock showed when the
 /// start was ordered: the worker has restarted since.
 bool IsFromLaterIncarnation(const DispatchWorker& aWorker,
-                            const DispatchTask& aTask,
+                            const RunStart& aStart,
                             const OrderReply& aReply)
 {
   return aReply.mClock != 0 &&
-         aReply.mClock < ClockReachedBy(aWorker, aTask.mStartOrderedAt);
+         aReply.mClock < ClockReachedBy(aWorker, aStart.mOrderedAt);
+}
+
+/// Handles the reply to a start whose run has become needless meanwhile.
+void OnStartReplyOfRunToStop(DispatchShard& aShard,
+                             DispatchWorker* aWorker,
+                             const StartOrder& aOrder,
+                             const OrderReply& aReply,
+                             TimePoint aNow)
+{
+  const RunKey key{ aOrder.mTask, aOrder.mRun };
+  RunToStop* run = aWorker == nullptr ? nullptr : FindRunToStop(*aWorker, key);
+  const bool isUnanswered = aReply.mOutcome == OrderOutcome::kBroken ||
+                            aReply.mOutcome == OrderOutcome::kUnknown;
+  if (run == nullptr || !run->mStart.mIsUncertain || isUnanswered) {
+    return;
+  }
+  if (aReply.mOutcome != OrderOutcome::kDone) {
+    RemoveRunToStop(aShard, *aWorker, key);
+  } else if (IsFromLaterIncarnation(*aWorker, run->mStart, aReply)) {
+    OnUnmetRestart(aShard, *aWorker, aNow);
+  } else {
+    ConfirmRunToStop(*run, aNow);
+  }
 }
 
 /// True if discovery lists the worker as draining and it may leave within the
@@ -223,14 +247,18 @@
   std::size_t released = 0;
   for (const auto& key : tasks) {
     const DispatchTask& task = *FindTask(aShard, key);
-    const bool isHeld = MayBeDoneUnheard(aShard, aWorker, key, aNow) ||
-                        MayRunInUnmetIncarnation(aShard, aWorker, task, aNow);
+    const bool isHeld =
+      MayBeDoneUnheard(aShard, aWorker, key, aNow) ||
+      MayRunInUnmetIncarnation(aShard, aWorker, StartOf(task), aNow);
     if (!isHeld) {
       NoteLostRun(aShard, aWorker, key);
       OnRunLost(aShard, key, aNow);
       ++released;
     }
   }
+  RemoveRunsToStop(aShard, aWorker, [&](const RunKey&, const RunToStop& aRun) {
+    return !MayRunInUnmetIncarnation(aShard, aWorker, aRun.mStart, aNow);
+  });
   if (released > 0) {
     spdlog::info("worker.lease-over worker={} tasks={} awaited={} listed={} "
                  "last_report_ms_ago={}",
@@ -347,12 +375,13 @@
     aShard.mIsFenced = true;
   }
   if (!isCurrent) {
+    OnStartReplyOfRunToStop(aShard, worker, aOrder, aReply, aNow);
     return;
   }
   if (aReply.mOutcome == OrderOutcome::kDone) {
     worker->mFailedStarts = 0;
     MarkStarted(aShard.mJobs.at(key.mJob));
-    if (IsFromLaterIncarnation(*worker, *task, aReply)) {
+    if (IsFromLaterIncarnation(*worker, StartOf(*task), aReply)) {
       task->mIsStartUncertain = true;
       OnUnmetRestart(aShard, *worker, aNow);
       return;
@@ -417,22 +446,29 @@
   if (worker == nullptr || aReply.mOutcome != OrderOutcome::kDone) {
     return;
   }
-  const bool isCurrent =
-    task != nullptr && task->mWorker == aWorker && task->mRun == aOrder.mRun;
   // The next incarnation knows nothing of a stop that this one has answered.
   const bool isForEarlierIncarnation =
     IsFencePending(*worker) || aOrder.mEpoch < FencingTokenOf(aShard, *worker);
-  if (!isCurrent || isForEarlierIncarnation) {
+  if (isForEarlierIncarnation) {
     return;
   }
   // If the run had started, a report lists it as stopped. If its start has not
   // arrived, the worker refuses it from now on, and the next report shows that
   // the run is missing.
-  if (task->mIsStartUncertain &&
-      !MayStartInNextIncarnation(*worker, *task, aNow)) {
+  const auto isRefusedFromNowOn = [&](const RunStart& aStart) {
+    return aStart.mIsUncertain &&
+           !MayStartInNextIncarnation(*worker, aStart, aNow);
+  };
+  const bool isCurrent =
+    task != nullptr && task->mWorker == aWorker && task->mRun == aOrder.mRun;
+  if (isCurrent && isRefusedFromNowOn(StartOf(*task))) {
     task->mIsStartUncertain = false;
     task->mConfirmedAt = aNow;
   }
+  RunToStop* run = FindRunToStop(*worker, { key, aOrder.mRun });
+  if (run != nullptr && isRefusedFromNowOn(run->mStart)) {
+    ConfirmRunToStop(*run, aNow);
+  }
 }
 
 void ReapWorkers(DispatchShard& aShard, TimePoint aNow)
@@ -453,12 +489,10 @@
     // A worker that has crashed shows it when its machine is back.
     const bool mayShowCrash = !worker.mLostRuns.empty() &&
                               aNow - worker.mSilentSince < kCrashShownWithin;
-    const bool isRemovable = !worker.mIsListed && worker.mTasks.empty() &&
-                             !isUnanswered && !mayShowCrash &&
+    const bool hasRuns = !worker.mTasks.empty() || !worker.mRunsToStop.empty();
+    const bool isRemovable = !worker.mIsListed && !hasRuns && !isUnanswered &&
+                             !mayShowCrash &&
                              (isLeaseOver || !worker.mHasAnswered);
-    if (isRemovable) {
-      SetTeamRunsToStop(aShard, worker, {});
-    }
     at = isRemovable ? aShard.mWorkers.erase(at) : std::next(at);
   }
 }
--- a/Source/Dispatch/vcEndAcknowledgement.cxx
+++ b/Source/Dispatch/vcEndAcknowledgement.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchWorkerSet.h"
 #include "vcIncarnationFence.h"
+#include "vcWorkerRuns.h"
 
 #include <algorithm>
 
@@ -19,24 +20,21 @@
 } // namespace
 
 bool MayStartTakeEffect(const DispatchWorker& aWorker,
-                        const DispatchTask& aTask,
+                        const RunStart& aStart,
                         TimePoint aNow)
 {
-  return IsFencePending(aWorker) || aWorker.mClock <= aTask.mNotAfter ||
-         MayStartInNextIncarnation(aWorker, aTask, aNow);
+  return IsFencePending(aWorker) || aWorker.mClock <= aStart.mNotAfter ||
+         MayStartInNextIncarnation(aWorker, aStart, aNow);
 }
 
 bool HasStartUnderWay(const DispatchShard& aShard,
                       const DispatchWorker& aWorker,
                       TimePoint aNow)
 {
-  return std::any_of(
-    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      const DispatchTask& task = *FindTask(aShard, aKey);
-      const bool isOutcomeUnknown =
-        task.mIsStartUncertain || task.mPhase == RunPhase::kStarting;
-      return isOutcomeUnknown && MayStartTakeEffect(aWorker, task, aNow);
-    });
+  const auto mayBegin = [&](const RunStart& aStart) {
+    return aStart.mIsUncertain && MayStartTakeEffect(aWorker, aStart, aNow);
+  };
+  return AnyStart(aShard, aWorker, mayBegin);
 }
 
 void OnEndsRecorded(DispatchWorker& aWorker,
--- a/Source/Dispatch/vcEndAcknowledgement.h
+++ b/Source/Dispatch/vcEndAcknowledgement.h
@@ -22,7 +22,7 @@
 /// worker: by the last reading of the worker's clock it isn't past its
 /// deadline, or it may reach an incarnation whose clock is behind that.
 bool MayStartTakeEffect(const DispatchWorker& aWorker,
-                        const DispatchTask& aTask,
+                        const RunStart& aStart,
                         TimePoint aNow);
 
 /// True if a start that was ordered on the worker has no known outcome and may
--- a/Source/Dispatch/vcIncarnationFence.cxx
+++ b/Source/Dispatch/vcIncarnationFence.cxx
@@ -1,6 +1,7 @@
 #include "vcIncarnationFence.h"
 
 #include "vcDispatchWorkerSet.h"
+#include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
 
@@ -140,10 +141,10 @@
 
 bool MayRunInUnmetIncarnation(const DispatchShard& aShard,
                               const DispatchWorker& aWorker,
-                              const DispatchTask& aTask,
+                              const RunStart& aStart,
                               TimePoint aNow)
 {
-  return aTask.mIsStartUncertain && aWorker.mUnmetRestartAt != kNever &&
+  return aStart.mIsUncertain && aWorker.mUnmetRestartAt != kNever &&
          aNow < aWorker.mUnmetRestartAt + LongestLateRun(aShard);
 }
 
@@ -153,11 +154,9 @@
 {
   const TimePoint endAt =
     std::max(aWorker.mLateRunsUntil, aWorker.mRestartLeasesUntil);
-  const bool mayRun = std::any_of(
-    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      return MayRunInUnmetIncarnation(
-        aShard, aWorker, *FindTask(aShard, aKey), aNow);
-    });
+  const bool mayRun = AnyStart(aShard, aWorker, [&](const RunStart& aStart) {
+    return MayRunInUnmetIncarnation(aShard, aWorker, aStart, aNow);
+  });
   return mayRun
            ? std::max(endAt, aWorker.mUnmetRestartAt + LongestLateRun(aShard))
            : endAt;
--- a/Source/Dispatch/vcIncarnationFence.h
+++ b/Source/Dispatch/vcIncarnationFence.h
@@ -74,11 +74,11 @@
 /// incarnation of it.
 bool IsHeldBack(const DispatchShard& aShard, const DispatchWorker& aWorker);
 
-/// True if the task's start, which wasn't answered, may have taken effect in an
+/// True if a start that wasn't answered may have taken effect in an
 /// incarnation that is known to be there and that hasn't reported yet.
 bool MayRunInUnmetIncarnation(const DispatchShard& aShard,
                               const DispatchWorker& aWorker,
-                              const DispatchTask& aTask,
+                              const RunStart& aStart,
                               TimePoint aNow);
 
 /// Time by which all runs have ended that calls for an earlier incarnation
--- a/Source/Dispatch/vcLongRunningRoom.cxx
+++ b/Source/Dispatch/vcLongRunningRoom.cxx
@@ -27,12 +27,7 @@
                          const DispatchWorker& aWorker,
                          Resources aUsed)
 {
-  const StepSpec& step = aNeeds.mStep;
-  const auto there = aNeeds.mOnWorker.find(aWorker.mEntry.mWorker);
-  const std::uint32_t own = there == aNeeds.mOnWorker.end() ? 0 : there->second;
-  const std::size_t most = step.mMaxPerWorker == 0    ? step.mCount
-                           : own < step.mMaxPerWorker ? step.mMaxPerWorker - own
-                                                      : 0;
+  const std::size_t most = PlacesOfStep(aNeeds, aWorker);
   std::size_t places = 0;
   for (; places < most; ++places) {
     aUsed += aNeeds.mCounted;
--- a/Source/Dispatch/vcPlacementCost.cxx
+++ b/Source/Dispatch/vcPlacementCost.cxx
@@ -4,6 +4,7 @@
 #include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
 #include "vcRackLocality.h"
+#include "vcWorkerRuns.h"
 
 #include <algorithm>
 
@@ -42,18 +43,12 @@
                    PreferredRackOf(job, aKey),
                    CountedNeeds(StepOf(job, aKey)),
                    {},
-                   {},
                    ProbeStage::kNone,
                    nullptr,
                    false };
   if (needs.mStep.mIsFilling) {
     needs.mBestEffort = BestEffortNeedsOf(needs.mStep);
   }
-  for (const auto& task : StepStateOf(job, aKey).mTasks) {
-    if (!task.mWorker.empty()) {
-      ++needs.mOnWorker[task.mWorker];
-    }
-  }
   return needs;
 }
 
@@ -65,6 +60,7 @@
          !aWorker.mIsUnresponsive && !aWorker.mEntry.mIsDraining &&
          !IsHeldBack(aShard, aWorker) && aNow >= aWorker.mAvoidedUntil &&
          !IsAckOverdue(aWorker, aNow) &&
+         !HasUnknownRun(aShard, aWorker, aNow) &&
          aNow - aWorker.mLastReportAt < kMaxReportAge &&
          !aShard.mEvacuated.contains(aWorker.mEntry.mDataCentre);
 }
@@ -74,6 +70,18 @@
   return aNow < aWorker.mQuarantinedUntil || aNow < aWorker.mReservedUntil;
 }
 
+std::uint32_t PlacesOfStep(const StepNeeds& aNeeds,
+                           const DispatchWorker& aWorker)
+{
+  const std::uint32_t most = aNeeds.mStep.mMaxPerWorker;
+  if (most == 0) {
+    return aNeeds.mStep.mCount;
+  }
+  const StepRuns there = RunsOfStep(aWorker, aNeeds.mFirstTask);
+  const std::uint32_t taken = there.mCurrent + there.mToStop;
+  return most > taken ? most - taken : 0;
+}
+
 bool IsAllowed(const StepNeeds& aNeeds, const DispatchWorker& aWorker)
 {
   const StepSpec& step = aNeeds.mStep;
@@ -84,10 +92,7 @@
       !HasLabel(aWorker.mEntry, step.mRequiredLabel)) {
     return false;
   }
-  const auto found = aNeeds.mOnWorker.find(aWorker.mEntry.mWorker);
-  const std::uint32_t tasksThere =
-    found == aNeeds.mOnWorker.end() ? 0 : found->second;
-  return step.mMaxPerWorker == 0 || tasksThere < step.mMaxPerWorker;
+  return PlacesOfStep(aNeeds, aWorker) > 0;
 }
 
 PlacementCost CostOf(const DispatchShard& aShard,
--- a/Source/Dispatch/vcPlacementCost.h
+++ b/Source/Dispatch/vcPlacementCost.h
@@ -27,8 +27,6 @@
   Resources mCounted;
   /// Set only for a best-effort step.
   BestEffortNeeds mBestEffort;
-  /// Number of the step's tasks on each worker.
-  std::map<std::string, std::uint32_t> mOnWorker;
   /// Other than `kNone` if the task to place is a probe.
   ProbeStage mProbeStage = ProbeStage::kNone;
   /// Rooms that the task must leave to others; null if it may take them.
@@ -52,6 +50,11 @@
 /// or reserved for a task that is suspected of a crash.
 bool IsSetAside(const DispatchWorker& aWorker, TimePoint aNow);
 
+/// Number of further tasks of the step that its maximum allows on the worker,
+/// beside all its runs that are there or may be.
+std::uint32_t PlacesOfStep(const StepNeeds& aNeeds,
+                           const DispatchWorker& aWorker);
+
 /// True if the worker is one of the service and the label and the limit of the
 /// step allow another of its tasks there. Free capacity is not checked.
 bool IsAllowed(const StepNeeds& aNeeds, const DispatchWorker& aWorker);
--- a/Tests/Fleet/vcFleetBounds.cxx
+++ b/Tests/Fleet/vcFleetBounds.cxx
@@ -54,7 +54,8 @@
   for (const auto& key : aWorker.mTasks) {
     const DispatchTask& task = *FindTask(aShard, key);
     const bool isUndecided =
-      task.mIsStartUncertain && !MayStartTakeEffect(aWorker, task, this->mNow);
+      task.mIsStartUncertain &&
+      !MayStartTakeEffect(aWorker, StartOf(task), this->mNow);
     if (isUndecided) {
       this->Watch(fmt::format("{}: run {} of {} on {} is undecided",
                               aNode,
--- a/Tests/Unit/vcWorkerRunsTest.cxx
+++ b/Tests/Unit/vcWorkerRunsTest.cxx
@@ -78,7 +78,7 @@
 // Guards against more tasks of a step on a worker than its maximum: a start
 // beside a run that the worker is told to stop.
 TEST_CASE("no limit is exceeded beside a run to stop that is listed",
-          "[.][red-worker-runs]")
+          "[worker-runs]")
 {
   const Limit limit = GENERATE(from_range(kLimits));
   CAPTURE(limit.mName);
@@ -97,7 +97,7 @@
 // beside a run that the late end of an earlier one has made needless, before
 // the worker lists it.
 TEST_CASE("no limit is exceeded beside a run that a late end supersedes",
-          "[.][red-worker-runs]")
+          "[worker-runs]")
 {
   const Limit limit = GENERATE(from_range(kLimits));
   CAPTURE(limit.mName);
@@ -116,7 +116,7 @@
 // Guards against the same where the superseded run's start has no answer: it
 // may still begin until its deadline on the worker's clock.
 TEST_CASE("no limit is exceeded beside a superseded start without an answer",
-          "[.][red-worker-runs]")
+          "[worker-runs]")
 {
   struct Row
   {
@@ -186,7 +186,7 @@
 // Guards against a room that stays taken for good once the worker that had the
 // superseded run is gone or has restarted.
 TEST_CASE("a superseded run counts no longer once it can't last",
-          "[.][red-worker-runs]")
+          "[worker-runs]")
 {
   struct Row
   {
@@ -225,7 +225,7 @@
 // Guards against the release of a whole gang by the end of an earlier run: its
 // later runs are at work until they are stopped.
 TEST_CASE("the runs of a gang that a late end supersedes count until they end",
-          "[.][red-worker-runs]")
+          "[worker-runs]")
 {
   DispatchFixture fixture({ "w1", "w2" });
   fixture.mShard.mRunBase = 256;
@@ -246,7 +246,7 @@
 }
 
 // Guards against the stop of a superseded run that waits for a report.
-TEST_CASE("a superseded run is stopped at once", "[.][red-worker-runs]")
+TEST_CASE("a superseded run is stopped at once", "[worker-runs]")
 {
   LimitFixture fixture(kLimits[0]);
   fixture.Report("w1", { MakeRunning(3) }, {});
