Dispatch: Log a step's runs on a worker only if it has a maximum

Cause: the three new fields made each task.start line half as long again, and what a node writes costs it time. Change: only starts of steps with a maximum have the fields.

--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -7,6 +7,7 @@
 #include "vcOwnerPacing.h"
 #include "vcWorkerRuns.h"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -42,6 +43,23 @@
   return most > aIsolated ? most - aIsolated : 0;
 }
 
+/// Fields of the log line of a start that name the runs of the step which the
+/// worker has already; empty if the step has no maximum.
+std::string DescribeRunsBeside(const DispatchWorker& aWorker,
+                               const StepSpec& aStep,
+                               const TaskId& aTask)
+{
+  if (aStep.mMaxPerWorker == 0) {
+    return "";
+  }
+  const StepRuns runs =
+    RunsOfStep(aWorker, { aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 });
+  return fmt::format(" step_runs={} step_runs_to_stop={} max_per_worker={}",
+                     runs.mCurrent,
+                     runs.mToStop,
+                     aStep.mMaxPerWorker);
+}
+
 } // namespace
 
 StepWorkers::StepWorkers(DispatchShard& aShard,
@@ -191,8 +209,7 @@
   DispatchTask& task = *FindTask(aShard, aKey);
   const DispatchJob& job = aShard.mJobs.at(aKey.mJob);
   const StepSpec& step = StepOf(job, aKey);
-  const StepRuns beside =
-    RunsOfStep(aWorker, { aKey.mJob, aKey.mOccurrence, aKey.mStep, 0 });
+  const std::string beside = DescribeRunsBeside(aWorker, step, aKey);
   CountStart(aShard, aKey, aWorker, aNow);
   Assign(aShard, aKey, aWorker.mEntry.mWorker, aRun);
   task.mPhase = RunPhase::kStarting;
@@ -216,16 +233,13 @@
     StepStateOf(aShard, aKey).mStarvedSince = aNow;
     RecordBestEffortPlacement(aShard, aWorker, BestEffortNeedsOf(step), aNow);
   }
-  spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={} "
-               "step_runs={} step_runs_to_stop={} max_per_worker={}",
+  spdlog::info("task.start task={} run={} worker={} failures={} waited_ms={}{}",
                Describe(order.mTask),
                aRun,
                aWorker.mEntry.mWorker,
                task.mFailedRuns.size(),
                (aNow - job.mAcceptedAt).count(),
-               beside.mCurrent,
-               beside.mToStop,
-               step.mMaxPerWorker);
+               beside);
   aShard.mStartBudget -=
     StartBytes(order.mText.size() + order.mCheckpoint.size());
   aActions.mStarts.push_back({ aWorker.mEntry.mWorker, std::move(order) });
