Dispatch: Use up no run numbers for gangs that wait for room

After 256 such rounds the numbers are those of the next owner's starts: its starts are refused as old, and the late end of one run passes for that of another. Cause: rooms are reserved by assigning the tasks, and the release didn't restore their run numbers. Change: the members are as before once their workers are chosen. Measured: [worker-runs] "a gang that waits for room uses up no run numbers" failed with run 301 after 300 rounds, passes with run 1.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -126,6 +126,33 @@
   }
 }
 
+/// Chooses workers for the members of a gang, in their order, as many as fit.
+std::vector<std::string> ChooseForGang(DispatchShard& aShard,
+                                       const StepNeeds& aNeeds,
+                                       StepWorkers& aWorkers)
+{
+  std::vector<std::string> chosen;
+  std::vector<DispatchTask> before;
+  TaskId key = aNeeds.mFirstTask;
+  for (; key.mIndex < aNeeds.mStep.mCount; ++key.mIndex) {
+    DispatchWorker* worker = aWorkers.TakeBest({});
+    if (worker == nullptr) {
+      break;
+    }
+    const DispatchTask& task = *FindTask(aShard, key);
+    before.push_back(task);
+    // Reserves the room, so that it counts for the members that follow.
+    Assign(aShard, key, worker->mEntry.mWorker, task.mHighestRun + 1);
+    aWorkers.PutBack(*worker);
+    chosen.push_back(worker->mEntry.mWorker);
+  }
+  for (key.mIndex = 0; key.mIndex < chosen.size(); ++key.mIndex) {
+    Release(aShard, key, RunPhase::kWaiting);
+    *FindTask(aShard, key) = std::move(before[key.mIndex]);
+  }
+  return chosen;
+}
+
 /// Starts all tasks of a gang, or none of them. All get the same run number and
 /// the same checkpoint.
 void StartGang(DispatchShard& aShard,
@@ -154,26 +181,11 @@
   }
   StepWorkers workers(
     aShard, needs, aRound.mUsable[needs.mService], aRound.mNow);
-  std::vector<std::string> chosen;
-  TaskId key = aFirstTask;
-  for (; key.mIndex < needs.mStep.mCount; ++key.mIndex) {
-    DispatchWorker* worker = workers.TakeBest({});
-    if (worker == nullptr) {
-      break;
-    }
-    // Reserves the room, so that it counts for the members that follow.
-    Assign(aShard, key, worker->mEntry.mWorker, run + 1);
-    workers.PutBack(*worker);
-    chosen.push_back(worker->mEntry.mWorker);
-  }
-  for (std::uint32_t i = 0; i < chosen.size(); ++i) {
-    Release(aShard,
-            { aFirstTask.mJob, aFirstTask.mOccurrence, aFirstTask.mStep, i },
-            RunPhase::kWaiting);
-  }
+  const auto chosen = ChooseForGang(aShard, needs, workers);
   if (chosen.size() < needs.mStep.mCount) {
     return;
   }
+  TaskId key = aFirstTask;
   for (std::uint32_t i = 0; i < chosen.size(); ++i) {
     key.mIndex = i;
     FindTask(aShard, key)->mCheckpoint = checkpoint;
--- a/Tests/Unit/vcWorkerRunsTest.cxx
+++ b/Tests/Unit/vcWorkerRunsTest.cxx
@@ -258,4 +258,28 @@
   CHECK(stops[0].mOrder.mRun == 3);
 }
 
+// Guards against run numbers that rise with each round in which a gang finds
+// room for some of its members only, up to those of the next owner.
+TEST_CASE("a gang that waits for room uses up no run numbers", "[worker-runs]")
+{
+  constexpr int kRounds = 300;
+  DispatchFixture fixture({ "w1", "w2" });
+  BatchRecord record = MakeRecord(2);
+  record.mSpec.mSteps[0].mIsGang = true;
+  record.mSpec.mSteps[0].mMaxPerWorker = 1;
+  AddJob(fixture.mShard, kJob, record, 20, fixture.mNow, 0);
+  fixture.Silence("w2");
+  for (int i = 0; i < kRounds; ++i) {
+    fixture.mNow += Duration(10);
+    fixture.Report("w1", {}, {});
+    REQUIRE(fixture.Plan().mStarts.empty());
+  }
+  CHECK(fixture.Worker().mUsed == Resources{});
+  fixture.Report("w2", {}, {});
+  const auto starts = fixture.Plan().mStarts;
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].mOrder.mRun == 1);
+  CHECK(starts[1].mOrder.mRun == 1);
+}
+
 } // namespace verbenacroft
