Dispatch: Release a run only by its own end

Cause: which run had ended was decided by its number alone, and a number could be used again: that of a listed run to stop wasn't noted as used. Change: the worker has to be the same, but for the members of a gang, which end together; the number of each listed run counts as used. Measured: [worker-runs] "the end of a run of the same number elsewhere" and "a start has a higher number" failed, both pass.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -56,12 +56,28 @@
                (aNow - aJob.mAcceptedAt).count());
 }
 
-/// Marks a task as done.
-/// @param aEndedRun the run that has ended so. If it isn't the current one,
-/// that goes on until it is stopped.
+/// A run that has ended as done, and where.
+struct DoneRun
+{
+  std::uint32_t mRun = 0;
+  const DispatchWorker& mWorker;
+};
+
+/// True if the task's current run has ended. The members of a gang end together
+/// on their workers.
+bool IsCurrentRun(const StepSpec& aStep,
+                  const DispatchTask& aTask,
+                  const DoneRun& aEnded)
+{
+  const bool isThere = aTask.mWorker == aEnded.mWorker.mEntry.mWorker;
+  return aTask.mRun == aEnded.mRun && (isThere || aStep.mIsGang);
+}
+
+/// Marks a task as done. If it isn't the current run that has ended so, that
+/// goes on until it is stopped.
 void MarkDone(DispatchShard& aShard,
               const TaskId& aKey,
-              std::uint32_t aEndedRun,
+              const DoneRun& aEnded,
               TimePoint aNow,
               std::int64_t aNowMs)
 {
@@ -73,13 +89,13 @@
   const std::string worker = task->mWorker;
   if (worker.empty()) {
     Release(aShard, aKey, RunPhase::kDone);
-  } else if (task->mRun == aEndedRun) {
+  } else if (IsCurrentRun(StepOf(job, aKey), *task, aEnded)) {
     Release(aShard, aKey, RunPhase::kDone);
     NoteRunEnded(job, aNow);
     NoteRoomLeft(job, aKey, worker);
     CountRunEnd(aShard, aKey, worker, aNow);
   } else {
-    SupersedeRun(aShard, aKey, aEndedRun);
+    SupersedeRun(aShard, aKey, aEnded.mRun);
     NoteRunEnded(job, aNow);
     job.mLastRun = {};
   }
@@ -94,18 +110,18 @@
 /// never be heard.
 void MarkRunDone(DispatchShard& aShard,
                  const TaskId& aKey,
-                 std::uint32_t aEndedRun,
+                 const DoneRun& aEnded,
                  TimePoint aNow,
                  std::int64_t aNowMs)
 {
   const StepSpec& step = StepOf(aShard.mJobs.at(aKey.mJob), aKey);
   if (!step.mIsGang) {
-    MarkDone(aShard, aKey, aEndedRun, aNow, aNowMs);
+    MarkDone(aShard, aKey, aEnded, aNow, aNowMs);
     return;
   }
   TaskId member = aKey;
   for (member.mIndex = 0; member.mIndex < step.mCount; ++member.mIndex) {
-    MarkDone(aShard, member, aEndedRun, aNow, aNowMs);
+    MarkDone(aShard, member, aEnded, aNow, aNowMs);
   }
 }
 
@@ -408,7 +424,7 @@
     if (task->mWorker == aWorker.mEntry.mWorker && task->mRun == aEnd.mRun) {
       LearnRunTime(aShard, job, *task, aNow);
     }
-    MarkRunDone(aShard, key, aEnd.mRun, aNow, aNowMs);
+    MarkRunDone(aShard, key, { aEnd.mRun, aWorker }, aNow, aNowMs);
     return;
   }
   if (aEnd.mRunEnd == RunEnd::kFailed) {
--- a/Source/Dispatch/vcWorkerRuns.cxx
+++ b/Source/Dispatch/vcWorkerRuns.cxx
@@ -218,6 +218,11 @@
                        const RunKey& aRun,
                        TimePoint aNow)
 {
+  DispatchTask* task = FindTask(aShard, aRun.first);
+  if (task != nullptr) {
+    // No later start may have the number of this run.
+    task->mHighestRun = std::max(task->mHighestRun, aRun.second);
+  }
   RunToStop& run = aWorker.mRunsToStop[aRun];
   ConfirmRunToStop(run, aNow);
   if (run.mListedSince == kNever) {
--- a/Tests/Unit/vcWorkerRunsTest.cxx
+++ b/Tests/Unit/vcWorkerRunsTest.cxx
@@ -258,6 +258,37 @@
   CHECK(stops[0].mOrder.mRun == 3);
 }
 
+// Guards against the release of a run by the end of another one that happens to
+// have its number.
+TEST_CASE("the end of a run of the same number elsewhere releases nothing",
+          "[worker-runs]")
+{
+  LimitFixture fixture(kLimits[0]);
+  fixture.Report("w1", { MakeRunning(3) }, {});
+  fixture.ReportLater("w2", {}, { MakeEnd(1, 3, RunEnd::kDone) });
+  REQUIRE(fixture.Job().mOccurrences.at(0).mSteps[0].mDone == 1);
+  const Resources needs = fixture.Job().mRecord.mSpec.mSteps[0].mNeeds;
+  CHECK(fixture.Worker().mUsed == needs);
+}
+
+// Guards against a start with the number of a run that is being stopped.
+TEST_CASE("a start has a higher number than each run that was listed",
+          "[worker-runs]")
+{
+  constexpr std::uint32_t kListed = 260;
+  LimitFixture fixture(kLimits[1]);
+  fixture.Report("w2", { MakeRunning(257) }, {});
+  fixture.ReportLater("w1", { MakeRunning(kListed) }, {});
+  fixture.ReportLater("w2", {}, { MakeEnd(1, 257, RunEnd::kStopped) });
+  const auto starts = fixture.Plan().mStarts;
+  const auto first =
+    std::find_if(starts.begin(), starts.end(), [](const auto& aStart) {
+      return aStart.mOrder.mTask.mIndex == 0;
+    });
+  REQUIRE(first != starts.end());
+  CHECK(first->mOrder.mRun > kListed);
+}
+
 // Guards against run numbers that rise with each round in which a gang finds
 // room for some of its members only, up to those of the next owner.
 TEST_CASE("a gang that waits for room uses up no run numbers", "[worker-runs]")
