Dispatch: Keep a draining worker while a superseded start may begin

Cause: whether a worker is vacated was asked of its tasks' current runs only. The reply of a later incarnation to such a start was ignored too once its stop had been answered. Change: both ask the account of the worker's runs.

A row of "a draining worker is recorded until starts there are too late" expected the opposite: a start in flight of a task that is done elsewhere was over at its deadline on the worker's clock. The next incarnation's clock starts anew, so it doesn't refuse the start as late; the rows before it say so of a start whose task isn't done, and a run of a task that is done is a run too many as well. The row now expects what those do, and a new one that the worker is vacated once the start can't take effect any more. Measured: [worker-runs] "a draining worker isn't vacated beside a superseded start" failed, passes. The reply of a later incarnation has no test of its own.

--- a/Source/Dispatch/vcDispatchWorkerSet.cxx
+++ b/Source/Dispatch/vcDispatchWorkerSet.cxx
@@ -31,15 +31,14 @@
 }
 
 /// True if nothing runs on the worker and no start that was ordered so far can
-/// begin there. The last report decides, not the list of tasks alone: a task
-/// may be taken off that list, because it is done elsewhere, while its start is
-/// on its way. A worker that has reported refuses earlier owners, and its ends
+/// begin there. A worker that has reported refuses earlier owners, and its ends
 /// are in the store. Silence afterwards changes nothing. A new incarnation's
 /// clock is behind the deadlines of starts that may still reach it.
 bool IsVacated(const DispatchWorker& aWorker)
 {
   return !IsFencePending(aWorker) && aWorker.mIsReportedIdle &&
-         aWorker.mTasks.empty() && aWorker.mClock > aWorker.mStartsUntil &&
+         aWorker.mTasks.empty() && aWorker.mRunsToStop.empty() &&
+         aWorker.mClock > aWorker.mStartsUntil &&
          aWorker.mAckIndex >= aWorker.mSeenIndex;
 }
 
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -116,15 +116,17 @@
   RunToStop* run = aWorker == nullptr ? nullptr : FindRunToStop(*aWorker, key);
   const bool isUnanswered = aReply.mOutcome == OrderOutcome::kBroken ||
                             aReply.mOutcome == OrderOutcome::kUnknown;
-  if (run == nullptr || !run->mStart.mIsUncertain || isUnanswered) {
+  if (run == nullptr || isUnanswered) {
     return;
   }
-  if (aReply.mOutcome != OrderOutcome::kDone) {
-    RemoveRunToStop(aShard, *aWorker, key);
-  } else if (IsFromLaterIncarnation(*aWorker, run->mStart, aReply)) {
+  const bool isDone = aReply.mOutcome == OrderOutcome::kDone;
+  if (isDone && IsFromLaterIncarnation(*aWorker, run->mStart, aReply)) {
+    run->mStart.mIsUncertain = true;
     OnUnmetRestart(aShard, *aWorker, aNow);
-  } else {
+  } else if (isDone) {
     ConfirmRunToStop(*run, aNow);
+  } else if (run->mStart.mIsUncertain) {
+    RemoveRunToStop(aShard, *aWorker, key);
   }
 }
 
--- a/Tests/Unit/vcDispatchTakeoverTest.cxx
+++ b/Tests/Unit/vcDispatchTakeoverTest.cxx
@@ -230,6 +230,13 @@
         aShard.Report("w2", {}, { MakeEnd(1, 1, RunEnd::kDone) });
         aShard.AnswerLater();
       },
+      true },
+    { "the same, which can't take effect any more",
+      [](DispatchFixture& aShard, const StartOrder&) {
+        aShard.Report("w2", {}, { MakeEnd(1, 1, RunEnd::kDone) });
+        aShard.mNow += Duration(8'501);
+        aShard.Report("w1", {}, {});
+      },
       false },
     { "a start that may reach a new incarnation, whose clock is behind",
       [](DispatchFixture& aShard, const StartOrder& aStart) {
--- a/Tests/Unit/vcWorkerRunsTest.cxx
+++ b/Tests/Unit/vcWorkerRunsTest.cxx
@@ -313,4 +313,34 @@
   CHECK(starts[1].mOrder.mRun == 1);
 }
 
+// Guards against a worker that leaves the record while the start of a
+// superseded run may still reach its next incarnation.
+TEST_CASE("a draining worker isn't vacated beside a superseded start",
+          "[worker-runs]")
+{
+  const bool isPast = GENERATE(false, true);
+  CAPTURE(isPast);
+  DispatchFixture fixture({ "w1", "w2" });
+  fixture.mShard.mRunBase = 256;
+  fixture.Silence("w2");
+  fixture.Add(1);
+  const auto starts = fixture.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  const OrderReply unknown{ OrderOutcome::kUnknown, 0 };
+  OnStartReply(fixture.mShard, "w1", starts[0].mOrder, unknown, fixture.mNow);
+  WorkerEntry leaving = MakeEntry("w1");
+  leaving.mIsDraining = true;
+  leaving.mLeavesInMs = 60'000;
+  OnDiscovery(fixture.mShard, { leaving, MakeEntry("w2") }, fixture.mNow);
+  fixture.Report("w2", {}, { MakeEnd(1, 2, RunEnd::kDone) });
+  REQUIRE(fixture.Job().mState == BatchState::kCompleted);
+  fixture.mNow += Duration(2'000);
+  fixture.Report("w1", {}, {});
+  CHECK(MustBeRecorded(fixture.mShard, fixture.Worker(), fixture.mNow));
+  fixture.mNow += isPast ? kLateCallTime : Duration(100);
+  fixture.Report("w1", {}, {});
+  CHECK(MustBeRecorded(fixture.mShard, fixture.Worker(), fixture.mNow) !=
+        isPast);
+}
+
 } // namespace verbenacroft
