--- a/Tests/Unit/vcWorkerRunsTest.cxx
+++ b/Tests/Unit/vcWorkerRunsTest.cxx
@@ -258,4 +258,89 @@
   CHECK(stops[0].mOrder.mRun == 3);
 }
 
+// Guards against the release of a run by the end of another one that happens to
+// have its number.
+TEST_CASE("the end of a run of the same number elsewhere releases nothing",
+          "[worker-runs]")
+{
+  LimitFixture fixture(kLimits[0]);
+  fixture.Report("w1", { MakeRunning(3) }, {});
+  fixture.ReportLater("w2", {}, { MakeEnd(1, 3, RunEnd::kDone) });
+  REQUIRE(fixture.Job().mOccurrences.at(0).mSteps[0].mDone == 1);
+  const Resources needs = fixture.Job().mRecord.mSpec.mSteps[0].mNeeds;
+  CHECK(fixture.Worker().mUsed == needs);
+}
+
+// Guards against a start with the number of a run that is being stopped.
+TEST_CASE("a start has a higher number than each run that was listed",
+          "[worker-runs]")
+{
+  constexpr std::uint32_t kListed = 260;
+  LimitFixture fixture(kLimits[1]);
+  fixture.Report("w2", { MakeRunning(257) }, {});
+  fixture.ReportLater("w1", { MakeRunning(kListed) }, {});
+  fixture.ReportLater("w2", {}, { MakeEnd(1, 257, RunEnd::kStopped) });
+  const auto starts = fixture.Plan().mStarts;
+  const auto first =
+    std::find_if(starts.begin(), starts.end(), [](const auto& aStart) {
+      return aStart.mOrder.mTask.mIndex == 0;
+    });
+  REQUIRE(first != starts.end());
+  CHECK(first->mOrder.mRun > kListed);
+}
+
+// Guards against run numbers that rise with each round in which a gang finds
+// room for some of its members only, up to those of the next owner.
+TEST_CASE("a gang that waits for room uses up no run numbers", "[worker-runs]")
+{
+  constexpr int kRounds = 300;
+  DispatchFixture fixture({ "w1", "w2" });
+  BatchRecord record = MakeRecord(2);
+  record.mSpec.mSteps[0].mIsGang = true;
+  record.mSpec.mSteps[0].mMaxPerWorker = 1;
+  AddJob(fixture.mShard, kJob, record, 20, fixture.mNow, 0);
+  fixture.Silence("w2");
+  for (int i = 0; i < kRounds; ++i) {
+    fixture.mNow += Duration(10);
+    fixture.Report("w1", {}, {});
+    REQUIRE(fixture.Plan().mStarts.empty());
+  }
+  CHECK(fixture.Worker().mUsed == Resources{});
+  fixture.Report("w2", {}, {});
+  const auto starts = fixture.Plan().mStarts;
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].mOrder.mRun == 1);
+  CHECK(starts[1].mOrder.mRun == 1);
+}
+
+// Guards against a worker that leaves the record while the start of a
+// superseded run may still reach its next incarnation.
+TEST_CASE("a draining worker isn't vacated beside a superseded start",
+          "[worker-runs]")
+{
+  const bool isPast = GENERATE(false, true);
+  CAPTURE(isPast);
+  DispatchFixture fixture({ "w1", "w2" });
+  fixture.mShard.mRunBase = 256;
+  fixture.Silence("w2");
+  fixture.Add(1);
+  const auto starts = fixture.Plan().mStarts;
+  REQUIRE(starts.size() == 1);
+  const OrderReply unknown{ OrderOutcome::kUnknown, 0 };
+  OnStartReply(fixture.mShard, "w1", starts[0].mOrder, unknown, fixture.mNow);
+  WorkerEntry leaving = MakeEntry("w1");
+  leaving.mIsDraining = true;
+  leaving.mLeavesInMs = 60'000;
+  OnDiscovery(fixture.mShard, { leaving, MakeEntry("w2") }, fixture.mNow);
+  fixture.Report("w2", {}, { MakeEnd(1, 2, RunEnd::kDone) });
+  REQUIRE(fixture.Job().mState == BatchState::kCompleted);
+  fixture.mNow += Duration(2'000);
+  fixture.Report("w1", {}, {});
+  CHECK(MustBeRecorded(fixture.mShard, fixture.Worker(), fixture.mNow));
+  fixture.mNow += isPast ? kLateCallTime : Duration(100);
+  fixture.Report("w1", {}, {});
+  CHECK(MustBeRecorded(fixture.mShard, fixture.Worker(), fixture.mNow) !=
+        isPast);
+}
+
 } // namespace verbenacroft
