Dispatch: Log a step's runs on a worker only if there are any

Change: task.start names the step's maximum and its runs on the worker only if there are some beside the new one. No line says that there are none.

--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -44,7 +44,7 @@
 }
 
 /// Fields of the log line of a start that name the runs of the step which the
-/// worker has already; empty if the step has no maximum.
+/// worker has already; empty if there are none or the step has no maximum.
 std::string DescribeRunsBeside(const DispatchWorker& aWorker,
                                const StepSpec& aStep,
                                const TaskId& aTask)
@@ -54,6 +54,9 @@
   }
   const StepRuns runs =
     RunsOfStep(aWorker, { aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 });
+  if (runs.mCurrent + runs.mToStop == 0) {
+    return "";
+  }
   return fmt::format(" step_runs={} step_runs_to_stop={} max_per_worker={}",
                      runs.mCurrent,
                      runs.mToStop,
