Dispatch: Ask in one place whether a run is its task's current one

Change: IsCurrentRun serves all four; that of an end that stands for a gang is HasCurrentRunEnded. Behaviour is the same.

--- a/Source/Dispatch/vcDispatchJobs.cxx
+++ b/Source/Dispatch/vcDispatchJobs.cxx
@@ -56,6 +56,14 @@
                (aNow - aJob.mAcceptedAt).count());
 }
 
+/// True if the run is the task's current one, on this worker.
+bool IsCurrentRun(const DispatchTask& aTask,
+                  const DispatchWorker& aWorker,
+                  std::uint32_t aRun)
+{
+  return aTask.mWorker == aWorker.mEntry.mWorker && aTask.mRun == aRun;
+}
+
 /// A run that has ended as done, and where.
 struct DoneRun
 {
@@ -65,12 +73,12 @@
 
 /// True if the task's current run has ended. The members of a gang end together
 /// on their workers.
-bool IsCurrentRun(const StepSpec& aStep,
-                  const DispatchTask& aTask,
-                  const DoneRun& aEnded)
+bool HasCurrentRunEnded(const StepSpec& aStep,
+                        const DispatchTask& aTask,
+                        const DoneRun& aEnded)
 {
-  const bool isThere = aTask.mWorker == aEnded.mWorker.mEntry.mWorker;
-  return aTask.mRun == aEnded.mRun && (isThere || aStep.mIsGang);
+  return aStep.mIsGang ? aTask.mRun == aEnded.mRun
+                       : IsCurrentRun(aTask, aEnded.mWorker, aEnded.mRun);
 }
 
 /// Marks a task as done. If it isn't the current run that has ended so, that
@@ -89,7 +97,7 @@
   const std::string worker = task->mWorker;
   if (worker.empty()) {
     Release(aShard, aKey, RunPhase::kDone);
-  } else if (IsCurrentRun(StepOf(job, aKey), *task, aEnded)) {
+  } else if (HasCurrentRunEnded(StepOf(job, aKey), *task, aEnded)) {
     Release(aShard, aKey, RunPhase::kDone);
     NoteRunEnded(job, aNow);
     NoteRoomLeft(job, aKey, worker);
@@ -224,8 +232,7 @@
   if (!RecordFailedRun(step, task, aRun)) {
     return;
   }
-  const bool isCurrent =
-    task.mWorker == aWorker.mEntry.mWorker && task.mRun == aRun;
+  const bool isCurrent = IsCurrentRun(task, aWorker, aRun);
   // Long-running tasks may fail at any time, also on a sound worker.
   const bool wasAtWork =
     step.mIsLasting && isCurrent && task.mProgressPercent >= kAtWorkPercent;
@@ -421,7 +428,7 @@
   job.mIsDirty = job.mIsDirty || !job.mIsFinalStored;
   if (aEnd.mRunEnd == RunEnd::kDone && !isLongRunning) {
     aWorker.mFailedJobs.clear();
-    if (task->mWorker == aWorker.mEntry.mWorker && task->mRun == aEnd.mRun) {
+    if (IsCurrentRun(*task, aWorker, aEnd.mRun)) {
       LearnRunTime(aShard, job, *task, aNow);
     }
     MarkRunDone(aShard, key, { aEnd.mRun, aWorker }, aNow, aNowMs);
@@ -431,8 +438,7 @@
     OnFailedRun(aShard, aWorker, key, aEnd.mRun, aNow, aNowMs);
   }
   task->mEndedRun = std::max(task->mEndedRun, aEnd.mRun);
-  const bool isCurrent =
-    task->mWorker == aWorker.mEntry.mWorker && aEnd.mRun == task->mRun;
+  const bool isCurrent = IsCurrentRun(*task, aWorker, aEnd.mRun);
   const bool isLatest = aEnd.mRun >= task->mRun;
   task->mHighestRun = std::max(task->mHighestRun, aEnd.mRun);
   if (isLatest && !aEnd.mCheckpoint.empty() &&
