Dispatch: Log the workers that suspects close, and successors

No line said how many workers are closed so, which worker another one succeeds at its address, or why a crash counts as one of many.

The reason isolated, the fields suspects, isolated_workers and reserved_for_suspects of shard.load, isolated of shard.long-running-room, succeeds of worker.found, the address of a worker that is met as another incarnation, and together and compared of worker.crashed say so. No decision changes.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -165,26 +165,27 @@
   return wasUpBefore && aNow - aWorker.mLastReportAt > kOverdue;
 }
 
-/// True if many workers crashed together with this one, which crashed by
-/// `aCrashedBy`.
-bool HasOutsideCause(const DispatchShard& aShard,
-                     const DispatchWorker& aWorker,
-                     TimePoint aCrashedBy,
-                     TimePoint aNow)
+/// Sets whether many workers crashed together with this one.
+void CompareWithOthers(const DispatchShard& aShard,
+                       const DispatchWorker& aWorker,
+                       TimePoint aNow,
+                       CrashSuspects& aSuspects)
 {
   if (aWorker.mWasLostTogether) {
-    return true;
+    aSuspects.mHasOutsideCause = true;
+    return;
   }
   const auto others = std::count_if(
     aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
       return &aRow.second != &aWorker &&
-             MayHaveCrashedAt(aRow.second, aCrashedBy, aNow);
+             MayHaveCrashedAt(aRow.second, aSuspects.mCrashedBy, aNow);
     });
-  const std::ptrdiff_t together = others + 1;
+  aSuspects.mTogether = static_cast<std::size_t>(others) + 1;
+  aSuspects.mCompared = aShard.mWorkers.size();
   const double part =
-    kMinPartTogether * static_cast<double>(aShard.mWorkers.size());
-  return together >= static_cast<std::ptrdiff_t>(kMinTogether) &&
-         static_cast<double>(together) >= part;
+    kMinPartTogether * static_cast<double>(aSuspects.mCompared);
+  aSuspects.mHasOutsideCause = aSuspects.mTogether >= kMinTogether &&
+                               static_cast<double>(aSuspects.mTogether) >= part;
 }
 
 /// Latest possible time of a crash of the worker.
@@ -221,8 +222,7 @@
       return !aRun.mIsSeenAtWork;
     }));
   suspects.mCrashedBy = CrashedBy(aWorker, aEvidence, aNow);
-  suspects.mHasOutsideCause =
-    HasOutsideCause(aShard, aWorker, suspects.mCrashedBy, aNow);
+  CompareWithOthers(aShard, aWorker, aNow, suspects);
   if (suspects.mHasOutsideCause) {
     std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
       return aRun.mIsSeenAtWork || !aRun.mHasBegun ||
@@ -390,11 +390,15 @@
   aWorker.mWasLostTogether = false;
   ++aShard.mSilenceVersion;
   spdlog::warn("worker.crashed worker={} tasks={} suspects={} outside_cause={} "
+               "together={} compared={} last_report_ms_ago={} "
                "at_least_ms_ago={}",
                aWorker.mEntry.mWorker,
                suspects.mAll,
                suspects.mRuns.size(),
                suspects.mHasOutsideCause,
+               suspects.mTogether,
+               suspects.mCompared,
+               (aNow - aWorker.mLastReportAt).count(),
                (aNow - suspects.mCrashedBy).count());
   for (const auto& run : suspects.mRuns) {
     CountCrash(aShard, run, RanFor(suspects, run), aNow);
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -34,6 +34,11 @@
   /// work.
   std::size_t mAll = 0;
   std::size_t mUnseen = 0;
+  /// Number of workers that crashed or fell silent together with this one, it
+  /// included, and of all workers that they are compared with. Both are 0 if an
+  /// owner before has compared them.
+  std::size_t mTogether = 0;
+  std::size_t mCompared = 0;
   /// Many workers crashed or fell silent together with this one.
   bool mHasOutsideCause = false;
   /// Latest possible time of the crash.
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -1,5 +1,6 @@
 #include "vcDispatchPlacement.h"
 
+#include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
 #include "vcDispatchOccurrences.h"
 #include "vcDispatchReservations.h"
@@ -490,9 +491,13 @@
   if (aNow < FindTask(aShard, aKey)->mAwaitsRackUntil) {
     return WaitReason::kAwaitsRack;
   }
+  const std::set<std::string> isolated = IsolatedWorkers(aShard);
   WaitReason nearest = WaitReason::kNotAllowed;
   for (const auto& [name, worker] : aShard.mWorkers) {
-    nearest = std::max(nearest, RefusalOf(aShard, needs, worker, aNow));
+    const WaitReason reason = RefusalOf(aShard, needs, worker, aNow);
+    const bool hasRoom = reason >= WaitReason::kSetAside;
+    const bool isIsolated = hasRoom && isolated.contains(name);
+    nearest = std::max(nearest, isIsolated ? WaitReason::kIsolated : reason);
   }
   return nearest;
 }
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -68,9 +68,12 @@
   const std::set<TaskId> tasks = aWorker.mTasks;
   // Another incarnation at the address is met with each renewal.
   if (!aWorker.mIsReplaced) {
-    spdlog::info("worker.new-incarnation worker={} lost={}",
+    spdlog::info("worker.new-incarnation worker={} address={} lost={} "
+                 "under_another_id={}",
                  aWorker.mEntry.mWorker,
-                 tasks.size());
+                 aWorker.mEntry.mAddress,
+                 tasks.size(),
+                 aReport.mOutcome == OrderOutcome::kOtherIncarnation);
     OnWorkerCrashed(aShard, aWorker, aReport, aNow, aNowMs);
   }
   aWorker.mSeenIndex = 0;
--- a/Source/Dispatch/vcDispatchWaiting.h
+++ b/Source/Dispatch/vcDispatchWaiting.h
@@ -56,6 +56,9 @@
   /// A worker has room, but it is in quarantine, or reserved for a task that is
   /// suspected of a crash.
   kSetAside,
+  /// A worker has room, but runs a task that is suspected of a crash and hasn't
+  /// been seen at work for long enough; see `IsolatedWorkers`.
+  kIsolated,
   /// A worker has room for one task, but the tasks of a gang start together.
   kGang,
   /// A worker has room, but the last round of starts didn't start the task.
@@ -83,6 +86,7 @@
     { WaitReason::kBestEffortPaused, "best-effort-paused" },
     { WaitReason::kBestEffortDisturbs, "best-effort-disturbs" },
     { WaitReason::kSetAside, "set-aside" },
+    { WaitReason::kIsolated, "isolated" },
     { WaitReason::kGang, "gang" },
     { WaitReason::kPassedOver, "passed-over" },
   });
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -240,6 +240,19 @@
          !StepOf(aShard.mJobs.at(aKey.mJob), aKey).mIsLasting;
 }
 
+/// Name of another worker of the shard that had the address of this one; empty
+/// if there is none.
+std::string PredecessorOf(const DispatchShard& aShard,
+                          const WorkerEntry& aEntry)
+{
+  const auto found = std::find_if(
+    aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
+      return aRow.first != aEntry.mWorker &&
+             aRow.second.mEntry.mAddress == aEntry.mAddress;
+    });
+  return found == aShard.mWorkers.end() ? std::string() : found->first;
+}
+
 /// Gives up the runs on an unresponsive worker whose lease is over.
 void ReleaseLostRuns(DispatchShard& aShard,
                      DispatchWorker& aWorker,
@@ -294,10 +307,12 @@
       worker.mIsTokenUnused = false;
       worker.mLastReportAt = aNow;
       worker.mSilentSince = aNow;
-      spdlog::info("worker.found worker={} data_centre={} address={}",
+      spdlog::info("worker.found worker={} data_centre={} address={} "
+                   "succeeds={}",
                    entry.mWorker,
                    entry.mDataCentre,
-                   entry.mAddress);
+                   entry.mAddress,
+                   PredecessorOf(aShard, entry));
     } else if (entry.mIsDraining && !worker.mEntry.mIsDraining) {
       spdlog::info("worker.draining worker={} leaves_in_ms={}",
                    entry.mWorker,
--- a/Source/Dispatch/vcLongRunningRoom.cxx
+++ b/Source/Dispatch/vcLongRunningRoom.cxx
@@ -1,5 +1,6 @@
 #include "vcLongRunningRoom.h"
 
+#include "vcDispatchCrashes.h"
 #include "vcPlacementCost.h"
 
 #include <algorithm>
@@ -47,6 +48,7 @@
   const StepNeeds needs = NeedsOf(aShard, aTask);
   LongRunningRoom room;
   room.mNeeds = needs.mStep.mNeeds;
+  const std::set<std::string> isolated = IsolatedWorkers(aShard);
   for (const auto& [name, worker] : aShard.mWorkers) {
     if (aNow < worker.mRoom.mUntil && worker.mRoom.mIsLongRunning) {
       ++room.mReservedInAll;
@@ -60,6 +62,7 @@
     const std::size_t places = PlacesBeside(needs, worker, worker.mUsed);
     room.mPlaces += places;
     room.mSetAside += IsSetAside(worker, aNow) ? places : 0;
+    room.mIsolated += isolated.contains(name) ? places : 0;
     room.mWithoutBestEffort +=
       PlacesBeside(needs, worker, worker.mUsed - bestEffort);
     room.mBesideLongRunning += PlacesBeside(needs, worker, worker.mLongRunning);
--- a/Source/Dispatch/vcLongRunningRoom.h
+++ b/Source/Dispatch/vcLongRunningRoom.h
@@ -19,6 +19,8 @@
   /// The part of `mPlaces` on workers that are set aside: in quarantine, or
   /// reserved for a task that is suspected of a crash.
   std::size_t mSetAside = 0;
+  /// The part of `mPlaces` on workers that are isolated for such a task.
+  std::size_t mIsolated = 0;
   /// Places if no best-effort task used memory.
   std::size_t mWithoutBestEffort = 0;
   /// Places beside long-running tasks alone.
--- a/Source/Node/vcShardLog.cxx
+++ b/Source/Node/vcShardLog.cxx
@@ -126,6 +126,8 @@
   std::size_t noBestEffort = 0;
   std::int64_t freeBestEffort = 0;
   double servingUsage = 0;
+  std::size_t reserved = 0;
+  const TimePoint now = SuspendAwareNow();
   for (const auto& [name, worker] : aShard.mWorkers) {
     capacity += worker.mEntry.mCapacity.mMilliCpu;
     used += worker.mUsed.mMilliCpu;
@@ -139,13 +141,15 @@
     unresponsive += worker.mIsUnresponsive ? 1 : 0;
     freeBestEffort += std::max<std::int64_t>(FreeBestEffortCpu(worker), 0);
     servingUsage += worker.mServingCpuUsage.mCurrentCpu;
-    noBestEffort += worker.mNoBestEffortUntil > SuspendAwareNow() ? 1 : 0;
+    noBestEffort += worker.mNoBestEffortUntil > now ? 1 : 0;
+    reserved += worker.mReservedUntil > now ? 1 : 0;
   }
   spdlog::info(
     "shard.load shard={} workers={} unresponsive={} capacity_mcpu={} "
     "used_mcpu={} best_effort_mcpu={} free_best_effort_mcpu={} "
     "serving_use_mcpu={:.0f} runs={} serving={} "
-    "serving_workers={} mixed_workers={} no_best_effort_workers={} jobs={}",
+    "serving_workers={} mixed_workers={} no_best_effort_workers={} jobs={} "
+    "suspects={} isolated_workers={} reserved_for_suspects={}",
     aNumber,
     aShard.mWorkers.size(),
     unresponsive,
@@ -159,7 +163,10 @@
     servingWorkers,
     mixedWorkers,
     noBestEffort,
-    aShard.mJobs.size());
+    aShard.mJobs.size(),
+    aShard.mSuspects.size(),
+    IsolatedWorkers(aShard).size(),
+    reserved);
   for (const auto& [image, profile] : aShard.mServingProfiles) {
     spdlog::debug("shard.image shard={} image={} min_latency_ratio={:.3f} "
                   "mean_load={:.2f} high_load={:.2f} mean_added={:.2f}",
@@ -261,7 +268,7 @@
   }
   const LongRunningRoom& room = *aWait.mRoom;
   spdlog::info("shard.long-running-room shard={} example={} need_mcpu={} "
-               "need_mb={} workers={} places={} set_aside={} "
+               "need_mb={} workers={} places={} set_aside={} isolated={} "
                "without_best_effort={} beside_long_running={} reserved={} "
                "reserved_in_all={} start_budget={:.0f} nearest={} free_mcpu={} "
                "free_mb={} long_running_mcpu={} best_effort_mb={}",
@@ -272,6 +279,7 @@
                room.mWorkers,
                room.mPlaces,
                room.mSetAside,
+               room.mIsolated,
                room.mWithoutBestEffort,
                room.mBesideLongRunning,
                room.mReserved,
