Tests: Reproduce long-running tasks that wait beside closed workers

The play fills 60 workers with long-running tasks; six to eight of them are lost at one moment and come back under new ids, seven others leave. The tests check what is suspected when workers that crash together are noticed apart, have left the set, or are compared with their successors, and how many workers the suspects close.

--- a/Tests/Fleet/vcFleet.cxx
+++ b/Tests/Fleet/vcFleet.cxx
@@ -240,6 +240,8 @@
     this->ScheduleDeadlyTasks();
   } else if (this->mOptions.mPlay == FleetPlay::kLateSubmissions) {
     this->ScheduleLateSubmissions();
+  } else if (this->HasScarceRoom()) {
+    this->ScheduleRackLoss();
   } else if (this->HasLateEnds()) {
     this->ScheduleLateEnds();
   } else {
--- a/Tests/Fleet/vcFleet.h
+++ b/Tests/Fleet/vcFleet.h
@@ -88,6 +88,11 @@
   /// The store does submissions seconds late and doesn't answer them. Their
   /// callers cancel these jobs at any node, and some send them again.
   kLateSubmissions,
+  /// Long-running tasks take most of the workers' processors. A rack of workers
+  /// is lost at one moment and comes back under new ids, and later some workers
+  /// leave. In some seeds an owner is killed beside the loss. No
+  /// long-running task is without a run for long beside room for it.
+  kRackLostAndBack,
 };
 
 template<>
@@ -112,6 +117,7 @@
     { FleetPlay::kTeams, "teams" },
     { FleetPlay::kLateEnds, "late-ends" },
     { FleetPlay::kLateSubmissions, "late-submissions" },
+    { FleetPlay::kRackLostAndBack, "rack-lost-and-back" },
   });
 };
 
--- a/Tests/Fleet/vcFleetDeadlyTasks.cxx
+++ b/Tests/Fleet/vcFleetDeadlyTasks.cxx
@@ -76,9 +76,16 @@
   MemoryWorker& worker = this->mWorkers.mWorkers.at(aName);
   worker.mCutFrom.erase("*");
   worker.mIsGone = false;
-  if (this->Toss(50)) {
-    return;
+  if (!this->Toss(50)) {
+    this->ReplaceWorker(aName);
   }
+}
+
+void Fleet::ReplaceWorker(const std::string& aName)
+{
+  MemoryWorker& worker = this->mWorkers.mWorkers.at(aName);
+  worker.mCutFrom.erase("*");
+  worker.mIsGone = false;
   worker.mIsReplaced = true;
   this->RemoveEntry(aName);
   ++this->mReplacements;
--- a/Tests/Fleet/vcFleetHandOvers.cxx
+++ b/Tests/Fleet/vcFleetHandOvers.cxx
@@ -32,6 +32,7 @@
 /// After a loss the nodes have 4 s to catch up and 4 s of calm. A task that
 /// could run from then on doesn't wait for 3 s.
 constexpr Duration kRunsAgainAfterLoss{ 11'000 };
+constexpr Duration kLongestBesideRoom{ 3'000 };
 /// Time for which the tasks are watched after the last hand-over.
 constexpr Duration kWatchedAfter{ 14'000 };
 
@@ -111,6 +112,17 @@
   this->mCalmAt = at + kWatchedAfter;
 }
 
+TimePoint Fleet::RoomDueAt(const TaskId& aTask, const TaskPlan& aPlan)
+{
+  auto& since = this->mRoomSince.try_emplace(aTask, this->mNow).first->second;
+  const bool waits = this->mWorkers.mRunning[aTask].empty();
+  if (!waits || !this->HasRoomFor(aPlan)) {
+    since = this->mNow;
+  }
+  return std::max(since + kLongestBesideRoom,
+                  this->mRackLostAt + kLongestWithoutRun);
+}
+
 void Fleet::WatchLasting()
 {
   if (this->mLossAt == kNever) {
@@ -127,13 +139,17 @@
     if (!this->mWorkers.mRunning[task].empty()) {
       lastRanAt = this->mNow;
     }
-    const TimePoint due = std::max(lastRanAt + kLongestWithoutRun,
-                                   this->mLossAt + kRunsAgainAfterLoss);
+    const TimePoint runDueAt = this->HasScarceRoom()
+                                 ? this->RoomDueAt(task, plan)
+                                 : lastRanAt + kLongestWithoutRun;
+    const TimePoint due =
+      std::max(runDueAt, this->mLossAt + kRunsAgainAfterLoss);
     if (this->mNow > due && this->mMissedTasks.insert(task).second) {
+      const TimePoint lossAt = std::max(this->mLossAt, this->mRackLostAt);
       this->Problem(fmt::format("{} hasn't run for {} ms, {} ms after a loss",
                                 Describe(task),
                                 (this->mNow - lastRanAt).count(),
-                                (this->mNow - this->mLossAt).count()));
+                                (this->mNow - lossAt).count()));
     }
   }
 }
--- a/Tests/Fleet/vcFleetJobs.cxx
+++ b/Tests/Fleet/vcFleetJobs.cxx
@@ -15,6 +15,9 @@
 /// Part of the jobs that last until they are cancelled, in percent, while jobs
 /// come one at a time. They stay, so there are fewer of them among many jobs.
 constexpr int kLastingPercent = 10;
+/// Part of the jobs, in percent, that come while long-running tasks fill the
+/// workers.
+constexpr int kJobsBesideFullPercent = 2;
 /// Callers wait 3 s.
 constexpr Duration kLongestAnswer{ 2'900 };
 
@@ -25,13 +28,16 @@
   if (this->HasLateEnds()) {
     return this->DrawLimitedJob(aId);
   }
+  if (this->HasScarceRoom() && this->NeedsLargeTasks()) {
+    return this->DrawLargeJob(aId);
+  }
   BatchSpec spec;
   const int atOnce = HasManyLastingJobs(this->mOptions.mPlay)
                        ? 1
                        : static_cast<int>(this->mOptions.mJobsAtOnce);
   const bool isDrawn = this->Toss(std::max(1, kLastingPercent / atOnce));
-  // Jobs that last would use up a quota for good.
-  const bool isLasting = isDrawn && !this->HasTeams();
+  // Jobs that last would use up a quota or scarce room for good.
+  const bool isLasting = isDrawn && !this->HasTeams() && !this->HasScarceRoom();
   const int steps = isLasting ? 1 : this->Draw(1, 2);
   for (int s = 0; s < steps; ++s) {
     StepSpec step;
@@ -46,8 +52,10 @@
     spec.mSteps.push_back(step);
     for (std::uint32_t i = 0; i < step.mCount; ++i) {
       const TaskId task{ aId, 0, static_cast<std::uint32_t>(s), i };
-      this->mWorkers.mPlans[task] = { Duration(this->Draw(100, 2'500)),
-                                      isLasting };
+      TaskPlan& plan = this->mWorkers.mPlans[task];
+      plan.mWork = Duration(this->Draw(100, 2'500));
+      plan.mIsLasting = isLasting;
+      plan.mMilliCpu = step.mNeeds.mMilliCpu;
     }
   }
   return spec;
@@ -99,8 +107,12 @@
 
 void Fleet::SubmitJobs()
 {
+  // Beside long-running tasks that fill the workers there is little other work.
+  const bool isFull = this->HasScarceRoom() && !this->NeedsLargeTasks();
   for (std::uint32_t i = 0; i < this->mOptions.mJobsAtOnce; ++i) {
-    this->SubmitJob();
+    if (!isFull || this->Toss(kJobsBesideFullPercent)) {
+      this->SubmitJob();
+    }
   }
 }
 
--- a/Tests/Fleet/vcFleetMain.cxx
+++ b/Tests/Fleet/vcFleetMain.cxx
@@ -139,6 +139,15 @@
   if (losesMany) {
     aOptions.mWorkers = std::max(aOptions.mWorkers, kManyWorkers);
   }
+  // Enough workers that a rack is a small part, and enough jobs to fill them
+  // before it is lost.
+  constexpr std::uint32_t kWorkersOfRacks = 60;
+  constexpr std::uint32_t kSomeJobs = 5;
+  const bool losesRack = aOptions.mPlay == FleetPlay::kRackLostAndBack;
+  if (losesRack) {
+    aOptions.mWorkers = std::max(aOptions.mWorkers, kWorkersOfRacks);
+    aOptions.mJobsAtOnce = std::max(aOptions.mJobsAtOnce, kSomeJobs);
+  }
   // One node is lost and up to three leave, and one at least is always there.
   constexpr std::uint32_t kManyNodes = 6;
   if (isLeaves) {
@@ -146,6 +155,7 @@
   }
   // The owner that loses its shard has to be that of all tasks.
   const bool needsOneShard = hasManyJobs || isChoked || hasDeadlyTasks ||
+                             losesRack ||
                              aOptions.mPlay == FleetPlay::kLateEnds ||
                              aOptions.mPlay == FleetPlay::kRelease;
   if (needsOneShard) {
--- a/Tests/Fleet/vcFleetState.h
+++ b/Tests/Fleet/vcFleetState.h
@@ -332,6 +332,21 @@
   /// Notes which long-running tasks run, and reports those that have been
   /// without a run for too long.
   void WatchLasting();
+  /// Until when a long-running task may be without a run beside room for it.
+  TimePoint RoomDueAt(const TaskId& aTask, const TaskPlan& aPlan);
+
+  // A rack that is lost and comes back.
+  bool HasScarceRoom() const
+  {
+    return this->mOptions.mPlay == FleetPlay::kRackLostAndBack;
+  }
+  /// True if long-running tasks don't take their share of the processors yet.
+  bool NeedsLargeTasks() const;
+  /// A long-running job whose tasks need many processors.
+  BatchSpec DrawLargeJob(const JobId& aId);
+  void ScheduleRackLoss();
+  /// True if a worker that nodes may use has room for the task.
+  bool HasRoomFor(const TaskPlan& aPlan) const;
 
   /// From now on the node reaches only these workers, and only it does.
   void CutOff(const std::string& aNode, const std::set<std::string>& aWorkers);
@@ -355,6 +370,8 @@
   /// Lets the workers that have just crashed return some seconds later.
   void HandleCrashes();
   void ReturnWorker(const std::string& aName);
+  /// The worker returns under a new id.
+  void ReplaceWorker(const std::string& aName);
   /// Deadly tasks are given up, and nothing else.
   void CheckDeadlyTasks();
 
@@ -439,8 +456,12 @@
   /// When the last loss was that nobody had planned; `kNever` if the fleet
   /// isn't watched for long-running tasks without a run.
   TimePoint mLossAt = kNever;
+  /// When the rack was lost whose loss is watched.
+  TimePoint mRackLostAt = kNever;
   /// When each long-running task was last seen to run.
   std::map<TaskId, TimePoint> mLastRanAt;
+  /// Since when each that doesn't run has had room on a worker.
+  std::map<TaskId, TimePoint> mRoomSince;
   /// Those that were reported.
   std::set<TaskId> mMissedTasks;
   /// Number of workers that have returned under a new id.
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -29,6 +29,7 @@
   Tests/Unit/vcShardRunnerTest.cxx Tests/Unit/vcStarvationTest.cxx
   Tests/Unit/vcStoreOutcomeTest.cxx Tests/Unit/vcOddInputTest.cxx
   Tests/Unit/vcCrashTest.cxx Tests/Unit/vcCrashDatesTest.cxx
+  Tests/Unit/vcCrashTogetherTest.cxx
   Tests/Unit/vcViewsTest.cxx
   Tests/Unit/vcWaitingTest.cxx Tests/Unit/vcWorkerCallsTest.cxx
   Tests/Unit/vcIdleJobsTest.cxx Tests/Unit/vcIdleBoundsTest.cxx
@@ -54,6 +55,7 @@
 add_test(NAME unit_idle_late_probes
   COMMAND vcUnitTests "[red-idle-late-probes]")
 add_test(NAME unit_idle_costs COMMAND vcUnitTests "[red-idle-costs]")
+add_test(NAME unit_crashes_together COMMAND vcUnitTests "[red-together]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
 set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
@@ -95,7 +97,7 @@
   Tests/Fleet/vcFleetReleases.cxx Tests/Fleet/vcFleetTakeovers.cxx
   Tests/Fleet/vcFleetHandOvers.cxx Tests/Fleet/vcFleetLateClaims.cxx
   Tests/Fleet/vcFleetRestarts.cxx Tests/Fleet/vcFleetTeams.cxx
-  Tests/Fleet/vcFleetLateEnds.cxx
+  Tests/Fleet/vcFleetLateEnds.cxx Tests/Fleet/vcFleetRackLosses.cxx
   Tests/Fleet/vcFleetJudges.cxx Tests/Fleet/vcFleetDeadlyTasks.cxx
   Tests/Fleet/vcFleetLink.cxx Tests/Fleet/vcFleetChoking.cxx
   Tests/Fleet/vcFleetStore.cxx Tests/Fleet/vcFleetWorkers.cxx)
@@ -170,6 +172,9 @@
 # Guards against a job that starts after its cancellation was acknowledged, since
 # its submission was carried out late.
 verbenacroft_fleet(late_submissions --play late-submissions --seeds 1..60)
+# Guards against long-running tasks that wait beside room, since workers that
+# crashed together were noticed apart and their tasks close others as suspects.
+verbenacroft_fleet(rack_lost_and_back --play rack-lost-and-back --seeds 1..60)
 # Guards against a task that crashes one worker after another, and against other
 # jobs that fail because they ran beside it.
 verbenacroft_fleet(deadly_tasks --play deadly-tasks --seeds 1..60)
