Dispatch: Judge crashes of many workers by when each was lost

Cause: whether many workers crashed together was judged when each crash was noticed, by the workers that were in the set at that moment. A rack that is lost at 17.2 s is noticed from 23.2 to 23.9 s; the first of its workers have left the set by then, and their successors have joined it. The class: a fact about a group is judged by the order in which its members are noticed.

Change: vcLossGroups compares when each worker was last alive and first silent, remembers the losses of workers that have left, and counts the workers that were there at that time. What was counted before the group was known is taken back (ReconsiderCrashes). State about crashes has a header of its own, vcCrashState.h, and so has the isolation of suspects, unchanged here.

--- a/Source/Dispatch/vcDispatch.h
+++ b/Source/Dispatch/vcDispatch.h
@@ -26,6 +26,7 @@
 #include "vcOwnerPacing.h"
 #include "vcRackLocality.h"
 #include "vcRenewalSchedule.h"
+#include "vcSuspectIsolation.h"
 #include "vcTeamQuota.h"
 #include "vcWorkerCalls.h"
 #include "vcWorkerOrders.h"
--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -2,6 +2,7 @@
 
 #include "vcDispatchJobs.h"
 #include "vcDispatchOccurrences.h"
+#include "vcSuspectIsolation.h"
 
 #include <spdlog/spdlog.h>
 
@@ -12,34 +13,18 @@
 
 namespace {
 
-/// A run that was seen at work for this long isn't likely to crash its worker.
-constexpr Duration kMinSeenAtWork{ 500 };
-/// The same for a suspect is a multiple of its longest run before a crash, up
-/// to a maximum, since its worker takes nothing else meanwhile.
-constexpr int kSeenRuns = 2;
-constexpr Duration kMaxSeenAtWork{ 5'000 };
 /// A suspect whose run lasts for this long, and this many times as long as its
 /// longest run before a crash, isn't suspected any more.
 constexpr Duration kMinClearingRun{ 10'000 };
 constexpr int kClearingRuns = 4;
-/// A suspect that has found no place apart for this long is started anywhere.
-constexpr Duration kMaxApartWait{ 5'000 };
 /// Maximum number of suspects, so that their record fits into one value of the
 /// store.
 constexpr std::size_t kMaxSuspects = 500;
-/// Workers that crashed or fell silent within this time of each other did so
-/// together.
-constexpr Duration kTogether{ 1'000 };
-/// If at least this many did, and this part of all workers, the cause is
-/// outside of them, such as their rack or their software.
-constexpr std::size_t kMinTogether = 4;
-constexpr double kMinPartTogether = 0.1;
-/// Then only a run that may have begun this long before the crash counts, since
-/// a task that crashes its worker mostly does so at its start.
+/// In a crash of many only a run that may have begun this long before it
+/// counts, since a task that crashes its worker mostly does so at its start.
 constexpr Duration kFreshRun{ 300 };
-/// A worker that has not reported for this long may have crashed. A report may
-/// take a second, as the worker waits for a run to end.
-constexpr Duration kOverdue{ 1'200 };
+/// How long a crash is compared with others that are noticed after it.
+constexpr Duration kReconsidered{ 30'000 };
 /// A connection that breaks so soon before the next incarnation begins, or
 /// later, may be broken by that one's machine.
 constexpr Duration kMinDownTime{ 500 };
@@ -91,6 +76,7 @@
            task.mRun,
            task.mFirstSeenClock != 0,
            IsSeenAtWork(task),
+           task.mSeenAtWorkFor,
            task.mStartOrderedAt,
            task.mStartBrokenAt };
 }
@@ -144,50 +130,6 @@
   return runs;
 }
 
-/// True if the worker has crashed or fallen silent at about this time, or may
-/// have.
-bool MayHaveCrashedAt(const DispatchWorker& aWorker,
-                      TimePoint aTime,
-                      TimePoint aNow)
-{
-  const auto isNear = [&](TimePoint aOther) {
-    return std::chrono::abs(aOther - aTime) <= kTogether;
-  };
-  if (isNear(aWorker.mCrashedBy)) {
-    return true;
-  }
-  const bool wasUpBefore =
-    aWorker.mHasAnswered && aWorker.mLastReportAt <= aTime;
-  if (aWorker.mIsUnresponsive) {
-    return isNear(aWorker.mSilentSince) ||
-           (wasUpBefore && aTime <= aWorker.mSilentSince);
-  }
-  return wasUpBefore && aNow - aWorker.mLastReportAt > kOverdue;
-}
-
-/// Sets whether many workers crashed together with this one.
-void CompareWithOthers(const DispatchShard& aShard,
-                       const DispatchWorker& aWorker,
-                       TimePoint aNow,
-                       CrashSuspects& aSuspects)
-{
-  if (aWorker.mWasLostTogether) {
-    aSuspects.mHasOutsideCause = true;
-    return;
-  }
-  const auto others = std::count_if(
-    aShard.mWorkers.begin(), aShard.mWorkers.end(), [&](const auto& aRow) {
-      return &aRow.second != &aWorker &&
-             MayHaveCrashedAt(aRow.second, aSuspects.mCrashedBy, aNow);
-    });
-  aSuspects.mTogether = static_cast<std::size_t>(others) + 1;
-  aSuspects.mCompared = aShard.mWorkers.size();
-  const double part =
-    kMinPartTogether * static_cast<double>(aSuspects.mCompared);
-  aSuspects.mHasOutsideCause = aSuspects.mTogether >= kMinTogether &&
-                               static_cast<double>(aSuspects.mTogether) >= part;
-}
-
 /// Latest possible time of a crash of the worker.
 TimePoint CrashedBy(const DispatchWorker& aWorker,
                     const CrashEvidence& aEvidence,
@@ -208,6 +150,23 @@
   return !aWorker.mHasAnswered || aRun.mStartOrderedAt + kFreshRun >= earliest;
 }
 
+/// True if a crash of many workers counts against the run.
+bool CountsInGroup(const DispatchWorker& aWorker,
+                   const LostRun& aRun,
+                   TimePoint aCrashedBy)
+{
+  return !aRun.mIsSeenAtWork && aRun.mHasBegun &&
+         MayBeFresh(aWorker, aRun, aCrashedBy);
+}
+
+/// The loss of a worker that has crashed by this time.
+WorkerLoss LossOf(const DispatchWorker& aWorker, TimePoint aCrashedBy)
+{
+  const TimePoint aliveAt =
+    aWorker.mHasAnswered ? aWorker.mLastReportAt : aCrashedBy;
+  return { aWorker.mEntry.mWorker, std::min(aliveAt, aCrashedBy), aCrashedBy };
+}
+
 /// Runs that a crash of the worker is counted against.
 CrashSuspects SuspectsOf(const DispatchShard& aShard,
                          const DispatchWorker& aWorker,
@@ -222,11 +181,15 @@
       return !aRun.mIsSeenAtWork;
     }));
   suspects.mCrashedBy = CrashedBy(aWorker, aEvidence, aNow);
-  CompareWithOthers(aShard, aWorker, aNow, suspects);
+  if (!aWorker.mWasLostTogether) {
+    const WorkerLoss loss = LossOf(aWorker, suspects.mCrashedBy);
+    suspects.mGroup = GroupOf(aShard, loss, aNow);
+  }
+  suspects.mHasOutsideCause =
+    aWorker.mWasLostTogether || HasOutsideCause(suspects.mGroup);
   if (suspects.mHasOutsideCause) {
     std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
-      return aRun.mIsSeenAtWork || !aRun.mHasBegun ||
-             !MayBeFresh(aWorker, aRun, suspects.mCrashedBy);
+      return !CountsInGroup(aWorker, aRun, suspects.mCrashedBy);
     });
   } else if (suspects.mUnseen > 0) {
     std::erase_if(suspects.mRuns,
@@ -277,57 +240,87 @@
     return;
   }
   CrashHistory& history = task->mCrashHistory;
+  if (isNew) {
+    history.mCountedSince = aNow;
+    history.mLeastSeenAtWork = aRun.mSeenAtWorkFor;
+  }
+  history.mLeastSeenAtWork =
+    std::min(history.mLeastSeenAtWork, aRun.mSeenAtWorkFor);
   ++(aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed);
   history.mLongestRun = std::max(history.mLongestRun, aRanFor);
   history.mIsStored = false;
   history.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   ++aShard.mSuspectsVersion;
-  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={}",
+  spdlog::info("task.suspected task={} crashes={} unconfirmed={} ran_ms={} "
+               "seen_at_work_ms={}",
                Describe(aKey),
                history.mCrashes,
                history.mUnconfirmed,
-               aRanFor.count());
+               aRanFor.count(),
+               aRun.mSeenAtWorkFor.count());
 }
 
-/// True if the task's run lasts so long that the task isn't suspected any
-/// more.
-bool IsCleared(const DispatchTask& aTask)
+/// Takes a crash back that was counted against a task.
+/// @param aCountedAt when it was counted
+void TakeBackCrash(DispatchShard& aShard,
+                   const CountedRun& aRun,
+                   TimePoint aCountedAt)
 {
-  const Duration needed =
-    std::max(kMinClearingRun, kClearingRuns * aTask.mCrashHistory.mLongestRun);
-  return aTask.mSeenAtWorkFor >= needed;
+  DispatchTask* task = FindTask(aShard, aRun.mTask);
+  if (task == nullptr || task->mPhase == RunPhase::kDone) {
+    return;
+  }
+  CrashHistory& history = task->mCrashHistory;
+  std::uint32_t& count =
+    aRun.mHasBegun ? history.mCrashes : history.mUnconfirmed;
+  // The task may have been cleared, and have become a suspect anew.
+  if (count == 0 || history.mCountedSince > aCountedAt) {
+    return;
+  }
+  --count;
+  history.mIsStored = false;
+  spdlog::info("task.crash-taken-back task={} crashes={} unconfirmed={}",
+               Describe(aRun.mTask),
+               history.mCrashes,
+               history.mUnconfirmed);
+  if (!IsSuspect(*task)) {
+    history = {};
+    aShard.mSuspects.erase(aRun.mTask);
+  }
+  ++aShard.mSuspectsVersion;
 }
 
-} // namespace
-
-bool IsSuspect(const DispatchTask& aTask)
+/// Remembers the runs that the crash of the worker was counted against only
+/// since it seemed to have crashed alone.
+void RememberCrash(DispatchShard& aShard,
+                   const DispatchWorker& aWorker,
+                   const CrashSuspects& aSuspects,
+                   TimePoint aNow)
 {
-  const CrashHistory& history = aTask.mCrashHistory;
-  return history.mCrashes > 0 || history.mUnconfirmed > 0;
+  const WorkerLoss loss = LossOf(aWorker, aSuspects.mCrashedBy);
+  RememberLoss(aShard, loss, aNow);
+  CountedCrash crash{ loss, aNow, {} };
+  for (const auto& run : aSuspects.mRuns) {
+    if (!CountsInGroup(aWorker, run, aSuspects.mCrashedBy)) {
+      crash.mRuns.push_back({ run.mTask, run.mHasBegun });
+    }
+  }
+  if (!crash.mRuns.empty()) {
+    aShard.mCountedCrashes.push_back(std::move(crash));
+  }
 }
 
-bool IsSeenAtWork(const DispatchTask& aTask)
+/// True if the task's run lasts so long that the task isn't suspected any
+/// more.
+bool IsCleared(const DispatchTask& aTask)
 {
   const Duration needed =
-    std::clamp(kSeenRuns * aTask.mCrashHistory.mLongestRun,
-               kMinSeenAtWork,
-               kMaxSeenAtWork);
+    std::max(kMinClearingRun, kClearingRuns * aTask.mCrashHistory.mLongestRun);
   return aTask.mSeenAtWorkFor >= needed;
 }
 
-bool IsCrashHistorySafe(const DispatchTask& aTask)
-{
-  return !IsSuspect(aTask) || aTask.mCrashHistory.mIsStored;
-}
-
-bool MayStartBesideOthers(const DispatchTask& aTask, TimePoint aNow)
-{
-  const TimePoint since =
-    std::max(aTask.mWaitingSince, aTask.mCrashHistory.mCountedAt);
-  return !IsSuspect(aTask) ||
-         (IsCrashHistorySafe(aTask) && aNow - since > kMaxApartWait);
-}
+} // namespace
 
 Duration RanFor(const CrashSuspects& aSuspects, const LostRun& aRun)
 {
@@ -365,6 +358,7 @@
                                     0,
                                     run.mHasBegun,
                                     false,
+                                    Duration(0),
                                     worker->mSilentSince - run.mRanFor });
     }
   }
@@ -385,7 +379,6 @@
   }
   const CrashEvidence evidence = EvidenceOf(aWorker, aReport, aNow);
   const CrashSuspects suspects = SuspectsOf(aShard, aWorker, evidence, aNow);
-  aWorker.mCrashedBy = suspects.mCrashedBy;
   aWorker.mLostRuns.clear();
   aWorker.mWasLostTogether = false;
   ++aShard.mSilenceVersion;
@@ -396,13 +389,15 @@
                suspects.mAll,
                suspects.mRuns.size(),
                suspects.mHasOutsideCause,
-               suspects.mTogether,
-               suspects.mCompared,
+               suspects.mGroup.mTogether,
+               suspects.mGroup.mCompared,
                (aNow - aWorker.mLastReportAt).count(),
                (aNow - suspects.mCrashedBy).count());
   for (const auto& run : suspects.mRuns) {
     CountCrash(aShard, run, RanFor(suspects, run), aNow);
   }
+  RememberCrash(aShard, aWorker, suspects, aNow);
+  ReconsiderCrashes(aShard, aNow);
   // A task that has just been started apart from others is the culprit.
   constexpr std::uint32_t kCrashesOfCulprit = 2;
   const bool isNamed = suspects.mUnseen == 1 && !suspects.mHasOutsideCause &&
@@ -416,6 +411,22 @@
   }
 }
 
+void ReconsiderCrashes(DispatchShard& aShard, TimePoint aNow)
+{
+  std::erase_if(aShard.mCountedCrashes, [&](const CountedCrash& aCrash) {
+    if (aNow - aCrash.mLoss.mLostBy > kReconsidered) {
+      return true;
+    }
+    const bool isOfMany = HasOutsideCause(GroupOf(aShard, aCrash.mLoss, aNow));
+    if (isOfMany) {
+      for (const auto& run : aCrash.mRuns) {
+        TakeBackCrash(aShard, run, aCrash.mCountedAt);
+      }
+    }
+    return isOfMany;
+  });
+}
+
 void NoteLostRun(const DispatchShard& aShard,
                  DispatchWorker& aWorker,
                  const TaskId& aKey)
@@ -436,6 +447,7 @@
   }
   task->mCrashHistory = aStored;
   task->mCrashHistory.mIsStored = true;
+  task->mCrashHistory.mCountedSince = aNow;
   task->mCrashHistory.mCountedAt = aNow;
   aShard.mSuspects.insert(aKey);
   if (IsToBeGivenUp(aStored, kMaxCrashes)) {
@@ -482,27 +494,4 @@
   aShard.mSuspectsVersion += forgotten > 0 ? 1 : 0;
 }
 
-bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker)
-{
-  const bool hasUnseenTask = std::any_of(
-    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
-      return !IsSeenAtWork(*FindTask(aShard, aKey));
-    });
-  return hasUnseenTask || !aWorker.mRunsToStop.empty();
-}
-
-std::set<std::string> IsolatedWorkers(const DispatchShard& aShard)
-{
-  std::set<std::string> workers;
-  for (const auto& key : aShard.mSuspects) {
-    const DispatchTask* task = FindTask(aShard, key);
-    const bool isUnseen =
-      task != nullptr && !task->mWorker.empty() && !IsSeenAtWork(*task);
-    if (isUnseen) {
-      workers.insert(task->mWorker);
-    }
-  }
-  return workers;
-}
-
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchCrashes.h
+++ b/Source/Dispatch/vcDispatchCrashes.h
@@ -10,12 +10,18 @@
 /// that the next crash names the culprit, and the others are cleared by their
 /// runs.
 ///
+/// Many workers that were lost together have a cause outside of them, so only
+/// runs that had just begun are suspected. Members of such a group are noticed
+/// one after another: what was counted before the group was known is taken
+/// back.
+///
 /// A crash is noticed some time after it. The clock of the next incarnation
 /// begins at its start, so it shows a time before which the crash came. A start
 /// that was ordered later, or that the next incarnation has carried out, can't
 /// have caused the crash.
 
 #include "vcDispatchState.h"
+#include "vcLossGroups.h"
 
 namespace verbenacroft {
 
@@ -34,11 +40,9 @@
   /// work.
   std::size_t mAll = 0;
   std::size_t mUnseen = 0;
-  /// Number of workers that crashed or fell silent together with this one, it
-  /// included, and of all workers that they are compared with. Both are 0 if an
-  /// owner before has compared them.
-  std::size_t mTogether = 0;
-  std::size_t mCompared = 0;
+  /// The workers that were lost together with this one; all 0 if an owner
+  /// before has counted them.
+  LossGroup mGroup;
   /// Many workers crashed or fell silent together with this one.
   bool mHasOutsideCause = false;
   /// Latest possible time of the crash.
@@ -93,6 +97,11 @@
                      TimePoint aNow,
                      std::int64_t aNowMs);
 
+/// Takes back what was counted for crashes that turn out to be parts of a
+/// larger one. To be called when a worker falls silent or is found to have
+/// crashed.
+void ReconsiderCrashes(DispatchShard& aShard, TimePoint aNow);
+
 /// Notes a run that is given up since the lease of its silent worker is over,
 /// in case the worker turns out to have crashed.
 void NoteLostRun(const DispatchShard& aShard,
@@ -118,26 +127,4 @@
 /// has ended for good.
 void ForgetClearedSuspects(DispatchShard& aShard);
 
-/// True if workers have crashed under the task, and it hasn't been cleared.
-bool IsSuspect(const DispatchTask& aTask);
-
-/// True if the task's run was seen at work for so long that it isn't likely to
-/// crash its worker.
-bool IsSeenAtWork(const DispatchTask& aTask);
-
-/// True if the task isn't a suspect, or if its history is stored, so that a
-/// next owner knows it.
-bool IsCrashHistorySafe(const DispatchTask& aTask);
-
-/// True if the task may be started beside any others: it isn't a suspect, or it
-/// has found no place apart for a while.
-bool MayStartBesideOthers(const DispatchTask& aTask, TimePoint aNow);
-
-/// True if a run on the worker hasn't been seen at work for long enough.
-bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker);
-
-/// Names of the workers that run a suspect which hasn't been seen at work for
-/// long enough. Nothing else is started there.
-std::set<std::string> IsolatedWorkers(const DispatchShard& aShard);
-
 } // namespace verbenacroft
--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -1,6 +1,5 @@
 #include "vcDispatchPlacement.h"
 
-#include "vcDispatchCrashes.h"
 #include "vcDispatchJobs.h"
 #include "vcDispatchOccurrences.h"
 #include "vcDispatchReservations.h"
@@ -10,6 +9,7 @@
 #include "vcPlacementRound.h"
 #include "vcProbeStarts.h"
 #include "vcRackLocality.h"
+#include "vcSuspectIsolation.h"
 #include "vcSuspectStarts.h"
 #include "vcTeamQuota.h"
 #include "vcWorkerRuns.h"
--- a/Source/Dispatch/vcDispatchReports.cxx
+++ b/Source/Dispatch/vcDispatchReports.cxx
@@ -272,8 +272,12 @@
   if (isFirst) {
     aWorker.mSilentSince = aNow;
   }
-  aShard.mSilenceVersion += aWorker.mIsUnresponsive ? 0 : 1;
+  const bool isNews = !aWorker.mIsUnresponsive;
   aWorker.mIsUnresponsive = true;
+  if (isNews) {
+    ++aShard.mSilenceVersion;
+    ReconsiderCrashes(aShard, aNow);
+  }
 }
 
 void ApplyReport(DispatchShard& aShard,
--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -2,6 +2,7 @@
 
 /// State of a shard: its workers, its jobs and where their tasks run.
 
+#include "vcCrashState.h"
 #include "vcInterference.h"
 #include "vcWorkerOrders.h"
 
@@ -58,22 +59,6 @@
   kDone,
 };
 
-/// Crashes of workers that a task may have caused (vcDispatchCrashes.h).
-struct CrashHistory
-{
-  /// Number of workers that crashed while they ran the task, or may have.
-  std::uint32_t mCrashes = 0;
-  /// Number of workers that crashed after they were told to start the task,
-  /// without having confirmed it: they may have been down before.
-  std::uint32_t mUnconfirmed = 0;
-  /// Longest time for which the task may have run before such a crash.
-  Duration mLongestRun{ 0 };
-  /// The store has this history.
-  bool mIsStored = false;
-  /// When the last crash was counted or read.
-  TimePoint mCountedAt{ kNever };
-};
-
 /// State of one task and of its current run. A run is one attempt to execute
 /// the task; a later run of the task has a higher number.
 struct DispatchTask
@@ -252,20 +237,6 @@
   double mExpectedCpu = 0;
 };
 
-/// A run that its owner has given up while the worker was silent.
-struct LostRun
-{
-  TaskId mTask;
-  /// 0 if an earlier owner had the run and this one doesn't know its number.
-  std::uint32_t mRun = 0;
-  /// The worker has confirmed the run, or was up when it was told to start it.
-  bool mHasBegun = false;
-  bool mIsSeenAtWork = false;
-  TimePoint mStartOrderedAt{ kNever };
-  /// See `DispatchTask`.
-  TimePoint mStartBrokenAt{ kNever };
-};
-
 /// A worker's room that is kept for one step (vcDispatchReservations.h).
 struct RoomReservation
 {
@@ -341,6 +312,9 @@
 {
   WorkerEntry mEntry;
   Endpoint mEndpoint;
+  /// When discovery listed the worker for the first time; `kNever` if an owner
+  /// before used it.
+  TimePoint mFoundAt{ kNever };
   /// Discovery lists the worker at present.
   bool mIsListed = false;
   /// The worker set in the store contains this worker as active, so that the
@@ -464,9 +438,6 @@
   /// In that silence, an owner before found that many workers had fallen silent
   /// together with this one.
   bool mWasLostTogether = false;
-  /// Latest possible time of the last crash that was counted; `kNever` if there
-  /// is none.
-  TimePoint mCrashedBy{ kNever };
   RoomReservation mRoom;
   /// The job whose only run has ended here, until the next start; empty if
   /// there is none.
@@ -604,6 +575,10 @@
   std::set<TaskId> mSuspects;
   /// Number of changes of the suspects and of their histories.
   std::uint64_t mSuspectsVersion = 0;
+  /// Losses that are known, also of workers that have left the set since, and
+  /// crashes that may turn out to be parts of a larger one (vcLossGroups.h).
+  std::vector<WorkerLoss> mPastLosses;
+  std::vector<CountedCrash> mCountedCrashes;
   /// Number of changes of the silent workers and of the runs there.
   std::uint64_t mSilenceVersion = 0;
   std::map<std::string, DispatchWorker> mWorkers;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -5,6 +5,7 @@
 #include "vcDispatchWorkerSet.h"
 #include "vcEndAcknowledgement.h"
 #include "vcIncarnationFence.h"
+#include "vcLossGroups.h"
 #include "vcWorkerRuns.h"
 
 #include <spdlog/spdlog.h>
@@ -285,6 +286,20 @@
   }
 }
 
+/// Remembers the loss of a worker that leaves the set while it is silent. That
+/// of one whose next incarnation has answered is remembered already.
+void RememberIfLost(DispatchShard& aShard,
+                    const DispatchWorker& aWorker,
+                    TimePoint aNow)
+{
+  const auto loss = PresentLossOf(aWorker, aNow);
+  const bool isLost = loss && aWorker.mHasAnswered && !aWorker.mIsReplaced &&
+                      !aWorker.mEntry.mIsDraining;
+  if (isLost) {
+    RememberLoss(aShard, *loss, aNow);
+  }
+}
+
 } // namespace
 
 void OnDiscovery(DispatchShard& aShard,
@@ -305,6 +320,7 @@
       // This owner may have used it before, with a higher token than its epoch.
       worker.mFencingToken = aShard.mLatestOwnWrite;
       worker.mIsTokenUnused = false;
+      worker.mFoundAt = aNow;
       worker.mLastReportAt = aNow;
       worker.mSilentSince = aNow;
       spdlog::info("worker.found worker={} data_centre={} address={} "
@@ -510,7 +526,12 @@
     const bool isRemovable = !worker.mIsListed && !hasRuns && !isUnanswered &&
                              !mayShowCrash &&
                              (isLeaseOver || !worker.mHasAnswered);
-    at = isRemovable ? aShard.mWorkers.erase(at) : std::next(at);
+    if (!isRemovable) {
+      ++at;
+      continue;
+    }
+    RememberIfLost(aShard, worker, aNow);
+    at = aShard.mWorkers.erase(at);
   }
 }
 
--- a/Source/Dispatch/vcLongRunningRoom.cxx
+++ b/Source/Dispatch/vcLongRunningRoom.cxx
@@ -1,7 +1,7 @@
 #include "vcLongRunningRoom.h"
 
-#include "vcDispatchCrashes.h"
 #include "vcPlacementCost.h"
+#include "vcSuspectIsolation.h"
 
 #include <algorithm>
 
--- a/Source/Dispatch/vcPlacementCandidates.cxx
+++ b/Source/Dispatch/vcPlacementCandidates.cxx
@@ -1,7 +1,7 @@
 #include "vcPlacementCandidates.h"
 
-#include "vcDispatchCrashes.h"
 #include "vcDispatchWorkerSet.h"
+#include "vcSuspectIsolation.h"
 
 #include <tuple>
 
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -1,10 +1,10 @@
 #include "vcPlacementRound.h"
 
-#include "vcDispatchCrashes.h"
 #include "vcDispatchPlacement.h"
 #include "vcDispatchTurnover.h"
 #include "vcIncarnationFence.h"
 #include "vcOwnerPacing.h"
+#include "vcSuspectIsolation.h"
 #include "vcWorkerRuns.h"
 
 #include <fmt/format.h>
--- /dev/null
+++ b/Source/Dispatch/vcSuspectIsolation.cxx
@@ -0,0 +1,71 @@
+#include "vcSuspectIsolation.h"
+
+#include <algorithm>
+
+namespace verbenacroft {
+
+namespace {
+
+/// A run that was seen at work for this long isn't likely to crash its worker.
+constexpr Duration kMinSeenAtWork{ 500 };
+/// The same for a suspect is a multiple of its longest run before a crash, up
+/// to a maximum, since its worker takes nothing else meanwhile.
+constexpr int kSeenRuns = 2;
+constexpr Duration kMaxSeenAtWork{ 5'000 };
+/// A suspect that has found no place apart for this long is started anywhere.
+constexpr Duration kMaxApartWait{ 5'000 };
+
+} // namespace
+
+bool IsSuspect(const DispatchTask& aTask)
+{
+  const CrashHistory& history = aTask.mCrashHistory;
+  return history.mCrashes > 0 || history.mUnconfirmed > 0;
+}
+
+bool IsSeenAtWork(const DispatchTask& aTask)
+{
+  const Duration needed =
+    std::clamp(kSeenRuns * aTask.mCrashHistory.mLongestRun,
+               kMinSeenAtWork,
+               kMaxSeenAtWork);
+  return aTask.mSeenAtWorkFor >= needed;
+}
+
+bool IsCrashHistorySafe(const DispatchTask& aTask)
+{
+  return !IsSuspect(aTask) || aTask.mCrashHistory.mIsStored;
+}
+
+bool MayStartBesideOthers(const DispatchTask& aTask, TimePoint aNow)
+{
+  const TimePoint since =
+    std::max(aTask.mWaitingSince, aTask.mCrashHistory.mCountedAt);
+  return !IsSuspect(aTask) ||
+         (IsCrashHistorySafe(aTask) && aNow - since > kMaxApartWait);
+}
+
+bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker)
+{
+  const bool hasUnseenTask = std::any_of(
+    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
+      return !IsSeenAtWork(*FindTask(aShard, aKey));
+    });
+  return hasUnseenTask || !aWorker.mRunsToStop.empty();
+}
+
+std::set<std::string> IsolatedWorkers(const DispatchShard& aShard)
+{
+  std::set<std::string> workers;
+  for (const auto& key : aShard.mSuspects) {
+    const DispatchTask* task = FindTask(aShard, key);
+    const bool isIsolated =
+      task != nullptr && !task->mWorker.empty() && !IsSeenAtWork(*task);
+    if (isIsolated) {
+      workers.insert(task->mWorker);
+    }
+  }
+  return workers;
+}
+
+} // namespace verbenacroft
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -1,6 +1,6 @@
 #include "vcSuspectStarts.h"
 
-#include "vcDispatchCrashes.h"
+#include "vcSuspectIsolation.h"
 #include "vcTeamQuota.h"
 
 #include <algorithm>
--- a/Source/Libraries.cmake
+++ b/Source/Libraries.cmake
@@ -51,7 +51,8 @@
   SOURCES vcFleetConfig.cxx vcBatchProgress.cxx vcBatchSpec.cxx
   LINK vcPlatform)
 verbenacroft_library(Dispatch
-  SOURCES vcDispatchCrashes.cxx vcDispatchJobs.cxx vcDispatchThrottling.cxx
+  SOURCES vcDispatchCrashes.cxx vcLossGroups.cxx vcSuspectIsolation.cxx
+    vcDispatchJobs.cxx vcDispatchThrottling.cxx
     vcDispatchOccurrences.cxx vcDispatchPlacement.cxx
     vcDispatchProbes.cxx vcDispatchReports.cxx
     vcDispatchReservations.cxx vcDispatchSharing.cxx vcDispatchState.cxx
--- a/Tests/Unit/vcCrashTogetherTest.cxx
+++ b/Tests/Unit/vcCrashTogetherTest.cxx
@@ -155,8 +155,7 @@
 // Guards against innocent tasks that are suspected, since workers that crashed
 // at one moment were noticed one after another and had left the set meanwhile,
 // or were compared with their own successors.
-TEST_CASE("a crash of many is one whichever worker is noticed first",
-          "[.][red-together]")
+TEST_CASE("a crash of many is one whichever worker is noticed first", "[crash]")
 {
   const TogetherCase play = GENERATE(from_range(kTogetherCases));
   CAPTURE(play.mWhat);
@@ -188,7 +187,7 @@
 // Guards against suspects that stay so although more crashes of the same moment
 // are noticed later.
 TEST_CASE("crashes that are noticed later clear the suspects of the first",
-          "[.][red-together]")
+          "[crash]")
 {
   constexpr int kWorkers = 30;
   constexpr int kCrashed = 6;
