Dispatch: Isolate a suspect only where that shows something

Callers saw long-running tasks wait beside room. Workers with room ran one suspect each and took nothing else for 5 s, in two waves, and up to half of a service's workers might be closed so.

Cause: isolation has a price in places that nobody weighed. It lasts for 5 s at most, so for a task that had worked for longer before the crash it shows nothing; and it went on for as many workers as there were suspects while others waited for the room.

Change: a suspect that was seen at work for 5 s and more before each crash starts like others; its crashes still count. While a long-running task of the service has waited for a second, suspects are started on a fifth of the workers at most, in place of a half.

--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -158,14 +158,13 @@
   round.mNow = aNow;
   round.mNowMs = aNowMs;
   round.mHeld = HeldRevisionsOf(aShard, aNow);
-  std::map<std::string, std::size_t> isolatedOf;
   const std::set<std::string> isolated = IsolatedWorkers(aShard);
   for (auto& [name, worker] : aShard.mWorkers) {
     if (!IsUsable(aShard, worker, aNow)) {
       continue;
     }
     if (isolated.contains(name)) {
-      ++isolatedOf[worker.mEntry.mService];
+      ++round.mIsolated[worker.mEntry.mService];
       continue;
     }
     const bool isQuarantined = aNow < worker.mQuarantinedUntil;
@@ -174,7 +173,7 @@
   }
   for (const auto& [service, workers] : round.mUsable) {
     round.mPlacesForSuspects[service] =
-      PlacesForSuspects(workers.size(), isolatedOf[service]);
+      PlacesForSuspects(workers.size(), round.mIsolated[service]);
   }
   for (auto& [service, workers] : round.mQuarantined) {
     auto& usable = round.mUsable[service];
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -85,6 +85,8 @@
   std::map<std::string, std::vector<DispatchWorker*>> mUsable;
   /// Workers in quarantine beside others that aren't, by service.
   std::map<std::string, std::vector<DispatchWorker*>> mQuarantined;
+  /// Number of workers that run a suspect apart from others, by service.
+  std::map<std::string, std::size_t> mIsolated;
   /// Number of workers that suspects may still take in this round, by service.
   std::map<std::string, std::size_t> mPlacesForSuspects;
   /// Reserved workers for which a suspect already waits in this round.
--- a/Source/Dispatch/vcSuspectIsolation.cxx
+++ b/Source/Dispatch/vcSuspectIsolation.cxx
@@ -23,12 +23,18 @@
   return history.mCrashes > 0 || history.mUnconfirmed > 0;
 }
 
+bool NeedsIsolation(const DispatchTask& aTask)
+{
+  return IsSuspect(aTask) &&
+         aTask.mCrashHistory.mLeastSeenAtWork < kMaxSeenAtWork;
+}
+
 bool IsSeenAtWork(const DispatchTask& aTask)
 {
+  const Duration longestRun =
+    NeedsIsolation(aTask) ? aTask.mCrashHistory.mLongestRun : Duration(0);
   const Duration needed =
-    std::clamp(kSeenRuns * aTask.mCrashHistory.mLongestRun,
-               kMinSeenAtWork,
-               kMaxSeenAtWork);
+    std::clamp(kSeenRuns * longestRun, kMinSeenAtWork, kMaxSeenAtWork);
   return aTask.mSeenAtWorkFor >= needed;
 }
 
@@ -41,8 +47,8 @@
 {
   const TimePoint since =
     std::max(aTask.mWaitingSince, aTask.mCrashHistory.mCountedAt);
-  return !IsSuspect(aTask) ||
-         (IsCrashHistorySafe(aTask) && aNow - since > kMaxApartWait);
+  const bool hasWaited = aNow - since > kMaxApartWait;
+  return IsCrashHistorySafe(aTask) && (!NeedsIsolation(aTask) || hasWaited);
 }
 
 bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker)
@@ -59,8 +65,8 @@
   std::set<std::string> workers;
   for (const auto& key : aShard.mSuspects) {
     const DispatchTask* task = FindTask(aShard, key);
-    const bool isIsolated =
-      task != nullptr && !task->mWorker.empty() && !IsSeenAtWork(*task);
+    const bool isIsolated = task != nullptr && !task->mWorker.empty() &&
+                            NeedsIsolation(*task) && !IsSeenAtWork(*task);
     if (isIsolated) {
       workers.insert(task->mWorker);
     }
--- a/Source/Dispatch/vcSuspectIsolation.h
+++ b/Source/Dispatch/vcSuspectIsolation.h
@@ -3,6 +3,10 @@
 /// Isolation of suspects, which are tasks that may have crashed their workers:
 /// one is started apart from other runs, and nothing is started beside it until
 /// it has been at work for some time. Its next crash then names it.
+///
+/// An isolated worker is no place for others, so a suspect is isolated only if
+/// that can show something: not one that had been at work before each crash for
+/// longer than isolation lasts.
 
 #include "vcDispatchState.h"
 
@@ -14,6 +18,10 @@
 /// True if workers have crashed under the task, and it hasn't been cleared.
 bool IsSuspect(const DispatchTask& aTask);
 
+/// True if the task is a suspect that may crash its worker while it is
+/// isolated.
+bool NeedsIsolation(const DispatchTask& aTask);
+
 /// True if the task's run was seen at work for so long that it isn't likely to
 /// crash its worker.
 bool IsSeenAtWork(const DispatchTask& aTask);
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -1,5 +1,6 @@
 #include "vcSuspectStarts.h"
 
+#include "vcDispatchJobs.h"
 #include "vcSuspectIsolation.h"
 #include "vcTeamQuota.h"
 
@@ -14,6 +15,9 @@
 /// A worker that is reserved for a suspect stays so for this long after the
 /// last round in which the suspect waited.
 constexpr Duration kReservationTime{ 300 };
+/// One worker of so many may be reserved for a suspect, and one in any case. As
+/// many may run suspects apart while long-running tasks wait for room.
+constexpr std::size_t kWorkersForOneSuspect = 5;
 
 /// The worker on which a suspect is started: one where every run was seen at
 /// work, with as few runs as possible. Null if there is none.
@@ -44,8 +48,6 @@
                    Round& aRound,
                    const std::vector<DispatchWorker*>& aWorkers)
 {
-  // One worker of so many may be reserved, and one in any case.
-  constexpr std::size_t kWorkersForOneReserved = 5;
   using Rank = std::tuple<bool, bool, std::size_t>;
   DispatchWorker* best = nullptr;
   Rank bestRank;
@@ -65,7 +67,7 @@
     }
   }
   const std::size_t most =
-    std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneReserved);
+    std::max<std::size_t>(1, aWorkers.size() / kWorkersForOneSuspect);
   if (best == nullptr || (std::get<0>(bestRank) && reserved >= most)) {
     return;
   }
@@ -73,6 +75,51 @@
   aRound.mAwaited.insert(best);
 }
 
+/// True if a task of a long-running step has waited for long, and needs no
+/// worker for itself.
+bool HasLongWait(const DispatchShard& aShard,
+                 const TaskId& aFirstTask,
+                 const Round& aRound)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  if (!StepOf(job, aFirstTask).mIsLasting) {
+    return false;
+  }
+  const TimePoint readyAt =
+    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  const auto& tasks = StepStateOf(job, aFirstTask).mTasks;
+  return std::any_of(
+    tasks.begin(), tasks.end(), [&](const DispatchTask& aTask) {
+      const TimePoint since = std::max(readyAt, aTask.mWaitingSince);
+      return IsWaiting(job, aTask, aRound.mHeld, aRound.mNow) &&
+             aRound.mNow - since >= kTurnAfter;
+    });
+}
+
+/// Limits the workers that suspects may take to few while long-running tasks of
+/// the service wait for room.
+void LeavePlacesToOthers(const DispatchShard& aShard,
+                         const std::vector<Candidate>& aCandidates,
+                         Round& aRound)
+{
+  std::set<std::string> limited;
+  for (const auto& candidate : aCandidates) {
+    const DispatchJob& job = aShard.mJobs.at(candidate.mFirstTask.mJob);
+    const std::string& service = job.mRecord.mTerms.mService;
+    const bool isFirst = !limited.contains(service) &&
+                         HasLongWait(aShard, candidate.mFirstTask, aRound);
+    if (!isFirst) {
+      continue;
+    }
+    limited.insert(service);
+    const std::size_t isolated = aRound.mIsolated[service];
+    const std::size_t most = std::max<std::size_t>(
+      1, (aRound.mUsable[service].size() + isolated) / kWorkersForOneSuspect);
+    std::size_t& places = aRound.mPlacesForSuspects[service];
+    places = std::min(places, most > isolated ? most - isolated : 0);
+  }
+}
+
 /// Starts the waiting suspects of a step, each apart from runs that weren't
 /// seen at work yet.
 void StartSuspectsOf(DispatchShard& aShard,
@@ -90,7 +137,7 @@
     const DispatchTask* suspect = FindTask(aShard, *at);
     const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
     const bool mayStart =
-      suspect != nullptr &&
+      suspect != nullptr && NeedsIsolation(*suspect) &&
       IsStartable(job, *suspect, aRound.mHeld, aRound.mNow) &&
       MayTeamStart(aShard, job, StepOf(job, *at), 1);
     if (!mayStart) {
@@ -127,6 +174,7 @@
   if (aShard.mSuspects.empty()) {
     return;
   }
+  LeavePlacesToOthers(aShard, aCandidates, aRound);
   for (const auto& candidate : aCandidates) {
     const TaskId& key = candidate.mFirstTask;
     if (!StepOf(aShard.mJobs.at(key.mJob), key).mIsGang) {
--- a/Tests/Tests.cmake
+++ b/Tests/Tests.cmake
@@ -55,7 +55,6 @@
 add_test(NAME unit_idle_late_probes
   COMMAND vcUnitTests "[red-idle-late-probes]")
 add_test(NAME unit_idle_costs COMMAND vcUnitTests "[red-idle-costs]")
-add_test(NAME unit_crashes_together COMMAND vcUnitTests "[red-together]")
 
 # Scenarios: each with some seeds, the random faults with 2,000.
 set(scenarios basic kill frozen_owner thawed_start freeze cut drained_cut_off
--- a/Tests/Unit/vcCrashTogetherTest.cxx
+++ b/Tests/Unit/vcCrashTogetherTest.cxx
@@ -208,8 +208,7 @@
 
 // Guards against workers that are closed for others by a suspect which worked
 // for longer before the crash than it is isolated.
-TEST_CASE("a suspect that had run for long closes no worker",
-          "[.][red-together]")
+TEST_CASE("a suspect that had run for long closes no worker", "[crash]")
 {
   constexpr int kWorkers = 6;
   constexpr int kTaskCpu = 5'000;
@@ -235,8 +234,7 @@
 
 // Guards against suspects that close half of all workers while long-running
 // tasks wait beside the room there.
-TEST_CASE("suspects close few workers while long-running tasks wait",
-          "[.][red-together]")
+TEST_CASE("suspects close few workers while long-running tasks wait", "[crash]")
 {
   constexpr int kWorkers = 20;
   constexpr int kSuspects = 10;
