--- a/Tests/Unit/vcCrashTogetherTest.cxx
+++ b/Tests/Unit/vcCrashTogetherTest.cxx
@@ -206,6 +206,35 @@
   CHECK(fleet.Crashes(0) == 0);
 }
 
+// Guards against deadly tasks that aren't named, since crashes that can't have
+// come at one moment are taken for one.
+TEST_CASE("crashes in close series don't have one cause", "[crash]")
+{
+  constexpr int kWorkers = 40;
+  constexpr int kCrashes = 8;
+  constexpr Duration kEach{ 400 };
+  constexpr Duration kNoticedAfter{ 3'000 };
+  TogetherFleet fleet(kWorkers);
+  fleet.Add(4 * kWorkers);
+  fleet.Start(OrderOutcome::kDone);
+  fleet.mNow = kCrashAt;
+  for (int i = 0; i < kCrashes; ++i) {
+    fleet.ReportOthers(i);
+    fleet.mNow += kEach;
+    fleet.Silence(fleet.mNames[i]);
+  }
+  fleet.mNow += kNoticedAfter;
+  fleet.ReportOthers(kCrashes);
+  for (int i = 0; i < kCrashes; ++i) {
+    const auto tasks = fleet.mShard.mWorkers.at(fleet.mNames[i]).mTasks;
+    REQUIRE_FALSE(tasks.empty());
+    fleet.ReportReplaced(fleet.mNames[i]);
+    for (const auto& key : tasks) {
+      CHECK(fleet.Crashes(key.mIndex) == 1);
+    }
+  }
+}
+
 // Guards against workers that are closed for others by a suspect which worked
 // for longer before the crash than it is isolated.
 TEST_CASE("a suspect that had run for long closes no worker", "[crash]")
