Dispatch: Compare losses only for workers with runs in doubt

The record of silent workers is judged for each of them, and the comparison of their losses sorts those of all: quadratic, times a sort, when a whole shard falls silent. Workers without a run in doubt, most of them, are now left out before the comparison, and the losses are kept in vectors. Of a worker with a past and a present loss the present one counts.

The cost itself wasn't measured.

--- a/Source/Dispatch/vcDispatchCrashes.cxx
+++ b/Source/Dispatch/vcDispatchCrashes.cxx
@@ -167,11 +167,11 @@
   return { aWorker.mEntry.mWorker, std::min(aliveAt, aCrashedBy), aCrashedBy };
 }
 
-/// Runs that a crash of the worker is counted against.
-CrashSuspects SuspectsOf(const DispatchShard& aShard,
-                         const DispatchWorker& aWorker,
-                         const CrashEvidence& aEvidence,
-                         TimePoint aNow)
+/// The runs of a worker that has crashed, all of them.
+CrashSuspects AllRunsOf(const DispatchShard& aShard,
+                        const DispatchWorker& aWorker,
+                        const CrashEvidence& aEvidence,
+                        TimePoint aNow)
 {
   CrashSuspects suspects;
   suspects.mRuns = RunsOf(aShard, aWorker, aEvidence);
@@ -181,21 +181,29 @@
       return !aRun.mIsSeenAtWork;
     }));
   suspects.mCrashedBy = CrashedBy(aWorker, aEvidence, aNow);
+  return suspects;
+}
+
+/// Leaves the runs that a crash of the worker is counted against.
+void LeaveSuspects(const DispatchShard& aShard,
+                   const DispatchWorker& aWorker,
+                   TimePoint aNow,
+                   CrashSuspects& aSuspects)
+{
   if (!aWorker.mWasLostTogether) {
-    const WorkerLoss loss = LossOf(aWorker, suspects.mCrashedBy);
-    suspects.mGroup = GroupOf(aShard, loss, aNow);
+    const WorkerLoss loss = LossOf(aWorker, aSuspects.mCrashedBy);
+    aSuspects.mGroup = GroupOf(aShard, loss, aNow);
   }
-  suspects.mHasOutsideCause =
-    aWorker.mWasLostTogether || HasOutsideCause(suspects.mGroup);
-  if (suspects.mHasOutsideCause) {
-    std::erase_if(suspects.mRuns, [&](const LostRun& aRun) {
-      return !CountsInGroup(aWorker, aRun, suspects.mCrashedBy);
+  aSuspects.mHasOutsideCause =
+    aWorker.mWasLostTogether || HasOutsideCause(aSuspects.mGroup);
+  if (aSuspects.mHasOutsideCause) {
+    std::erase_if(aSuspects.mRuns, [&](const LostRun& aRun) {
+      return !CountsInGroup(aWorker, aRun, aSuspects.mCrashedBy);
     });
-  } else if (suspects.mUnseen > 0) {
-    std::erase_if(suspects.mRuns,
+  } else if (aSuspects.mUnseen > 0) {
+    std::erase_if(aSuspects.mRuns,
                   [](const LostRun& aRun) { return aRun.mIsSeenAtWork; });
   }
-  return suspects;
 }
 
 /// True if so many workers may have crashed under the task that it is given
@@ -333,13 +341,14 @@
 {
   const bool mayCount =
     IsSilent(aWorker) && !aWorker.mIsReplaced && !aWorker.mEntry.mIsDraining;
-  CrashSuspects suspects;
-  if (mayCount) {
-    suspects = SuspectsOf(aShard, aWorker, CrashEvidence{}, aNow);
+  if (!mayCount) {
+    return {};
   }
+  CrashSuspects suspects = AllRunsOf(aShard, aWorker, CrashEvidence{}, aNow);
   if (suspects.mUnseen == 0) {
-    suspects.mRuns.clear();
+    return {};
   }
+  LeaveSuspects(aShard, aWorker, aNow, suspects);
   return suspects;
 }
 
@@ -378,7 +387,8 @@
     return;
   }
   const CrashEvidence evidence = EvidenceOf(aWorker, aReport, aNow);
-  const CrashSuspects suspects = SuspectsOf(aShard, aWorker, evidence, aNow);
+  CrashSuspects suspects = AllRunsOf(aShard, aWorker, evidence, aNow);
+  LeaveSuspects(aShard, aWorker, aNow, suspects);
   aWorker.mLostRuns.clear();
   aWorker.mWasLostTogether = false;
   ++aShard.mSilenceVersion;
--- a/Source/Dispatch/vcLossGroups.cxx
+++ b/Source/Dispatch/vcLossGroups.cxx
@@ -1,8 +1,7 @@
 #include "vcLossGroups.h"
 
 #include <algorithm>
-#include <map>
-#include <vector>
+#include <utility>
 
 namespace verbenacroft {
 
@@ -32,33 +31,16 @@
   return LostFrom(aLeft) <= aRight.mLostBy && LostFrom(aRight) <= aLeft.mLostBy;
 }
 
-/// Losses of different workers, by name.
-using LossesByWorker = std::map<std::string, WorkerLoss>;
-
-/// Adds the part of a loss in which the worker of `aLoss` may have been lost
-/// too, unless there is none or the losses have one of the worker.
-/// @return true if it was added
-bool AddIfTogether(LossesByWorker& aLosses,
-                   const WorkerLoss& aLoss,
-                   const WorkerLoss& aOther)
-{
-  if (!MayBeTogether(aLoss, aOther)) {
-    return false;
-  }
-  const WorkerLoss common{ aOther.mWorker,
-                           std::max(aLoss.mAliveAt, aOther.mAliveAt),
-                           std::min(aLoss.mLostBy, aOther.mLostBy) };
-  return aLosses.try_emplace(aOther.mWorker, common).second;
-}
-
-/// The most losses that may have come at one moment.
-std::size_t MostAtOnce(const LossesByWorker& aLosses)
+/// The most losses that may have come at one moment, at which the worker of
+/// `aLoss` may have been lost too.
+std::size_t MostAtOnce(const WorkerLoss& aLoss,
+                       const std::vector<WorkerLoss>& aOthers)
 {
-  std::vector<TimePoint> from;
-  std::vector<TimePoint> until;
-  for (const auto& [name, loss] : aLosses) {
-    from.push_back(LostFrom(loss));
-    until.push_back(loss.mLostBy);
+  std::vector<TimePoint> from{ LostFrom(aLoss) };
+  std::vector<TimePoint> until{ aLoss.mLostBy };
+  for (const auto& other : aOthers) {
+    from.push_back(std::max(LostFrom(aLoss), LostFrom(other)));
+    until.push_back(std::min(aLoss.mLostBy, other.mLostBy));
   }
   std::sort(from.begin(), from.end());
   std::sort(until.begin(), until.end());
@@ -73,6 +55,17 @@
   return most;
 }
 
+/// The present loss of the worker if it may have come together with `aLoss`.
+std::optional<WorkerLoss> PresentLossWith(const DispatchWorker& aWorker,
+                                          const WorkerLoss& aLoss,
+                                          TimePoint aNow)
+{
+  auto loss = PresentLossOf(aWorker, aNow);
+  const bool isOther = loss && loss->mWorker != aLoss.mWorker;
+  return isOther && MayBeTogether(*loss, aLoss) ? std::move(loss)
+                                                : std::nullopt;
+}
+
 /// True if the shard had the worker at the time of the loss.
 bool WasThere(const DispatchWorker& aWorker, const WorkerLoss& aLoss)
 {
@@ -111,21 +104,27 @@
                   const WorkerLoss& aLoss,
                   TimePoint aNow)
 {
-  LossesByWorker losses{ { aLoss.mWorker, aLoss } };
+  std::vector<WorkerLoss> others;
   LossGroup group;
-  for (const auto& other : aShard.mPastLosses) {
-    const bool hasLeft = !aShard.mWorkers.contains(other.mWorker);
-    const bool isNew = AddIfTogether(losses, aLoss, other);
-    group.mCompared += isNew && hasLeft ? 1 : 0;
-  }
   for (const auto& [name, worker] : aShard.mWorkers) {
     group.mCompared += WasThere(worker, aLoss) ? 1 : 0;
-    const auto loss = PresentLossOf(worker, aNow);
+    auto loss = PresentLossWith(worker, aLoss, aNow);
     if (loss) {
-      AddIfTogether(losses, aLoss, *loss);
+      others.push_back(std::move(*loss));
+    }
+  }
+  for (const auto& past : aShard.mPastLosses) {
+    if (past.mWorker == aLoss.mWorker || !MayBeTogether(past, aLoss)) {
+      continue;
+    }
+    const auto worker = aShard.mWorkers.find(past.mWorker);
+    const bool hasLeft = worker == aShard.mWorkers.end();
+    group.mCompared += hasLeft ? 1 : 0;
+    if (hasLeft || !PresentLossWith(worker->second, aLoss, aNow)) {
+      others.push_back(past);
     }
   }
-  group.mTogether = MostAtOnce(losses);
+  group.mTogether = MostAtOnce(aLoss, others);
   return group;
 }
 
