Dispatch: Start suspects apart from each other, and isolate few of them

A task that crashes its worker 8 s after each start was placed together with the tasks that had run beside it, since suspects with long runs had become ordinary tasks and the crashed worker's successor is the emptiest: after three crashes innocent jobs failed with it. And suspects that had waited for 5 s started anywhere, where each closed its worker, past the limit of a fifth; so did suspects that a next owner found running.

Change: a suspect that isn't isolated starts on a worker without another suspect, if there is room. A worker is closed only for a run that was started apart (mIsIsolated). Draining workers don't count as lost, so a scale-in doesn't excuse a crash at that time.

--- a/Source/Dispatch/vcDispatchState.h
+++ b/Source/Dispatch/vcDispatchState.h
@@ -108,6 +108,8 @@
   /// run.
   Duration mSeenAtWorkFor{ 0 };
   CrashHistory mCrashHistory;
+  /// The current run was started apart from others (vcSuspectIsolation.h).
+  bool mIsIsolated = false;
   /// The start order was not answered: it may have been executed, or may still
   /// be.
   bool mIsStartUncertain = false;
--- a/Source/Dispatch/vcDispatchWorkers.cxx
+++ b/Source/Dispatch/vcDispatchWorkers.cxx
@@ -293,9 +293,7 @@
                     TimePoint aNow)
 {
   const auto loss = PresentLossOf(aWorker, aNow);
-  const bool isLost = loss && aWorker.mHasAnswered && !aWorker.mIsReplaced &&
-                      !aWorker.mEntry.mIsDraining;
-  if (isLost) {
+  if (loss && !aWorker.mIsReplaced) {
     RememberLoss(aShard, *loss, aNow);
   }
 }
--- a/Source/Dispatch/vcLossGroups.cxx
+++ b/Source/Dispatch/vcLossGroups.cxx
@@ -78,6 +78,9 @@
                                         TimePoint aNow)
 {
   const std::string& name = aWorker.mEntry.mWorker;
+  if (aWorker.mEntry.mIsDraining) {
+    return std::nullopt;
+  }
   if (!aWorker.mIsUnresponsive) {
     const bool isOverdue =
       aWorker.mHasAnswered && aNow - aWorker.mLastReportAt > kOverdue;
--- a/Source/Dispatch/vcLossGroups.h
+++ b/Source/Dispatch/vcLossGroups.h
@@ -19,7 +19,8 @@
   std::size_t mCompared = 0;
 };
 
-/// When the worker was lost, or may have been. Nothing if it is well.
+/// When the worker was lost, or may have been. Nothing if it is well, or is
+/// draining, since then it leaves.
 std::optional<WorkerLoss> PresentLossOf(const DispatchWorker& aWorker,
                                         TimePoint aNow);
 
--- a/Source/Dispatch/vcSuspectIsolation.cxx
+++ b/Source/Dispatch/vcSuspectIsolation.cxx
@@ -60,13 +60,21 @@
   return hasUnseenTask || !aWorker.mRunsToStop.empty();
 }
 
+bool HasSuspect(const DispatchShard& aShard, const DispatchWorker& aWorker)
+{
+  return std::any_of(
+    aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskId& aKey) {
+      return aShard.mSuspects.contains(aKey);
+    });
+}
+
 std::set<std::string> IsolatedWorkers(const DispatchShard& aShard)
 {
   std::set<std::string> workers;
   for (const auto& key : aShard.mSuspects) {
     const DispatchTask* task = FindTask(aShard, key);
     const bool isIsolated = task != nullptr && !task->mWorker.empty() &&
-                            NeedsIsolation(*task) && !IsSeenAtWork(*task);
+                            task->mIsIsolated && !IsSeenAtWork(*task);
     if (isIsolated) {
       workers.insert(task->mWorker);
     }
--- a/Source/Dispatch/vcSuspectIsolation.h
+++ b/Source/Dispatch/vcSuspectIsolation.h
@@ -6,7 +6,10 @@
 ///
 /// An isolated worker is no place for others, so a suspect is isolated only if
 /// that can show something: not one that had been at work before each crash for
-/// longer than isolation lasts.
+/// longer than isolation lasts. That one is started apart from other suspects,
+/// if there is room, so that its next crash doesn't count against them. One
+/// that has been started beside others, or by another owner, isn't isolated
+/// either.
 
 #include "vcDispatchState.h"
 
@@ -37,8 +40,11 @@
 /// True if a run on the worker hasn't been seen at work for long enough.
 bool HasUnseenRun(const DispatchShard& aShard, const DispatchWorker& aWorker);
 
-/// Names of the workers that run a suspect which hasn't been seen at work for
-/// long enough. Nothing else is started there.
+/// True if a suspect runs on the worker.
+bool HasSuspect(const DispatchShard& aShard, const DispatchWorker& aWorker);
+
+/// Names of the workers that run an isolated suspect which hasn't been seen at
+/// work for long enough. Nothing else is started there.
 std::set<std::string> IsolatedWorkers(const DispatchShard& aShard);
 
 } // namespace verbenacroft
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -19,17 +19,18 @@
 /// many may run suspects apart while long-running tasks wait for room.
 constexpr std::size_t kWorkersForOneSuspect = 5;
 
-/// The worker on which a suspect is started: one where every run was seen at
-/// work, with as few runs as possible. Null if there is none.
+/// The worker on which a suspect is started: one with room that meets a
+/// condition, with as few runs as possible. Null if there is none.
+template<class Condition>
 DispatchWorker* ChooseApart(const DispatchShard& aShard,
                             const StepNeeds& aNeeds,
                             const Round& aRound,
-                            const std::vector<DispatchWorker*>& aWorkers)
+                            const std::vector<DispatchWorker*>& aWorkers,
+                            Condition aMayStart)
 {
   DispatchWorker* best = nullptr;
   for (auto* worker : aWorkers) {
-    const bool isFit = IsAllowed(aNeeds, *worker) &&
-                       !HasUnseenRun(aShard, *worker) &&
+    const bool isFit = IsAllowed(aNeeds, *worker) && aMayStart(*worker) &&
                        std::holds_alternative<double>(
                          CostOf(aShard, aNeeds, *worker, aRound.mNow));
     const bool isBetter =
@@ -97,7 +98,7 @@
 }
 
 /// Limits the workers that suspects may take to few while long-running tasks of
-/// the service wait for room.
+/// the service wait.
 void LeavePlacesToOthers(const DispatchShard& aShard,
                          const std::vector<Candidate>& aCandidates,
                          Round& aRound)
@@ -120,8 +121,58 @@
   }
 }
 
-/// Starts the waiting suspects of a step, each apart from runs that weren't
-/// seen at work yet.
+/// Starts a suspect on a worker where every run was seen at work, and leaves
+/// the worker out of the round.
+void StartIsolated(DispatchShard& aShard,
+                   const TaskId& aKey,
+                   Round& aRound,
+                   DispatchActions& aActions)
+{
+  const DispatchTask& task = *FindTask(aShard, aKey);
+  const StepNeeds needs = NeedsOf(aShard, aKey);
+  std::size_t& places = aRound.mPlacesForSuspects[needs.mService];
+  if (places == 0) {
+    return;
+  }
+  auto& workers = aRound.mUsable[needs.mService];
+  DispatchWorker* worker = ChooseApart(
+    aShard, needs, aRound, workers, [&](const DispatchWorker& aWorker) {
+      return !HasUnseenRun(aShard, aWorker);
+    });
+  if (worker == nullptr) {
+    if (!MayStartBesideOthers(task, aRound.mNow)) {
+      ReserveWorker(aShard, needs, aRound, workers);
+    }
+    return;
+  }
+  StartOn(aShard, aKey, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
+  FindTask(aShard, aKey)->mIsIsolated = true;
+  worker->mReservedUntil = kNever;
+  std::erase(workers, worker);
+  --places;
+}
+
+/// Starts a suspect that isn't isolated on a worker that runs no other. Without
+/// one it starts like other tasks.
+void StartAmongOthers(DispatchShard& aShard,
+                      const TaskId& aKey,
+                      Round& aRound,
+                      DispatchActions& aActions)
+{
+  const StepNeeds needs = NeedsOf(aShard, aKey);
+  const auto& workers = aRound.mUsable[needs.mService];
+  DispatchWorker* worker = ChooseApart(
+    aShard, needs, aRound, workers, [&](const DispatchWorker& aWorker) {
+      return aRound.mNow >= aWorker.mReservedUntil &&
+             !HasSuspect(aShard, aWorker);
+    });
+  if (worker != nullptr) {
+    const std::uint32_t run = FindTask(aShard, aKey)->mHighestRun + 1;
+    StartOn(aShard, aKey, *worker, run, aRound.mNow, aActions);
+  }
+}
+
+/// Starts the waiting suspects of a step.
 void StartSuspectsOf(DispatchShard& aShard,
                      const TaskId& aFirstTask,
                      Round& aRound,
@@ -134,33 +185,19 @@
     if (first != aFirstTask) {
       return;
     }
-    const DispatchTask* suspect = FindTask(aShard, *at);
+    const DispatchTask* task = FindTask(aShard, *at);
     const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-    const bool mayStart =
-      suspect != nullptr && NeedsIsolation(*suspect) &&
-      IsStartable(job, *suspect, aRound.mHeld, aRound.mNow) &&
-      MayTeamStart(aShard, job, StepOf(job, *at), 1);
+    const bool mayStart = task != nullptr &&
+                          IsStartable(job, *task, aRound.mHeld, aRound.mNow) &&
+                          MayTeamStart(aShard, job, StepOf(job, *at), 1);
     if (!mayStart) {
       continue;
     }
-    const DispatchTask& task = *suspect;
-    const StepNeeds needs = NeedsOf(aShard, *at);
-    std::size_t& places = aRound.mPlacesForSuspects[needs.mService];
-    if (places == 0) {
-      return;
-    }
-    auto& workers = aRound.mUsable[needs.mService];
-    DispatchWorker* worker = ChooseApart(aShard, needs, aRound, workers);
-    if (worker == nullptr) {
-      if (!MayStartBesideOthers(task, aRound.mNow)) {
-        ReserveWorker(aShard, needs, aRound, workers);
-      }
-      continue;
+    if (NeedsIsolation(*task)) {
+      StartIsolated(aShard, *at, aRound, aActions);
+    } else {
+      StartAmongOthers(aShard, *at, aRound, aActions);
     }
-    StartOn(aShard, *at, *worker, task.mHighestRun + 1, aRound.mNow, aActions);
-    worker->mReservedUntil = kNever;
-    std::erase(workers, worker);
-    --places;
   }
 }
 
--- a/Source/Dispatch/vcWorkerRuns.cxx
+++ b/Source/Dispatch/vcWorkerRuns.cxx
@@ -142,6 +142,7 @@
   task.mProgressAt = kNever;
   task.mThrottledAt = kNever;
   task.mIsProbe = false;
+  task.mIsIsolated = false;
   task.mIsStartUncertain = false;
   task.mStartBrokenAt = kNever;
   task.mAwaitsRackUntil = kNever;
--- a/Tests/Unit/vcCrashTogetherTest.cxx
+++ b/Tests/Unit/vcCrashTogetherTest.cxx
@@ -138,6 +138,19 @@
   }
 }
 
+/// Another worker is listed, and reports that nothing runs.
+void AddWorker(CrashedFleet& aFleet, const std::string& aName)
+{
+  aFleet.mNames.push_back(aName);
+  std::vector<WorkerEntry> entries;
+  for (const auto& name : aFleet.mNames) {
+    entries.push_back(MakeEntry(name));
+  }
+  OnDiscovery(aFleet.mShard, entries, aFleet.mNow);
+  aFleet.mShard.mWorkers.at(aName).mIsRecorded = true;
+  aFleet.Report(aName, {}, {});
+}
+
 /// A worker crashes alone and is gone.
 void CrashAlone(CrashedFleet& aFleet, const std::string& aWorker)
 {
@@ -225,14 +238,18 @@
   }
   fleet.mNow += kNoticedAfter;
   fleet.ReportOthers(kCrashes);
+  std::size_t counted = 0;
   for (int i = 0; i < kCrashes; ++i) {
     const auto tasks = fleet.mShard.mWorkers.at(fleet.mNames[i]).mTasks;
     REQUIRE_FALSE(tasks.empty());
+    counted += tasks.size();
     fleet.ReportReplaced(fleet.mNames[i]);
     for (const auto& key : tasks) {
       CHECK(fleet.Crashes(key.mIndex) == 1);
     }
   }
+  // No count was taken back.
+  CHECK(fleet.mShard.mSuspects.size() == counted);
 }
 
 // Guards against workers that are closed for others by a suspect which worked
@@ -286,7 +303,53 @@
   CrashAlone(fleet, first);
   REQUIRE(fleet.mShard.mSuspects.size() == kSuspects);
   fleet.Start(OrderOutcome::kDone);
-  CHECK(IsolatedWorkers(fleet.mShard).size() <= kMostIsolated);
+  CHECK(IsolatedWorkers(fleet.mShard).size() >= 1);
+  constexpr int kRounds = 16;
+  for (int i = 0; i < kRounds; ++i) {
+    CHECK(IsolatedWorkers(fleet.mShard).size() <= kMostIsolated);
+    RunFor(fleet, Duration(500));
+    fleet.Start(OrderOutcome::kDone);
+  }
+}
+
+// Guards against jobs that fail since they ran beside a task that crashes its
+// workers some seconds after each start, and were placed together with it
+// again.
+TEST_CASE("a task that crashes late is given up without others", "[crash]")
+{
+  constexpr int kWorkers = 6;
+  constexpr Duration kCrashesAfter{ 8'000 };
+  constexpr std::uint32_t kCrashes = 3;
+  CrashedFleet fleet(kWorkers);
+  const std::string first = fleet.mNames.front();
+  const JobId deadly = JobNumber(0);
+  const std::vector<JobId> innocent{ JobNumber(1), JobNumber(2) };
+  AddLongRunning(fleet, deadly, 1'000);
+  AddLongRunning(fleet, innocent[0], 1'000);
+  AddLongRunning(fleet, innocent[1], 1'000);
+  for (auto& [name, worker] : fleet.mShard.mWorkers) {
+    worker.mAvoidedUntil = name == first ? kNever : fleet.mNow + Duration(1);
+  }
+  fleet.Start(OrderOutcome::kDone);
+  fleet.mNow += Duration(1);
+  for (int i = 0; i < kWorkers - 2; ++i) {
+    AddLongRunning(fleet, JobNumber(3 + i), 5'000);
+  }
+  fleet.Start(OrderOutcome::kDone);
+  for (std::uint32_t i = 0; i < kCrashes; ++i) {
+    RunFor(fleet, kCrashesAfter);
+    const std::string worker =
+      FindTask(fleet.mShard, { deadly, 0, 0, 0 })->mWorker;
+    REQUIRE_FALSE(worker.empty());
+    CrashAlone(fleet, worker);
+    // It is empty, so it is the best place for all.
+    AddWorker(fleet, fmt::format("new-{}", i));
+    fleet.Start(OrderOutcome::kDone);
+  }
+  CHECK(fleet.mShard.mJobs.at(deadly).mState == BatchState::kFailed);
+  for (const auto& id : innocent) {
+    CHECK(fleet.mShard.mJobs.at(id).mState != BatchState::kFailed);
+  }
 }
 
 } // namespace verbenacroft
