Dispatch: Ask in one place which long-running tasks have waited for long

The limit on suspects' workers counted the waiting tasks of a step with a copy of the loop that decides for whom room is reserved (LongRunningRequest). That moves to vcPlacementRound, and both ask it. No decision changes.

--- a/Source/Dispatch/vcDispatchPlacement.cxx
+++ b/Source/Dispatch/vcDispatchPlacement.cxx
@@ -227,29 +227,6 @@
   }
 }
 
-/// Room for the tasks of a long-running step that have waited for long, each
-/// for itself: they run all the time, so that others of their job run says
-/// nothing.
-RoomRequest LongRunningRequest(const DispatchShard& aShard,
-                               const TaskId& aFirstTask,
-                               const Round& aRound)
-{
-  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-  const TimePoint readyAt =
-    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
-  RoomRequest request{ aFirstTask, aRound.mNow, 0 };
-  for (const auto& task : StepStateOf(job, aFirstTask).mTasks) {
-    const TimePoint since = std::max(readyAt, task.mWaitingSince);
-    const bool isLong = IsWaiting(job, task, aRound.mHeld, aRound.mNow) &&
-                        aRound.mNow - since >= kTurnAfter;
-    if (isLong) {
-      ++request.mWorkers;
-      request.mWaitsSince = std::min(request.mWaitsSince, since);
-    }
-  }
-  return request;
-}
-
 /// Room for the members of a gang that has been idle for long. They start
 /// together, so what becomes free on the reserved workers is kept until all of
 /// them fit.
--- a/Source/Dispatch/vcPlacementRound.cxx
+++ b/Source/Dispatch/vcPlacementRound.cxx
@@ -1,5 +1,6 @@
 #include "vcPlacementRound.h"
 
+#include "vcDispatchJobs.h"
 #include "vcDispatchPlacement.h"
 #include "vcDispatchTurnover.h"
 #include "vcIncarnationFence.h"
@@ -196,6 +197,26 @@
   return static_cast<std::uint32_t>(first - aStep.mTasks.begin());
 }
 
+RoomRequest LongRunningRequest(const DispatchShard& aShard,
+                               const TaskId& aFirstTask,
+                               const Round& aRound)
+{
+  const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
+  const TimePoint readyAt =
+    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
+  RoomRequest request{ aFirstTask, aRound.mNow, 0 };
+  for (const auto& task : StepStateOf(job, aFirstTask).mTasks) {
+    const TimePoint since = std::max(readyAt, task.mWaitingSince);
+    const bool isLong = IsWaiting(job, task, aRound.mHeld, aRound.mNow) &&
+                        aRound.mNow - since >= kTurnAfter;
+    if (isLong) {
+      ++request.mWorkers;
+      request.mWaitsSince = std::min(request.mWaitsSince, since);
+    }
+  }
+  return request;
+}
+
 DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey)
 {
   return StepStateOf(aShard.mJobs.at(aKey.mJob), aKey);
--- a/Source/Dispatch/vcPlacementRound.h
+++ b/Source/Dispatch/vcPlacementRound.h
@@ -3,6 +3,7 @@
 /// Round of starts: the usable workers, what was tried in vain, and the start
 /// of a task on the worker that was chosen. Internal to the Dispatch library.
 
+#include "vcDispatchReservations.h"
 #include "vcPlacementCandidates.h"
 #include "vcPlacementCost.h"
 #include "vcRackLocality.h"
@@ -113,6 +114,13 @@
                            const DispatchStep& aStep,
                            const Round& aRound);
 
+/// Room for the tasks of a long-running step that have waited for long, each
+/// for itself: they run all the time, so that others of their job run says
+/// nothing.
+RoomRequest LongRunningRequest(const DispatchShard& aShard,
+                               const TaskId& aFirstTask,
+                               const Round& aRound);
+
 /// The state of the step of a task, which must exist.
 DispatchStep& StepStateOf(DispatchShard& aShard, const TaskId& aKey);
 
--- a/Source/Dispatch/vcSuspectStarts.cxx
+++ b/Source/Dispatch/vcSuspectStarts.cxx
@@ -1,6 +1,5 @@
 #include "vcSuspectStarts.h"
 
-#include "vcDispatchJobs.h"
 #include "vcSuspectIsolation.h"
 #include "vcTeamQuota.h"
 
@@ -83,18 +82,8 @@
                  const Round& aRound)
 {
   const DispatchJob& job = aShard.mJobs.at(aFirstTask.mJob);
-  if (!StepOf(job, aFirstTask).mIsLasting) {
-    return false;
-  }
-  const TimePoint readyAt =
-    ReadyAt(job, aFirstTask, aRound.mNow, aRound.mNowMs);
-  const auto& tasks = StepStateOf(job, aFirstTask).mTasks;
-  return std::any_of(
-    tasks.begin(), tasks.end(), [&](const DispatchTask& aTask) {
-      const TimePoint since = std::max(readyAt, aTask.mWaitingSince);
-      return IsWaiting(job, aTask, aRound.mHeld, aRound.mNow) &&
-             aRound.mNow - since >= kTurnAfter;
-    });
+  return StepOf(job, aFirstTask).mIsLasting &&
+         LongRunningRequest(aShard, aFirstTask, aRound).mWorkers > 0;
 }
 
 /// Limits the workers that suspects may take to few while long-running tasks of
